Lay out the workspace, the core package and the design

Cause: the repository was empty. Conclusion: the packages can be written side by side against the contracts.

--- /dev/null
+++ b/packages/rhubarbstage-bench/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Load generator and experiments.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-cli/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * The rhubarbstage command.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-consensus/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Replicated log as a pure reducer with effects as data.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-control/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Control state, claim journal and the replica that drives them.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-engine/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Adapter to the wire format of model engines.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * HTTP interface for callers, back ends and operators.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-host/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Composition of one host from the other packages.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Membership of hosts and back ends.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -0,0 +1,246 @@
+/**
+ * Events and effects of the policy. All times are monotonic milliseconds of the
+ * host that runs the policy.
+ *
+ * @module
+ */
+
+import type {
+  AttemptId,
+  AvailabilityZone,
+  BackendServerId,
+  CustomerId,
+  ErrorKind,
+  Incarnation,
+  ModelName,
+  Outcome,
+  Region,
+  RequestId,
+  ServiceName,
+  WorkKind,
+} from "rhubarbstage";
+
+/** Role of a model engine in its pool. */
+export type EngineRole = "prefill" | "decode" | "mixed";
+
+/** Effective settings of one request, read from the tree of settings. */
+export interface WorkSettings {
+  /** Bought priority; larger is served first. 0 is the default. */
+  readonly priority: number;
+  /** Weight among customers of the same priority. */
+  readonly share: number;
+  /** Requests a second over all hosts, or infinity. */
+  readonly requestsPerSecond: number;
+  /** Generated and prompt tokens a second over all hosts, or infinity. */
+  readonly tokensPerSecond: number;
+  /** Requests a second that are never starved by others. */
+  readonly floorRequestsPerSecond: number;
+  /** Target for the first token, in milliseconds. */
+  readonly firstTokenTarget: number;
+  /** Retries allowed for each first try, for example 0.1. */
+  readonly retryRatio: number;
+}
+
+/** One request as the policy sees it. */
+export interface Work {
+  readonly request: RequestId;
+  readonly customer: CustomerId;
+  readonly service: ServiceName;
+  readonly kind: WorkKind;
+  /** Absent for plain services. */
+  readonly model?: ModelName;
+  /** Estimated prompt length in tokens. */
+  readonly promptTokens: number;
+  /** Largest output that the caller allows, in tokens. */
+  readonly outputTokenLimit: number;
+  /** Hashes of the prompt's prefixes, one for each block of 1,000 tokens. */
+  readonly prefixes: readonly string[];
+  /** Hash of customer and body, the same when the request is sent again. */
+  readonly fingerprint: string;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  /** Whether the stream may be cancelled and resumed elsewhere. */
+  readonly resumable: boolean;
+  readonly arrivedAt: number;
+  readonly deadlineAt: number;
+  readonly settings: WorkSettings;
+}
+
+/** Load report of a backend server; seconds old by the time it is read. */
+export interface BackendServerLoad {
+  readonly runningRequests: number;
+  readonly queuedRequests: number;
+  /** Tokens of KV cache in use and in all. */
+  readonly cacheTokensUsed: number;
+  readonly cacheTokensTotal: number;
+}
+
+/** What is known of one backend server. */
+export interface BackendServer {
+  readonly id: BackendServerId;
+  readonly incarnation: Incarnation;
+  readonly region: Region;
+  readonly availabilityZone: AvailabilityZone;
+  /** Models that an engine serves; empty for plain services. */
+  readonly models: readonly ModelName[];
+  /** Plain services that the server runs; empty for engines. */
+  readonly services: readonly ServiceName[];
+  readonly role: EngineRole;
+  /** Requests that the server can run at the same time. */
+  readonly capacity: number;
+  /** Leaving or drained servers receive no new work. */
+  readonly acceptsNewWork: boolean;
+  readonly load?: BackendServerLoad;
+}
+
+/** Demand of one customer, in the unit of the limits. */
+export interface Demand {
+  readonly requestsPerSecond: number;
+  readonly tokensPerSecond: number;
+}
+
+/** A request fingerprint under suspicion of crashing servers. */
+export interface QuarantineMark {
+  readonly fingerprint: string;
+  /** Servers that crashed while they ran the request as a suspect. */
+  readonly crashes: number;
+  /** Whether the request is refused. */
+  readonly blocked: boolean;
+  /** Age of the mark in milliseconds when it was sent. */
+  readonly age: number;
+}
+
+/** What happened. */
+export type PolicyEvent =
+  | { readonly type: "arrived"; readonly now: number; readonly work: Work }
+  | {
+    readonly type: "caller_gone";
+    readonly now: number;
+    readonly request: RequestId;
+  }
+  | {
+    readonly type: "first_token";
+    readonly now: number;
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+  }
+  | {
+    readonly type: "tokens";
+    readonly now: number;
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+    /** Tokens since the last event of the attempt. */
+    readonly count: number;
+  }
+  | {
+    readonly type: "finished";
+    readonly now: number;
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+  }
+  | {
+    readonly type: "failed";
+    readonly now: number;
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+    readonly kind: ErrorKind;
+    readonly outcome: Outcome;
+    /** Tokens that the caller already has. */
+    readonly deliveredTokens: number;
+    /** Whether the server's connection was lost while it ran the request. */
+    readonly connectionLost: boolean;
+  }
+  | {
+    readonly type: "server_seen";
+    readonly now: number;
+    readonly server: BackendServer;
+  }
+  | {
+    readonly type: "server_gone";
+    readonly now: number;
+    readonly server: BackendServerId;
+    /** Whether it vanished without leaving, or came back as a new process. */
+    readonly crashed: boolean;
+  }
+  | {
+    readonly type: "cache_changed";
+    readonly now: number;
+    readonly server: BackendServerId;
+    readonly stored: readonly string[];
+    readonly evicted: readonly string[];
+    /** Whether events before this one were lost. */
+    readonly gap: boolean;
+  }
+  | {
+    readonly type: "path_measured";
+    readonly now: number;
+    readonly region: Region;
+    /** Round trip to the region, in milliseconds. */
+    readonly roundTrip: number;
+  }
+  | {
+    readonly type: "demand_reported";
+    readonly now: number;
+    /** Demand that all hosts together see. */
+    readonly total: ReadonlyMap<CustomerId, Demand>;
+    /** Hosts that are alive, this one included. */
+    readonly hosts: number;
+  }
+  | {
+    readonly type: "quarantine_reported";
+    readonly now: number;
+    readonly marks: readonly QuarantineMark[];
+  }
+  | {
+    readonly type: "role_authority_changed";
+    readonly now: number;
+    /** Whether this host decides on roles. */
+    readonly held: boolean;
+  }
+  | { readonly type: "tick"; readonly now: number };
+
+/** What has to be done. */
+export type PolicyEffect =
+  | {
+    readonly type: "dispatch";
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+    /** Server that generates the answer. */
+    readonly server: BackendServerId;
+    /** Server that computes the prompt first and exports its KV cache. */
+    readonly prefillServer?: BackendServerId;
+    /** Priority for the engine; larger is served first. */
+    readonly priority: number;
+    /** Tokens that the caller already has. */
+    readonly resumeFrom: number;
+  }
+  | {
+    readonly type: "refuse";
+    readonly request: RequestId;
+    readonly kind: ErrorKind;
+    readonly outcome: Outcome;
+    readonly retryAfterSeconds?: number;
+  }
+  | {
+    readonly type: "cancel";
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+    readonly reason: "preempted" | "hedged" | "caller_gone" | "deadline";
+  }
+  | {
+    readonly type: "set_role";
+    readonly server: BackendServerId;
+    readonly role: EngineRole;
+  }
+  | {
+    readonly type: "publish_quarantine";
+    readonly marks: readonly QuarantineMark[];
+  }
+  | {
+    readonly type: "note";
+    /** Event name for log and time line. */
+    readonly event: string;
+    readonly fields: Readonly<Record<string, string | number | boolean>>;
+  };
--- /dev/null
+++ b/packages/rhubarbstage-service/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Calls to plain services with at-most-once effects.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Process settings and the tree of settings.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-storage/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Durable log, snapshots and host identity under the data folder.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-telemetry/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Logs, time line and metrics.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-test-support/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Fake engine, fake service, fault proxy and process driver for tests.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * Authenticated message links between hosts.
+ *
+ * @module
+ */
+
+export {};
--- /dev/null
+++ b/packages/rhubarbstage/__tests__/unit/errors_test.ts
@@ -0,0 +1,26 @@
+import {
+  errorAnswers,
+  isErrorKind,
+  RhubarbstageError,
+  toRhubarbstageError,
+} from "../../src/mod.ts";
+
+describe("RhubarbstageError", () => {
+  // Guards against a refusal whose outcome differs from the table.
+  test("takes status and outcome from the table of kinds", () => {
+    const error = new RhubarbstageError("overloaded");
+    expect(error.status).toBe(errorAnswers.overloaded.status);
+    expect(error.outcome).toBe("not_run");
+  });
+
+  // Guards against claiming "not run" for a fault that nobody classified.
+  test("treats an unclassified error as one that may have run", () => {
+    expect(toRhubarbstageError(new Error("boom")).outcome).toBe("may_have_run");
+  });
+
+  // Guards against accepting names inherited from Object.prototype.
+  test("recognises only the kinds of the list", () => {
+    expect(isErrorKind("overloaded")).toBe(true);
+    expect(isErrorKind("toString")).toBe(false);
+  });
+});
--- /dev/null
+++ b/packages/rhubarbstage/src/errors.ts
@@ -0,0 +1,47 @@
+/**
+ * The error class that carries an error kind to its answer.
+ *
+ * @module
+ */
+
+import { errorAnswers, type ErrorKind, type Outcome } from "./error_kinds.ts";
+
+/** Options of a {@linkcode RhubarbstageError}. */
+export interface ErrorDetails {
+  /** Message for the caller; defaults to the message of the kind. */
+  readonly message?: string;
+  /** Outcome; defaults to the outcome of the kind. */
+  readonly outcome?: Outcome;
+  /** Advice for the `Retry-After` header, in seconds. */
+  readonly retryAfterSeconds?: number;
+  /** Underlying error, for logs only. */
+  readonly cause?: unknown;
+}
+
+/** An error of the closed list of kinds. */
+export class RhubarbstageError extends Error {
+  /** Kind from the closed list. */
+  readonly kind: ErrorKind;
+  /** Whether the request that failed took effect. */
+  readonly outcome: Outcome;
+  /** HTTP status code of the answer. */
+  readonly status: number;
+  /** Advice for the `Retry-After` header, in seconds. */
+  readonly retryAfterSeconds: number | undefined;
+
+  constructor(kind: ErrorKind, details: ErrorDetails = {}) {
+    const answer = errorAnswers[kind];
+    super(details.message ?? answer.message, { cause: details.cause });
+    this.name = "RhubarbstageError";
+    this.kind = kind;
+    this.outcome = details.outcome ?? answer.outcome;
+    this.status = answer.status;
+    this.retryAfterSeconds = details.retryAfterSeconds;
+  }
+}
+
+/** Converts any thrown value to an error of the closed list. */
+export function toRhubarbstageError(thrown: unknown): RhubarbstageError {
+  if (thrown instanceof RhubarbstageError) return thrown;
+  return new RhubarbstageError("internal", { cause: thrown });
+}
--- /dev/null
+++ b/packages/rhubarbstage/src/ids.ts
@@ -0,0 +1,47 @@
+/**
+ * Branded identifiers, so that one kind of id cannot be passed for another.
+ *
+ * @module
+ */
+
+/** A value of type `Base` that only code naming `Name` may produce. */
+export type Brand<Base, Name extends string> = Base & {
+  readonly __brand: Name;
+};
+
+/** A host of the system, as named in its process settings. */
+export type HostId = Brand<string, "HostId">;
+/** A region, for example `lombardia`. */
+export type Region = Brand<string, "Region">;
+/** An availability zone inside a region. */
+export type AvailabilityZone = Brand<string, "AvailabilityZone">;
+/** A customer branch of the tree of settings. */
+export type CustomerId = Brand<string, "CustomerId">;
+/** A model engine or an instance of a plain service. */
+export type BackendServerId = Brand<string, "BackendServerId">;
+/** A model that callers ask for by name. */
+export type ModelName = Brand<string, "ModelName">;
+/** A plain service that callers ask for by name. */
+export type ServiceName = Brand<string, "ServiceName">;
+/** A kind of work below a customer in the tree of settings. */
+export type WorkKind = Brand<string, "WorkKind">;
+/** One request of one caller. */
+export type RequestId = Brand<string, "RequestId">;
+/** One try to run a request on one backend server. */
+export type AttemptId = Brand<string, "AttemptId">;
+/** Start of a process, in milliseconds since the Unix epoch; larger is newer. */
+export type Incarnation = Brand<number, "Incarnation">;
+/** Revision of the tree of settings; starts at 1 and grows by one an edit. */
+export type Revision = Brand<number, "Revision">;
+/** Fencing number of an order: log index of its committed intent. */
+export type FencingNumber = Brand<number, "FencingNumber">;
+/** Hash of customer, service and idempotency key, in hexadecimal. */
+export type ClaimKey = Brand<string, "ClaimKey">;
+/** Id that an operator's client gives to one edit, kept over resends. */
+export type EditId = Brand<string, "EditId">;
+/** Id of one order to an engine. */
+export type OrderId = Brand<string, "OrderId">;
+/** Seat in a replicated group; created at random with the data folder. */
+export type ReplicaId = Brand<string, "ReplicaId">;
+/** A replicated group, for example `control` or `journal-0`. */
+export type GroupName = Brand<string, "GroupName">;
