--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -4,6 +4,8 @@
  * @module
  */
 
+export type { NaiveOptions, NaiveState } from "./naive_policy.ts";
+export { NaivePolicy } from "./naive_policy.ts";
 export { Policy } from "./policy.ts";
 export type {
   BackendServer,
