--- /dev/null
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -0,0 +1,428 @@
+import type {
+  BackendServerId,
+  CustomerId,
+  Incarnation,
+  ModelName,
+  Region,
+  RequestId,
+  ServiceName,
+} from "rhubarbstage";
+import {
+  FleetPolicy,
+  type FleetSettings,
+  type FleetState,
+  type PolicyEffect,
+} from "../../src/mod.ts";
+import {
+  chat,
+  type Dispatch,
+  makeServer,
+  makeWork,
+  PolicyDriver,
+  type WorkChanges,
+} from "./fixtures.ts";
+
+const region = "attica" as Region;
+
+function newDriver(
+  servers: readonly string[] = ["a"],
+  settings: Partial<FleetSettings> = {},
+): PolicyDriver<FleetState> {
+  const driver = new PolicyDriver(new FleetPolicy({ region, settings }));
+  for (const id of servers) driver.see(makeServer(id));
+  return driver;
+}
+
+function arriveMany(
+  driver: PolicyDriver<FleetState>,
+  prefix: string,
+  count: number,
+  changes: WorkChanges = {},
+): void {
+  for (let index = 0; index < count; index += 1) {
+    driver.arrive(makeWork(`${prefix}${index}`, changes));
+  }
+}
+
+function firstToken(
+  driver: PolicyDriver<FleetState>,
+  dispatch: Dispatch,
+  now: number,
+): readonly PolicyEffect[] {
+  const { request, attempt } = dispatch;
+  return driver.send({ type: "first_token", now, request, attempt });
+}
+
+function fail(
+  driver: PolicyDriver<FleetState>,
+  dispatch: Dispatch,
+  changes: { connectionLost?: boolean; outcome?: "not_run" | "may_have_run" },
+  now = 10,
+): readonly PolicyEffect[] {
+  const { request, attempt } = dispatch;
+  return driver.send({
+    type: "failed",
+    now,
+    request,
+    attempt,
+    kind: "backend_failed",
+    outcome: changes.outcome ?? "may_have_run",
+    deliveredTokens: 0,
+    connectionLost: changes.connectionLost ?? false,
+  });
+}
+
+/** Runs requests one after another, so that the pool has estimates. */
+function teach(
+  driver: PolicyDriver<FleetState>,
+  count: number,
+  speed: (server: string) => number = () => 1,
+): void {
+  for (let index = 0; index < count; index += 1) {
+    const now = index * 200;
+    const [dispatch] = driver.dispatches(
+      driver.arrive(makeWork(`t${index}`, { arrivedAt: now }), now),
+    );
+    const factor = speed(dispatch!.server);
+    firstToken(driver, dispatch!, now + 50 * factor);
+    driver.finish(dispatch!, now + 150 * factor);
+  }
+}
+
+describe("priority", () => {
+  // Guards against a customer with bought priority who waits behind lent work.
+  test("preempts lent resumable work at once", () => {
+    const driver = newDriver();
+    arriveMany(driver, "lent", 6);
+    const effects = driver.arrive(
+      makeWork("bought", { settings: { priority: 5 } }),
+    );
+    expect(effects).toMatchObject([
+      { type: "cancel", reason: "preempted" },
+      { type: "dispatch", request: "bought" },
+    ]);
+  });
+
+  // Guards against cutting off a filing to make room.
+  test("does not preempt work that may not be repeated", () => {
+    const driver = newDriver();
+    arriveMany(driver, "charge", 4, { repeatable: false });
+    arriveMany(driver, "bought", 3, { settings: { priority: 5 } });
+    expect(driver.cancels()).toEqual([]);
+    // One slot beyond capacity; the engine's priorities decide there.
+    expect(driver.dispatches()).toHaveLength(5);
+  });
+
+  // Guards against starving a customer below the stated floor.
+  test("serves a floor before higher priority", () => {
+    const driver = newDriver();
+    arriveMany(driver, "busy", 4, { repeatable: false });
+    arriveMany(driver, "bought", 20, { settings: { priority: 5 } });
+    const floor = { floorRequestsPerSecond: 2 };
+    driver.arrive(
+      makeWork("floor", { customer: "home" as CustomerId, settings: floor }),
+    );
+    driver.finish(driver.dispatches()[0]!, 100);
+    driver.finish(driver.dispatches()[1]!, 100);
+    expect(driver.dispatches().map((effect) => effect.request))
+      .toContain("floor");
+  });
+
+  // Guards against a customer who gets more by sending more.
+  test("divides slots in proportion to shares", () => {
+    const driver = newDriver();
+    arriveMany(driver, "warm", 4);
+    for (const [customer, share] of [["x", 3], ["y", 1]] as const) {
+      const id = customer as CustomerId;
+      const count = 40 * (4 - share);
+      arriveMany(driver, customer, count, {
+        customer: id,
+        settings: { share },
+      });
+    }
+    for (let index = 0; index < 40; index += 1) {
+      driver.finish(driver.dispatches()[index]!, 100 + index);
+    }
+    const served = driver.dispatches().slice(4)
+      .filter((effect) => effect.request.startsWith("x")).length;
+    expect(served).toBeGreaterThanOrEqual(28);
+    expect(served).toBeLessThanOrEqual(32);
+  });
+});
+
+describe("admission", () => {
+  // Guards against accepting work that would miss its first-token target.
+  test("refuses early and says when to come back", () => {
+    const driver = newDriver();
+    teach(driver, 30);
+    arriveMany(driver, "r", 200, { arrivedAt: 10_000 });
+    const refused = driver.refusals();
+    expect(refused.length).toBeGreaterThan(100);
+    expect(refused[0]).toMatchObject({
+      kind: "overloaded",
+      outcome: "not_run",
+    });
+    expect(refused[0]!.retryAfterSeconds).toBeGreaterThan(0);
+  });
+
+  // Guards against a ceiling that lets more through.
+  test("refuses work beyond a ceiling", () => {
+    const driver = newDriver();
+    arriveMany(driver, "r", 5, { settings: { requestsPerSecond: 2 } });
+    expect(driver.refusals().map((effect) => effect.kind))
+      .toEqual(["limit_exceeded", "limit_exceeded", "limit_exceeded"]);
+  });
+});
+
+describe("long work", () => {
+  // Guards against long prompts that take all slots of an engine.
+  test("is bounded on each server and leaves room for short work", () => {
+    const driver = newDriver(["a", "b"]);
+    teach(driver, 30);
+    driver.effects.length = 0;
+    const promptTokens = 50_000;
+    const changes = { arrivedAt: 10_000, promptTokens, deadlineAt: 900_000 };
+    const settings = { firstTokenTarget: 600_000 };
+    arriveMany(driver, "long", 6, { ...changes, settings });
+    expect(driver.dispatches()).toHaveLength(2);
+    arriveMany(driver, "short", 6, { arrivedAt: 10_000 });
+    expect(driver.dispatches()).toHaveLength(8);
+  });
+
+  // Guards against long work that waits for ever behind short work.
+  test("goes before short work after a while", () => {
+    const driver = newDriver();
+    teach(driver, 30);
+    driver.effects.length = 0;
+    arriveMany(driver, "short", 12, {
+      arrivedAt: 10_000,
+      settings: { firstTokenTarget: 60_000 },
+    });
+    driver.arrive(makeWork("long", {
+      arrivedAt: 10_000,
+      promptTokens: 50_000,
+      deadlineAt: 900_000,
+      settings: { firstTokenTarget: 600_000 },
+    }));
+    driver.finish(driver.dispatches()[0]!, 10_100);
+    expect(driver.dispatches().at(-1)!.request).toMatch("short");
+    driver.finish(driver.dispatches()[1]!, 16_000);
+    expect(driver.dispatches().at(-1)!.request).toBe("long");
+  });
+});
+
+describe("slowed servers", () => {
+  // Guards against an even spread over fast and slowed servers, and against a
+  // recovered server that never gets work again.
+  test("are eased off and probed back", () => {
+    const driver = newDriver(["a", "b", "c", "d"]);
+    teach(driver, 200, (server) => server === "a" ? 6 : 1);
+    const slowed = driver.dispatches().slice(100)
+      .filter((effect) => effect.server === "a").length;
+    expect(slowed).toBeLessThan(25);
+    expect(slowed).toBeGreaterThan(0);
+  });
+
+  // Guards against waiting for a stuck server, and against two runs of a charge.
+  test.each([[true, 2], [false, 1]])(
+    "are hedged only for repeatable work (%p)",
+    (repeatable, runs) => {
+      const driver = newDriver(["a", "b"]);
+      driver.arrive(makeWork("1", { repeatable }));
+      driver.tick(5_000);
+      expect(driver.dispatches()).toHaveLength(runs);
+      const effects = firstToken(driver, driver.dispatches()[0]!, 5_010);
+      expect(driver.cancels(effects)).toHaveLength(runs - 1);
+    },
+  );
+});
+
+describe("retries", () => {
+  // Guards against repeating a charge that may have run.
+  test("repeat only what did not run or may be repeated", () => {
+    const driver = newDriver(["a", "b"]);
+    driver.arrive(makeWork("charge", { repeatable: false }));
+    const [first] = driver.dispatches();
+    const [second] = driver.dispatches(
+      fail(driver, first!, { outcome: "not_run" }),
+    );
+    expect(second!.server).not.toBe(first!.server);
+    expect(fail(driver, second!, {}))
+      .toMatchObject([{ type: "refuse", outcome: "may_have_run" }]);
+  });
+
+  // Guards against retries that multiply an overload.
+  test("stop when the customer's budget is used up", () => {
+    const driver = newDriver(["a", "b"]);
+    for (let index = 0; index < 30; index += 1) {
+      const work = makeWork(`${index}`, { settings: { retryRatio: 0 } });
+      const [dispatch] = driver.dispatches(driver.arrive(work));
+      const [retry] = driver.dispatches(fail(driver, dispatch!, {}));
+      if (retry !== undefined) driver.finish(retry, 20);
+    }
+    expect(driver.dispatches()).toHaveLength(30 + 10);
+  });
+});
+
+describe("quarantine", () => {
+  // Guards against a request that takes down one server after another, and
+  // against refusing what ran beside it.
+  test("refuses a request that crashed two servers", () => {
+    const driver = newDriver(["a", "b", "c"]);
+    const bad = { fingerprint: "bad" };
+    driver.arrive(makeWork("bad1", bad));
+    const [first] = driver.dispatches();
+    const lost = { connectionLost: true };
+    const [second] = driver.dispatches(fail(driver, first!, lost));
+    expect(second!.server).not.toBe(first!.server);
+    driver.arrive(makeWork("beside"));
+    fail(driver, second!, lost, 20);
+    driver.arrive(makeWork("bad2", bad));
+    driver.arrive(makeWork("beside2", { fingerprint: "fingerprint-beside" }));
+    expect(driver.refusals().map((effect) => [effect.request, effect.kind]))
+      .toEqual([
+        ["bad1", "request_quarantined"],
+        ["bad2", "request_quarantined"],
+      ]);
+  });
+
+  // Guards against refusing a request because a path was cut twice.
+  test("withdraws the mark when the server's process is still there", () => {
+    const driver = newDriver(["a", "b", "c"]);
+    driver.arrive(makeWork("1", { fingerprint: "f" }));
+    const [first] = driver.dispatches();
+    const [retry] = driver.dispatches(
+      fail(driver, first!, { connectionLost: true }),
+    );
+    driver.see(makeServer(first!.server), 6_000);
+    fail(driver, retry!, { connectionLost: true }, 6_010);
+    driver.arrive(makeWork("2", { fingerprint: "f", arrivedAt: 6_020 }));
+    expect(driver.dispatches().at(-1)!.request).toBe("2");
+  });
+
+  // Guards against marks that stay on the host that made them.
+  test("takes marks of other hosts", () => {
+    const driver = newDriver();
+    const mark = { fingerprint: "f", crashes: 2, blocked: true, age: 1_000 };
+    driver.send({ type: "quarantine_reported", now: 0, marks: [mark] });
+    driver.arrive(makeWork("1", { fingerprint: "f" }));
+    driver.arrive(
+      makeWork("2", { fingerprint: "f", arrivedAt: 600_000, deadlineAt: 1e6 }),
+    );
+    expect(driver.refusals()).toMatchObject([{ request: "1" }]);
+  });
+});
+
+describe("routing", () => {
+  // Guards against computing a prompt again that a server has in its cache.
+  test("prefers the server that has the prompt cached", () => {
+    const driver = newDriver(["a", "b", "c", "d", "e", "f", "g", "h"]);
+    const prefixes = ["p1", "p2", "p3", "p4"];
+    const work = { prefixes, promptTokens: 4_100 };
+    driver.arrive(makeWork("1", work));
+    const [first] = driver.dispatches();
+    driver.finish(first!, 100);
+    driver.arrive(makeWork("2", { ...work, arrivedAt: 200 }));
+    expect(driver.dispatches()[1]!.server).toBe(first!.server);
+  });
+
+  // Guards against paying for a far server while a near one is free.
+  test("prefers the own region", () => {
+    const driver = newDriver([]);
+    driver.see(makeServer("far", { region: "crete" as Region }));
+    driver.see(makeServer("near"));
+    const far = "crete" as Region;
+    driver.send({ type: "path_measured", now: 0, region: far, roundTrip: 60 });
+    arriveMany(driver, "r", 2, { promptTokens: 10 });
+    expect(driver.dispatches().map((effect) => effect.server))
+      .toEqual(["near", "near"]);
+  });
+
+  // Guards against moving KV cache for prompts that are cheaper to compute.
+  test("uses a prefill engine only past the break-even", () => {
+    const driver = newDriver([]);
+    driver.see(makeServer("p", { role: "prefill" }));
+    driver.see(makeServer("d", { role: "decode" }));
+    driver.arrive(makeWork("small", { promptTokens: 10 }));
+    driver.arrive(makeWork("large", { promptTokens: 5_000 }));
+    const [small, large] = driver.dispatches();
+    expect([small!.server, small!.prefillServer]).toEqual(["d", undefined]);
+    expect([large!.server, large!.prefillServer]).toEqual(["d", "p"]);
+  });
+});
+
+describe("roles", () => {
+  function runSwing(held: boolean, promptRate: number): PolicyEffect[] {
+    const driver = newDriver([], { roleDwell: 60_000 });
+    const roles = [
+      "prefill",
+      "prefill",
+      "decode",
+      "decode",
+      "decode",
+      "decode",
+    ];
+    for (const [index, role] of roles.entries()) {
+      driver.see(makeServer(`s${index}`, { role: role as "prefill" }));
+    }
+    driver.arrive(makeWork("1"));
+    driver.send({ type: "role_authority_changed", now: 0, held });
+    for (let now = 500; now <= 20_000; now += 500) {
+      const models = new Map([[chat as ModelName, {
+        promptTokensPerSecond: promptRate,
+        outputTokensPerSecond: 400,
+      }]]);
+      driver.send({
+        type: "demand_reported",
+        now,
+        total: new Map(),
+        hosts: 1,
+        models,
+      });
+      for (const effect of driver.tick(now)) {
+        if (effect.type !== "set_role") continue;
+        const { server: id, role } = effect;
+        driver.see(makeServer(id, { role }), now);
+      }
+    }
+    return driver.effects.filter((effect) => effect.type === "set_role");
+  }
+
+  // Guards against a split that flaps in a steady mix, does not follow a swing,
+  // or is changed by a host without the authority.
+  test("follow a swing once, and only with the authority", () => {
+    expect(runSwing(true, 5_000)).toEqual([]);
+    const changed = runSwing(true, 19_000);
+    expect(changed.length).toBeGreaterThanOrEqual(1);
+    const servers = changed.map((effect) => (effect as Dispatch).server);
+    expect(new Set(servers).size).toBe(servers.length);
+    expect(runSwing(false, 19_000)).toEqual([]);
+  });
+});
+
+describe("plain services", () => {
+  // Guards against routing a service call to an engine.
+  test("run on servers that offer the service", () => {
+    const driver = newDriver();
+    const intake = "intake" as ServiceName;
+    driver.see(makeServer("i", { models: [], services: [intake] }));
+    driver.arrive(makeWork("1", { model: undefined, service: intake }));
+    expect(driver.dispatches()).toMatchObject([{ server: "i" }]);
+  });
+
+  // Guards against late answers of a server process that was replaced.
+  test("ignore a record of an older process", () => {
+    const driver = newDriver([]);
+    driver.see(makeServer("a", { incarnation: 2 as Incarnation }));
+    driver.send({
+      type: "caller_gone",
+      now: 0,
+      request: "none" as RequestId,
+    });
+    driver.see(makeServer("a", { acceptsNewWork: false }));
+    driver.arrive(makeWork("1"));
+    expect(driver.dispatches()).toMatchObject([
+      { server: "a" as BackendServerId },
+    ]);
+  });
+});
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -0,0 +1,317 @@
+/**
+ * Start and end of attempts, and what is learned from them.
+ *
+ * @module
+ */
+
+import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
+import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
+import type { Route } from "./routing.ts";
+import type { CancelReason, PolicyEffect } from "./types.ts";
+
+/** Tokens or time after which the speed of a stream is judged anew. */
+const speedWindowTokens = 16;
+const speedWindowTime = 250;
+/** Shorter waits are within the jitter of paths and timers. */
+const smallestHedgeDelay = 30;
+/** The overhead of a prompt in tokens, as routing counts it. */
+const promptOverhead = 100;
+/** Generated tokens, in estimated ones, from which running work is long. */
+const stragglerFactor = 4;
+
+/** Starts a request on the chosen server. */
+export function startAttempt(
+  state: FleetState,
+  record: RequestRecord,
+  route: Route,
+  now: number,
+): PolicyEffect {
+  const { work, pool } = record;
+  const { entry, prefill } = route;
+  state.attemptCount += 1;
+  const suspect = state.quarantine.isSuspect(work.fingerprint, now);
+  const attempt: Attempt = {
+    id: `${work.request}-${state.attemptCount}` as AttemptId,
+    record,
+    entry,
+    incarnation: entry.server.incarnation,
+    prefill,
+    startedAt: now,
+    uncachedTokens: route.uncachedTokens,
+    expectedFirstToken: route.expectedFirstToken,
+    resumeFrom: record.delivered,
+    suspect,
+    pendingPrefill: route.expectedFirstToken - entry.pendingPrefill,
+    countedLong: record.long,
+    firstTokenAt: undefined,
+    tokens: 0,
+    windowTokens: 0,
+    windowAt: now,
+  };
+  attempt.pendingPrefill = Math.max(0, attempt.pendingPrefill);
+  record.attempts.set(attempt.id, attempt);
+  occupy(state, attempt, now);
+  if (record.attempts.size === 1) markPreemptible(record);
+  if (work.repeatable) {
+    const hedgeDelay = hedgeDelayOf(state, attempt);
+    state.hedges.push({ at: now + hedgeDelay, subject: attempt });
+  }
+  if (work.model !== undefined) {
+    state.prefixes.store(entry.server.id, work.prefixes, now);
+    pool.estimates.learnCache(route.uncachedTokens, work.promptTokens, now);
+  }
+  pool.slow.sent(entry.server.id, now);
+  const priority = work.settings.priority * 2 + (record.long ? 0 : 1);
+  return {
+    type: "dispatch",
+    request: work.request,
+    attempt: attempt.id,
+    server: entry.server.id,
+    ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
+    priority,
+    resumeFrom: record.delivered,
+  };
+}
+
+/** The attempt, unless it has ended. */
+export function findAttempt(
+  state: FleetState,
+  request: RequestId,
+  attempt: AttemptId,
+): Attempt | undefined {
+  return state.requests.get(request)?.attempts.get(attempt);
+}
+
+/** Ends an attempt and frees its slots. */
+export function endAttempt(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): void {
+  const { record, entry, prefill } = attempt;
+  if (!record.attempts.delete(attempt.id)) return;
+  if (record.attempts.size === 0) unmarkPreemptible(record);
+  record.delivered = Math.max(
+    record.delivered,
+    attempt.resumeFrom + attempt.tokens,
+  );
+  releasePrefill(attempt);
+  release(state, { entry, attempt, now });
+  if (prefill !== undefined && attempt.firstTokenAt === undefined) {
+    release(state, { entry: prefill, attempt, now });
+  }
+  if (attempt.countedLong) entry.ownLong -= 1;
+  if (attempt.suspect) entry.ownSuspects -= 1;
+  record.pool.pool.own -= 1;
+}
+
+/** Ends an attempt and tells the host to cancel it. */
+export function cancelAttempt(
+  state: FleetState,
+  attempt: Attempt,
+  reason: CancelReason,
+  now: number,
+): PolicyEffect {
+  endAttempt(state, attempt, now);
+  return {
+    type: "cancel",
+    request: attempt.record.work.request,
+    attempt: attempt.id,
+    reason,
+  };
+}
+
+/** Takes the first token: learns, and ends hedges that lost. */
+export function takeFirstToken(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): PolicyEffect[] {
+  if (attempt.firstTokenAt !== undefined) return [];
+  const { record, entry, prefill } = attempt;
+  const { estimates, slow } = record.pool;
+  attempt.firstTokenAt = now;
+  attempt.windowAt = now;
+  releasePrefill(attempt);
+  if (prefill !== undefined) {
+    release(state, { entry: prefill, attempt, now });
+  }
+  const path = state.roundTrips.get(entry.server.region) ?? 0;
+  const elapsed = Math.max(0.1, now - attempt.startedAt - path);
+  if (record.work.model !== undefined) {
+    const tokens = attempt.uncachedTokens + promptOverhead;
+    const expected = estimates.prefillTime(tokens, now);
+    slow.observe((prefill ?? entry).server.id, elapsed / expected, now);
+    estimates.learnFirstToken(tokens, elapsed, now);
+  }
+  return cancelOthers(state, attempt, now);
+}
+
+/** Takes generated tokens and judges the speed of the stream. */
+export function takeTokens(
+  state: FleetState,
+  attempt: Attempt,
+  options: { readonly count: number; readonly now: number },
+): PolicyEffect[] {
+  const { count, now } = options;
+  const effects = takeFirstToken(state, attempt, now);
+  const { record, entry } = attempt;
+  attempt.tokens += count;
+  attempt.windowTokens += count;
+  markStraggler(attempt);
+  const elapsed = now - attempt.windowAt;
+  const due = attempt.windowTokens >= speedWindowTokens ||
+    elapsed >= speedWindowTime;
+  if (!due || elapsed <= 0) return effects;
+  const expected = record.pool.estimates.decodeTime(attempt.windowTokens, now);
+  record.pool.slow.observe(entry.server.id, elapsed / expected, now);
+  record.pool.estimates.learnTokens(attempt.windowTokens, elapsed, now);
+  attempt.windowTokens = 0;
+  attempt.windowAt = now;
+  return effects;
+}
+
+/** Ends a request that has its complete answer. */
+export function finishAttempt(
+  state: FleetState,
+  attempt: Attempt,
+  result: {
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+    readonly now: number;
+  },
+): PolicyEffect[] {
+  const { now } = result;
+  const { record, entry } = attempt;
+  const { work, pool } = record;
+  const runTime = now - attempt.startedAt;
+  const effects = cancelOthers(state, attempt, now);
+  learnLastTokens(attempt, result.outputTokens, now);
+  endAttempt(state, attempt, now);
+  state.requests.delete(work.request);
+  if (work.model === undefined) {
+    const expected = Math.max(1, record.estimate.runTime);
+    pool.slow.observe(entry.server.id, runTime / expected, now);
+  }
+  const outputTokens = Math.max(result.outputTokens, attempt.tokens);
+  if (attempt.resumeFrom === 0) {
+    pool.estimates.learnRun(work, { outputTokens, runTime }, now);
+  }
+  const used = result.promptTokens + outputTokens;
+  state.limits.settle(work.customer, used - record.chargedTokens);
+  const marks = state.quarantine.finished(work.fingerprint, now);
+  if (marks.length > 0) effects.push({ type: "publish_quarantine", marks });
+  return effects;
+}
+
+/** Learns from tokens that no event has told of, as without streaming. */
+function learnLastTokens(
+  attempt: Attempt,
+  outputTokens: number,
+  now: number,
+): void {
+  if (attempt.firstTokenAt === undefined) return;
+  const told = attempt.tokens - attempt.windowTokens;
+  const rest = outputTokens - told;
+  const elapsed = now - attempt.windowAt;
+  if (rest <= 0 || elapsed <= 0) return;
+  attempt.record.pool.estimates.learnTokens(rest, elapsed, now);
+}
+
+/** Wait for the first token before a second attempt, in milliseconds. */
+function hedgeDelayOf(state: FleetState, attempt: Attempt): number {
+  const slowed = attempt.record.pool.slow.weight(attempt.entry.server.id) < 1;
+  const factor = slowed ? 1 : state.settings.hedgeDelayFactor;
+  return Math.max(smallestHedgeDelay, attempt.expectedFirstToken * factor);
+}
+
+/** Servers on which a request failed or is running. */
+export function avoidedServers(
+  record: RequestRecord,
+): ReadonlySet<BackendServerId> {
+  if (record.attempts.size === 0) return record.failedOn;
+  const avoided = new Set(record.failedOn);
+  for (const attempt of record.attempts.values()) {
+    avoided.add(attempt.entry.server.id);
+  }
+  return avoided;
+}
+
+function cancelOthers(
+  state: FleetState,
+  winner: Attempt,
+  now: number,
+): PolicyEffect[] {
+  return [...winner.record.attempts.values()]
+    .filter((attempt) => attempt !== winner)
+    .map((attempt) => cancelAttempt(state, attempt, "hedged", now));
+}
+
+/** Counts a request as long once it has run far past its estimate. */
+function markStraggler(attempt: Attempt): void {
+  if (attempt.countedLong) return;
+  const expected = attempt.record.estimate.outputTokens;
+  if (attempt.tokens <= expected * stragglerFactor) return;
+  attempt.countedLong = true;
+  attempt.entry.ownLong += 1;
+}
+
+function occupy(state: FleetState, attempt: Attempt, now: number): void {
+  const { entry, prefill, record } = attempt;
+  const computing = prefill ?? entry;
+  computing.pendingPrefill += attempt.pendingPrefill;
+  if (attempt.countedLong) entry.ownLong += 1;
+  if (attempt.suspect) entry.ownSuspects += 1;
+  record.pool.pool.own += 1;
+  for (const used of prefill === undefined ? [entry] : [entry, prefill]) {
+    state.table.count(used, 1, now);
+    let attempts = state.attemptsByServer.get(used.server.id);
+    if (attempts === undefined) {
+      attempts = new Set();
+      state.attemptsByServer.set(used.server.id, attempts);
+    }
+    attempts.add(attempt);
+  }
+}
+
+function release(
+  state: FleetState,
+  options: {
+    readonly entry: Attempt["entry"];
+    readonly attempt: Attempt;
+    readonly now: number;
+  },
+): void {
+  const { entry, attempt, now } = options;
+  state.table.count(entry, -1, now);
+  const attempts = state.attemptsByServer.get(entry.server.id);
+  attempts?.delete(attempt);
+  if (attempts?.size === 0) state.attemptsByServer.delete(entry.server.id);
+}
+
+function releasePrefill(attempt: Attempt): void {
+  const computing = attempt.prefill ?? attempt.entry;
+  computing.pendingPrefill = Math.max(
+    0,
+    computing.pendingPrefill - attempt.pendingPrefill,
+  );
+  attempt.pendingPrefill = 0;
+}
+
+/** Lists running work that may give its slot to higher priority. */
+function markPreemptible(record: RequestRecord): void {
+  const { work, pool } = record;
+  if (!work.repeatable || !work.resumable || record.byFloor) return;
+  const { priority } = work.settings;
+  let records = pool.preemptible.get(priority);
+  if (records === undefined) {
+    records = new Set();
+    pool.preemptible.set(priority, records);
+  }
+  records.add(record);
+}
+
+function unmarkPreemptible(record: RequestRecord): void {
+  const { priority } = record.work.settings;
+  record.pool.preemptible.get(priority)?.delete(record);
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -0,0 +1,65 @@
+/**
+ * Defaults of the fleet policy. Times are milliseconds.
+ *
+ * @module
+ */
+
+import type { FleetSettings } from "./fleet_settings.ts";
+
+/** Settings that apply unless the tree says otherwise. */
+export const defaultFleetSettings: FleetSettings = {
+  queueLimit: 5_000,
+  admissionPatience: 1,
+  concurrencySlack: 1.1,
+  priorityOvercommit: 0.25,
+  longCostFactor: 4,
+  longPerServer: 1,
+  reservedRoom: 0.25,
+  longPatience: 5_000,
+  preemptionLimit: 2,
+  crossRegionPenalty: 20,
+  sampledServers: 6,
+  bestServers: 3,
+  prefixEntries: 20_000,
+  prefixLife: 120_000,
+  slowThreshold: 2,
+  probeInterval: 2_000,
+  hedgeRatio: 0.05,
+  hedgeDelayFactor: 3,
+  quarantinePeriod: 600_000,
+  quarantineSpread: 1_500,
+  kvFixedCost: 10,
+  kvCostPerToken: 0.01,
+  kvCrossRegionFactor: 10,
+  kvBreakEven: 1.5,
+  roleFloor: 1,
+  rolesUnavailable: 1,
+  roleChangeCost: 4_000,
+  roleHorizon: 30_000,
+  roleDwell: 120_000,
+  roleHold: 2_000,
+};
+
+/** Blocks in which engines count cached prompt prefixes, in tokens. */
+export const tokensPerBlock = 1_000;
+
+/** Time in which the weight of a past sample falls to 1/e. */
+export const demandMemory = 2_000;
+
+/** How often own demand is published for gossip. */
+export const demandPeriod = 500;
+
+/** Oldest evidence on which membership vouches for a server. */
+export const evidenceAge = 5_000;
+
+/** Part of a limit that hosts may use evenly before gossip knows of demand. */
+export const evenPart = 0.1;
+
+/** Seconds of a limit that may be used at once after a quiet time. */
+export const limitBurstSeconds = 1;
+
+/** Samples of a pool needed before its estimates may refuse or delay work. */
+export const samplesForAdmission = 20;
+
+/** Weight below which a slowed server gets probes only. */
+export const smallestWeight = 0.02;
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -0,0 +1,122 @@
+/**
+ * Failed attempts: retries, crashes and quarantine.
+ *
+ * @module
+ */
+
+import { errorAnswers } from "rhubarbstage";
+import { endAttempt } from "./attempts.ts";
+import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
+import { enqueue } from "./scheduling.ts";
+import type { ServerEntry } from "./server_table.ts";
+import type { PolicyEffect, PolicyEvent, QuarantineMark } from "./types.ts";
+
+type Failure = Extract<PolicyEvent, { type: "failed" }>;
+
+/** Retries the request of a failed attempt or passes the failure on. */
+export function takeFailure(
+  state: FleetState,
+  attempt: Attempt,
+  failure: Failure,
+): PolicyEffect[] {
+  const { now } = failure;
+  const { record } = attempt;
+  const effects: PolicyEffect[] = [];
+  const crashed = failure.connectionLost && failure.outcome !== "not_run";
+  if (failure.connectionLost) state.table.markLost(attempt.entry);
+  if (crashed) {
+    effects.push(...markCrash(state, attempt.entry, now));
+  }
+  endAttempt(state, attempt, now);
+  record.failedOn.add(attempt.entry.server.id);
+  record.delivered = Math.max(record.delivered, failure.deliveredTokens);
+  if (record.attempts.size > 0) return effects; // A hedge still runs.
+  const refusal = refusalOf(state, record, failure);
+  if (refusal === undefined) {
+    enqueue(state, record, now);
+    return effects;
+  }
+  state.requests.delete(record.work.request);
+  const suspect = state.quarantine.isSuspect(record.work.fingerprint, now);
+  if (crashed && suspect && refusal.kind !== "request_quarantined") {
+    // The caller may send the request to another host at once.
+    const at = now + state.settings.quarantineSpread;
+    state.refusals.push({ at, subject: refusal });
+  } else effects.push(refusal);
+  return effects;
+}
+
+/** Marks what runs on a crashed server as suspected. */
+export function markCrash(
+  state: FleetState,
+  entry: ServerEntry,
+  now: number,
+): PolicyEffect[] {
+  const running = [...state.attemptsByServer.get(entry.server.id) ?? []];
+  const fingerprints = running.map((one) => one.record.work.fingerprint);
+  const incarnation = running[0]?.incarnation ?? entry.server.incarnation;
+  const crash = { id: entry.server.id, incarnation };
+  const marks = state.quarantine.crashed(crash, fingerprints, now);
+  if (marks.length === 0) return [];
+  return [{ type: "publish_quarantine", marks }, ...blockedNotes(marks)];
+}
+
+/** Refusals that waited for marks to spread. */
+export function takeDelayedRefusals(
+  state: FleetState,
+  now: number,
+): PolicyEffect[] {
+  const effects: PolicyEffect[] = [];
+  for (;;) {
+    const timer = state.refusals.peek();
+    if (timer === undefined || timer.at > now) return effects;
+    state.refusals.pop();
+    effects.push(timer.subject);
+  }
+}
+
+function blockedNotes(marks: readonly QuarantineMark[]): PolicyEffect[] {
+  return marks.filter((mark) => mark.blocked).map((mark) => ({
+    type: "note",
+    event: "request_quarantined",
+    fields: { fingerprint: mark.fingerprint, crashes: mark.crashes },
+  }));
+}
+
+type Refusal = Extract<PolicyEffect, { type: "refuse" }>;
+
+/** Why the request may not be tried again, or nothing. */
+function refusalOf(
+  state: FleetState,
+  record: RequestRecord,
+  failure: Failure,
+): Refusal | undefined {
+  const { work } = record;
+  const { now, kind } = failure;
+  const begun = record.delivered > 0 || failure.outcome !== "not_run";
+  const refusal: Refusal = {
+    type: "refuse",
+    request: work.request,
+    kind,
+    outcome: begun && failure.outcome === "not_run"
+      ? "may_have_run"
+      : failure.outcome,
+  };
+  if (state.quarantine.isBlocked(work.fingerprint, now)) {
+    return { ...refusal, kind: "request_quarantined" };
+  }
+  if (!errorAnswers[kind].retryable) return refusal;
+  if (failure.outcome !== "not_run" && !work.repeatable) return refusal;
+  if (record.delivered > 0 && !work.resumable) return refusal;
+  if (now + record.estimate.firstTokenTime >= work.deadlineAt) return refusal;
+  if (!hasOtherServer(record)) return refusal;
+  if (!state.retries.spend(work.customer)) return refusal;
+  return undefined;
+}
+
+/** Whether any server is left on which the request has not failed. */
+function hasOtherServer(record: RequestRecord): boolean {
+  const { members } = record.pool.pool;
+  if (members.size > record.failedOn.size) return true;
+  return [...members.keys()].some((id) => !record.failedOn.has(id));
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -0,0 +1,395 @@
+/**
+ * The policy of the fleet: one reducer over all events of one host.
+ *
+ * @module
+ */
+
+import type { ErrorKind, RequestId } from "rhubarbstage";
+import {
+  type AdmissionView,
+  predictWait,
+  retryAfter,
+  wouldMissTime,
+} from "./admission.ts";
+import {
+  cancelAttempt,
+  findAttempt,
+  finishAttempt,
+  takeFirstToken,
+  takeTokens,
+} from "./attempts.ts";
+import {
+  defaultFleetSettings,
+  demandPeriod,
+  samplesForAdmission,
+} from "./constants.ts";
+import { markCrash, takeDelayedRefusals, takeFailure } from "./failures.ts";
+import {
+  createFleetState,
+  type FleetOptions,
+  type FleetState,
+  type PoolState,
+  poolStateOf,
+  type RequestRecord,
+} from "./fleet_state.ts";
+import { Policy } from "./policy.ts";
+import { dequeue, dispatchPool, enqueue, waitingIn } from "./scheduling.ts";
+import { targetOf } from "./server_table.ts";
+import { expire, hedge, moveStreams } from "./supervision.ts";
+import type {
+  BackendServer,
+  PolicyEffect,
+  PolicyEvent,
+  Work,
+} from "./types.ts";
+import type { WorkEstimate } from "./work_estimates.ts";
+
+type EventOf<Type extends PolicyEvent["type"]> = Extract<
+  PolicyEvent,
+  { type: Type }
+>;
+
+/** How often the split of roles is looked at, in milliseconds. */
+const rolePeriod = 500;
+
+/**
+ * Decides for one host of many that share the servers. It sees its own requests
+ * only; what other hosts do arrives through load reports and gossip. One event
+ * costs the same whatever the number of servers, apart from membership changes
+ * and the split of roles, which look at a whole pool.
+ */
+export class FleetPolicy extends Policy<FleetState> {
+  #options: FleetOptions;
+
+  constructor(options: FleetOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override initial(): FleetState {
+    return createFleetState(this.#options);
+  }
+
+  override reduce(
+    state: FleetState,
+    event: PolicyEvent,
+  ): readonly PolicyEffect[] {
+    switch (event.type) {
+      case "arrived":
+        return arrive(state, event.work, event.now);
+      case "caller_gone":
+        return abandon(state, event);
+      case "first_token":
+      case "tokens":
+        return progress(state, event);
+      case "finished":
+        return finish(state, event);
+      case "failed":
+        return fail(state, event);
+      case "server_seen":
+        return seeServer(state, event);
+      case "server_gone":
+        return loseServer(state, event);
+      case "cache_changed":
+        if (event.gap) state.prefixes.forget(event.server, event.now);
+        state.prefixes.store(event.server, event.stored, event.now);
+        state.prefixes.evict(event.server, event.evicted);
+        return [];
+      case "path_measured":
+        state.roundTrips.set(event.region, event.roundTrip);
+        return [];
+      case "demand_reported":
+        return takeDemand(state, event);
+      case "quarantine_reported":
+        state.quarantine.report(event.marks, event.now);
+        return [];
+      case "role_authority_changed":
+        state.holdsRoleAuthority = event.held;
+        return [];
+      case "settings_changed":
+        state.settings = { ...defaultFleetSettings, ...event.settings };
+        return [];
+      case "tick":
+        return tick(state, event.now);
+    }
+  }
+}
+
+function refusal(
+  request: RequestId,
+  kind: ErrorKind,
+  retryAfterSeconds?: number,
+): PolicyEffect {
+  const effect = { type: "refuse", request, kind, outcome: "not_run" } as const;
+  return retryAfterSeconds === undefined
+    ? effect
+    : { ...effect, retryAfterSeconds };
+}
+
+function arrive(state: FleetState, work: Work, now: number): PolicyEffect[] {
+  const { request, customer, settings } = work;
+  if (state.requests.has(request)) return [];
+  const pool = state.table.pools.get(targetOf(work));
+  if (pool === undefined || pool.members.size === 0) {
+    return [refusal(request, "no_backend_server", 1)];
+  }
+  const poolState = poolStateOf(state, pool, work.model);
+  const estimate = poolState.estimates.estimate(work, now);
+  const tokens = work.promptTokens + Math.ceil(estimate.outputTokens);
+  observeDemand(state, work, { estimate, tokens, now });
+  if (now >= work.deadlineAt) return [refusal(request, "deadline_exceeded")];
+  if (state.quarantine.isBlocked(work.fingerprint, now)) {
+    return [refusal(request, "request_quarantined")];
+  }
+  const exceeded = state.limits.check(customer, { tokens, settings }, now);
+  if (exceeded !== undefined) {
+    const wait = retryAfter(exceeded.retryAfter, state.random);
+    return [refusal(request, "limit_exceeded", wait)];
+  }
+  const record = createRecord(state, poolState, { work, estimate, now });
+  const withinFloor = state.limits.takeFloor(customer, settings, now);
+  const view = admissionView(state, record, now);
+  const full = state.requests.size >= state.settings.queueLimit;
+  if (full || (!withinFloor && wouldMissTime(work, estimate, view))) {
+    const wait = retryAfter(predictWait(view), state.random);
+    return [refusal(request, "overloaded", wait)];
+  }
+  state.limits.charge(customer, tokens);
+  record.chargedTokens = tokens;
+  state.requests.set(request, record);
+  state.deadlines.push({ at: work.deadlineAt, subject: record });
+  enqueue(state, record, now);
+  return dispatchPool(state, poolState, now);
+}
+
+function observeDemand(
+  state: FleetState,
+  work: Work,
+  options: {
+    readonly estimate: WorkEstimate;
+    readonly tokens: number;
+    readonly now: number;
+  },
+): void {
+  const { estimate, tokens, now } = options;
+  state.limits.observe(work.customer, tokens, now);
+  if (work.model === undefined) return;
+  const { promptTokens } = work;
+  const { outputTokens } = estimate;
+  state.limits.observeModel(work.model, { promptTokens, outputTokens }, now);
+}
+
+function createRecord(
+  state: FleetState,
+  pool: PoolState,
+  options: {
+    readonly work: Work;
+    readonly estimate: WorkEstimate;
+    readonly now: number;
+  },
+): RequestRecord {
+  const { work, estimate, now } = options;
+  const typical = pool.estimates.typicalRunTime(now);
+  const long = pool.estimates.samples >= samplesForAdmission &&
+    estimate.runTime > typical * state.settings.longCostFactor;
+  return {
+    work,
+    pool,
+    estimate,
+    long,
+    attempts: new Map(),
+    failedOn: new Set(),
+    delivered: 0,
+    chargedTokens: 0,
+    lane: undefined,
+    queuedAt: now,
+    preemptions: 0,
+    tries: 0,
+    byFloor: false,
+  };
+}
+
+function admissionView(
+  state: FleetState,
+  record: RequestRecord,
+  now: number,
+): AdmissionView {
+  const { pool, work } = record;
+  const { short, long, confined } = pool.lanes;
+  const costAhead = short.costAhead(work) + confined.costAhead(work) +
+    (record.long ? long.costAhead(work) : 0);
+  const open = [...pool.pool.generating.values()]
+    .some((servers) => servers.size > 0);
+  return {
+    costAhead,
+    slots: pool.pool.own,
+    hasRoom: open,
+    samples: pool.estimates.samples,
+    typicalRunTime: pool.estimates.typicalRunTime(now),
+    patience: state.settings.admissionPatience,
+    now,
+  };
+}
+
+function abandon(
+  state: FleetState,
+  event: EventOf<"caller_gone">,
+): PolicyEffect[] {
+  const record = state.requests.get(event.request);
+  if (record === undefined) return [];
+  // Work that may not be repeated runs to its end, so that its claim settles.
+  if (record.attempts.size > 0 && !record.work.repeatable) return [];
+  dequeue(record);
+  state.requests.delete(event.request);
+  const cancels = [...record.attempts.values()].map((attempt) =>
+    cancelAttempt(state, attempt, "caller_gone", event.now)
+  );
+  return [...cancels, ...dispatchPool(state, record.pool, event.now)];
+}
+
+function progress(
+  state: FleetState,
+  event: EventOf<"first_token"> | EventOf<"tokens">,
+): PolicyEffect[] {
+  const attempt = findAttempt(state, event.request, event.attempt);
+  if (attempt === undefined) return [];
+  const effects = event.type === "first_token"
+    ? takeFirstToken(state, attempt, event.now)
+    : takeTokens(state, attempt, event);
+  if (effects.length === 0 && attempt.prefill === undefined) return effects;
+  return [...effects, ...dispatchPool(state, attempt.record.pool, event.now)];
+}
+
+function finish(state: FleetState, event: EventOf<"finished">): PolicyEffect[] {
+  const attempt = findAttempt(state, event.request, event.attempt);
+  if (attempt === undefined) return [];
+  return [
+    ...finishAttempt(state, attempt, event),
+    ...dispatchPool(state, attempt.record.pool, event.now),
+  ];
+}
+
+function fail(state: FleetState, event: EventOf<"failed">): PolicyEffect[] {
+  const attempt = findAttempt(state, event.request, event.attempt);
+  if (attempt === undefined) return [];
+  return [
+    ...takeFailure(state, attempt, event),
+    ...dispatchPool(state, attempt.record.pool, event.now),
+  ];
+}
+
+function seeServer(
+  state: FleetState,
+  event: EventOf<"server_seen">,
+): PolicyEffect[] {
+  const { server, now } = event;
+  const effects: PolicyEffect[] = [];
+  const known = state.table.servers.get(server.id);
+  if (known !== undefined && known.server.incarnation < server.incarnation) {
+    effects.push(...markCrash(state, known, now));
+    forgetServer(state, server, now);
+  }
+  if (!state.table.see(server, now)) return effects;
+  state.quarantine.seen(server.id, server.incarnation, now);
+  const entry = state.table.servers.get(server.id);
+  for (const pool of entry?.pools ?? []) {
+    const poolState = state.poolStates.get(pool.target);
+    if (poolState === undefined) continue;
+    effects.push(...dispatchPool(state, poolState, now));
+  }
+  return effects;
+}
+
+function loseServer(
+  state: FleetState,
+  event: EventOf<"server_gone">,
+): PolicyEffect[] {
+  const entry = state.table.servers.get(event.server);
+  if (entry === undefined) return [];
+  const effects = event.crashed ? markCrash(state, entry, event.now) : [];
+  forgetServer(state, entry.server, event.now);
+  state.table.remove(event.server);
+  return effects;
+}
+
+/** Drops what was learned of a process that is gone. */
+function forgetServer(
+  state: FleetState,
+  server: BackendServer,
+  now: number,
+): void {
+  state.prefixes.forget(server.id, now);
+  const entry = state.table.servers.get(server.id);
+  for (const pool of entry?.pools ?? []) {
+    state.poolStates.get(pool.target)?.slow.forget(server.id);
+  }
+}
+
+function takeDemand(
+  state: FleetState,
+  event: EventOf<"demand_reported">,
+): PolicyEffect[] {
+  state.limits.report(event.total, event);
+  state.table.setHosts(
+    Math.max(1, event.hosts),
+    event.position ?? 0,
+  );
+  state.modelDemand = event.models ?? new Map();
+  return [];
+}
+
+function tick(state: FleetState, now: number): PolicyEffect[] {
+  const effects = [
+    ...takeDelayedRefusals(state, now),
+    ...expire(state, now),
+    ...hedge(state, now),
+    ...moveStreams(state, now),
+  ];
+  for (const pool of state.poolStates.values()) {
+    if (waitingIn(pool) > 0) effects.push(...dispatchPool(state, pool, now));
+  }
+  if (now - state.publishedAt >= demandPeriod) {
+    state.publishedAt = now;
+    const published = state.limits.publish(now);
+    state.ownModelDemand = published.ownModels;
+    effects.push({ type: "publish_demand", ...published });
+  }
+  if (state.holdsRoleAuthority && now - state.rolesDecidedAt >= rolePeriod) {
+    state.rolesDecidedAt = now;
+    effects.push(...decideRoles(state, now));
+  }
+  return effects;
+}
+
+function decideRoles(state: FleetState, now: number): PolicyEffect[] {
+  const effects: PolicyEffect[] = [];
+  for (const poolState of state.poolStates.values()) {
+    const { model, pool, estimates } = poolState;
+    if (model === undefined) continue;
+    const demand = state.modelDemand.get(model) ??
+      state.ownModelDemand.get(model);
+    if (demand === undefined || pool.members.size === 0) continue;
+    const engines = [...pool.members.values()].map((entry) => ({
+      id: entry.server.id,
+      role: entry.server.role,
+      outstanding: entry.own + entry.others,
+    }));
+    const slots = pool.capacity / pool.members.size;
+    const prefillTime = estimates.prefillTimePerToken(now);
+    const decodeTime = estimates.decodeTimePerToken() / slots;
+    const changes = state.roles.decide(
+      {
+        model,
+        engines,
+        demand: {
+          prefillEngines: demand.promptTokensPerSecond * prefillTime / 1_000,
+          decodeEngines: demand.outputTokensPerSecond * decodeTime / 1_000,
+        },
+      },
+      state.settings,
+      now,
+    );
+    for (const change of changes) effects.push({ type: "set_role", ...change });
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -0,0 +1,69 @@
+/**
+ * Settings of the fleet policy that hold for all customers.
+ *
+ * @module
+ */
+
+/** How the fleet policy decides; times in milliseconds. */
+export interface FleetSettings {
+  /** Most requests that wait on one host. */
+  readonly queueLimit: number;
+  /** First-token targets that a request may be predicted to need. */
+  readonly admissionPatience: number;
+  /** A host's part of the slots of a pool, over its part of the demand. */
+  readonly concurrencySlack: number;
+  /** Slots over capacity, in parts of it, for work with bought priority. */
+  readonly priorityOvercommit: number;
+  /** Estimated cost, in typical costs of the pool, from which work is long. */
+  readonly longCostFactor: number;
+  /** Long requests of this host on one server at the same time. */
+  readonly longPerServer: number;
+  /** Part of a server's slots that long work leaves free. */
+  readonly reservedRoom: number;
+  /** Wait after which long work goes before short work. */
+  readonly longPatience: number;
+  /** How often one request may be preempted. */
+  readonly preemptionLimit: number;
+  /** Added to the cost of a server in another region, for the paid path. */
+  readonly crossRegionPenalty: number;
+  /** Servers drawn at random from each region for one decision. */
+  readonly sampledServers: number;
+  /** Among how many of the best servers the choice is random. */
+  readonly bestServers: number;
+  /** Most prefixes that are remembered. */
+  readonly prefixEntries: number;
+  /** Age at which a hint about a cached prefix is no longer used. */
+  readonly prefixLife: number;
+  /** Latency, in that of the peers, from which a server counts as slow. */
+  readonly slowThreshold: number;
+  /** A slowed server gets one request at least this often, if there is one. */
+  readonly probeInterval: number;
+  /** Hedged and moved requests for each dispatched one. */
+  readonly hedgeRatio: number;
+  /** Wait for the first token before a hedge, in expected waits. */
+  readonly hedgeDelayFactor: number;
+  /** How long a fingerprint stays suspected or refused. */
+  readonly quarantinePeriod: number;
+  /** Time in which marks reach all hosts. */
+  readonly quarantineSpread: number;
+  /** Fixed cost of exporting and importing KV cache. */
+  readonly kvFixedCost: number;
+  /** Cost of moving the KV cache of one token inside a region. */
+  readonly kvCostPerToken: number;
+  /** Cost of moving KV cache between regions, in that inside a region. */
+  readonly kvCrossRegionFactor: number;
+  /** Saved prefill time from which a move pays, in costs of the move. */
+  readonly kvBreakEven: number;
+  /** Fewest engines of each role in a pool that is split. */
+  readonly roleFloor: number;
+  /** Most engines of a pool that change their role at the same time. */
+  readonly rolesUnavailable: number;
+  /** Time for which an engine is unavailable when it changes its role. */
+  readonly roleChangeCost: number;
+  /** Time for which a new mix is expected to last. */
+  readonly roleHorizon: number;
+  /** Shortest time between two role changes of an engine. */
+  readonly roleDwell: number;
+  /** Time for which a better split must stay better. */
+  readonly roleHold: number;
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -0,0 +1,222 @@
+/**
+ * State of the fleet policy.
+ *
+ * @module
+ */
+
+import type {
+  AttemptId,
+  BackendServerId,
+  Incarnation,
+  ModelName,
+  Region,
+  RequestId,
+} from "rhubarbstage";
+import { SeededRandom } from "rhubarbstage";
+import TinyQueue from "tinyqueue";
+import { defaultFleetSettings } from "./constants.ts";
+import { CustomerLimits } from "./customer_limits.ts";
+import { FairQueue } from "./fair_queue.ts";
+import type { FleetSettings } from "./fleet_settings.ts";
+import { PrefixMap } from "./prefix_map.ts";
+import { Quarantine } from "./quarantine.ts";
+import { RetryBudgets, RunBudget } from "./retry_budget.ts";
+import { RoleSplit } from "./roles.ts";
+import type { RoutingView } from "./routing.ts";
+import { type Pool, type ServerEntry, ServerTable } from "./server_table.ts";
+import { SlowServers } from "./slow_servers.ts";
+import type { ModelDemand, PolicyEffect, Work } from "./types.ts";
+import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
+
+/** Options of a fleet policy. */
+export interface FleetOptions {
+  /** Region of the host that runs the policy. */
+  readonly region: Region;
+  /** Seed of random choices; hosts should differ. */
+  readonly seed?: number;
+  /** Hosts that share the servers, until gossip tells. */
+  readonly hosts?: number;
+  /** Place of this host among them, from 0. */
+  readonly position?: number;
+  /** Fleet-wide settings that differ from the defaults. */
+  readonly settings?: Partial<FleetSettings>;
+}
+
+/** Lanes of a pool's queue; each lane has its own head. */
+export type Lane = "short" | "long" | "confined";
+
+/** One request from its arrival to its end. */
+export interface RequestRecord {
+  readonly work: Work;
+  readonly pool: PoolState;
+  readonly estimate: WorkEstimate;
+  readonly long: boolean;
+  readonly attempts: Map<AttemptId, Attempt>;
+  /** Servers on which it failed. */
+  readonly failedOn: Set<BackendServerId>;
+  /** Tokens of ended attempts that the caller has. */
+  delivered: number;
+  /** Tokens charged to the customer's limit. */
+  chargedTokens: number;
+  lane: Lane | undefined;
+  queuedAt: number;
+  preemptions: number;
+  tries: number;
+  byFloor: boolean;
+}
+
+/** One run of a request on a server. */
+export interface Attempt {
+  readonly id: AttemptId;
+  readonly record: RequestRecord;
+  readonly entry: ServerEntry;
+  readonly incarnation: Incarnation;
+  readonly prefill: ServerEntry | undefined;
+  readonly startedAt: number;
+  readonly uncachedTokens: number;
+  readonly expectedFirstToken: number;
+  readonly resumeFrom: number;
+  readonly suspect: boolean;
+  /** Expected prompt time that is still counted on the server. */
+  pendingPrefill: number;
+  /** Whether it is counted among the long work of its server. */
+  countedLong: boolean;
+  firstTokenAt: number | undefined;
+  tokens: number;
+  /** Tokens and start of the window over which speed is measured. */
+  windowTokens: number;
+  windowAt: number;
+}
+
+/** What the policy keeps for each pool. */
+export interface PoolState {
+  readonly pool: Pool;
+  readonly model: ModelName | undefined;
+  readonly lanes: Readonly<Record<Lane, FairQueue>>;
+  readonly estimates: WorkEstimates;
+  readonly slow: SlowServers;
+  /** Running work that may be preempted, by priority. */
+  readonly preemptible: Map<number, Set<RequestRecord>>;
+}
+
+interface Timer<Subject> {
+  readonly at: number;
+  readonly subject: Subject;
+}
+
+/** An answer that waits until marks of the request have spread. */
+export type DelayedRefusal = Extract<PolicyEffect, { type: "refuse" }>;
+
+/** State of the fleet policy of one host. */
+export interface FleetState {
+  settings: FleetSettings;
+  readonly region: Region;
+  readonly random: SeededRandom;
+  readonly table: ServerTable;
+  readonly poolStates: Map<string, PoolState>;
+  readonly requests: Map<RequestId, RequestRecord>;
+  readonly attemptsByServer: Map<BackendServerId, Set<Attempt>>;
+  readonly limits: CustomerLimits;
+  readonly retries: RetryBudgets;
+  /** Budget of hedged and moved requests. */
+  readonly extraRuns: RunBudget;
+  readonly prefixes: PrefixMap;
+  readonly quarantine: Quarantine;
+  readonly roles: RoleSplit;
+  readonly roundTrips: Map<Region, number>;
+  readonly deadlines: TinyQueue<Timer<RequestRecord>>;
+  readonly hedges: TinyQueue<Timer<Attempt>>;
+  readonly refusals: TinyQueue<Timer<DelayedRefusal>>;
+  modelDemand: ReadonlyMap<ModelName, ModelDemand>;
+  ownModelDemand: ReadonlyMap<ModelName, ModelDemand>;
+  holdsRoleAuthority: boolean;
+  publishedAt: number;
+  rolesDecidedAt: number;
+  attemptCount: number;
+}
+
+function newTimers<Subject>(): TinyQueue<Timer<Subject>> {
+  return new TinyQueue<Timer<Subject>>(
+    [],
+    (left, right) => left.at - right.at,
+  );
+}
+
+/** State before the first event. */
+export function createFleetState(options: FleetOptions): FleetState {
+  const settings = { ...defaultFleetSettings, ...options.settings };
+  const table = new ServerTable();
+  const hosts = options.hosts ?? 1;
+  table.setHosts(hosts, options.position ?? 0);
+  return {
+    settings,
+    region: options.region,
+    random: new SeededRandom(options.seed ?? 1),
+    table,
+    poolStates: new Map(),
+    requests: new Map(),
+    attemptsByServer: new Map(),
+    limits: new CustomerLimits(hosts),
+    retries: new RetryBudgets(),
+    extraRuns: new RunBudget(),
+    prefixes: new PrefixMap(settings.prefixEntries, settings.prefixLife),
+    quarantine: new Quarantine(settings.quarantinePeriod),
+    roles: new RoleSplit(),
+    roundTrips: new Map(),
+    deadlines: newTimers(),
+    hedges: newTimers(),
+    refusals: newTimers(),
+    modelDemand: new Map(),
+    ownModelDemand: new Map(),
+    holdsRoleAuthority: false,
+    publishedAt: 0,
+    rolesDecidedAt: 0,
+    attemptCount: 0,
+  };
+}
+
+/** State of the pool with this name, created on first use. */
+export function poolStateOf(
+  state: FleetState,
+  pool: Pool,
+  model: ModelName | undefined,
+): PoolState {
+  let found = state.poolStates.get(pool.target);
+  if (found === undefined) {
+    const { slowThreshold, probeInterval } = state.settings;
+    found = {
+      pool,
+      model,
+      lanes: {
+        short: new FairQueue(),
+        long: new FairQueue(),
+        confined: new FairQueue(),
+      },
+      estimates: new WorkEstimates(),
+      slow: new SlowServers({ threshold: slowThreshold, probeInterval }),
+      preemptible: new Map(),
+    };
+    state.poolStates.set(pool.target, found);
+  }
+  return found;
+}
+
+/** What routing reads for one pool. */
+export function routingView(
+  state: FleetState,
+  pool: PoolState,
+  now: number,
+): RoutingView {
+  return {
+    table: state.table,
+    pool: pool.pool,
+    estimates: pool.estimates,
+    slow: pool.slow,
+    prefixes: state.prefixes,
+    roundTrips: state.roundTrips,
+    random: state.random,
+    settings: state.settings,
+    region: state.region,
+    now,
+  };
+}
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -4,14 +4,20 @@
  * @module
  */
 
+export { defaultFleetSettings } from "./constants.ts";
+export { FleetPolicy } from "./fleet_policy.ts";
+export type { FleetSettings } from "./fleet_settings.ts";
+export type { FleetOptions, FleetState } from "./fleet_state.ts";
 export type { NaiveOptions, NaiveState } from "./naive_policy.ts";
 export { NaivePolicy } from "./naive_policy.ts";
 export { Policy } from "./policy.ts";
 export type {
   BackendServer,
   BackendServerLoad,
+  CancelReason,
   Demand,
   EngineRole,
+  ModelDemand,
   PolicyEffect,
   PolicyEvent,
   QuarantineMark,
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/quarantine.ts
@@ -0,0 +1,125 @@
+/**
+ * Finds requests that crash servers.
+ *
+ * @module
+ */
+
+import type { BackendServerId, Incarnation } from "rhubarbstage";
+import { evidenceAge } from "./constants.ts";
+import type { QuarantineMark } from "./types.ts";
+
+interface Mark {
+  crashes: number;
+  at: number;
+}
+
+interface Crash {
+  readonly incarnation: Incarnation;
+  readonly fingerprints: readonly string[];
+  readonly at: number;
+}
+
+/** Crashes from which a fingerprint is refused. */
+const crashesToBlock = 2;
+const largestMarkCount = 10_000;
+
+/**
+ * Marks of fingerprints. What runs on a server that crashes becomes suspected;
+ * a suspect that crashes a second server is refused. A suspect that finishes is
+ * cleared. A lost connection counts as a crash until the same process of the
+ * server is seen again.
+ */
+export class Quarantine {
+  #marks = new Map<string, Mark>();
+  #crashes = new Map<BackendServerId, Crash>();
+  #period: number;
+
+  /** @param period Milliseconds for which a mark lasts. */
+  constructor(period: number) {
+    this.#period = period;
+  }
+
+  isBlocked(fingerprint: string, now: number): boolean {
+    return this.#crashesOf(fingerprint, now) >= crashesToBlock;
+  }
+
+  isSuspect(fingerprint: string, now: number): boolean {
+    return this.#crashesOf(fingerprint, now) > 0;
+  }
+
+  /** Marks what ran on a server that was lost. */
+  crashed(
+    server: { readonly id: BackendServerId; readonly incarnation: Incarnation },
+    fingerprints: readonly string[],
+    now: number,
+  ): QuarantineMark[] {
+    const earlier = this.#crashes.get(server.id);
+    const same = earlier?.incarnation === server.incarnation;
+    const known = same ? earlier.fingerprints : [];
+    const fresh = fingerprints.filter((one) => !known.includes(one));
+    const suspects = fresh.filter((one) => this.isSuspect(one, now));
+    // A suspect is the likely cause; what ran beside it stays clear.
+    const marked = suspects.length > 0 ? suspects : fresh;
+    this.#crashes.set(server.id, {
+      incarnation: server.incarnation,
+      fingerprints: [...known, ...fresh],
+      at: now,
+    });
+    return marked.map((one) => this.#mark(one, now));
+  }
+
+  /** Withdraws marks when the process that seemed lost is still there. */
+  seen(server: BackendServerId, incarnation: Incarnation, now: number): void {
+    const crash = this.#crashes.get(server);
+    if (crash === undefined) return;
+    // Evidence this old may have been sent before the crash.
+    if (now - crash.at <= evidenceAge) return;
+    this.#crashes.delete(server);
+    if (crash.incarnation !== incarnation) return;
+    for (const fingerprint of crash.fingerprints) {
+      const mark = this.#marks.get(fingerprint);
+      if (mark !== undefined) mark.crashes -= 1;
+    }
+  }
+
+  /** Clears a suspect that ran to its end. */
+  finished(fingerprint: string, now: number): QuarantineMark[] {
+    const suspect = this.isSuspect(fingerprint, now);
+    if (!suspect || this.isBlocked(fingerprint, now)) return [];
+    this.#marks.delete(fingerprint);
+    return [{ fingerprint, crashes: 0, blocked: false, age: 0 }];
+  }
+
+  /** Takes marks of other hosts. */
+  report(marks: readonly QuarantineMark[], now: number): void {
+    for (const { fingerprint, crashes, blocked, age } of marks) {
+      const at = now - age;
+      const known = this.#crashesOf(fingerprint, now);
+      const reported = blocked ? Math.max(crashes, crashesToBlock) : crashes;
+      if (reported === 0 && known < crashesToBlock) {
+        this.#marks.delete(fingerprint);
+      }
+      if (reported <= known) continue;
+      this.#marks.set(fingerprint, { crashes: reported, at });
+    }
+  }
+
+  #crashesOf(fingerprint: string, now: number): number {
+    const mark = this.#marks.get(fingerprint);
+    if (mark === undefined) return 0;
+    if (now - mark.at < this.#period) return mark.crashes;
+    this.#marks.delete(fingerprint);
+    return 0;
+  }
+
+  #mark(fingerprint: string, now: number): QuarantineMark {
+    const crashes = this.#crashesOf(fingerprint, now) + 1;
+    this.#marks.delete(fingerprint);
+    this.#marks.set(fingerprint, { crashes, at: now });
+    if (this.#marks.size > largestMarkCount) {
+      this.#marks.delete(this.#marks.keys().next().value as string);
+    }
+    const blocked = crashes >= crashesToBlock;
+    return { fingerprint, crashes, blocked, age: 0 };
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/retry_budget.ts
@@ -0,0 +1,49 @@
+/**
+ * Budgets for retries, hedged and moved requests.
+ *
+ * @module
+ */
+
+import type { CustomerId } from "rhubarbstage";
+
+/** Extra runs that are allowed at once after a quiet time. */
+const largestBudget = 10;
+
+/** A number of extra runs in proportion to first runs. */
+export class RunBudget {
+  #level = largestBudget;
+
+  /** Counts a first run, which allows `ratio` extra runs. */
+  earn(ratio: number): void {
+    this.#level = Math.min(largestBudget, this.#level + ratio);
+  }
+
+  /** Takes one extra run, if there is one left. */
+  spend(): boolean {
+    if (this.#level < 1) return false;
+    this.#level -= 1;
+    return true;
+  }
+}
+
+/** One retry budget for each customer. */
+export class RetryBudgets {
+  #budgets = new Map<CustomerId, RunBudget>();
+
+  earn(customer: CustomerId, ratio: number): void {
+    this.#of(customer).earn(ratio);
+  }
+
+  spend(customer: CustomerId): boolean {
+    return this.#of(customer).spend();
+  }
+
+  #of(customer: CustomerId): RunBudget {
+    let budget = this.#budgets.get(customer);
+    if (budget === undefined) {
+      budget = new RunBudget();
+      this.#budgets.set(customer, budget);
+    }
+    return budget;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/roles.ts
@@ -0,0 +1,180 @@
+/**
+ * Split of a pool's engines between prefill and decode.
+ *
+ * @module
+ */
+
+import type { BackendServerId, ModelName } from "rhubarbstage";
+import type { FleetSettings } from "./fleet_settings.ts";
+import type { EngineRole } from "./types.ts";
+
+/** An engine as the split of roles sees it. */
+export interface RoleEngine {
+  readonly id: BackendServerId;
+  readonly role: EngineRole;
+  readonly outstanding: number;
+}
+
+/** Work offered to a pool, in engines kept busy by it. */
+export interface RoleDemand {
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
+}
+
+/** One change of role. */
+export interface RoleChange {
+  readonly server: BackendServerId;
+  readonly role: EngineRole;
+}
+
+interface Change {
+  readonly role: EngineRole;
+  readonly at: number;
+}
+
+interface PoolRoles {
+  /** Since when another split has been better, by direction. */
+  betterSince: number | undefined;
+  betterRole: EngineRole | undefined;
+  readonly changing: Map<BackendServerId, Change>;
+  readonly changedAt: Map<BackendServerId, number>;
+}
+
+/** Part of a role's capacity in use from which a change may pay. */
+const busyRole = 0.7;
+/** A change that takes this many times its expected time counts as lost. */
+const lostChangeFactor = 3;
+
+/** Offered work that a split can carry, in parts of that work. */
+function carried(
+  demand: RoleDemand,
+  split: { readonly prefill: number; readonly decode: number },
+): number {
+  const prefill = demand.prefillEngines > 0
+    ? split.prefill / demand.prefillEngines
+    : Infinity;
+  const decode = demand.decodeEngines > 0
+    ? split.decode / demand.decodeEngines
+    : Infinity;
+  return Math.min(prefill, decode);
+}
+
+/**
+ * Decides on role changes while this host holds the authority. Without it the
+ * last split stays.
+ */
+export class RoleSplit {
+  #pools = new Map<ModelName, PoolRoles>();
+
+  /** Changes to order now for one pool. */
+  decide(
+    pool: {
+      readonly model: ModelName;
+      readonly engines: readonly RoleEngine[];
+      readonly demand: RoleDemand;
+    },
+    settings: FleetSettings,
+    now: number,
+  ): RoleChange[] {
+    const state = this.#poolRoles(pool.model);
+    this.#settleChanges(state, pool.engines, settings, now);
+    const role = this.#betterRole(state, pool, settings);
+    if (role === undefined || role !== state.betterRole) {
+      state.betterRole = role;
+      state.betterSince = now;
+    }
+    if (role === undefined) return [];
+    if (now - (state.betterSince ?? now) < settings.roleHold) return [];
+    if (state.changing.size >= settings.rolesUnavailable) return [];
+    const engine = this.#chooseEngine(state, pool.engines, {
+      role,
+      settings,
+      now,
+    });
+    if (engine === undefined) return [];
+    state.changing.set(engine.id, { role, at: now });
+    state.changedAt.set(engine.id, now);
+    return [{ server: engine.id, role }];
+  }
+
+  #poolRoles(model: ModelName): PoolRoles {
+    let state = this.#pools.get(model);
+    if (state === undefined) {
+      state = {
+        betterSince: undefined,
+        betterRole: undefined,
+        changing: new Map(),
+        changedAt: new Map(),
+      };
+      this.#pools.set(model, state);
+    }
+    return state;
+  }
+
+  #settleChanges(
+    state: PoolRoles,
+    engines: readonly RoleEngine[],
+    settings: FleetSettings,
+    now: number,
+  ): void {
+    const roles = new Map(engines.map((engine) => [engine.id, engine.role]));
+    const lostAfter = settings.roleChangeCost * lostChangeFactor;
+    for (const [id, change] of state.changing) {
+      const done = roles.get(id) === change.role;
+      // Before the report of a change, an unchanged role means "not yet".
+      if (done || now - change.at > lostAfter) state.changing.delete(id);
+    }
+  }
+
+  /** The role that one more engine should have, if any. */
+  #betterRole(
+    state: PoolRoles,
+    pool: {
+      readonly engines: readonly RoleEngine[];
+      readonly demand: RoleDemand;
+    },
+    settings: FleetSettings,
+  ): EngineRole | undefined {
+    const { demand } = pool;
+    const roles = pool.engines.map((engine) =>
+      state.changing.get(engine.id)?.role ?? engine.role
+    );
+    const prefill = roles.filter((role) => role === "prefill").length;
+    const decode = roles.filter((role) => role === "decode").length;
+    if (prefill + decode < 2) return undefined;
+    const before = carried(demand, { prefill, decode });
+    if (before > 1 / busyRole) return undefined;
+    const more = carried(demand, { prefill: prefill + 1, decode: decode - 1 });
+    const fewer = carried(demand, { prefill: prefill - 1, decode: decode + 1 });
+    const role = more > fewer ? "prefill" : "decode";
+    const after = Math.max(more, fewer);
+    const shrinking = role === "prefill" ? decode : prefill;
+    if (shrinking <= settings.roleFloor) return undefined;
+    const offered = demand.prefillEngines + demand.decodeEngines;
+    const gain = (after - before) * offered * settings.roleHorizon;
+    return gain > settings.roleChangeCost ? role : undefined;
+  }
+
+  #chooseEngine(
+    state: PoolRoles,
+    engines: readonly RoleEngine[],
+    options: {
+      readonly role: EngineRole;
+      readonly settings: FleetSettings;
+      readonly now: number;
+    },
+  ): RoleEngine | undefined {
+    const { role, settings, now } = options;
+    let best: RoleEngine | undefined;
+    for (const engine of engines) {
+      if (engine.role === role || engine.role === "mixed") continue;
+      if (state.changing.has(engine.id)) continue;
+      const changedAt = state.changedAt.get(engine.id) ?? -Infinity;
+      if (now - changedAt < settings.roleDwell) continue;
+      if (best === undefined || engine.outstanding < best.outstanding) {
+        best = engine;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -0,0 +1,294 @@
+/**
+ * Known servers, own outstanding work on them, and the pools they form.
+ *
+ * @module
+ */
+
+import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
+import { SampledSet } from "./sampled_set.ts";
+import type { BackendServer, Work } from "./types.ts";
+
+/** Time over which own outstanding work is averaged for late load reports. */
+const ownMemory = 2_000;
+
+/** One known server. */
+export interface ServerEntry {
+  server: BackendServer;
+  /** Attempts of this host on the server. */
+  own: number;
+  /** Own attempts of long work. */
+  ownLong: number;
+  /** Own attempts of work under suspicion of crashing servers. */
+  ownSuspects: number;
+  /** Expected time of own prompts that have no first token yet. */
+  pendingPrefill: number;
+  /** Requests of other hosts, from the last load report. */
+  others: number;
+  /** Own attempts over the recent past. */
+  averageOwn: number;
+  averageAt: number;
+  /** Whether the connection was lost since the server was last seen. */
+  lost: boolean;
+  readonly pools: Pool[];
+}
+
+type OpenServers = Map<Region, SampledSet<ServerEntry>>;
+
+/** Servers that serve one model or one plain service. */
+export interface Pool {
+  readonly target: string;
+  readonly members: Map<BackendServerId, ServerEntry>;
+  /** Members with room that generate answers. */
+  readonly generating: OpenServers;
+  /** Members with room that only compute prompts. */
+  readonly prefilling: OpenServers;
+  /** Members that only this host uses for long and suspected work. */
+  readonly owned: SampledSet<ServerEntry>;
+  ownedValid: boolean;
+  capacity: number;
+  /** Attempts of this host in the pool. */
+  own: number;
+}
+
+/** Name of the pool that a request needs. */
+export function targetOf(work: Work): string {
+  return work.model === undefined
+    ? `service ${work.service}`
+    : `model ${work.model}`;
+}
+
+function targetsOf(server: BackendServer): string[] {
+  return [
+    ...server.models.map((model) => `model ${model}`),
+    ...server.services.map((service) => `service ${service}`),
+  ];
+}
+
+/** Whether new work may go to the server at all. */
+export function accepts(entry: ServerEntry): boolean {
+  return entry.server.acceptsNewWork && !entry.lost;
+}
+
+/** All servers and pools that a host knows. */
+export class ServerTable {
+  readonly servers = new Map<BackendServerId, ServerEntry>();
+  readonly pools = new Map<string, Pool>();
+  /** Servers that are gone while own attempts on them have not ended. */
+  #departed = new Map<BackendServerId, ServerEntry>();
+  #hosts = 1;
+  #position = 0;
+
+  /** Sets how many hosts share the servers and which of them this one is. */
+  setHosts(hosts: number, position: number): void {
+    if (hosts === this.#hosts && position === this.#position) return;
+    this.#hosts = hosts;
+    this.#position = position;
+    for (const pool of this.pools.values()) pool.ownedValid = false;
+    for (const entry of this.servers.values()) this.refresh(entry);
+  }
+
+  /** Takes a server's record; false if the record is of an older process. */
+  see(server: BackendServer, now: number): boolean {
+    const known = this.servers.get(server.id);
+    if (known === undefined) {
+      this.#add(server, now);
+      return true;
+    }
+    if (server.incarnation < known.server.incarnation) return false;
+    const before = known.server;
+    known.lost = false;
+    this.#close(known);
+    known.server = server;
+    if (!sameTargets(before, server)) this.#join(known);
+    else this.#changeCapacity(known, server.capacity - before.capacity);
+    this.#takeLoad(known, now);
+    this.refresh(known);
+    return true;
+  }
+
+  remove(id: BackendServerId): ServerEntry | undefined {
+    const entry = this.servers.get(id);
+    if (entry === undefined) return undefined;
+    this.#close(entry);
+    this.#leave(entry);
+    this.servers.delete(id);
+    entry.server = { ...entry.server, acceptsNewWork: false };
+    if (entry.own > 0) this.#departed.set(id, entry);
+    return entry;
+  }
+
+  /** Stops new work until the server is seen again. */
+  markLost(entry: ServerEntry): void {
+    entry.lost = true;
+    this.refresh(entry);
+  }
+
+  /** Counts an attempt that starts (1) or ends (-1). */
+  count(entry: ServerEntry, change: number, now: number): void {
+    updateAverage(entry, now);
+    entry.own += change;
+    if (entry.own === 0) this.#departed.delete(entry.server.id);
+    this.refresh(entry);
+  }
+
+  /** Slots that the server has left for this host. */
+  room(entry: ServerEntry): number {
+    const { capacity } = entry.server;
+    const left = capacity - entry.own - entry.others;
+    if (left > 0) return left;
+    // Reports are late, so a host may always use its even part of a server.
+    const evenSlots = Math.ceil(capacity / this.#hosts);
+    return entry.own < evenSlots && capacity > entry.own ? 1 : 0;
+  }
+
+  /** Members that only this host uses for long and suspected work. */
+  ownedMembers(pool: Pool): SampledSet<ServerEntry> {
+    if (!pool.ownedValid) this.#divideMembers(pool);
+    return pool.owned;
+  }
+
+  /** Puts the server in or takes it out of the sets of open servers. */
+  refresh(entry: ServerEntry): void {
+    const open = accepts(entry) && this.room(entry) > 0;
+    if (!open) {
+      this.#close(entry);
+      return;
+    }
+    for (const pool of entry.pools) {
+      const sets = entry.server.role === "prefill"
+        ? pool.prefilling
+        : pool.generating;
+      const { region } = entry.server;
+      let set = sets.get(region);
+      if (set === undefined) {
+        set = new SampledSet();
+        sets.set(region, set);
+      }
+      set.add(entry);
+    }
+  }
+
+  /** Some open servers of each region. */
+  sampleOpen(
+    sets: OpenServers,
+    count: number,
+    random: SeededRandom,
+  ): ServerEntry[] {
+    const sampled: ServerEntry[] = [];
+    for (const set of sets.values()) sampled.push(...set.sample(count, random));
+    return sampled;
+  }
+
+  #add(server: BackendServer, now: number): void {
+    const entry = this.#departed.get(server.id) ?? newEntry(server, now);
+    this.#departed.delete(server.id);
+    entry.server = server;
+    entry.lost = false;
+    this.servers.set(server.id, entry);
+    this.#join(entry);
+    this.#takeLoad(entry, now);
+    this.refresh(entry);
+  }
+
+  #join(entry: ServerEntry): void {
+    this.#leave(entry);
+    for (const target of targetsOf(entry.server)) {
+      const pool = this.#pool(target);
+      pool.members.set(entry.server.id, entry);
+      pool.ownedValid = false;
+      pool.capacity += entry.server.capacity;
+      entry.pools.push(pool);
+    }
+  }
+
+  #leave(entry: ServerEntry): void {
+    for (const pool of entry.pools) {
+      pool.members.delete(entry.server.id);
+      pool.ownedValid = false;
+      pool.capacity = 0;
+      for (const member of pool.members.values()) {
+        pool.capacity += member.server.capacity;
+      }
+    }
+    entry.pools.length = 0;
+  }
+
+  #changeCapacity(entry: ServerEntry, change: number): void {
+    if (change === 0) return;
+    for (const pool of entry.pools) pool.capacity += change;
+  }
+
+  #close(entry: ServerEntry): void {
+    for (const pool of entry.pools) {
+      pool.prefilling.get(entry.server.region)?.delete(entry);
+      pool.generating.get(entry.server.region)?.delete(entry);
+    }
+  }
+
+  #takeLoad(entry: ServerEntry, now: number): void {
+    const { load } = entry.server;
+    if (load === undefined) return;
+    updateAverage(entry, now);
+    const reported = load.runningRequests + load.queuedRequests;
+    entry.others = Math.max(0, Math.round(reported - entry.averageOwn));
+  }
+
+  #pool(target: string): Pool {
+    let pool = this.pools.get(target);
+    if (pool === undefined) {
+      pool = {
+        target,
+        members: new Map(),
+        generating: new Map(),
+        prefilling: new Map(),
+        owned: new SampledSet(),
+        ownedValid: false,
+        capacity: 0,
+        own: 0,
+      };
+      this.pools.set(target, pool);
+    }
+    return pool;
+  }
+
+  /** Divides the members evenly over the hosts; all hosts divide alike. */
+  #divideMembers(pool: Pool): void {
+    const ids = [...pool.members.keys()].sort();
+    pool.owned.clear();
+    for (const [index, id] of ids.entries()) {
+      const mine = ids.length >= this.#hosts
+        ? index % this.#hosts === this.#position
+        : this.#position % ids.length === index;
+      if (mine) pool.owned.add(pool.members.get(id) as ServerEntry);
+    }
+    pool.ownedValid = true;
+  }
+}
+
+function newEntry(server: BackendServer, now: number): ServerEntry {
+  return {
+    server,
+    own: 0,
+    ownLong: 0,
+    ownSuspects: 0,
+    pendingPrefill: 0,
+    others: 0,
+    averageOwn: 0,
+    averageAt: now,
+    lost: false,
+    pools: [],
+  };
+}
+
+function sameTargets(left: BackendServer, right: BackendServer): boolean {
+  const targets = targetsOf(right);
+  const before = targetsOf(left);
+  return before.length === targets.length &&
+    before.every((target, index) => target === targets[index]);
+}
+
+function updateAverage(entry: ServerEntry, now: number): void {
+  const kept = Math.exp(Math.min(0, entry.averageAt - now) / ownMemory);
+  entry.averageOwn = entry.own + (entry.averageOwn - entry.own) * kept;
+  entry.averageAt = now;
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/slow_servers.ts
@@ -0,0 +1,160 @@
+/**
+ * Finds slowed servers from own latencies against those of their peers.
+ *
+ * @module
+ */
+
+import type { BackendServerId } from "rhubarbstage";
+import { smallestWeight } from "./constants.ts";
+import { DecayedSum } from "./decayed.ts";
+
+interface ServerLatency {
+  /** Observed over expected latency, smoothed. */
+  ratio: number;
+  samples: number;
+  lastAt: number;
+  /** Part of its normal traffic that the server gets. */
+  weight: number;
+  lastProbe: number;
+  /** Part of the probe interval to wait; shorter after a good probe. */
+  probeFactor: number;
+}
+
+const bucketsPerDoubling = 4;
+const bucketCount = 64;
+const peerMemory = 10_000;
+/** A server needs this many samples before it counts as slow. */
+const samplesToJudge = 3;
+/** Share of a new sample in the smoothed ratio. */
+const smoothing = 0.3;
+/** Age from which old samples count little against a new one. */
+const sampleMemory = 3_000;
+/** After a good probe the next one comes this much earlier. */
+const goodProbeFactor = 0.1;
+/** Weight below which work is moved away. */
+const slowWeight = 0.5;
+/** Part of the way to its target that a weight moves for each sample. */
+const weightStep = 0.4;
+
+/**
+ * Distribution of observed over expected latency of all servers of a pool, in
+ * logarithmic buckets, so that the median costs the same for any pool size.
+ */
+class PeerRatios {
+  #buckets = Array.from(
+    { length: bucketCount },
+    () => new DecayedSum(peerMemory),
+  );
+
+  add(ratio: number, now: number): void {
+    const index = Math.round(Math.log2(ratio) * bucketsPerDoubling) +
+      bucketCount / 2;
+    const bounded = Math.min(bucketCount - 1, Math.max(0, index));
+    this.#buckets[bounded]?.add(1, now);
+  }
+
+  median(now: number): number {
+    const values = this.#buckets.map((bucket) => bucket.value(now));
+    const half = values.reduce((sum, value) => sum + value, 0) / 2;
+    let sum = 0;
+    for (const [index, value] of values.entries()) {
+      sum += value;
+      if (sum >= half && half > 0) {
+        return 2 ** ((index - bucketCount / 2) / bucketsPerDoubling);
+      }
+    }
+    return 1;
+  }
+}
+
+/** Slowness of the servers of one pool. */
+export class SlowServers {
+  #peers = new PeerRatios();
+  #servers = new Map<BackendServerId, ServerLatency>();
+  #slow = new Set<BackendServerId>();
+  #threshold: number;
+  #probeInterval: number;
+
+  constructor(options: { threshold: number; probeInterval: number }) {
+    this.#threshold = options.threshold;
+    this.#probeInterval = options.probeInterval;
+  }
+
+  /**
+   * Takes one latency sample.
+   *
+   * @param ratio Observed over expected latency for the same work.
+   */
+  observe(server: BackendServerId, ratio: number, now: number): void {
+    if (!(ratio > 0)) return;
+    const known = this.#servers.get(server) ??
+      {
+        ratio,
+        samples: 0,
+        lastAt: now,
+        weight: 1,
+        lastProbe: now,
+        probeFactor: 1,
+      };
+    this.#servers.set(server, known);
+    const age = now - known.lastAt;
+    const share = 1 - (1 - smoothing) * Math.exp(-age / sampleMemory);
+    known.ratio = Math.exp(
+      (1 - share) * Math.log(known.ratio) + share * Math.log(ratio),
+    );
+    known.samples += 1;
+    known.lastAt = now;
+    this.#peers.add(ratio, now);
+    const good = ratio < this.#peers.median(now) * this.#threshold;
+    known.probeFactor = good ? goodProbeFactor : 1;
+    this.#moveWeight(known, now);
+    if (known.weight < slowWeight) this.#slow.add(server);
+    else this.#slow.delete(server);
+  }
+
+  /** Servers that are slow enough to move work away from them. */
+  slowServers(): ReadonlySet<BackendServerId> {
+    return this.#slow;
+  }
+
+  /** Latency of a server in that of its peers; 1 when not judged yet. */
+  factor(server: BackendServerId, now: number): number {
+    const known = this.#servers.get(server);
+    if (known === undefined || known.samples < samplesToJudge) return 1;
+    return Math.max(1, known.ratio / this.#peers.median(now));
+  }
+
+  /** Part of its normal traffic that a server should get, in (0, 1]. */
+  weight(server: BackendServerId): number {
+    return this.#servers.get(server)?.weight ?? 1;
+  }
+
+  /** Whether a slowed server is due for one request as a probe. */
+  probeDue(server: BackendServerId, now: number): boolean {
+    const known = this.#servers.get(server);
+    return known !== undefined && known.weight < 1 &&
+      now - known.lastProbe >= this.#probeInterval * known.probeFactor;
+  }
+
+  /** Notes that work was sent to the server. */
+  sent(server: BackendServerId, now: number): void {
+    const known = this.#servers.get(server);
+    if (known !== undefined) known.lastProbe = now;
+  }
+
+  /** Forgets a server that left or came back as a new process. */
+  forget(server: BackendServerId): void {
+    this.#slow.delete(server);
+    this.#servers.delete(server);
+  }
+
+  #moveWeight(known: ServerLatency, now: number): void {
+    if (known.samples < samplesToJudge) return;
+    const factor = known.ratio / this.#peers.median(now);
+    const target = factor > this.#threshold
+      ? Math.max(smallestWeight, (this.#threshold / factor) ** 4)
+      : 1;
+    known.weight += (target - known.weight) * weightStep;
+    if (known.weight > 0.95) known.weight = 1;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -0,0 +1,156 @@
+/**
+ * Running work that takes too long: deadlines, hedging and moving.
+ *
+ * @module
+ */
+
+import { cancelAttempt, startAttempt } from "./attempts.ts";
+import { type Attempt, type FleetState, routingView } from "./fleet_state.ts";
+import { chooseRoute, type Route } from "./routing.ts";
+import { dequeue, mayHaveRun, routingDemand, waitingIn } from "./scheduling.ts";
+import type { PolicyEffect } from "./types.ts";
+
+/** Attempts that are moved off one slowed server in one tick. */
+const movesPerTick = 2;
+/** Saved time, in milliseconds, from which a move of a stream pays. */
+const movePays = 100;
+
+/** Refuses waiting work and cancels repeatable work at its deadline. */
+export function expire(state: FleetState, now: number): PolicyEffect[] {
+  const effects: PolicyEffect[] = [];
+  for (;;) {
+    const timer = state.deadlines.peek();
+    if (timer === undefined || timer.at > now) return effects;
+    state.deadlines.pop();
+    const record = timer.subject;
+    const { work } = record;
+    if (state.requests.get(work.request) !== record) continue;
+    // Work that may not be repeated runs to its end, so that its claim settles.
+    const running = record.attempts.size > 0;
+    if (running && !work.repeatable) continue;
+    for (const attempt of [...record.attempts.values()]) {
+      effects.push(cancelAttempt(state, attempt, "deadline", now));
+    }
+    dequeue(record);
+    state.requests.delete(work.request);
+    effects.push({
+      type: "refuse",
+      request: work.request,
+      kind: "deadline_exceeded",
+      outcome: mayHaveRun(record) ? "may_have_run" : "not_run",
+    });
+  }
+}
+
+/** Starts a second attempt of requests that wait too long for a first token. */
+export function hedge(state: FleetState, now: number): PolicyEffect[] {
+  const effects: PolicyEffect[] = [];
+  for (;;) {
+    const timer = state.hedges.peek();
+    if (timer === undefined || timer.at > now) return effects;
+    state.hedges.pop();
+    const attempt = timer.subject;
+    const { record } = attempt;
+    if (!record.attempts.has(attempt.id)) continue;
+    if (attempt.firstTokenAt !== undefined) continue;
+    // A wait that is not over yet already tells that the server is slow.
+    const expected = Math.max(1, attempt.expectedFirstToken);
+    const ratio = (now - attempt.startedAt) / expected;
+    const computing = attempt.prefill ?? attempt.entry;
+    record.pool.slow.observe(computing.server.id, ratio, now);
+    effects.push(...startHedge(state, attempt, now));
+  }
+}
+
+/** Moves resumable streams off slowed servers. */
+export function moveStreams(state: FleetState, now: number): PolicyEffect[] {
+  const effects: PolicyEffect[] = [];
+  for (const pool of state.poolStates.values()) {
+    for (const server of pool.slow.slowServers()) {
+      const attempts = [...state.attemptsByServer.get(server) ?? []]
+        .filter((attempt) => movePaysFor(attempt, now))
+        .slice(0, movesPerTick);
+      for (const attempt of attempts) {
+        effects.push(...moveStream(state, attempt, now));
+      }
+    }
+  }
+  return effects;
+}
+
+function startHedge(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): PolicyEffect[] {
+  const { record } = attempt;
+  if (!record.work.repeatable || record.attempts.size > 1) return [];
+  if (waitingIn(record.pool) > 0 || now >= record.work.deadlineAt) return [];
+  const route = betterRoute(state, attempt, now);
+  if (route === undefined || !state.extraRuns.spend()) return [];
+  return [startAttempt(state, record, route, now), {
+    type: "note",
+    event: "request_hedged",
+    fields: {
+      request: record.work.request,
+      slow_server: attempt.entry.server.id,
+      server: route.entry.server.id,
+    },
+  }];
+}
+
+function movePaysFor(attempt: Attempt, now: number): boolean {
+  const { record, entry } = attempt;
+  const { work, pool } = record;
+  if (!work.repeatable || !work.resumable) return false;
+  if (attempt.firstTokenAt === undefined || record.attempts.size !== 1) {
+    return false;
+  }
+  const expected = Math.max(
+    record.estimate.outputTokens - attempt.tokens,
+    attempt.tokens,
+  );
+  const left = Math.min(expected, work.outputTokenLimit - attempt.tokens);
+  const normal = pool.estimates.decodeTime(left, now);
+  const excess = normal * (pool.slow.factor(entry.server.id, now) - 1);
+  const cost = pool.estimates.prefillTime(
+    work.promptTokens + attempt.tokens,
+    now,
+  );
+  return excess > cost + movePays;
+}
+
+function moveStream(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): PolicyEffect[] {
+  const { record } = attempt;
+  const route = betterRoute(state, attempt, now);
+  if (route === undefined || !state.extraRuns.spend()) return [];
+  const cancel = cancelAttempt(state, attempt, "moved", now);
+  return [cancel, startAttempt(state, record, route, now), {
+    type: "note",
+    event: "stream_moved",
+    fields: {
+      request: record.work.request,
+      slow_server: attempt.entry.server.id,
+      server: route.entry.server.id,
+    },
+  }];
+}
+
+/** A route to another server that is not slow itself. */
+function betterRoute(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): Route | undefined {
+  const { record } = attempt;
+  const demand = routingDemand(state, record, { aged: true, now });
+  const view = routingView(state, record.pool, now);
+  const route = chooseRoute(view, demand);
+  if (route === undefined) return undefined;
+  const slow = record.pool.slow.weight(route.entry.server.id) < 1;
+  return slow ? undefined : route;
+}
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -19,6 +19,7 @@
   ServiceName,
   WorkKind,
 } from "rhubarbstage";
+import type { FleetSettings } from "./fleet_settings.ts";
 
 /** Role of a model engine in its pool. */
 export type EngineRole = "prefill" | "decode" | "mixed";
@@ -99,10 +100,16 @@
   readonly tokensPerSecond: number;
 }
 
+/** Offered work of one model, before any prompt is found in a cache. */
+export interface ModelDemand {
+  readonly promptTokensPerSecond: number;
+  readonly outputTokensPerSecond: number;
+}
+
 /** A request fingerprint under suspicion of crashing servers. */
 export interface QuarantineMark {
   readonly fingerprint: string;
-  /** Servers that crashed while they ran the request as a suspect. */
+  /** Servers that crashed while they ran the request; 0 clears a suspect. */
   readonly crashes: number;
   /** Whether the request is refused. */
   readonly blocked: boolean;
@@ -187,6 +194,12 @@
     readonly total: ReadonlyMap<CustomerId, Demand>;
     /** Hosts that are alive, this one included. */
     readonly hosts: number;
+    /** Place of this host among the living hosts, ordered by id, from 0. */
+    readonly position?: number;
+    /** This host's contribution to `total`; the last published one if absent. */
+    readonly own?: ReadonlyMap<CustomerId, Demand>;
+    /** Demand of each model that all hosts together see. */
+    readonly models?: ReadonlyMap<ModelName, ModelDemand>;
   }
   | {
     readonly type: "quarantine_reported";
@@ -199,9 +212,29 @@
     /** Whether this host decides on roles. */
     readonly held: boolean;
   }
+  | {
+    readonly type: "settings_changed";
+    readonly now: number;
+    /** Fleet-wide settings that differ from the defaults. */
+    readonly settings: Partial<FleetSettings>;
+  }
   | { readonly type: "tick"; readonly now: number };
 
-/** What has to be done. */
+/**
+ * Why an attempt is cancelled. After `preempted` and `moved` the request goes
+ * on elsewhere; after `hedged` another attempt of it goes on.
+ */
+export type CancelReason =
+  | "preempted"
+  | "moved"
+  | "hedged"
+  | "caller_gone"
+  | "deadline";
+
+/**
+ * What has to be done. The policy counts an attempt as ended from its `cancel`
+ * on; later events of the attempt are ignored.
+ */
 export type PolicyEffect =
   | {
     readonly type: "dispatch";
@@ -213,7 +246,10 @@
     readonly prefillServer?: BackendServerId;
     /** Priority for the engine; larger is served first. */
     readonly priority: number;
-    /** Tokens that the caller already has. */
+    /**
+     * Tokens that the caller already has as far as the policy knows. The host
+     * resumes from its own count, which may be larger.
+     */
     readonly resumeFrom: number;
   }
   | {
@@ -227,7 +263,7 @@
     readonly type: "cancel";
     readonly request: RequestId;
     readonly attempt: AttemptId;
-    readonly reason: "preempted" | "hedged" | "caller_gone" | "deadline";
+    readonly reason: CancelReason;
   }
   | {
     readonly type: "set_role";
@@ -238,6 +274,12 @@
     readonly type: "publish_quarantine";
     readonly marks: readonly QuarantineMark[];
   }
+  | {
+    readonly type: "publish_demand";
+    /** Demand of each customer on this host, for gossip. */
+    readonly own: ReadonlyMap<CustomerId, Demand>;
+    readonly ownModels: ReadonlyMap<ModelName, ModelDemand>;
+  }
   | {
     readonly type: "note";
     /** Event name for log and time line. */
