Add settings, the operator interface and telemetry

Cause: all other packages read process settings and the tree, and record events, so that they need these types first.

Change: process settings and the tree of settings with schema, inheritance, edits and differences; typed paths and shapes of the operator interface; logger, timeline and metrics.

--- /dev/null
+++ b/packages/rhubarbstage-settings/src/constants.ts
@@ -0,0 +1,52 @@
+/**
+ * Defaults and limits of settings.
+ *
+ * @module
+ */
+
+import type { EffectiveSettings, PoolSettings } from "./types.ts";
+
+/** Branch name that matches every name of its level. */
+export const anyName = "*";
+
+/** Settings where neither a branch nor its parents say anything. */
+export const defaultSettings: EffectiveSettings = {
+  priority: 0,
+  share: 1,
+  requestsPerSecond: Infinity,
+  tokensPerSecond: Infinity,
+  floorRequestsPerSecond: 0,
+  firstTokenTarget: 2_000,
+  retryRatio: 0.1,
+  deadline: 60_000,
+  bodyLimit: 4 * 1_024 * 1_024,
+  whenIsolated: "serve",
+};
+
+/** Pool settings where no branch says anything. */
+export const defaultPool: PoolSettings = {
+  prefillFloor: 0,
+  decodeFloor: 0,
+  maxEnginesAway: 1,
+};
+
+/** Default time between a failing `/readyz` and refusals, in milliseconds. */
+export const defaultShutdownNotice = 5_000;
+
+/** Default number of journal groups. */
+export const defaultJournalGroups = 4;
+
+/** Longest part of a faulty value that an error quotes, in characters. */
+export const maxQuotedValue = 80;
+
+/**
+ * Effective settings that one tree keeps in its cache. 20,000 entries cover the
+ * working set of 1,700 customers with a few kinds of work each in one region.
+ */
+export const maxCachedSettings = 20_000;
+
+/** Operations that one edit may carry. */
+export const maxOperations = 1_000;
+
+/** Customers in one tree; larger trees are refused. */
+export const maxCustomers = 20_000;
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/operator_api.ts
@@ -0,0 +1,307 @@
+/**
+ * The operator interface of a host: paths and JSON shapes that the gateway and
+ * the command line share. Each request carries `authorization: Bearer TOKEN`
+ * with an operator token. Errors have the body of all errors of the system.
+ *
+ * @module
+ */
+
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  EditId,
+  GroupName,
+  HostId,
+  Incarnation,
+  ModelName,
+  OrderId,
+  Region,
+  ReplicaId,
+  RequestId,
+  Revision,
+  ServiceName,
+  Timestamp,
+} from "rhubarbstage";
+import type {
+  Endpoint,
+  ExplainedSetting,
+  TreeDocument,
+  TreeOperation,
+} from "./types.ts";
+
+/** Paths of the operator interface. `{server}` and `{host}` are ids. */
+export const operatorPaths = {
+  /** `GET`: {@linkcode TreeAnswer}. */
+  tree: "/operator/tree",
+  /**
+   * `GET` with the query `region`, `service`, `customer` and `kind`:
+   * {@linkcode EffectiveAnswer}.
+   */
+  effective: "/operator/tree/effective",
+  /** `POST` {@linkcode EditRequest}: {@linkcode EditAnswer}. */
+  edits: "/operator/tree/edits",
+  /** `GET` with the query `limit`: {@linkcode HistoryAnswer}. */
+  history: "/operator/tree/history",
+  /** `GET`: {@linkcode StatusAnswer}. */
+  status: "/operator/status",
+  /** `GET`: {@linkcode BackendsAnswer}. */
+  backends: "/operator/backends",
+  /** `POST` {@linkcode DrainRequest}: {@linkcode DrainAnswer}. */
+  drains: "/operator/drains",
+  /**
+   * `GET` with the query `request`, `server`, `revision`, `from`, `to`,
+   * `limit` and `scope`: {@linkcode TimelineAnswer}.
+   */
+  timeline: "/operator/timeline",
+  /** `POST` {@linkcode BootstrapRequest}: {@linkcode BootstrapAnswer}. */
+  bootstrap: "/operator/bootstrap",
+  /** `POST` {@linkcode RepairRequest}: {@linkcode RepairAnswer}. */
+  repairs: "/operator/repairs",
+  /** `POST` {@linkcode OrderEndRequest}: {@linkcode OrderEndAnswer}. */
+  orderEnds: "/operator/orders/ends",
+} as const;
+
+/** The tree in force after a quorum read. */
+export interface TreeAnswer {
+  readonly revision: Revision;
+  readonly tree: TreeDocument;
+}
+
+/** Settings in force on the answering host. */
+export interface EffectiveAnswer {
+  readonly revision: Revision;
+  readonly settings: readonly ExplainedSetting[];
+}
+
+/** A change of the tree. */
+export interface EditRequest {
+  /** The same for each resend of one edit. */
+  readonly edit_id: EditId;
+  readonly expected_revision: Revision;
+  readonly operations: readonly TreeOperation[];
+}
+
+/**
+ * The change took effect. A resend under the same edit id gets the first
+ * answer. Errors: `revision_conflict` (409), `invalid_request` (400),
+ * `no_quorum` (503, `may_have_run`: send again under the same edit id).
+ */
+export interface EditAnswer {
+  readonly edit_id: EditId;
+  readonly revision: Revision;
+  /** Whether an earlier send of this edit took effect. */
+  readonly replayed: boolean;
+}
+
+/** One accepted change. */
+export interface HistoryEntry {
+  readonly revision: Revision;
+  readonly edit_id: EditId;
+  /** Name of the operator's token; empty when the token file gives none. */
+  readonly operator: string;
+  /** Milliseconds since the Unix epoch on the host that took the edit. */
+  readonly at: number;
+  readonly operations: readonly TreeOperation[];
+}
+
+/** Accepted changes, newest first. */
+export interface HistoryAnswer {
+  readonly revision: Revision;
+  readonly entries: readonly HistoryEntry[];
+}
+
+/** One seat of a replicated group. */
+export interface SeatStatus {
+  readonly host: HostId;
+  readonly replica: ReplicaId;
+  readonly voter: boolean;
+  /** Highest log index that is durable there, as far as the leader knows. */
+  readonly durable_index: number;
+}
+
+/** One replicated group as the answering host knows it. */
+export interface GroupStatus {
+  readonly group: GroupName;
+  readonly term: number;
+  readonly leader?: HostId;
+  readonly commit_index: number;
+  readonly seats: readonly SeatStatus[];
+}
+
+/** One host as the answering host knows it. */
+export interface HostStatus {
+  readonly host: HostId;
+  readonly region: Region;
+  readonly availability_zone: AvailabilityZone;
+  readonly incarnation: Incarnation;
+  readonly alive: boolean;
+  /** Revision in force there; absent when it is not known. */
+  readonly revision?: Revision;
+  readonly replica: boolean;
+  /** Address of its HTTP interface; absent when it is not known. */
+  readonly http?: Endpoint;
+}
+
+/** State of the answering host and what it knows of the others. */
+export interface StatusAnswer {
+  readonly host: HostId;
+  readonly cluster: string;
+  readonly version: string;
+  readonly region: Region;
+  readonly availability_zone: AvailabilityZone;
+  readonly incarnation: Incarnation;
+  readonly ready: boolean;
+  readonly shutting_down: boolean;
+  readonly isolated: boolean;
+  /** Absent before the first confirmation. */
+  readonly revision?: Revision;
+  /** Milliseconds; absent before the first confirmation. */
+  readonly confirmation_age_ms?: number;
+  readonly running_requests: number;
+  readonly queued_requests: number;
+  /** Whether the system was bootstrapped, as far as the host knows. */
+  readonly bootstrapped: boolean;
+  /** Present on hosts with a data folder. */
+  readonly replica?: ReplicaId;
+  readonly groups: readonly GroupStatus[];
+  readonly hosts: readonly HostStatus[];
+}
+
+/** An order to a backend server that has not ended. */
+export interface OpenOrder {
+  readonly order_id: OrderId;
+  readonly kind: string;
+  readonly fencing_number: number;
+}
+
+/** One backend server as the answering host knows it. */
+export interface BackendStatus {
+  readonly server: BackendServerId;
+  readonly incarnation: Incarnation;
+  readonly address: string;
+  readonly region: Region;
+  readonly availability_zone: AvailabilityZone;
+  readonly models: readonly ModelName[];
+  readonly services: readonly ServiceName[];
+  readonly role: string;
+  readonly state: "ready" | "drained" | "leaving" | "stale";
+  readonly honours_fencing: boolean;
+  /** Age of the newest evidence, in milliseconds. */
+  readonly evidence_age_ms: number;
+  readonly running_requests: number;
+  readonly queued_requests: number;
+  readonly order?: OpenOrder;
+}
+
+/** Backend servers, sorted by id. */
+export interface BackendsAnswer {
+  readonly backends: readonly BackendStatus[];
+}
+
+/** Starts or ends a drain. Idempotent by `edit_id`. */
+export interface DrainRequest {
+  readonly edit_id: EditId;
+  readonly server: BackendServerId;
+  readonly drained: boolean;
+}
+
+/** The drain is committed; requests that run on the server finish. */
+export interface DrainAnswer {
+  readonly edit_id: EditId;
+  readonly server: BackendServerId;
+  readonly drained: boolean;
+  readonly replayed: boolean;
+}
+
+/** Which hosts a timeline query covers; defaults to `all`. */
+export type TimelineScope = "host" | "all";
+
+/** One event, as the timeline file has it. */
+export interface TimelineAnswerEvent {
+  readonly at: Timestamp;
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly sequence: number;
+  readonly event: string;
+  readonly request?: RequestId;
+  readonly server?: BackendServerId;
+  readonly revision?: Revision;
+  readonly fields: Readonly<Record<string, string | number | boolean>>;
+}
+
+/** Events in causal order, oldest first. */
+export interface TimelineAnswer {
+  readonly events: readonly TimelineAnswerEvent[];
+  /** Hosts that did not answer; their events are missing. */
+  readonly missing_hosts: readonly HostId[];
+}
+
+/**
+ * Forms the system once. The host that gets it asks all replicas of its
+ * settings, itself included, for their grant. A resend with the same tree
+ * after a lost answer gets the first answer. Errors: `invalid_request`,
+ * `order_conflict` when a host has granted another system, `no_quorum` when a
+ * host cannot be reached (nothing is formed; send again).
+ */
+export interface BootstrapRequest {
+  readonly edit_id: EditId;
+  /** Hosts with a data folder; all must grant. */
+  readonly hosts: readonly HostId[];
+  /** Tree of revision 1. */
+  readonly tree: TreeDocument;
+}
+
+/** The system is formed. */
+export interface BootstrapAnswer {
+  readonly cluster: string;
+  readonly revision: Revision;
+  readonly seats: readonly {
+    readonly host: HostId;
+    readonly replica: ReplicaId;
+  }[];
+  readonly replayed: boolean;
+}
+
+/** Moves the seats of a lost replica to the new one of a host. */
+export interface RepairRequest {
+  readonly edit_id: EditId;
+  /** Host whose old seat is lost. */
+  readonly lost: HostId;
+  /** Host that takes the seat; the same host when it came back empty. */
+  readonly replacement: HostId;
+}
+
+/** Every group has its new seat and all seats are caught up. */
+export interface RepairAnswer {
+  readonly edit_id: EditId;
+  readonly groups: readonly GroupStatus[];
+  readonly replayed: boolean;
+}
+
+/** An operator states how an order to an engine ended. */
+export interface OrderEndRequest {
+  readonly edit_id: EditId;
+  readonly order_id: OrderId;
+  /** Whether the engine carried the order out. */
+  readonly carried_out: boolean;
+}
+
+/** The order has ended. */
+export interface OrderEndAnswer {
+  readonly edit_id: EditId;
+  readonly order_id: OrderId;
+  readonly replayed: boolean;
+}
+
+/** Body of every error answer. */
+export interface ErrorBody {
+  readonly error: {
+    /** Error kind of the closed list. */
+    readonly type: string;
+    readonly message: string;
+    readonly outcome: "not_run" | "may_have_run" | "ran";
+    readonly request_id: string;
+    /** Revision in force, with `revision_conflict`. */
+    readonly revision?: Revision;
+  };
+}
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/process_settings.ts
@@ -0,0 +1,180 @@
+/**
+ * Loads the settings of one process.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import { dirname, resolve } from "node:path";
+import type { AvailabilityZone, HostId, Region } from "rhubarbstage";
+import { SettingsError, type SettingsProblem } from "./errors.ts";
+import {
+  parseEndpoint,
+  type ProcessFields,
+  processSchema,
+} from "./process_schema.ts";
+import type {
+  Endpoint,
+  Listener,
+  PeerHost,
+  ProcessSettings,
+  TlsFiles,
+} from "./types.ts";
+import { findProblems, makeProblem, type Source } from "./validation.ts";
+import { parseYaml } from "./yaml_source.ts";
+
+/** Options of the loader of process settings. */
+export interface ProcessSettingsOptions {
+  /** Name of the file for errors. */
+  readonly file?: string;
+  /** Folder that relative file paths start from; defaults to the file's. */
+  readonly folder?: string;
+}
+
+function toEndpoint(value: string): Endpoint {
+  return parseEndpoint(value) as Endpoint;
+}
+
+function toListener(
+  fields: { listen: string; advertise?: string | undefined },
+): Listener {
+  return {
+    listen: toEndpoint(fields.listen),
+    advertise: toEndpoint(fields.advertise ?? fields.listen),
+  };
+}
+
+function toPeer(fields: ProcessFields["peers"][number]): PeerHost {
+  return {
+    host: fields.host as HostId,
+    address: fields.address,
+    port: fields.port,
+    region: fields.region as Region,
+    availabilityZone: fields.availability_zone as AvailabilityZone,
+    replica: fields.replica,
+  };
+}
+
+function toTls(
+  fields: NonNullable<ProcessFields["tls"]>,
+  path: (file: string) => string,
+): TlsFiles {
+  return {
+    certificate: path(fields.certificate),
+    key: path(fields.key),
+    ...(fields.authority === undefined
+      ? {}
+      : { authority: path(fields.authority) }),
+  };
+}
+
+function toSettings(fields: ProcessFields, folder: string): ProcessSettings {
+  const path = (file: string) => resolve(folder, file);
+  const { log, timeline } = fields;
+  return {
+    host: fields.host as HostId,
+    cluster: fields.cluster,
+    region: fields.region as Region,
+    availabilityZone: fields.availability_zone as AvailabilityZone,
+    http: toListener(fields.http),
+    peer: toListener(fields.peer),
+    ...(fields.data_folder === undefined
+      ? {}
+      : { dataFolder: path(fields.data_folder) }),
+    peers: fields.peers.filter((peer) => peer.host !== fields.host).map(toPeer),
+    tokenFiles: {
+      peer: path(fields.token_files.peer),
+      operators: path(fields.token_files.operators),
+      backendServers: path(fields.token_files.backend_servers),
+    },
+    ...(fields.tls === undefined ? {} : { tls: toTls(fields.tls, path) }),
+    log: {
+      level: log.level,
+      ...(log.file === undefined ? {} : { file: path(log.file) }),
+    },
+    timeline: {
+      ...(timeline.file === undefined ? {} : { file: path(timeline.file) }),
+      maxBytes: timeline.max_bytes,
+      maxFiles: timeline.max_files,
+      ringEvents: timeline.ring_events,
+    },
+    shutdownNotice: fields.shutdown_notice_ms,
+    journalGroups: fields.journal_groups,
+  };
+}
+
+function hasAnyAddress(endpoint: Endpoint): boolean {
+  return endpoint.address === "0.0.0.0" || endpoint.address === "::";
+}
+
+function findAddressProblems(
+  fields: ProcessFields,
+  source: Source,
+): SettingsProblem[] {
+  return (["http", "peer"] as const).flatMap((key) => {
+    const { advertise } = toListener(fields[key]);
+    if (!hasAnyAddress(advertise)) return [];
+    return [makeProblem(source, [key, "advertise"], {
+      value: fields[key].advertise ?? fields[key].listen,
+      allowed: "an address that other hosts can reach",
+    })];
+  });
+}
+
+function findPeerProblems(
+  fields: ProcessFields,
+  source: Source,
+): SettingsProblem[] {
+  const problems: SettingsProblem[] = [];
+  const hosts = new Set<string>();
+  fields.peers.forEach((peer, index) => {
+    if (hosts.has(peer.host)) {
+      problems.push(makeProblem(source, ["peers", index, "host"], {
+        value: peer.host,
+        allowed: "a host that is listed once",
+      }));
+    }
+    hosts.add(peer.host);
+    const replica = fields.data_folder !== undefined;
+    if (peer.host === fields.host && peer.replica !== replica) {
+      problems.push(makeProblem(source, ["peers", index, "replica"], {
+        value: peer.replica,
+        allowed: `${replica}, because this host has ${
+          replica ? "a" : "no"
+        } data_folder`,
+      }));
+    }
+  });
+  return problems;
+}
+
+/**
+ * Reads process settings from YAML. Throws {@linkcode SettingsError} with all
+ * faults.
+ */
+export function parseProcessSettings(
+  content: string,
+  options: ProcessSettingsOptions = {},
+): ProcessSettings {
+  const { data, source } = parseYaml(content, options);
+  const problems = findProblems(processSchema, data, source);
+  if (problems.length > 0) throw new SettingsError(problems);
+  const fields = processSchema.parse(data);
+  const more = [
+    ...findAddressProblems(fields, source),
+    ...findPeerProblems(fields, source),
+  ];
+  if (more.length > 0) throw new SettingsError(more);
+  const folder = options.folder ?? dirname(resolve(options.file ?? "settings"));
+  return toSettings(fields, folder);
+}
+
+/**
+ * Reads the file of a host. Relative paths in it start from its folder. Throws
+ * {@linkcode SettingsError} with all faults.
+ */
+export async function loadProcessSettings(
+  file: string,
+): Promise<ProcessSettings> {
+  return parseProcessSettings(await readFile(file, "utf8"), { file });
+}
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/tree_document.ts
@@ -0,0 +1,163 @@
+/**
+ * Loads and checks the tree of settings.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import { anyName, maxCustomers } from "./constants.ts";
+import { SettingsError, type SettingsProblem } from "./errors.ts";
+import { treeSchema } from "./tree_schema.ts";
+import type { ServiceBranch, TreeDocument } from "./types.ts";
+import { findProblems, makeProblem, type Source } from "./validation.ts";
+import { parseYaml } from "./yaml_source.ts";
+
+/** A service branch with its place in the tree. */
+interface PlacedService {
+  readonly path: readonly string[];
+  readonly region: string;
+  readonly service: string;
+  readonly branch: ServiceBranch;
+}
+
+function* listServices(tree: TreeDocument): Generator<PlacedService> {
+  for (const [region, regionBranch] of Object.entries(tree.regions ?? {})) {
+    const services = Object.entries(regionBranch.services ?? {});
+    for (const [service, branch] of services) {
+      const path = ["regions", region, "services", service];
+      yield { path, region, service, branch };
+    }
+  }
+}
+
+function* findServiceProblems(
+  tree: TreeDocument,
+  source: Source,
+): Generator<SettingsProblem> {
+  const services = [...listServices(tree)];
+  const typed = new Set(
+    services.filter(({ branch }) => branch.type !== undefined)
+      .flatMap(({ region, service }) => [`${region}/${service}`, service]),
+  );
+  for (const { path, region, service, branch } of services) {
+    if (service === anyName) {
+      for (const key of ["type", "models", "routes"] as const) {
+        if (branch[key] === undefined) continue;
+        yield makeProblem(source, [...path, key], {
+          value: branch[key],
+          allowed: 'no such key on the service "*"',
+        });
+      }
+      continue;
+    }
+    const hasType = region === anyName
+      ? typed.has(service)
+      : typed.has(`${region}/${service}`) || typed.has(`*/${service}`);
+    if (!hasType) {
+      yield makeProblem(source, [...path, "type"], {
+        allowed: "model, plain",
+      });
+    }
+  }
+}
+
+/** The region-wide view of who serves a model. */
+function* findModelProblems(
+  tree: TreeDocument,
+  source: Source,
+): Generator<SettingsProblem> {
+  const owners = new Map<string, string>();
+  for (const { path, region, service, branch } of listServices(tree)) {
+    for (const [index, model] of (branch.models ?? []).entries()) {
+      for (const scope of regionsOfScope(tree, region)) {
+        const key = `${scope}/${model}`;
+        const owner = owners.get(key);
+        owners.set(key, service);
+        if (owner === undefined || owner === service) continue;
+        yield makeProblem(source, [...path, "models", index], {
+          value: model,
+          allowed: `a model of one service; ${owner} has it already`,
+        });
+        break;
+      }
+    }
+  }
+}
+
+function regionsOfScope(tree: TreeDocument, region: string): string[] {
+  if (region !== anyName) return [region];
+  return Object.keys(tree.regions ?? {});
+}
+
+/** Each API key belongs to one customer, or a caller would be ambiguous. */
+function* findCustomerProblems(
+  tree: TreeDocument,
+  source: Source,
+): Generator<SettingsProblem> {
+  const owners = new Map<string, string>();
+  const names = new Set<string>();
+  for (const { path, branch } of listServices(tree)) {
+    for (const [customer, fields] of Object.entries(branch.customers ?? {})) {
+      names.add(customer);
+      const hashes = fields.api_key_hashes ?? [];
+      const place = [...path, "customers", customer, "api_key_hashes"];
+      if (customer === anyName && hashes.length > 0) {
+        yield makeProblem(source, place, {
+          value: hashes,
+          allowed: 'no such key on the customer "*"',
+        });
+      }
+      for (const [index, hash] of hashes.entries()) {
+        const owner = owners.get(hash);
+        owners.set(hash, customer);
+        if (owner === undefined || owner === customer) continue;
+        yield makeProblem(source, [...place, index], {
+          value: hash,
+          allowed: `a hash of one customer; ${owner} has it already`,
+        });
+      }
+    }
+  }
+  if (names.size > maxCustomers) {
+    yield makeProblem(source, [], {
+      value: names.size,
+      allowed: `at most ${maxCustomers} customers`,
+    });
+  }
+}
+
+/** Faults that show only when several branches are seen together. */
+export function findCrossProblems(
+  tree: TreeDocument,
+  source: Source = {},
+): SettingsProblem[] {
+  return [
+    ...findServiceProblems(tree, source),
+    ...findModelProblems(tree, source),
+    ...findCustomerProblems(tree, source),
+  ];
+}
+
+/** Checks plain data and returns it as a tree. Throws `SettingsError`. */
+export function checkTree(data: unknown, source: Source = {}): TreeDocument {
+  const problems = findProblems(treeSchema, data, source);
+  if (problems.length > 0) throw new SettingsError(problems);
+  const tree = data as TreeDocument;
+  const more = findCrossProblems(tree, source);
+  if (more.length > 0) throw new SettingsError(more);
+  return tree;
+}
+
+/** Reads a tree from YAML. Throws `SettingsError` with all faults. */
+export function parseTree(
+  content: string,
+  options: { file?: string } = {},
+): TreeDocument {
+  const { data, source } = parseYaml(content, options);
+  return checkTree(data ?? {}, source);
+}
+
+/** Reads a tree from a file. Throws `SettingsError` with all faults. */
+export async function loadTree(file: string): Promise<TreeDocument> {
+  return parseTree(await readFile(file, "utf8"), { file });
+}
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/tree_edit.ts
@@ -0,0 +1,194 @@
+/**
+ * Operations on the tree and differences between trees.
+ *
+ * @module
+ */
+
+import { maxOperations } from "./constants.ts";
+import { SettingsError, type SettingsProblem } from "./errors.ts";
+import { findCrossProblems } from "./tree_document.ts";
+import { findTarget, splitPath } from "./tree_path.ts";
+import { levels } from "./tree_schema.ts";
+import type { TreeDifference, TreeDocument, TreeOperation } from "./types.ts";
+import { findProblems, makeProblem } from "./validation.ts";
+
+type PlainMap = Readonly<Record<string, unknown>>;
+
+function isPlainMap(value: unknown): value is PlainMap {
+  return typeof value === "object" && value !== null && !Array.isArray(value);
+}
+
+/** Reads the value at a path; undefined when there is none. */
+export function valueAtPath(tree: TreeDocument, path: string): unknown {
+  let value: unknown = tree;
+  for (const segment of splitPath(path)) {
+    if (!isPlainMap(value) || !Object.hasOwn(value, segment)) return undefined;
+    value = value[segment];
+  }
+  return value;
+}
+
+/** Copies the maps along a path; everything else is shared. */
+function withValue(
+  map: PlainMap,
+  segments: readonly string[],
+  value: unknown,
+): PlainMap {
+  const [key, ...rest] = segments;
+  if (key === undefined) return isPlainMap(value) ? value : {};
+  const child = Object.hasOwn(map, key) ? map[key] : undefined;
+  if (rest.length > 0) {
+    const copy = withValue(isPlainMap(child) ? child : {}, rest, value);
+    return { ...map, [key]: copy };
+  }
+  return { ...map, [key]: value };
+}
+
+/** Removes a value; maps that become empty on the way stay. */
+function withoutValue(map: PlainMap, segments: readonly string[]): PlainMap {
+  const [key, ...rest] = segments;
+  if (key === undefined) return {};
+  if (!Object.hasOwn(map, key)) return map;
+  const child = map[key];
+  if (rest.length > 0) {
+    if (!isPlainMap(child)) return map;
+    return { ...map, [key]: withoutValue(child, rest) };
+  }
+  const { [key]: _removed, ...kept } = map;
+  return kept;
+}
+
+/**
+ * Applies operations that were checked before, in order, to a copy; the input
+ * stays as it is. Hosts and replicas use this for committed edits.
+ */
+export function applyCheckedOperations(
+  tree: TreeDocument,
+  operations: readonly TreeOperation[],
+): TreeDocument {
+  let result: PlainMap = tree as PlainMap;
+  for (const operation of operations) {
+    const segments = splitPath(operation.path);
+    result = "set" in operation
+      ? withValue(result, segments, operation.set)
+      : withoutValue(result, segments);
+  }
+  return result as TreeDocument;
+}
+
+function findPathProblems(operation: TreeOperation): SettingsProblem[] {
+  const segments = splitPath(operation.path);
+  const target = findTarget(segments);
+  if (!target.found) {
+    return [makeProblem({}, segments, {
+      value: segments[target.index],
+      allowed: target.allowed,
+      ...(target.nearest === undefined ? {} : { nearest: target.nearest }),
+    })];
+  }
+  if (!("set" in operation)) return [];
+  return findProblems(target.schema, operation.set, { prefix: segments });
+}
+
+function findShapeProblems(operations: unknown): SettingsProblem[] {
+  const allowed = `a list of 1 to ${maxOperations} operations {path, set} or ` +
+    `{path, remove: true}`;
+  if (
+    !Array.isArray(operations) || operations.length === 0 ||
+    operations.length > maxOperations
+  ) return [makeProblem({}, ["operations"], { value: operations, allowed })];
+  return operations.flatMap((operation: unknown, index) => {
+    const valid = isPlainMap(operation) &&
+      typeof operation.path === "string" &&
+      Object.keys(operation).length === 2 &&
+      (operation.set !== undefined || operation.remove === true);
+    if (valid) return [];
+    const path = ["operations", index];
+    return [makeProblem({}, path, { value: operation, allowed })];
+  });
+}
+
+/** Finds removals of paths that the tree does not have. */
+function findMissingPaths(
+  tree: TreeDocument,
+  operations: readonly TreeOperation[],
+): SettingsProblem[] {
+  let current = tree;
+  return operations.flatMap((operation) => {
+    const before = current;
+    current = applyCheckedOperations(current, [operation]);
+    if ("set" in operation) return [];
+    if (valueAtPath(before, operation.path) !== undefined) return [];
+    return [makeProblem({}, splitPath(operation.path), {
+      allowed: "a path that the tree has",
+    })];
+  });
+}
+
+/**
+ * Checks operations and applies them in order to a copy, as a whole or not at
+ * all. Deterministic, so that a state machine may call it. Throws
+ * `SettingsError` with all faults.
+ */
+export function applyOperations(
+  tree: TreeDocument,
+  operations: readonly TreeOperation[],
+): TreeDocument {
+  const shape = findShapeProblems(operations);
+  if (shape.length > 0) throw new SettingsError(shape);
+  const paths = operations.flatMap(findPathProblems);
+  if (paths.length > 0) throw new SettingsError(paths);
+  const missing = findMissingPaths(tree, operations);
+  if (missing.length > 0) throw new SettingsError(missing);
+  const result = applyCheckedOperations(tree, operations);
+  const cross = findCrossProblems(result);
+  if (cross.length > 0) throw new SettingsError(cross);
+  return result;
+}
+
+const childMaps = new Set(levels.map((level) => level.children));
+
+function isSame(left: unknown, right: unknown): boolean {
+  return left === right || JSON.stringify(left) === JSON.stringify(right);
+}
+
+function* compareMaps(
+  left: PlainMap,
+  right: PlainMap,
+  path: readonly string[],
+): Generator<TreeDifference> {
+  const keys = new Set([...Object.keys(left), ...Object.keys(right)]);
+  for (const key of [...keys].sort()) {
+    const before = Object.hasOwn(left, key) ? left[key] : undefined;
+    const after = Object.hasOwn(right, key) ? right[key] : undefined;
+    if (before === after) continue;
+    const place = [...path, key];
+    const isBranch = childMaps.has(key) || childMaps.has(path.at(-1));
+    if (isBranch && isPlainMap(before) && isPlainMap(after)) {
+      yield* compareMaps(before, after, place);
+    } else if (!isSame(before, after)) {
+      yield {
+        path: place.join("/"),
+        ...(before === undefined ? {} : { before }),
+        ...(after === undefined ? {} : { after }),
+      };
+    }
+  }
+}
+
+/** Lists the differences from one tree to another, sorted by path. */
+export function diffTrees(
+  left: TreeDocument,
+  right: TreeDocument,
+): TreeDifference[] {
+  return [...compareMaps(left as PlainMap, right as PlainMap, [])];
+}
+
+/** Operations that lead from the left side of differences to the right. */
+export function toOperations(
+  differences: readonly TreeDifference[],
+): TreeOperation[] {
+  return differences.map(({ path, after }) =>
+    after === undefined ? { path, remove: true } : { path, set: after }
+  );
+}
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/validation.ts
@@ -0,0 +1,128 @@
+/**
+ * Turns faults that the schema library reports into settings problems.
+ *
+ * @module
+ */
+
+import { closest, distance } from "fastest-levenshtein";
+import type { z } from "zod";
+import { maxQuotedValue } from "./constants.ts";
+import type { SettingsProblem } from "./errors.ts";
+
+/** Finds the line of a path; `key` asks for the line of the key itself. */
+export type LineFinder = (
+  path: readonly PropertyKey[],
+) => number | undefined;
+
+/** Where checked data comes from. */
+export interface Source {
+  readonly file?: string;
+  /** Prefix for all paths, for example the path of an edit. */
+  readonly prefix?: readonly PropertyKey[];
+  readonly lineOf?: LineFinder;
+}
+
+/** The value as JSON, shortened. */
+export function quoteValue(value: unknown): string | undefined {
+  if (value === undefined) return undefined;
+  const json = JSON.stringify(value) ?? String(value);
+  if (json.length <= maxQuotedValue) return json;
+  return `${json.slice(0, maxQuotedValue)}…`;
+}
+
+/** The nearest of several names, when it is near enough to be a typing error. */
+export function nearestName(
+  name: string,
+  names: readonly string[],
+): string | undefined {
+  if (names.length === 0) return undefined;
+  const nearest = closest(name, names);
+  const most = Math.max(2, Math.floor(name.length / 3));
+  return distance(name, nearest) <= most ? nearest : undefined;
+}
+
+/** Makes a problem at a path of a source. */
+export function makeProblem(
+  source: Source,
+  path: readonly PropertyKey[],
+  details: { value?: unknown; allowed: string; nearest?: string },
+): SettingsProblem {
+  const value = quoteValue(details.value);
+  const line = source.lineOf?.(path);
+  return {
+    ...(source.file === undefined ? {} : { file: source.file }),
+    ...(line === undefined ? {} : { line }),
+    path: [...(source.prefix ?? []), ...path].map(String).join("/"),
+    ...(value === undefined ? {} : { value }),
+    allowed: details.allowed,
+    ...(details.nearest === undefined ? {} : { nearest: details.nearest }),
+  };
+}
+
+function valueAt(data: unknown, path: readonly PropertyKey[]): unknown {
+  let value = data;
+  for (const key of path) {
+    if (typeof value !== "object" || value === null) return undefined;
+    if (!Object.hasOwn(value, key)) return undefined;
+    value = (value as Record<PropertyKey, unknown>)[key];
+  }
+  return value;
+}
+
+interface SchemaDefinition {
+  readonly type: string;
+  readonly innerType?: z.ZodType;
+  readonly valueType?: z.ZodType;
+  readonly element?: z.ZodType;
+  readonly shape?: Record<string, z.ZodType>;
+}
+
+/** Keys that the schema allows at a path. */
+function allowedKeys(
+  schema: z.ZodType,
+  path: readonly PropertyKey[],
+): readonly string[] {
+  let current: z.ZodType | undefined = schema;
+  for (const key of [...path, undefined]) {
+    let definition = current?.def as SchemaDefinition | undefined;
+    while (definition?.innerType) {
+      definition = definition.innerType.def as unknown as SchemaDefinition;
+    }
+    if (key === undefined) return Object.keys(definition?.shape ?? {});
+    current = definition?.shape?.[String(key)] ?? definition?.valueType ??
+      definition?.element;
+  }
+  return [];
+}
+
+/** Checks data against a schema and lists all faults. */
+export function findProblems(
+  schema: z.ZodType,
+  data: unknown,
+  source: Source = {},
+): SettingsProblem[] {
+  const result = schema.safeParse(data);
+  if (result.success) return [];
+  return result.error.issues.flatMap((issue) => {
+    if (issue.code === "unrecognized_keys") {
+      const names = allowedKeys(schema, issue.path);
+      return issue.keys.map((key) => {
+        const path = [...issue.path, key];
+        const nearest = nearestName(key, names);
+        return makeProblem(source, path, {
+          value: valueAt(data, path),
+          allowed: `one of the keys ${names.join(", ")}`,
+          ...(nearest === undefined ? {} : { nearest }),
+        });
+      });
+    }
+    if (issue.code === "invalid_key") {
+      return [makeProblem(source, issue.path, {
+        value: issue.path.at(-1),
+        allowed: issue.issues[0]?.message ?? issue.message,
+      })];
+    }
+    const value = valueAt(data, issue.path);
+    return [makeProblem(source, issue.path, { value, allowed: issue.message })];
+  });
+}
--- /dev/null
+++ b/packages/rhubarbstage-settings/src/yaml_source.ts
@@ -0,0 +1,78 @@
+/**
+ * Reads YAML and remembers the line of each key.
+ *
+ * @module
+ */
+
+import {
+  type Document,
+  isMap,
+  isNode,
+  isScalar,
+  isSeq,
+  LineCounter,
+  type Node,
+  parseDocument,
+} from "yaml";
+import { SettingsError } from "./errors.ts";
+import type { Source } from "./validation.ts";
+
+/** Parsed YAML and where it came from. */
+export interface ParsedYaml {
+  readonly data: unknown;
+  readonly source: Source;
+}
+
+/** Node that stands for a step of a path: the key in maps, the item in lists. */
+function findStep(
+  node: unknown,
+  step: PropertyKey,
+): { readonly place: Node | null; readonly value: unknown } | undefined {
+  if (isMap(node)) {
+    const pair = node.items.find((item) =>
+      String(isScalar(item.key) ? item.key.value : item.key) === String(step)
+    );
+    if (pair === undefined) return undefined;
+    return { place: isNode(pair.key) ? pair.key : null, value: pair.value };
+  }
+  if (!isSeq(node)) return undefined;
+  const item = node.items[Number(step)];
+  return { place: isNode(item) ? item : null, value: item };
+}
+
+function findOffset(
+  document: Document,
+  path: readonly PropertyKey[],
+): number {
+  let node: unknown = document.contents;
+  let offset = document.contents?.range?.[0] ?? 0;
+  for (const step of path) {
+    const found = findStep(node, step);
+    if (found === undefined) return offset;
+    offset = found.place?.range?.[0] ?? offset;
+    node = found.value;
+  }
+  return offset;
+}
+
+/** Parses YAML 1.2. Throws {@linkcode SettingsError} for broken syntax. */
+export function parseYaml(
+  content: string,
+  options: { file?: string } = {},
+): ParsedYaml {
+  const lineCounter = new LineCounter();
+  const document = parseDocument(content, { lineCounter });
+  const file = options.file === undefined ? {} : { file: options.file };
+  if (document.errors.length > 0) {
+    throw new SettingsError(document.errors.map((error) => ({
+      ...file,
+      line: lineCounter.linePos(error.pos[0]).line,
+      path: "",
+      value: error.code,
+      allowed: `YAML 1.2 (${error.message.split("\n")[0] ?? "syntax error"})`,
+    })));
+  }
+  const lineOf = (path: readonly PropertyKey[]) =>
+    lineCounter.linePos(findOffset(document, path)).line;
+  return { data: document.toJS(), source: { ...file, lineOf } };
+}
--- /dev/null
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -0,0 +1,323 @@
+/**
+ * Metrics of one host.
+ *
+ * @module
+ */
+
+import {
+  collectDefaultMetrics,
+  Counter,
+  Gauge,
+  Histogram,
+  Registry,
+} from "prom-client";
+import type {
+  CustomerId,
+  ErrorKind,
+  Revision,
+  ServiceName,
+} from "rhubarbstage";
+import {
+  maxCountedCustomers,
+  maxLabelValues,
+  topCustomers,
+} from "./constants.ts";
+import { LabelBound, TopList } from "./top_list.ts";
+
+/** Buckets around the first-token target of 0.77 s, in seconds. */
+const firstTokenBuckets = [
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.2,
+  0.4,
+  0.77,
+  1,
+  2,
+  5,
+  10,
+  30,
+];
+
+/** Buckets around the between-token target of 29 ms, in seconds. */
+const betweenTokenBuckets = [
+  0.002,
+  0.005,
+  0.01,
+  0.02,
+  0.029,
+  0.04,
+  0.06,
+  0.1,
+  0.25,
+  1,
+  5,
+];
+
+/** Buckets of whole requests, in seconds. */
+const requestBuckets = [0.01, 0.05, 0.1, 0.25, 0.5, 1, 2, 5, 10, 30, 60, 300];
+
+/** How a request ended. */
+export interface RequestEnd {
+  readonly service: ServiceName;
+  readonly customer?: CustomerId;
+  /** Absent when the request succeeded. */
+  readonly error?: ErrorKind;
+  /** From arrival to the end of the answer, in milliseconds. */
+  readonly duration: number;
+}
+
+/** Which way control traffic went. */
+export type Direction = "sent" | "received";
+
+/** Backend servers as a host sees them. */
+export type BackendServerState = "ready" | "drained" | "leaving" | "stale";
+
+/** Counts what one host does. Labels have a bounded number of values. */
+export class Metrics {
+  readonly registry = new Registry();
+  readonly #services = new LabelBound(maxLabelValues);
+  readonly #customers = new TopList(maxCountedCustomers);
+  readonly #requests: Counter<"service" | "result">;
+  readonly #errors: Counter<"kind">;
+  readonly #refusals: Counter<"service" | "kind">;
+  readonly #retries: Counter<"service">;
+  readonly #duration: Histogram<"service">;
+  readonly #firstToken: Histogram<"service">;
+  readonly #betweenTokens: Histogram<"service">;
+  readonly #queueDepth: Gauge<"service">;
+  readonly #running: Gauge<"service">;
+  readonly #revision: Gauge;
+  readonly #confirmationAge: Gauge;
+  readonly #servers: Gauge<"state">;
+  readonly #roleChanges: Counter;
+  readonly #controlCpu: Counter;
+  readonly #controlBytes: Counter<"direction">;
+  readonly #timelineDropped: Gauge;
+
+  constructor() {
+    this.#requests = this.#counter(
+      "requests_total",
+      "Requests by how they ended",
+      ["service", "result"],
+    );
+    this.#errors = this.#counter(
+      "errors_total",
+      "Errors that callers got, by kind",
+      ["kind"],
+    );
+    this.#refusals = this.#counter(
+      "refusals_total",
+      "Requests that were refused before they ran",
+      ["service", "kind"],
+    );
+    this.#retries = this.#counter(
+      "retries_total",
+      "Attempts after the first",
+      ["service"],
+    );
+    this.#duration = this.#histogram(
+      "request_seconds",
+      "Time from arrival to the end of the answer",
+      requestBuckets,
+    );
+    this.#firstToken = this.#histogram(
+      "first_token_seconds",
+      "Time from arrival to the first token",
+      firstTokenBuckets,
+    );
+    this.#betweenTokens = this.#histogram(
+      "between_tokens_seconds",
+      "Time between two tokens of a stream",
+      betweenTokenBuckets,
+    );
+    this.#queueDepth = this.#gauge(
+      "queue_depth",
+      "Requests that wait for a backend server",
+      ["service"],
+    );
+    this.#running = this.#gauge(
+      "running_requests",
+      "Requests that run on a backend server",
+      ["service"],
+    );
+    this.#revision = this.#gauge("revision", "Revision of the tree in force");
+    this.#confirmationAge = this.#gauge(
+      "confirmation_age_seconds",
+      "Time since the revision was last confirmed",
+    );
+    this.#servers = this.#gauge(
+      "backend_servers",
+      "Backend servers that this host knows, by state",
+      ["state"],
+    );
+    this.#roleChanges = this.#counter(
+      "role_changes_total",
+      "Role changes that this host ordered",
+    );
+    this.#controlCpu = this.#counter(
+      "control_cpu_seconds_total",
+      "Processor time of gossip, confirmation and replication",
+    );
+    this.#controlBytes = this.#counter(
+      "control_bytes_total",
+      "Bytes on links between hosts",
+      ["direction"],
+    );
+    this.#timelineDropped = this.#gauge(
+      "timeline_dropped_events",
+      "Events that the timeline file lacks",
+    );
+    this.#addCustomerGauge();
+    collectDefaultMetrics({ register: this.registry });
+  }
+
+  /** Content type of {@linkcode Metrics.render}. */
+  get contentType(): string {
+    return this.registry.contentType;
+  }
+
+  /** All metrics in the text format of Prometheus. */
+  render(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  /** A request ended. */
+  requestEnded(end: RequestEnd): void {
+    const service = this.#services.limit(end.service);
+    this.#requests.inc({ service, result: end.error ?? "ok" });
+    this.#duration.observe({ service }, end.duration / 1_000);
+    if (end.error !== undefined) this.#errors.inc({ kind: end.error });
+    if (end.customer !== undefined) this.#customers.add(end.customer);
+  }
+
+  /** A request was refused before it ran. */
+  refused(service: ServiceName, kind: ErrorKind): void {
+    this.#refusals.inc({ service: this.#services.limit(service), kind });
+  }
+
+  /** An attempt after the first was started. */
+  retried(service: ServiceName): void {
+    this.#retries.inc({ service: this.#services.limit(service) });
+  }
+
+  /** The first token arrived, this many milliseconds after the request. */
+  firstToken(service: ServiceName, milliseconds: number): void {
+    const labels = { service: this.#services.limit(service) };
+    this.#firstToken.observe(labels, milliseconds / 1_000);
+  }
+
+  /** A later token arrived, this many milliseconds after the one before. */
+  betweenTokens(service: ServiceName, milliseconds: number): void {
+    const labels = { service: this.#services.limit(service) };
+    this.#betweenTokens.observe(labels, milliseconds / 1_000);
+  }
+
+  /** Requests of a service that wait and that run. */
+  queue(
+    service: ServiceName,
+    counts: { readonly waiting: number; readonly running: number },
+  ): void {
+    const labels = { service: this.#services.limit(service) };
+    this.#queueDepth.set(labels, counts.waiting);
+    this.#running.set(labels, counts.running);
+  }
+
+  /** The revision in force and the age of its confirmation in milliseconds. */
+  configuration(revision: Revision, confirmationAge: number): void {
+    this.#revision.set(revision);
+    this.#confirmationAge.set(confirmationAge / 1_000);
+  }
+
+  /** Backend servers in a state. */
+  backendServers(state: BackendServerState, count: number): void {
+    this.#servers.set({ state }, count);
+  }
+
+  /** This host ordered a role change. */
+  roleChanged(): void {
+    this.#roleChanges.inc();
+  }
+
+  /** Bytes went over a link between hosts. */
+  controlBytes(direction: Direction, bytes: number): void {
+    this.#controlBytes.inc({ direction }, bytes);
+  }
+
+  /** Control work took this many milliseconds of processor time. */
+  controlCpu(milliseconds: number): void {
+    this.#controlCpu.inc(milliseconds / 1_000);
+  }
+
+  /** Runs control work and counts its time. */
+  measureControl<Result>(run: () => Result): Result {
+    const start = performance.now();
+    try {
+      return run();
+    } finally {
+      this.controlCpu(performance.now() - start);
+    }
+  }
+
+  /** Events that the timeline file lacks. */
+  timelineDropped(events: number): void {
+    this.#timelineDropped.set(events);
+  }
+
+  #addCustomerGauge(): void {
+    const customers = this.#customers;
+    new Gauge({
+      name: "rhubarbstage_top_customer_requests",
+      help: `Requests of the ${topCustomers} customers with most requests`,
+      labelNames: ["customer"],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const [customer, count] of customers.top(topCustomers)) {
+          this.set({ customer }, count);
+        }
+      },
+    });
+  }
+
+  #counter<Label extends string = never>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[] = [],
+  ): Counter<Label> {
+    return new Counter({
+      name: `rhubarbstage_${name}`,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.registry],
+    });
+  }
+
+  #gauge<Label extends string = never>(
+    name: string,
+    help: string,
+    labelNames: readonly Label[] = [],
+  ): Gauge<Label> {
+    return new Gauge({
+      name: `rhubarbstage_${name}`,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.registry],
+    });
+  }
+
+  #histogram(
+    name: string,
+    help: string,
+    buckets: readonly number[],
+  ): Histogram<"service"> {
+    return new Histogram({
+      name: `rhubarbstage_${name}`,
+      help,
+      labelNames: ["service"],
+      buckets: [...buckets],
+      registers: [this.registry],
+    });
+  }
+}
--- a/packages/rhubarbstage-telemetry/src/mod.ts
+++ b/packages/rhubarbstage-telemetry/src/mod.ts
@@ -1,7 +1,27 @@
 /**
- * Logs, time line and metrics.
+ * Logs, timeline and metrics.
  *
  * @module
  */
 
-export {};
+export type {
+  EventSubject,
+  Fields,
+  FieldValue,
+  Level,
+  TimelineEvent,
+  TimelineFilter,
+} from "./types.ts";
+export { formatFields } from "./key_value.ts";
+export type { LoggerOptions } from "./logger.ts";
+export { createLogger, createNullLogger, Logger } from "./logger.ts";
+export type { BackendServerState, Direction, RequestEnd } from "./metrics.ts";
+export { Metrics } from "./metrics.ts";
+export type { EventDetails, TimelineOptions } from "./timeline.ts";
+export {
+  formatTimestamp,
+  matchesFilter,
+  mergeTimelines,
+  readTimelineFile,
+  Timeline,
+} from "./timeline.ts";
--- /dev/null
+++ b/packages/rhubarbstage-telemetry/src/redaction.ts
@@ -0,0 +1,24 @@
+/**
+ * Keeps secrets out of log lines and events.
+ *
+ * @module
+ */
+
+import type { FieldValue } from "./types.ts";
+
+const redacted = "[redacted]";
+
+/** Field names that hold secrets; counts such as `prompt_tokens` do not. */
+const secretName =
+  /(^|_)(token|secret|password|authorization|cookie|api_key|private_key)$/i;
+
+/** Secrets inside free text, such as headers quoted in an error. */
+const secretText =
+  /\b(Bearer|Basic)\s+[A-Za-z0-9._~+/=-]+|\bsk-[A-Za-z0-9_-]{8,}/g;
+
+/** Replaces secrets in one field. */
+export function redactField(name: string, value: FieldValue): FieldValue {
+  if (typeof value !== "string") return value;
+  if (secretName.test(name)) return redacted;
+  return value.replace(secretText, redacted);
+}
--- /dev/null
+++ b/packages/rhubarbstage-telemetry/src/rotated_file.ts
@@ -0,0 +1,115 @@
+/**
+ * A file of lines with a bound on its size.
+ *
+ * @module
+ */
+
+import { appendFile, mkdir, rename, rm, stat } from "node:fs/promises";
+import { dirname } from "node:path";
+
+/** Bounds of a {@linkcode RotatedFile}. */
+export interface RotatedFileOptions {
+  /** Size at which the file is rotated, in bytes. */
+  readonly maxBytes: number;
+  /** Files that are kept, the current one included. */
+  readonly maxFiles: number;
+  /** Lines that may wait for the disk; more are dropped. */
+  readonly maxPending: number;
+  /** Receives errors of the file system; writing goes on with later lines. */
+  readonly onError: (error: unknown) => void;
+}
+
+/** Name of the file after a number of rotations; 0 is the current file. */
+export function rotatedName(file: string, age: number): string {
+  return age === 0 ? file : `${file}.${age}`;
+}
+
+/** Appends lines in order and rotates the file when it is full. */
+export class RotatedFile {
+  readonly #file: string;
+  readonly #options: RotatedFileOptions;
+  #pending: string[] = [];
+  #writing: Promise<void> | undefined;
+  #size: number | undefined;
+  #dropped = 0;
+
+  constructor(file: string, options: RotatedFileOptions) {
+    this.#file = file;
+    this.#options = options;
+  }
+
+  /** Lines that were dropped because the disk was too slow. */
+  get dropped(): number {
+    return this.#dropped;
+  }
+
+  /** Appends a line without its line end, soon. */
+  write(line: string): void {
+    if (this.#pending.length >= this.#options.maxPending) {
+      this.#dropped += 1;
+      return;
+    }
+    this.#pending.push(line);
+    this.#writing ??= this.#drain();
+  }
+
+  /** Resolves when all lines so far are handed to the operating system. */
+  async flush(): Promise<void> {
+    while (this.#writing !== undefined) await this.#writing;
+  }
+
+  async #drain(): Promise<void> {
+    // Lines of the same turn of the event loop share one write.
+    await new Promise((resolve) => setImmediate(resolve));
+    while (this.#pending.length > 0) {
+      const lines = this.#pending;
+      this.#pending = [];
+      try {
+        await this.#append(lines);
+      } catch (error) {
+        this.#options.onError(error);
+      }
+    }
+    this.#writing = undefined;
+  }
+
+  async #append(lines: readonly string[]): Promise<void> {
+    this.#size ??= await this.#open();
+    let batch = "";
+    for (const line of lines) {
+      batch += `${line}\n`;
+      if (this.#size + Buffer.byteLength(batch) < this.#options.maxBytes) {
+        continue;
+      }
+      await appendFile(this.#file, batch);
+      batch = "";
+      await this.#rotate();
+    }
+    if (batch === "") return;
+    await appendFile(this.#file, batch);
+    this.#size += Buffer.byteLength(batch);
+  }
+
+  async #open(): Promise<number> {
+    await mkdir(dirname(this.#file), { recursive: true });
+    try {
+      return (await stat(this.#file)).size;
+    } catch {
+      return 0;
+    }
+  }
+
+  async #rotate(): Promise<void> {
+    const last = this.#options.maxFiles - 1;
+    await rm(rotatedName(this.#file, last), { force: true });
+    for (let age = last - 1; age >= 0; age -= 1) {
+      try {
+        const from = rotatedName(this.#file, age);
+        await rename(from, rotatedName(this.#file, age + 1));
+      } catch (error) {
+        if ((error as NodeJS.ErrnoException).code !== "ENOENT") throw error;
+      }
+    }
+    this.#size = 0;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-telemetry/src/types.ts
@@ -0,0 +1,52 @@
+/**
+ * Types of log lines and of the timeline.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  HostId,
+  Incarnation,
+  RequestId,
+  Revision,
+  Timestamp,
+} from "rhubarbstage";
+
+/** A value in a log line or an event. */
+export type FieldValue = string | number | boolean;
+
+/** Fields of a log line or an event; absent values are left out. */
+export type Fields = Readonly<Record<string, FieldValue | undefined>>;
+
+/** Level of a log line, from most to least important. */
+export type Level = "error" | "warn" | "info" | "debug";
+
+/** What an event is about; queries filter by these. */
+export interface EventSubject {
+  readonly request?: RequestId;
+  readonly server?: BackendServerId;
+  readonly revision?: Revision;
+}
+
+/** One event of the timeline. */
+export interface TimelineEvent extends EventSubject {
+  readonly at: Timestamp;
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  /** Order within one incarnation of a host, from 1. */
+  readonly sequence: number;
+  /** Name in snake_case, for example `request_dispatched`. */
+  readonly event: string;
+  readonly fields: Readonly<Record<string, FieldValue>>;
+}
+
+/** Which events a query wants; all conditions have to hold. */
+export interface TimelineFilter extends EventSubject {
+  /** First wall time, in milliseconds since the Unix epoch. */
+  readonly from?: number;
+  /** Last wall time, in milliseconds since the Unix epoch. */
+  readonly to?: number;
+  /** Newest events to return; defaults to 1,000. */
+  readonly limit?: number;
+}
