--- a/packages/rhubarbstage-settings/src/tree_document.ts
+++ b/packages/rhubarbstage-settings/src/tree_document.ts
@@ -61,34 +61,48 @@
   }
 }
 
-/** The region-wide view of who serves a model. */
+/** Services with models as one region sees them; a region's own list wins. */
+function listModelOwners(
+  services: readonly PlacedService[],
+  region: string,
+): PlacedService[] {
+  const owners = new Map<string, PlacedService>();
+  for (const scope of [anyName, region]) {
+    for (const placed of services) {
+      const isOwner = placed.region === scope &&
+        placed.branch.models !== undefined;
+      if (isOwner) owners.set(placed.service, placed);
+    }
+  }
+  return [...owners.values()];
+}
+
+/** A caller names only the model, so that one service per region may have it. */
 function* findModelProblems(
   tree: TreeDocument,
   source: Source,
 ): Generator<SettingsProblem> {
-  const owners = new Map<string, string>();
-  for (const { path, region, service, branch } of listServices(tree)) {
-    for (const [index, model] of (branch.models ?? []).entries()) {
-      for (const scope of regionsOfScope(tree, region)) {
-        const key = `${scope}/${model}`;
-        const owner = owners.get(key);
-        owners.set(key, service);
-        if (owner === undefined || owner === service) continue;
-        yield makeProblem(source, [...path, "models", index], {
+  const services = [...listServices(tree)];
+  const reported = new Set<string>();
+  for (const region of new Set([anyName, ...Object.keys(tree.regions ?? {})])) {
+    const owners = new Map<string, string>();
+    for (const { path, service, branch } of listModelOwners(services, region)) {
+      for (const [index, model] of (branch.models ?? []).entries()) {
+        const owner = owners.get(model);
+        owners.set(model, service);
+        const place = [...path, "models", index];
+        const key = place.join("/");
+        if (owner === undefined || reported.has(key)) continue;
+        reported.add(key);
+        yield makeProblem(source, place, {
           value: model,
-          allowed: `a model of one service; ${owner} has it already`,
+          allowed: `a model that is listed once; ${owner} has it already`,
         });
-        break;
       }
     }
   }
 }
 
-function regionsOfScope(tree: TreeDocument, region: string): string[] {
-  if (region !== anyName) return [region];
-  return Object.keys(tree.regions ?? {});
-}
-
 /** Each API key belongs to one customer, or a caller would be ambiguous. */
 function* findCustomerProblems(
   tree: TreeDocument,
--- /dev/null
+++ b/packages/rhubarbstage-telemetry/__tests__/unit/metrics_test.ts
@@ -0,0 +1,59 @@
+import type { CustomerId, Revision, ServiceName } from "rhubarbstage";
+import { Metrics } from "../../src/mod.ts";
+
+const chat = "chat" as ServiceName;
+
+describe("Metrics", () => {
+  // Guards against a rename that breaks dashboards.
+  test("renders the documented metrics", async () => {
+    const metrics = new Metrics();
+    metrics.requestEnded({ service: chat, error: "overloaded", duration: 5 });
+    metrics.refused(chat, "overloaded");
+    metrics.retried(chat);
+    metrics.firstToken(chat, 100);
+    metrics.betweenTokens(chat, 20);
+    metrics.queue(chat, { waiting: 3, running: 2 });
+    metrics.configuration(7 as Revision, 1_500);
+    metrics.controlBytes("sent", 10);
+    metrics.controlCpu(250);
+    const text = await metrics.render();
+    for (
+      const line of [
+        'rhubarbstage_requests_total{service="chat",result="overloaded"} 1',
+        'rhubarbstage_errors_total{kind="overloaded"} 1',
+        'rhubarbstage_refusals_total{service="chat",kind="overloaded"} 1',
+        'rhubarbstage_retries_total{service="chat"} 1',
+        'rhubarbstage_first_token_seconds_bucket{le="0.1",service="chat"} 1',
+        'rhubarbstage_between_tokens_seconds_count{service="chat"} 1',
+        'rhubarbstage_queue_depth{service="chat"} 3',
+        'rhubarbstage_running_requests{service="chat"} 2',
+        "rhubarbstage_revision 7",
+        "rhubarbstage_confirmation_age_seconds 1.5",
+        'rhubarbstage_control_bytes_total{direction="sent"} 10',
+        "rhubarbstage_control_cpu_seconds_total 0.25",
+      ]
+    ) {
+      expect(text).toContain(`${line}\n`);
+    }
+  });
+
+  // Guards against one time series for each of 1,700 customers, or for names
+  // that callers make up.
+  test("bounds the values of its labels", async () => {
+    const metrics = new Metrics();
+    for (let index = 0; index < 1_700; index += 1) {
+      metrics.requestEnded({
+        service: `s${index}` as ServiceName,
+        customer: `c${index % 850}` as CustomerId,
+        duration: 1,
+      });
+    }
+    const text = await metrics.render();
+    const count = (pattern: RegExp) => text.match(pattern)?.length ?? 0;
+    expect(count(/^rhubarbstage_top_customer_requests\{/gm)).toBe(20);
+    expect(count(/^rhubarbstage_requests_total\{/gm)).toBe(101);
+    expect(text).toContain(
+      'rhubarbstage_requests_total{service="other",result="ok"} 1600\n',
+    );
+  });
+});
