Add membership of hosts and backend servers

Cause: hosts have to know which backend servers take work, without a list of them, and control traffic has to stay flat as the fleet grows. Change: announcements with one owning host each, gossip of versioned host logs to 8 neighbours within a byte budget, evidence at most 5 s old before a server gets new work, direct checks for isolated hosts, demand totals through aggregating hosts. Found by the property test: a delta that was built for an earlier process of a host marked its log as complete although entries were missing, so one host never used the server. Deltas now carry the version after which they start, and a receiver that has less ignores them. Conclusion: views agree after faults end; a leave stops new work within 5 s.

--- /dev/null
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -0,0 +1,190 @@
+import fc from "fast-check";
+import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
+import { makeServer, Network } from "./network.ts";
+
+const hostCount = 8;
+
+function renewEvery(
+  network: Network,
+  host: (now: number) => number,
+): (now: number) => void {
+  return (now) => {
+    if (now % 2_000 === 0) network.announce(host(now), makeServer("engine"));
+  };
+}
+
+function countUsable(network: Network, id = "engine"): number {
+  return network.hosts.filter((_, index) => network.usable(index, id)).length;
+}
+
+describe("MembershipReducer", () => {
+  // Guards against hosts that never hear of a server announced elsewhere.
+  test("spreads an announcement to all hosts within 3 s", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(3_000, renewEvery(network, () => 0));
+    expect(countUsable(network)).toBe(hostCount);
+  });
+
+  // Guards against new work for a leaving server (invariant 7).
+  test("stops new work on all hosts within 5 s of a leave", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    network.dispatch("host-5" as HostId, {
+      type: "left",
+      now: network.now,
+      id: "engine" as BackendServerId,
+      incarnation: 1 as Incarnation,
+    });
+    // A renewal that was under way arrives after the leave.
+    network.announce(3, makeServer("engine"));
+    network.run(5_000);
+    expect(countUsable(network)).toBe(0);
+    const gone = network.member(1).effects.find((effect) =>
+      effect.type === "server_gone"
+    );
+    expect(gone).toMatchObject({ crashed: false });
+  });
+
+  // Guards against a partitioned host that keeps sending to a server whose
+  // departure it cannot learn (invariant 7).
+  test("stops new work on an isolated host within 5 s", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    network.isolate(5);
+    network.run(5_500, renewEvery(network, () => 0));
+    expect(network.usable(5, "engine")).toBe(false);
+    expect(countUsable(network)).toBe(hostCount - 1);
+  });
+
+  // Guards against an isolated host that stops serving although the servers
+  // themselves answer that they stay.
+  test("keeps a server on an isolated host while it answers checks", () => {
+    const network = new Network(hostCount);
+    const id = "engine" as BackendServerId;
+    const incarnation = 1 as Incarnation;
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    network.isolate(5);
+    network.answers.set(id, { incarnation, leaving: false });
+    network.run(20_000, renewEvery(network, () => 0));
+    expect(network.usable(5, "engine")).toBe(true);
+    network.answers.set(id, { incarnation, leaving: true });
+    network.run(5_000);
+    expect(network.usable(5, "engine")).toBe(false);
+  });
+
+  // Guards against late gossip that brings back a replaced process.
+  test("never resurrects an older incarnation", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(2_000);
+    const newer = makeServer("engine", { incarnation: 2 as Incarnation });
+    network.announce(1, newer);
+    network.run(3_000, (now) => {
+      if (now % 1_000 === 0) network.announce(1, newer);
+      network.announce(2, makeServer("engine"));
+    });
+    for (let index = 0; index < hostCount; index += 1) {
+      const { state } = network.member(index);
+      const server = state.servers.get("engine" as BackendServerId);
+      expect(server?.record.incarnation).toBe(2);
+    }
+  });
+
+  // Guards against gossip growing with the number of renewals when the
+  // platform's balancer spreads them over all hosts.
+  test("keeps one owner when renewals arrive at changing hosts", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    const versions = () =>
+      network.hosts.map((_, index) =>
+        network.member(index).state.logs.get(`host-${index}` as HostId)?.version
+      );
+    const before = versions();
+    network.run(
+      20_000,
+      renewEvery(network, (now) => (now / 2_000) % hostCount),
+    );
+    expect(versions()).toEqual(before);
+    expect(countUsable(network)).toBe(hostCount);
+  });
+
+  // Guards against losing a server together with the host that owned it.
+  test("moves a server to another host when its owner dies", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    network.member(0).up = false;
+    network.run(8_000, renewEvery(network, () => 4));
+    const others = network.hosts.slice(1);
+    const usable = others.filter((_, index) =>
+      network.usable(index + 1, "engine")
+    );
+    expect(usable.length).toBe(others.length);
+  });
+
+  // Guards against a server that stays out after a pause, although it renews
+  // again as the same process.
+  test("takes back a server that was paused", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    network.run(8_000);
+    expect(countUsable(network)).toBe(0);
+    network.run(6_000, renewEvery(network, () => 2));
+    expect(countUsable(network)).toBe(hostCount);
+  });
+
+  // Guards against views that stay apart after random faults have ended.
+  test("agrees on all servers after faults end", () => {
+    const step = fc.record({
+      action: fc.constantFrom("leave", "renew", "cut", "heal", "restart"),
+      host: fc.integer({ min: 0, max: 5 }),
+      server: fc.integer({ min: 0, max: 3 }),
+    });
+    const property = fc.property(
+      fc.array(step, { maxLength: 25 }),
+      fc.integer(),
+      (steps, seed) => {
+        const network = new Network(6, { seed });
+        const alive = new Map<number, number>();
+        steps.forEach(({ action, host, server }, index) => {
+          const id = `engine-${server}` as BackendServerId;
+          const name = `host-${host}` as HostId;
+          const now = network.now;
+          const incarnation = (alive.get(server) ?? index + 1) as Incarnation;
+          if (action === "renew") {
+            alive.set(server, incarnation);
+            network.announce(host, makeServer(id, { incarnation }));
+          }
+          if (action === "leave" && alive.delete(server)) {
+            network.dispatch(name, { type: "left", now, id, incarnation });
+          }
+          if (action === "cut") network.isolate(host);
+          if (action === "heal") network.cut.clear();
+          if (action === "restart") network.start(name, index + 2);
+          network.run(700);
+        });
+        network.cut.clear();
+        network.run(20_000, (now) => {
+          if (now % 1_000 !== 0) return;
+          for (const [server, incarnation] of alive) {
+            const record = makeServer(`engine-${server}`, {
+              incarnation: incarnation as Incarnation,
+            });
+            network.announce(server, record);
+          }
+        });
+        for (let server = 0; server < 4; server += 1) {
+          const expected = alive.has(server) ? 6 : 0;
+          expect(countUsable(network, `engine-${server}`)).toBe(expected);
+        }
+      },
+    );
+    fc.assert(property, { numRuns: 60, seed: 20_261_204 });
+  });
+});
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/constants.ts
@@ -0,0 +1,39 @@
+/**
+ * Intervals, limits and budgets of membership.
+ *
+ * @module
+ */
+
+/** Time between two gossip rounds, in milliseconds. */
+export const gossipInterval = 500;
+/** Hosts that one host gossips with, so that links do not form a full mesh. */
+export const neighbourCount = 8;
+/** Neighbours preferred inside the own region, where paths are free. */
+export const regionalNeighbourCount = 5;
+/** Neighbours addressed in one round. */
+export const gossipFanout = 2;
+/** Digest entries in one message; more hosts are sent in rotating slices. */
+export const digestSliceLimit = 64;
+/** Bytes of deltas and loads in one message, before framing. */
+export const deltaByteBudget = 4_096;
+/** Interval at which backend servers are asked to renew, in milliseconds. */
+export const renewInterval = 2_000;
+/** The owning host drops a record that was not renewed for this long, in ms. */
+export const renewTimeout = 4_500;
+/**
+ * Oldest evidence on which a backend server gets new work, in milliseconds.
+ * Bounds how long a host that hears of no departure keeps sending.
+ */
+export const evidenceLimit = 5_000;
+/** Evidence older than this is renewed by a direct check, in milliseconds. */
+export const probeAge = 3_500;
+/** Direct checks started in one round, so that no host polls all servers. */
+export const probesPerRound = 8;
+/** A host whose heartbeat is older than this counts as gone, in milliseconds. */
+export const hostTimeout = 6_000;
+/** Time for which departed servers and hosts are remembered, in milliseconds. */
+export const departureMemory = 600_000;
+/** Time for which a deleted record is still gossiped, in milliseconds. */
+export const deletionMemory = 60_000;
+/** Quarantine marks kept in one host's log. */
+export const quarantineMarkLimit = 128;
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -0,0 +1,191 @@
+/**
+ * Logs of hosts: writing the own one, comparing digests, building and applying
+ * deltas within the byte budget.
+ *
+ * @module
+ */
+
+import { pack } from "msgpackr";
+import type { HostId, Incarnation } from "rhubarbstage";
+import { deltaByteBudget, digestSliceLimit } from "./constants.ts";
+import {
+  type HostLog,
+  type LogEntry,
+  type MembershipState,
+  toDigestEntry,
+} from "./state.ts";
+import type {
+  Delta,
+  DigestEntry,
+  LogValue,
+  SharedLoad,
+  Want,
+} from "./types.ts";
+
+/** Bytes that a digest entry adds to a message, rounded up. */
+const digestEntrySize = 48;
+
+/** Adds an empty log for a host. */
+export function createLog(host: HostId, incarnation: Incarnation): HostLog {
+  return {
+    host,
+    incarnation,
+    heartbeat: 0,
+    heartbeatAt: -Infinity,
+    version: 0,
+    entries: new Map(),
+    alive: false,
+  };
+}
+
+/** The log that this host writes. */
+export function ownLog(state: MembershipState): HostLog {
+  const log = state.logs.get(state.self.host);
+  if (log === undefined) throw new Error("Own log is missing");
+  return log;
+}
+
+/** Writes an entry of the own log under the next version. */
+export function writeEntry(
+  state: MembershipState,
+  key: string,
+  value: LogValue,
+  now: number,
+): void {
+  const log = ownLog(state);
+  log.version += 1;
+  log.entries.set(key, {
+    version: log.version,
+    value,
+    size: pack(value).length + key.length,
+    storedAt: now,
+  });
+}
+
+/**
+ * Digest for one message: all hosts, or the own one, the most recently heard
+ * ones and a rotating slice when there are too many.
+ */
+export function buildDigest(
+  state: MembershipState,
+  now: number,
+): DigestEntry[] {
+  const logs = [...state.logs.values()].filter((log) =>
+    log.heartbeatAt !== -Infinity || log.host === state.self.host
+  );
+  const chosen = logs.length <= digestSliceLimit
+    ? logs
+    : chooseSlice(state, logs);
+  return chosen.map((log) => toDigestEntry(state, log, now));
+}
+
+function chooseSlice(
+  state: MembershipState,
+  logs: readonly HostLog[],
+): HostLog[] {
+  const recentCount = digestSliceLimit / 2;
+  const recent = [...logs]
+    .sort((left, right) => right.heartbeatAt - left.heartbeatAt)
+    .slice(0, recentCount);
+  const chosen = new Set<HostLog>([ownLog(state), ...recent]);
+  while (chosen.size < digestSliceLimit) {
+    state.sliceStart = (state.sliceStart + 1) % logs.length;
+    const log = logs[state.sliceStart];
+    if (log !== undefined) chosen.add(log);
+  }
+  return [...chosen];
+}
+
+/** What a received digest entry asks of the receiver. */
+export type DigestComparison = "older" | "same" | "newer";
+
+/** Compares a received digest entry with the own copy of the log. */
+export function compareDigest(
+  log: HostLog | undefined,
+  entry: DigestEntry,
+): DigestComparison {
+  if (log === undefined || entry.incarnation > log.incarnation) return "newer";
+  if (entry.incarnation < log.incarnation) return "older";
+  if (entry.version !== log.version) {
+    return entry.version > log.version ? "newer" : "older";
+  }
+  return entry.heartbeat < log.heartbeat ? "older" : "same";
+}
+
+/** What to ask for, given a digest entry that is newer than the own copy. */
+export function toWant(log: HostLog | undefined, entry: DigestEntry): Want {
+  const known = log !== undefined && log.incarnation === entry.incarnation;
+  return {
+    host: entry.host,
+    incarnation: entry.incarnation,
+    version: known ? log.version : 0,
+  };
+}
+
+/** Collects deltas and loads up to the byte budget of one message. */
+export class DeltaBuilder {
+  readonly deltas: Delta[] = [];
+  readonly loads: SharedLoad[] = [];
+  #left = deltaByteBudget;
+
+  /** Adds what a want asks for, as far as the budget reaches. */
+  addWanted(state: MembershipState, want: Want, now: number): void {
+    const log = state.logs.get(want.host);
+    if (log === undefined || log.incarnation < want.incarnation) return;
+    const from = log.incarnation === want.incarnation ? want.version : 0;
+    this.#left -= digestEntrySize;
+    if (this.#left <= 0) return;
+    const missing = [...log.entries]
+      .filter(([, entry]) => entry.version > from)
+      .sort(([, left], [, right]) => left.version - right.version);
+    const fitting = this.#takeFitting(missing);
+    this.deltas.push({
+      digest: toDigestEntry(state, log, now),
+      from,
+      entries: fitting.map(([key, entry]) => ({
+        key,
+        version: entry.version,
+        value: entry.value,
+      })),
+      complete: fitting.length === missing.length,
+    });
+  }
+
+  /** Adds a load when it still fits. */
+  addLoad(load: SharedLoad): boolean {
+    this.#left -= digestEntrySize;
+    if (this.#left <= 0) return false;
+    this.loads.push(load);
+    return true;
+  }
+
+  #takeFitting(
+    missing: readonly [string, LogEntry][],
+  ): [string, LogEntry][] {
+    const fitting: [string, LogEntry][] = [];
+    for (const pair of missing) {
+      // One entry always passes, so that an entry larger than the rest of the
+      // budget cannot block the log for ever.
+      const first = fitting.length === 0 && this.deltas.length === 0;
+      if (pair[1].size > this.#left && !first) break;
+      this.#left -= pair[1].size;
+      fitting.push(pair);
+    }
+    return fitting;
+  }
+}
+
+/**
+ * Takes a heartbeat into account. It vouches for the log only up to the version
+ * that it was made with, so the caller passes only heartbeats of logs that are
+ * known up to that version.
+ */
+export function advanceHeartbeat(
+  log: HostLog,
+  entry: DigestEntry,
+  now: number,
+): void {
+  if (entry.heartbeat < log.heartbeat) return;
+  log.heartbeat = entry.heartbeat;
+  log.heartbeatAt = Math.max(log.heartbeatAt, now - entry.age);
+}
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/link.ts
@@ -0,0 +1,27 @@
+/**
+ * What membership needs of the links between hosts.
+ *
+ * @module
+ */
+
+import type { HostId } from "rhubarbstage";
+
+/** Messages to other hosts. Abstract, so that tests run without sockets. */
+export abstract class MembershipLink {
+  /** Sends without an answer; drops the message when the host is unreachable. */
+  abstract send(to: HostId, name: string, body: unknown): void;
+
+  /** Sends and waits for the answer. Throws when the host is unreachable. */
+  abstract request(
+    to: HostId,
+    name: string,
+    body: unknown,
+    options: { signal: AbortSignal },
+  ): Promise<unknown>;
+
+  /** Registers the handler of a message by name. */
+  abstract handle(
+    name: string,
+    handler: (from: HostId, body: unknown) => unknown,
+  ): void;
+}
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -0,0 +1,331 @@
+/**
+ * Runtime of membership: timers, links and listeners around the reducer.
+ *
+ * @module
+ */
+
+import {
+  type BackendServerId,
+  type Clock,
+  type CustomerId,
+  every,
+  type HostId,
+  type Incarnation,
+  SystemClock,
+} from "rhubarbstage";
+import { gossipInterval } from "./constants.ts";
+import {
+  type CustomerDemand,
+  DemandAggregate,
+  type DemandRow,
+  pickAggregator,
+} from "./demand_exchange.ts";
+import type { MembershipLink } from "./link.ts";
+import { MembershipReducer } from "./membership_reducer.ts";
+import { findHost, isAlive, type MembershipState } from "./state.ts";
+import { listNeighbours } from "./neighbours.ts";
+import type {
+  GossipMessage,
+  HostRecord,
+  MembershipEffect,
+  MembershipEvent,
+  ServerLoad,
+  ServerRecord,
+  SharedMark,
+} from "./types.ts";
+
+/** Time that a forwarded renewal may take, in milliseconds. */
+const forwardTimeout = 1_000;
+/** Time that a direct check may take, in milliseconds. */
+const checkTimeout = 1_000;
+/** Time between two demand reports, in milliseconds. */
+const demandInterval = 1_000;
+
+/** What a backend server answers when it is asked directly. */
+export interface ServerCheck {
+  readonly incarnation: Incarnation;
+  readonly leaving: boolean;
+}
+
+/** Cache events of one engine. */
+export interface CacheChange {
+  readonly id: BackendServerId;
+  readonly incarnation: Incarnation;
+  readonly stored: readonly string[];
+  readonly evicted: readonly string[];
+  readonly gap: boolean;
+}
+
+/** What listeners are told. */
+export interface MembershipListener {
+  serverSeen?(
+    record: ServerRecord,
+    options: { load?: ServerLoad; usable: boolean },
+  ): void;
+  serverGone?(id: BackendServerId, options: { crashed: boolean }): void;
+  hostSeen?(record: HostRecord): void;
+  hostGone?(host: HostId): void;
+  marksHeard?(marks: readonly SharedMark[]): void;
+  cacheChanged?(change: CacheChange): void;
+  demandHeard?(total: ReadonlyMap<CustomerId, CustomerDemand>): void;
+}
+
+/** Options of a {@linkcode Membership}. */
+export interface MembershipOptions {
+  readonly self: HostRecord;
+  readonly incarnation: Incarnation;
+  readonly seeds: readonly HostRecord[];
+  readonly link: MembershipLink;
+  readonly listener: MembershipListener;
+  /** Asks a backend server directly. Throws when it cannot be reached. */
+  readonly check: (
+    address: string,
+    options: { signal: AbortSignal },
+  ) => Promise<ServerCheck>;
+  /** Own demand of the last interval. */
+  readonly demand: () => ReadonlyMap<CustomerId, CustomerDemand>;
+  /** Ends all timers. */
+  readonly signal: AbortSignal;
+  readonly clock?: Clock;
+}
+
+/** Membership on one host. */
+export class Membership {
+  #options: MembershipOptions;
+  #clock: Clock;
+  #reducer: MembershipReducer;
+  #state: MembershipState;
+  #aggregate = new DemandAggregate();
+
+  constructor(options: MembershipOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? new SystemClock();
+    this.#reducer = new MembershipReducer(options);
+    this.#state = this.#reducer.initial();
+    this.#registerHandlers();
+  }
+
+  /** Starts gossip and demand reports; they end with the signal. */
+  start(): void {
+    const { signal } = this.#options;
+    const tick = () => this.#dispatch({ type: "tick", now: this.#now() });
+    every(gossipInterval, tick, { signal });
+    every(demandInterval, () => void this.#reportDemand(), { signal });
+    tick();
+  }
+
+  /**
+   * Takes an announcement or renewal and returns the host to which the server
+   * should send the next ones.
+   */
+  announce(record: ServerRecord, load?: ServerLoad): HostRecord {
+    const announced = { ...record, takeover: 0 };
+    const now = this.#now();
+    this.#dispatch({ type: "announced", now, record: announced, load });
+    const owner = this.#state.servers.get(record.id)?.owner;
+    if (owner === undefined) return this.#options.self;
+    return findHost(this.#state, owner) ?? this.#options.self;
+  }
+
+  /** Takes the word of a server that it leaves. */
+  leave(id: BackendServerId, incarnation: Incarnation): void {
+    this.#dispatch({ type: "left", now: this.#now(), id, incarnation });
+  }
+
+  /** Takes cache events and passes them on to the neighbours. */
+  changeCache(change: CacheChange): void {
+    this.#options.listener.cacheChanged?.(change);
+    for (const { host } of listNeighbours(this.#state, this.#now())) {
+      this.#options.link.send(host, "cache", change);
+    }
+  }
+
+  /** Spreads quarantine marks to all hosts. */
+  publishMarks(marks: readonly SharedMark[]): void {
+    this.#dispatch({ type: "marks_published", now: this.#now(), marks });
+  }
+
+  /** Known servers, for operators. */
+  listServers(): readonly {
+    record: ServerRecord;
+    load?: ServerLoad;
+    usable: boolean;
+    owner: HostId;
+  }[] {
+    return [...this.#state.servers.values()];
+  }
+
+  /** Hosts that are alive, this one included. */
+  listHosts(): readonly HostRecord[] {
+    const now = this.#now();
+    const records: HostRecord[] = [];
+    for (const log of this.#state.logs.values()) {
+      const record = findHost(this.#state, log.host);
+      if (record !== undefined && isAlive(this.#state, log, now)) {
+        records.push(record);
+      }
+    }
+    return records;
+  }
+
+  /** Whether a process of a host is known to be gone for good. */
+  isProcessGone(host: HostId, incarnation: Incarnation): boolean {
+    const log = this.#state.logs.get(host);
+    return log !== undefined && log.incarnation > incarnation;
+  }
+
+  #now(): number {
+    return this.#clock.monotonicMilliseconds();
+  }
+
+  #registerHandlers(): void {
+    const { link } = this.#options;
+    link.handle("gossip", (from, body) => {
+      const message = body as GossipMessage;
+      this.#dispatch({ type: "received", now: this.#now(), from, message });
+    });
+    link.handle("renew", (_from, body) => {
+      const { record, load } = body as {
+        record: ServerRecord;
+        load?: ServerLoad;
+      };
+      this.#dispatch({ type: "announced", now: this.#now(), record, load });
+      return true;
+    });
+    link.handle("cache", (_from, body) => {
+      this.#options.listener.cacheChanged?.(body as CacheChange);
+    });
+    link.handle("demand", (from, body) => {
+      return this.#aggregate.report(from, body as DemandRow[], this.#now());
+    });
+  }
+
+  #dispatch(event: MembershipEvent): void {
+    for (const effect of this.#reducer.reduce(this.#state, event)) {
+      this.#execute(effect);
+    }
+  }
+
+  #execute(effect: MembershipEffect): void {
+    const { link, listener } = this.#options;
+    switch (effect.type) {
+      case "send":
+        link.send(effect.to, "gossip", effect.message);
+        break;
+      case "forward":
+        void this.#forward(effect);
+        break;
+      case "check":
+        void this.#check(effect);
+        break;
+      case "server_seen":
+        listener.serverSeen?.(effect.record, effect);
+        break;
+      case "server_gone":
+        listener.serverGone?.(effect.id, effect);
+        break;
+      case "host_seen":
+        listener.hostSeen?.(effect.record);
+        break;
+      case "host_gone":
+        listener.hostGone?.(effect.host);
+        break;
+      case "marks_heard":
+        listener.marksHeard?.(effect.marks);
+        break;
+    }
+  }
+
+  async #forward(
+    effect: Extract<MembershipEffect, { type: "forward" }>,
+  ): Promise<void> {
+    const { record, load } = effect;
+    const signal = this.#limit(forwardTimeout);
+    try {
+      await this.#options.link.request(effect.to, "renew", { record, load }, {
+        signal,
+      });
+    } catch {
+      if (this.#options.signal.aborted) return;
+      const now = this.#now();
+      this.#dispatch({ type: "announced", now, record, load, takeOver: true });
+    }
+  }
+
+  async #check(
+    effect: Extract<MembershipEffect, { type: "check" }>,
+  ): Promise<void> {
+    const startedAt = this.#now();
+    const signal = this.#limit(checkTimeout);
+    try {
+      const answer = await this.#options.check(effect.address, { signal });
+      const { id } = effect;
+      const now = this.#now();
+      this.#dispatch({ type: "checked", now, id, startedAt, ...answer });
+    } catch {
+      // No answer is no evidence: the server stays unusable until it renews.
+    }
+  }
+
+  async #reportDemand(): Promise<void> {
+    const now = this.#now();
+    this.#aggregate.expire(now);
+    const byHost = this.#groupDemand();
+    const total = new Map<CustomerId, CustomerDemand>();
+    const reports = [...byHost].map(async ([host, rows]) => {
+      for (const row of await this.#sendDemand(host, rows)) {
+        const [customer, requestsPerSecond, tokensPerSecond] = row;
+        total.set(customer, { requestsPerSecond, tokensPerSecond });
+      }
+    });
+    await Promise.all(reports);
+    if (this.#options.signal.aborted) return;
+    this.#options.listener.demandHeard?.(total);
+  }
+
+  #groupDemand(): Map<HostId, DemandRow[]> {
+    const hosts = this.listHosts();
+    const replicas = hosts.filter((record) => record.replica);
+    const aggregators = (replicas.length > 0 ? replicas : hosts)
+      .map((record) => record.host);
+    const byHost = new Map<HostId, DemandRow[]>();
+    for (const [customer, demand] of this.#options.demand()) {
+      const host = pickAggregator(customer, aggregators);
+      if (host === undefined) continue;
+      const rows = byHost.get(host) ?? [];
+      rows.push([customer, demand.requestsPerSecond, demand.tokensPerSecond]);
+      byHost.set(host, rows);
+    }
+    return byHost;
+  }
+
+  async #sendDemand(
+    host: HostId,
+    rows: readonly DemandRow[],
+  ): Promise<readonly DemandRow[]> {
+    const { self, link } = this.#options;
+    if (host === self.host) {
+      return this.#aggregate.report(self.host, rows, this.#now());
+    }
+    try {
+      const signal = this.#limit(demandInterval);
+      return await link.request(host, "demand", rows, {
+        signal,
+      }) as DemandRow[];
+    } catch {
+      // Without the aggregator, assumes that all hosts see the same demand. This
+      // keeps the sum of the hosts' parts at the limit when demand is even.
+      const count = this.listHosts().length;
+      return rows.map(([customer, requests, tokens]) =>
+        [customer, requests * count, tokens * count] as const
+      );
+    }
+  }
+
+  #limit(milliseconds: number): AbortSignal {
+    return AbortSignal.any([
+      this.#options.signal,
+      AbortSignal.timeout(milliseconds),
+    ]);
+  }
+}
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -1,7 +1,31 @@
 /**
- * Membership of hosts and back ends.
+ * Membership of hosts and backend servers: announcements, gossip, freshness of
+ * evidence, and demand over all hosts.
  *
  * @module
  */
 
-export {};
+export * as membershipConstants from "./constants.ts";
+export type { CustomerDemand, DemandRow } from "./demand_exchange.ts";
+export { DemandAggregate, pickAggregator } from "./demand_exchange.ts";
+export { MembershipLink } from "./link.ts";
+export type {
+  CacheChange,
+  MembershipListener,
+  MembershipOptions,
+  ServerCheck,
+} from "./membership.ts";
+export { Membership } from "./membership.ts";
+export type { MembershipReducerOptions } from "./membership_reducer.ts";
+export { MembershipReducer } from "./membership_reducer.ts";
+export { listNeighbours } from "./neighbours.ts";
+export type { KnownServer, MembershipState } from "./state.ts";
+export type {
+  GossipMessage,
+  HostRecord,
+  MembershipEffect,
+  MembershipEvent,
+  ServerLoad,
+  ServerRecord,
+  SharedMark,
+} from "./types.ts";
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/neighbours.ts
@@ -0,0 +1,98 @@
+/**
+ * Choice of the few hosts that a host gossips with.
+ *
+ * @module
+ */
+
+import type { HostId } from "rhubarbstage";
+import {
+  gossipFanout,
+  neighbourCount,
+  regionalNeighbourCount,
+} from "./constants.ts";
+import { findHost, isAlive, type MembershipState } from "./state.ts";
+import type { HostRecord } from "./types.ts";
+
+/** FNV-1a hash of a string, 32 bits. */
+export function hashText(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index += 1) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
+}
+
+function isCandidate(
+  state: MembershipState,
+  host: HostId,
+  now: number,
+): boolean {
+  if (host === state.self.host) return false;
+  const log = state.logs.get(host);
+  return log === undefined || isAlive(state, log, now);
+}
+
+function listCandidates(state: MembershipState, now: number): HostRecord[] {
+  const hosts = new Set<HostId>([
+    ...state.seeds.map((seed) => seed.host),
+    ...state.logs.keys(),
+  ]);
+  const records: HostRecord[] = [];
+  for (const host of hosts) {
+    const record = findHost(state, host);
+    if (record !== undefined && isCandidate(state, host, now)) {
+      records.push(record);
+    }
+  }
+  return records;
+}
+
+/**
+ * The neighbours of this host. Hosts choose by the hash of the pair, so that
+ * the links form a random graph of fixed degree in which a change reaches all
+ * hosts in a number of rounds that grows with the logarithm of their count.
+ */
+export function listNeighbours(
+  state: MembershipState,
+  now: number,
+): HostRecord[] {
+  const { self } = state;
+  const ranked = listCandidates(state, now)
+    .map((record) => {
+      const [low, high] = [self.host, record.host].sort();
+      return { record, rank: hashText(`${low}\n${high}`) };
+    })
+    .sort((left, right) => left.rank - right.rank)
+    .map(({ record }) => record);
+  const regional = ranked
+    .filter((record) => record.region === self.region)
+    .slice(0, regionalNeighbourCount);
+  const others = ranked.filter((record) => !regional.includes(record));
+  return [...regional, ...others.slice(0, neighbourCount - regional.length)];
+}
+
+/**
+ * The hosts addressed in one round: random neighbours, and now and then a seed
+ * that is not heard of, so that two halves that lost each other meet again.
+ */
+export function pickGossipTargets(
+  state: MembershipState,
+  now: number,
+): HostId[] {
+  const pool = listNeighbours(state, now).map((record) => record.host);
+  const targets: HostId[] = [];
+  while (targets.length < gossipFanout && pool.length > 0) {
+    const index = state.random.integer(pool.length);
+    targets.push(...pool.splice(index, 1));
+  }
+  const silent = state.seeds.filter((seed) => {
+    if (seed.host === state.self.host) return false;
+    const log = state.logs.get(seed.host);
+    return log === undefined || !isAlive(state, log, now);
+  });
+  if (silent.length > 0 && state.random.integer(4) === 0) {
+    const { host } = state.random.pick(silent);
+    if (!targets.includes(host)) targets.push(host);
+  }
+  return targets;
+}
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/state.ts
@@ -0,0 +1,150 @@
+/**
+ * State of membership and the pure questions about it.
+ *
+ * @module
+ */
+
+import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
+import { SeededRandom } from "rhubarbstage";
+import { evidenceLimit, hostTimeout } from "./constants.ts";
+import type {
+  DigestEntry,
+  HostRecord,
+  LogValue,
+  ServerLoad,
+  ServerRecord,
+} from "./types.ts";
+
+/** One entry of a host's log. */
+export interface LogEntry {
+  readonly version: number;
+  readonly value: LogValue;
+  /** Encoded size in bytes, for the byte budget. */
+  readonly size: number;
+  readonly storedAt: number;
+}
+
+/** The log of one host, as far as this host has it. */
+export interface HostLog {
+  readonly host: HostId;
+  incarnation: Incarnation;
+  heartbeat: number;
+  /** Time of the heartbeat, as far as ages in messages tell. */
+  heartbeatAt: number;
+  /** All entries up to this version are known or superseded. */
+  version: number;
+  readonly entries: Map<string, LogEntry>;
+  /** Whether the host counts as alive. */
+  alive: boolean;
+}
+
+/** What is known of one backend server. */
+export interface KnownServer {
+  record: ServerRecord;
+  load?: ServerLoad;
+  /** Time for which the load was reported. */
+  loadAt: number;
+  /** Host whose heartbeats vouch for the record. */
+  owner: HostId;
+  /** Last direct evidence that the server takes work. */
+  checkedAt: number;
+  /** Time of the last renewal at this host, if it owns the record. */
+  renewedAt: number;
+  usable: boolean;
+  /** Set until the check is answered, so that checks do not pile up. */
+  checkStartedAt: number;
+}
+
+/** A server that left or vanished; older records of it are ignored. */
+export interface Departure extends RecordOrder {
+  readonly left: boolean;
+  readonly at: number;
+}
+
+/** State of membership on one host. */
+export interface MembershipState {
+  readonly self: HostRecord;
+  readonly incarnation: Incarnation;
+  readonly logs: Map<HostId, HostLog>;
+  readonly servers: Map<BackendServerId, KnownServer>;
+  readonly departures: Map<BackendServerId, Departure>;
+  /** Hosts that gossip starts from before it has heard of others. */
+  readonly seeds: readonly HostRecord[];
+  readonly random: SeededRandom;
+  /** Position of the rotating digest slice. */
+  sliceStart: number;
+}
+
+/** What orders the records of one server. */
+export interface RecordOrder {
+  readonly incarnation: Incarnation;
+  readonly sequence: number;
+  readonly takeover: number;
+}
+
+/** Whether `left` is newer: by incarnation, sequence, then takeover. */
+export function isNewer(left: RecordOrder, right: RecordOrder): boolean {
+  if (left.incarnation !== right.incarnation) {
+    return left.incarnation > right.incarnation;
+  }
+  if (left.sequence !== right.sequence) return left.sequence > right.sequence;
+  return left.takeover > right.takeover;
+}
+
+/** Time of the newest evidence that a server takes work. */
+export function evidenceAt(
+  state: MembershipState,
+  server: KnownServer,
+): number {
+  if (server.owner === state.self.host) {
+    return Math.max(server.renewedAt, server.checkedAt);
+  }
+  const log = state.logs.get(server.owner);
+  return Math.max(log?.heartbeatAt ?? -Infinity, server.checkedAt);
+}
+
+/** Whether a server may get new work. */
+export function isUsable(
+  state: MembershipState,
+  server: KnownServer,
+  now: number,
+): boolean {
+  if (server.record.leaving) return false;
+  return now - evidenceAt(state, server) <= evidenceLimit;
+}
+
+/** Whether a host's heartbeat is recent. */
+export function isAlive(
+  state: MembershipState,
+  log: HostLog,
+  now: number,
+): boolean {
+  if (log.host === state.self.host) return true;
+  return now - log.heartbeatAt <= hostTimeout;
+}
+
+/** Record of a host, from its log or the seeds. */
+export function findHost(
+  state: MembershipState,
+  host: HostId,
+): HostRecord | undefined {
+  const value = state.logs.get(host)?.entries.get("host")?.value;
+  if (value?.type === "host") return value.record;
+  return state.seeds.find((seed) => seed.host === host);
+}
+
+/** Digest entry of a log at a time. */
+export function toDigestEntry(
+  state: MembershipState,
+  log: HostLog,
+  now: number,
+): DigestEntry {
+  const own = log.host === state.self.host;
+  return {
+    host: log.host,
+    incarnation: log.incarnation,
+    heartbeat: log.heartbeat,
+    version: log.version,
+    age: own ? 0 : Math.max(0, Math.round(now - log.heartbeatAt)),
+  };
+}
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -0,0 +1,212 @@
+/**
+ * Records, messages, events and effects of membership. Times are monotonic
+ * milliseconds of the local host; ages in messages are milliseconds.
+ *
+ * @module
+ */
+
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  HostId,
+  Incarnation,
+  ModelName,
+  Region,
+  ServiceName,
+} from "rhubarbstage";
+
+/** What a backend server says of itself when it announces or renews. */
+export interface ServerRecord {
+  readonly id: BackendServerId;
+  readonly incarnation: Incarnation;
+  /** Grows with each change that the server announces. */
+  readonly sequence: number;
+  /**
+   * Grows when a host takes the record over from another one or takes it back
+   * after it had expired; set by hosts only.
+   */
+  readonly takeover: number;
+  /** Base address, for example `http://127.0.0.1:9000`. */
+  readonly address: string;
+  readonly region: Region;
+  readonly availabilityZone: AvailabilityZone;
+  /** Models that an engine serves; empty for plain services. */
+  readonly models: readonly ModelName[];
+  /** Plain services that the server runs; empty for engines. */
+  readonly services: readonly ServiceName[];
+  readonly role: "prefill" | "decode" | "mixed";
+  /** Requests that the server can run at the same time. */
+  readonly capacity: number;
+  /** Whether the server refuses orders with an old fencing number. */
+  readonly honoursFencing: boolean;
+  /** Whether the server takes no new work because it is going away. */
+  readonly leaving: boolean;
+  /** Adapters and versions that the server reports as loaded. */
+  readonly loaded: readonly string[];
+}
+
+/** Load that a backend server reports with a renewal. */
+export interface ServerLoad {
+  readonly runningRequests: number;
+  readonly queuedRequests: number;
+  readonly cacheTokensUsed: number;
+  readonly cacheTokensTotal: number;
+}
+
+/** A host of the system as gossip knows it. */
+export interface HostRecord {
+  readonly host: HostId;
+  readonly region: Region;
+  readonly availabilityZone: AvailabilityZone;
+  /** Address for peer links, `ip:port`. */
+  readonly peerAddress: string;
+  /** Base address of its HTTP interface. */
+  readonly httpAddress: string;
+  /** Whether it has a data folder. */
+  readonly replica: boolean;
+}
+
+/** A request fingerprint suspected of crashing servers; see the policy. */
+export interface SharedMark {
+  readonly fingerprint: string;
+  readonly crashes: number;
+  readonly blocked: boolean;
+  /** Age in milliseconds when the message was sent. */
+  readonly age: number;
+}
+
+/** One entry of a host's log: a host, a server or quarantine marks. */
+export type LogValue =
+  | { readonly type: "host"; readonly record: HostRecord }
+  | { readonly type: "server"; readonly record: ServerRecord }
+  | {
+    readonly type: "server_gone";
+    readonly id: BackendServerId;
+    readonly incarnation: Incarnation;
+    readonly sequence: number;
+    readonly takeover: number;
+    /** Whether the server left in good order. */
+    readonly left: boolean;
+  }
+  | { readonly type: "marks"; readonly marks: readonly SharedMark[] };
+
+/** State of one host's log as a sender has it. */
+export interface DigestEntry {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly heartbeat: number;
+  readonly version: number;
+  /** Time since the host made this heartbeat, summed over the hops. */
+  readonly age: number;
+}
+
+/** Entries of one host's log, in ascending version. */
+export interface Delta {
+  readonly digest: DigestEntry;
+  /** Version after which the entries start. */
+  readonly from: number;
+  readonly entries: readonly {
+    readonly key: string;
+    readonly version: number;
+    readonly value: LogValue;
+  }[];
+  /** Whether the entries reach the version of the digest. */
+  readonly complete: boolean;
+}
+
+/** A request for the part of a host's log after a version. */
+export interface Want {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  readonly version: number;
+}
+
+/** Load of one server on its way through gossip. */
+export interface SharedLoad {
+  readonly id: BackendServerId;
+  readonly incarnation: Incarnation;
+  readonly load: ServerLoad;
+  readonly age: number;
+}
+
+/** The one message of gossip; an exchange is a request and its answers. */
+export interface GossipMessage {
+  readonly digest: readonly DigestEntry[];
+  readonly wants: readonly Want[];
+  readonly deltas: readonly Delta[];
+  readonly loads: readonly SharedLoad[];
+}
+
+/** What happened. */
+export type MembershipEvent =
+  | {
+    readonly type: "announced";
+    readonly now: number;
+    readonly record: ServerRecord;
+    readonly load?: ServerLoad;
+    /** Set when the owner of the record could not be reached. */
+    readonly takeOver?: boolean;
+  }
+  | {
+    readonly type: "left";
+    readonly now: number;
+    readonly id: BackendServerId;
+    readonly incarnation: Incarnation;
+  }
+  | {
+    readonly type: "checked";
+    readonly now: number;
+    readonly id: BackendServerId;
+    /** Start of the check; the answer proves nothing about later times. */
+    readonly startedAt: number;
+    readonly incarnation: Incarnation;
+    readonly leaving: boolean;
+  }
+  | {
+    readonly type: "received";
+    readonly now: number;
+    readonly from: HostId;
+    readonly message: GossipMessage;
+  }
+  | {
+    readonly type: "marks_published";
+    readonly now: number;
+    readonly marks: readonly SharedMark[];
+  }
+  | { readonly type: "tick"; readonly now: number };
+
+/** What has to be done. */
+export type MembershipEffect =
+  | {
+    readonly type: "send";
+    readonly to: HostId;
+    readonly message: GossipMessage;
+  }
+  | {
+    readonly type: "forward";
+    /** Owner of the record, to which the renewal belongs. */
+    readonly to: HostId;
+    readonly record: ServerRecord;
+    readonly load?: ServerLoad;
+  }
+  | {
+    readonly type: "check";
+    readonly id: BackendServerId;
+    readonly address: string;
+  }
+  | {
+    readonly type: "server_seen";
+    readonly record: ServerRecord;
+    readonly load?: ServerLoad;
+    /** Whether the server may get new work. */
+    readonly usable: boolean;
+  }
+  | {
+    readonly type: "server_gone";
+    readonly id: BackendServerId;
+    /** Whether it vanished without leaving. */
+    readonly crashed: boolean;
+  }
+  | { readonly type: "host_seen"; readonly record: HostRecord }
+  | { readonly type: "host_gone"; readonly host: HostId }
+  | { readonly type: "marks_heard"; readonly marks: readonly SharedMark[] };
