Declare the interfaces of transport and replica

Cause: gossip, configuration, orders and claims build on messages between hosts and on replicated groups, and need their interfaces to start. Change: transport with typed messages and requests by name and a local network for one process; seats of groups with applied state, leadership and its confirmation; an in-memory group of one process; the client that forwards calls to the leader, fails over and follows hints; options of the replica.

--- /dev/null
+++ b/packages/rhubarbstage-replica/src/listeners.ts
@@ -0,0 +1,37 @@
+/**
+ * Callbacks that end with an abort signal.
+ *
+ * @module
+ */
+
+/** A set of callbacks for one kind of event. */
+export class Listeners<Event> {
+  readonly #listeners = new Set<(event: Event) => void>();
+
+  /** Adds a callback until the signal is aborted. */
+  add(
+    listener: (event: Event) => void,
+    options: { signal?: AbortSignal } = {},
+  ): void {
+    const { signal } = options;
+    if (signal?.aborted) return;
+    this.#listeners.add(listener);
+    signal?.addEventListener("abort", () => this.#listeners.delete(listener), {
+      once: true,
+    });
+  }
+
+  /** Calls every callback. An error of one does not keep others from running. */
+  emit(event: Event): void {
+    for (const listener of [...this.#listeners]) {
+      try {
+        listener(event);
+      } catch (thrown) {
+        // Reported as uncaught, because the emitter cannot handle it.
+        queueMicrotask(() => {
+          throw thrown;
+        });
+      }
+    }
+  }
+}
--- a/packages/rhubarbstage-replica/src/mod.ts
+++ b/packages/rhubarbstage-replica/src/mod.ts
@@ -7,3 +7,24 @@
 export type { GroupCallOptions } from "./replicated_group.ts";
 export { ReplicatedGroup } from "./replicated_group.ts";
 export { StateMachine } from "./state_machine.ts";
+export type {
+  AnyGroupDefinition,
+  AppliedCommand,
+  GroupDefinition,
+  GroupStatus,
+  Leadership,
+  Query,
+  SeatStatus,
+} from "./types.ts";
+export { GroupSeat } from "./group_seat.ts";
+export type { InMemoryGroupOptions } from "./in_memory_group.ts";
+export { InMemoryGroup } from "./in_memory_group.ts";
+export type { GroupClientOptions } from "./group_client.ts";
+export { GroupClient } from "./group_client.ts";
+export type { ForwardedAnswer, ForwardedCall } from "./forward.ts";
+export { forwardRequest } from "./forward.ts";
+export type {
+  BootstrapOptions,
+  RepairOptions,
+  ReplicaOptions,
+} from "./options.ts";
--- a/packages/rhubarbstage-transport/src/mod.ts
+++ b/packages/rhubarbstage-transport/src/mod.ts
@@ -4,4 +4,22 @@
  * @module
  */
 
-export {};
+export type {
+  LinkChange,
+  MessageHandler,
+  MessageOptions,
+  MessageType,
+  NameCounters,
+  Peer,
+  PeerAddress,
+  RequestContext,
+  RequestHandler,
+  RequestOptions,
+  RequestType,
+  TransportCounters,
+} from "./types.ts";
+export type { TransportFailure } from "./errors.ts";
+export { TransportError } from "./errors.ts";
+export { messageType, requestType, Transport } from "./transport.ts";
+export { LocalNetwork, LocalTransport } from "./local_transport.ts";
+export { decode, encode } from "./codec.ts";
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/transport.ts
@@ -0,0 +1,93 @@
+/**
+ * How packages exchange messages with other hosts.
+ *
+ * @module
+ */
+
+import type { HostId, Incarnation } from "rhubarbstage";
+import type {
+  LinkChange,
+  MessageHandler,
+  MessageOptions,
+  MessageType,
+  Peer,
+  PeerAddress,
+  RequestHandler,
+  RequestOptions,
+  RequestType,
+  TransportCounters,
+} from "./types.ts";
+
+/** Declares a one-way message; both ends use the same declaration. */
+export function messageType<Body>(name: string): MessageType<Body> {
+  return { name };
+}
+
+/** Declares a request; both ends use the same declaration. */
+export function requestType<Body, Answer>(
+  name: string,
+): RequestType<Body, Answer> {
+  return { name };
+}
+
+/**
+ * Messages and requests to other hosts by name. Messages to one host arrive in
+ * the order sent, at most once, and are lost when the link closes.
+ */
+export abstract class Transport {
+  /** The own host. */
+  abstract readonly host: HostId;
+  /** Start of the own process. */
+  abstract readonly incarnation: Incarnation;
+
+  /**
+   * Queues a one-way message. Returns false when it was dropped because the
+   * host is unreachable or the queue of its link is full.
+   */
+  abstract send<Body>(
+    type: MessageType<Body>,
+    options: MessageOptions<Body>,
+  ): boolean;
+
+  /**
+   * Sends a request and waits for its answer. Throws `TransportError`, the
+   * `RhubarbstageError` of the remote handler, or the signal's reason.
+   */
+  abstract request<Body, Answer>(
+    type: RequestType<Body, Answer>,
+    options: RequestOptions<Body>,
+  ): Promise<Answer>;
+
+  /** Registers the handler of a one-way message. One handler a name. */
+  abstract onMessage<Body>(
+    type: MessageType<Body>,
+    handler: MessageHandler<Body>,
+  ): void;
+
+  /** Registers the handler of a request. One handler a name. */
+  abstract onRequest<Body, Answer>(
+    type: RequestType<Body, Answer>,
+    handler: RequestHandler<Body, Answer>,
+  ): void;
+
+  /** Tells where a host listens; replaces what was known. */
+  abstract setAddress(host: HostId, address: PeerAddress): void;
+
+  /** Forgets a host and closes the link to it. */
+  abstract removeAddress(host: HostId): void;
+
+  /** Hosts with an open link. */
+  abstract peers(): readonly Peer[];
+
+  /** Calls back on each link that opens or closes, until aborted. */
+  abstract onLink(
+    listener: (change: LinkChange) => void,
+    options?: { signal?: AbortSignal },
+  ): void;
+
+  /** Totals since the start. */
+  abstract counters(): TransportCounters;
+
+  /** Closes all links; later requests throw. */
+  abstract close(): Promise<void>;
+}
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/types.ts
@@ -0,0 +1,101 @@
+/**
+ * Types of messages, requests, peers and links.
+ *
+ * @module
+ */
+
+import type { HostId, Incarnation } from "rhubarbstage";
+
+declare const bodyOf: unique symbol;
+declare const answerOf: unique symbol;
+
+/** Name of a one-way message together with the type of its body. */
+export interface MessageType<Body> {
+  readonly name: string;
+  readonly [bodyOf]?: (body: Body) => void;
+}
+
+/** Name of a request together with the types of its body and answer. */
+export interface RequestType<Body, Answer> {
+  readonly name: string;
+  readonly [bodyOf]?: (body: Body) => void;
+  readonly [answerOf]?: Answer;
+}
+
+/** The authenticated host at the other end of a link. */
+export interface Peer {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+}
+
+/** Where the transport of a host listens. */
+export interface PeerAddress {
+  /** IP address. */
+  readonly address: string;
+  readonly port: number;
+}
+
+/** A one-way message to one host. */
+export interface MessageOptions<Body> {
+  readonly to: HostId;
+  readonly body: Body;
+}
+
+/** A request to one host. */
+export interface RequestOptions<Body> extends MessageOptions<Body> {
+  /** Ends the wait and tells the peer that no answer is needed. */
+  readonly signal?: AbortSignal;
+  /** Longest wait in milliseconds; defaults to 5,000. */
+  readonly timeout?: number;
+}
+
+/** What a request handler learns besides the body. */
+export interface RequestContext {
+  readonly sender: Peer;
+  /** Aborted when the sender gives up or the link closes. */
+  readonly signal: AbortSignal;
+}
+
+/** Takes a one-way message. Errors are counted and otherwise ignored. */
+export type MessageHandler<Body> = (body: Body, sender: Peer) => void;
+
+/**
+ * Answers a request. A thrown `RhubarbstageError` reaches the sender with kind,
+ * outcome, message and retry advice; any other error arrives as `internal`.
+ */
+export type RequestHandler<Body, Answer> = (
+  body: Body,
+  context: RequestContext,
+) => Answer | Promise<Answer>;
+
+/** A link came up or went down. */
+export interface LinkChange {
+  readonly kind: "up" | "down";
+  readonly peer: Peer;
+  /** Why the link closed; empty when it came up. */
+  readonly reason: string;
+}
+
+/** Totals since the transport started. Bytes include WebSocket frame headers. */
+export interface TransportCounters {
+  readonly sentBytes: number;
+  readonly sentMessages: number;
+  readonly receivedBytes: number;
+  readonly receivedMessages: number;
+  /** Messages and requests not sent because the queue of their link was full. */
+  readonly droppedMessages: number;
+  /** Connections that failed authentication or sent a malformed hello. */
+  readonly rejectedConnections: number;
+  /** Errors thrown by message handlers. */
+  readonly handlerErrors: number;
+  /** Bytes and messages by message or request name, both directions. */
+  readonly byName: ReadonlyMap<string, NameCounters>;
+}
+
+/** Totals of one message or request name. */
+export interface NameCounters {
+  readonly sentBytes: number;
+  readonly sentMessages: number;
+  readonly receivedBytes: number;
+  readonly receivedMessages: number;
+}
