--- /dev/null
+++ b/packages/rhubarbstage-cli/src/operator_client.ts
@@ -0,0 +1,241 @@
+/**
+ * Client of the operator interface of hosts.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import type { ErrorBody, ProcessSettings } from "@rhubarbstage/settings";
+import { loadProcessSettings, loadTokens } from "@rhubarbstage/settings";
+import { delay, isErrorKind, RhubarbstageError } from "rhubarbstage";
+import { Agent, type Dispatcher, request } from "undici";
+import {
+  defaultAnswerTimeout,
+  defaultUrl,
+  maxSends,
+  resendDelay,
+} from "./constants.ts";
+import { NoAnswerError } from "./errors.ts";
+import type { Options } from "./options.ts";
+
+/** Options of an {@linkcode OperatorClient}. */
+export interface OperatorClientOptions {
+  /** Base URLs of hosts, tried in order. */
+  readonly urls: readonly string[];
+  readonly token?: string;
+  /** Certificate authority of the hosts, in PEM. */
+  readonly authority?: string;
+  /** Longest wait for one answer, in milliseconds; defaults to 10,000. */
+  readonly timeout?: number;
+  /** Wait between two sends, in milliseconds; defaults to 500. */
+  readonly resendDelay?: number;
+}
+
+/** One request to the operator interface. */
+interface Call {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly body?: unknown;
+}
+
+/** What one send of a request led to. */
+type SendResult =
+  | { readonly type: "answer"; readonly value: unknown }
+  | { readonly type: "error"; readonly error: RhubarbstageError }
+  | {
+    readonly type: "lost";
+    readonly reason: string;
+    /** Whether the host may have got the request. */
+    readonly mayHaveRun: boolean;
+  };
+
+/** Codes of failures before a byte of a request was sent. */
+const connectFailures = new Set([
+  "ECONNREFUSED",
+  "ENOTFOUND",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function isErrorBody(value: unknown): value is ErrorBody {
+  const error = (value as ErrorBody | undefined)?.error;
+  return typeof error?.type === "string" && typeof error.message === "string";
+}
+
+function toError(status: number, body: unknown): RhubarbstageError {
+  if (!isErrorBody(body)) {
+    return new RhubarbstageError("internal", {
+      message: `The host answered with status ${status} and no error kind`,
+    });
+  }
+  const { type, message, outcome, revision } = body.error;
+  const hint = revision === undefined ? "" : ` (revision ${revision})`;
+  return new RhubarbstageError(isErrorKind(type) ? type : "internal", {
+    message: `${type}: ${message}${hint}`,
+    outcome,
+  });
+}
+
+function parseJson(text: string): unknown {
+  try {
+    return JSON.parse(text);
+  } catch {
+    return undefined;
+  }
+}
+
+function readCode(error: unknown): string {
+  const code = (error as { code?: unknown }).code;
+  return typeof code === "string" ? code : "";
+}
+
+/** Asks hosts in turn and sends lost requests again. */
+export class OperatorClient {
+  readonly #options: OperatorClientOptions;
+  readonly #dispatcher: Dispatcher;
+
+  constructor(options: OperatorClientOptions) {
+    this.#options = options;
+    const { authority } = options;
+    this.#dispatcher = new Agent({
+      connect: authority === undefined ? {} : { ca: authority },
+    });
+  }
+
+  /** Reads from any host that answers. */
+  async get<Answer>(
+    path: string,
+    query: Readonly<Record<string, string | number | undefined>> = {},
+  ): Promise<Answer> {
+    const search = new URLSearchParams();
+    for (const [name, value] of Object.entries(query)) {
+      if (value !== undefined) search.set(name, String(value));
+    }
+    const suffix = search.size === 0 ? "" : `?${search}`;
+    return await this.#call({ method: "GET", path: `${path}${suffix}` });
+  }
+
+  /**
+   * Sends a change. It must be idempotent by an id of its own, because a
+   * request whose answer is lost is sent again, also to other hosts.
+   */
+  async post<Answer>(path: string, body: unknown): Promise<Answer> {
+    return await this.#call({ method: "POST", path, body });
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    await this.#dispatcher.destroy();
+  }
+
+  async #call<Answer>(call: Call): Promise<Answer> {
+    const { urls } = this.#options;
+    let mayHaveRun = false;
+    let reason = "";
+    const sends = Math.max(maxSends, urls.length);
+    for (let send = 0; send < sends; send += 1) {
+      if (send >= urls.length) {
+        await delay(this.#options.resendDelay ?? resendDelay);
+      }
+      const url = urls[send % urls.length] as string;
+      const result = await this.#send(url, call);
+      if (result.type === "answer") return result.value as Answer;
+      if (result.type === "error" && isFinal(result.error, mayHaveRun)) {
+        throw result.error;
+      }
+      reason = result.type === "error" ? result.error.message : result.reason;
+      mayHaveRun ||= result.type === "lost"
+        ? result.mayHaveRun
+        : result.error.outcome !== "not_run";
+    }
+    throw new NoAnswerError(
+      `No answer from ${urls.join(", ")}: ${reason}`,
+      { mayHaveRun: mayHaveRun && call.method === "POST" },
+    );
+  }
+
+  async #send(url: string, call: Call): Promise<SendResult> {
+    const { token, timeout = defaultAnswerTimeout } = this.#options;
+    try {
+      const response = await request(new URL(call.path, url), {
+        method: call.method,
+        dispatcher: this.#dispatcher,
+        signal: AbortSignal.timeout(timeout),
+        headers: {
+          ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
+          ...(call.body === undefined
+            ? {}
+            : { "content-type": "application/json" }),
+        },
+        body: call.body === undefined ? null : JSON.stringify(call.body),
+      });
+      const body = parseJson(await response.body.text());
+      if (response.statusCode >= 300) {
+        return { type: "error", error: toError(response.statusCode, body) };
+      }
+      if (body === undefined) {
+        return { type: "lost", reason: "incomplete answer", mayHaveRun: true };
+      }
+      return { type: "answer", value: body };
+    } catch (error) {
+      return {
+        type: "lost",
+        reason: (error as Error).message,
+        mayHaveRun: !connectFailures.has(readCode(error)),
+      };
+    }
+  }
+}
+
+/**
+ * Whether a refusal settles the request. One that says "not run" only speaks
+ * for its own send; an earlier send without an answer may still take effect,
+ * except when the revision has moved on.
+ */
+function isFinal(error: RhubarbstageError, mayHaveRun: boolean): boolean {
+  if (error.kind === "revision_conflict") return true;
+  if (error.outcome !== "not_run") return error.kind === "internal";
+  const isPassing = error.kind === "no_quorum" || error.kind === "isolated" ||
+    error.kind === "shutting_down";
+  return !isPassing && !mayHaveRun;
+}
+
+function urlOf(settings: ProcessSettings): string {
+  const { address, port } = settings.http.advertise;
+  const host = address.includes(":") ? `[${address}]` : address;
+  const scheme = settings.tls === undefined ? "http" : "https";
+  return `${scheme}://${host}:${port}`;
+}
+
+/**
+ * Creates a client from `--url`, `--settings`, `--token-file` and
+ * `--authority`, or from the environment variables `RHUBARBSTAGE_URL` and
+ * `RHUBARBSTAGE_TOKEN_FILE`.
+ */
+export async function createClient(
+  options: Options,
+  env: Readonly<Record<string, string | undefined>>,
+): Promise<OperatorClient> {
+  const file = options.text("settings");
+  const settings = file === undefined
+    ? undefined
+    : await loadProcessSettings(file);
+  const named = options.list("url");
+  const fallback = settings === undefined
+    ? (env.RHUBARBSTAGE_URL ?? defaultUrl).split(",")
+    : [urlOf(settings)];
+  const tokenFile = options.text("token-file") ??
+    settings?.tokenFiles.operators ?? env.RHUBARBSTAGE_TOKEN_FILE;
+  const tokens = tokenFile === undefined ? [] : await loadTokens(tokenFile);
+  const authorityFile = options.text("authority") ?? settings?.tls?.authority;
+  const timeout = options.count("timeout");
+  return new OperatorClient({
+    urls: named.length > 0 ? named : fallback,
+    ...(tokens[0] === undefined ? {} : { token: tokens[0].value }),
+    ...(authorityFile === undefined
+      ? {}
+      : { authority: await readFile(authorityFile, "utf8") }),
+    ...(timeout === undefined ? {} : { timeout }),
+  });
+}
--- /dev/null
+++ b/packages/rhubarbstage-cli/src/output.ts
@@ -0,0 +1,80 @@
+/**
+ * What the command prints.
+ *
+ * @module
+ */
+
+import Table from "cli-table3";
+import colors from "picocolors";
+
+/** A stream that may be a terminal. */
+export interface TextStream {
+  write(text: string): unknown;
+  readonly isTTY?: boolean;
+}
+
+/** Kind of a line, which decides its colour on a terminal. */
+export type Tone = "added" | "removed" | "good" | "bad" | "muted";
+
+/** Options of an {@linkcode Output}. */
+export interface OutputOptions {
+  readonly stdout: TextStream;
+  readonly stderr: TextStream;
+  readonly env: Readonly<Record<string, string | undefined>>;
+}
+
+/**
+ * Prints tables and colours on a terminal, and plain lines with tabs between
+ * cells elsewhere, so that other programs can read them.
+ */
+export class Output {
+  readonly #options: OutputOptions;
+  readonly #isTerminal: boolean;
+  readonly #colors: ReturnType<typeof colors.createColors>;
+
+  constructor(options: OutputOptions) {
+    this.#options = options;
+    this.#isTerminal = options.stdout.isTTY === true;
+    const wantsColor = this.#isTerminal && !options.env.NO_COLOR;
+    this.#colors = colors.createColors(wantsColor);
+  }
+
+  /** Prints a line of the result. */
+  line(text: string): void {
+    this.#options.stdout.write(`${text}\n`);
+  }
+
+  /** Prints a remark that is not part of the result. */
+  note(text: string): void {
+    this.#options.stderr.write(`${text}\n`);
+  }
+
+  /** Prints the result as one JSON document. */
+  json(value: unknown): void {
+    this.line(JSON.stringify(value, null, 2));
+  }
+
+  /** Colours text on a terminal. */
+  tone(text: string, tone: Tone): string {
+    const { green, red, dim } = this.#colors;
+    const paint = {
+      added: green,
+      removed: red,
+      good: green,
+      bad: red,
+      muted: dim,
+    }[tone];
+    return paint(text);
+  }
+
+  /** Prints rows under a head. */
+  table(head: readonly string[], rows: readonly (readonly string[])[]): void {
+    if (!this.#isTerminal) {
+      for (const row of [head, ...rows]) this.line(row.join("\t"));
+      return;
+    }
+    const table = new Table({ head: [...head], style: { head: [] } });
+    table.push(...rows.map((row) => [...row]));
+    this.line(table.toString());
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-cli/src/program.ts
@@ -0,0 +1,269 @@
+/**
+ * The commands with their options and examples.
+ *
+ * @module
+ */
+
+import sade, { type Sade } from "sade";
+import { bootstrap, repair } from "./bootstrap_command.ts";
+import { check } from "./check_command.ts";
+import { exitCodes, version } from "./constants.ts";
+import type { Context, Environment } from "./context.ts";
+import { exitCodeOf, UsageError } from "./errors.ts";
+import {
+  changeDrain,
+  endOrder,
+  showBackends,
+  showStatus,
+} from "./fleet_commands.ts";
+import { Options } from "./options.ts";
+import { Output } from "./output.ts";
+import { serve } from "./serve_command.ts";
+import { showTimeline } from "./timeline_command.ts";
+import { applyTree, diffTree, getTree, showHistory } from "./tree_commands.ts";
+
+/** Runs a command; a number is its exit code, nothing means success. */
+type Action = (
+  context: Context,
+  argument: string | undefined,
+) => Promise<number | void>;
+
+type Handler = (...values: unknown[]) => Promise<number>;
+
+/** Options that take no value. */
+const flags = [
+  "json",
+  "files",
+  "dry-run",
+  "host-only",
+  "carried-out",
+  "not-carried-out",
+];
+
+/** Options that take a value; declared, so that "007" stays text. */
+const texts = [
+  "settings",
+  "tree",
+  "hosts",
+  "url",
+  "token-file",
+  "authority",
+  "timeout",
+  "edit-id",
+  "path",
+  "effective",
+  "against",
+  "set",
+  "remove",
+  "expected-revision",
+  "limit",
+  "request",
+  "server",
+  "revision",
+  "from",
+  "to",
+  "file",
+  "lost",
+  "replacement",
+];
+
+function toHandler(environment: Environment, action: Action): Handler {
+  return async (...values) => {
+    const options = new Options(values.at(-1) as Record<string, unknown>);
+    const output = new Output(environment);
+    try {
+      if (options.rest.length > 0) {
+        throw new UsageError(`Unexpected argument "${options.rest[0]}"`);
+      }
+      const argument = values.length > 1 ? values[0] : undefined;
+      const context = { options, output, env: environment.env };
+      const text = argument === undefined ? undefined : String(argument);
+      return await action(context, text) ?? exitCodes.ok;
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      environment.stderr.write(`${message}\n`);
+      return exitCodeOf(error);
+    }
+  };
+}
+
+function addHostOptions(program: Sade): Sade {
+  return program
+    .option("--url", "Base URL of a host; may be repeated")
+    .option("--settings", "Settings file that gives URL, token and authority")
+    .option("--token-file", "File with the operator token")
+    .option("--authority", "Certificate authority of the hosts, in PEM")
+    .option("--timeout", "Longest wait for one answer, in milliseconds");
+}
+
+function addEditOptions(program: Sade): Sade {
+  return addHostOptions(program)
+    .option("--edit-id", "Id of the edit; the same for each resend")
+    .option("--json", "Print JSON");
+}
+
+function addSetupCommands(
+  program: Sade,
+  handle: (action: Action) => Handler,
+): void {
+  program.command("serve", "Run a host until SIGTERM")
+    .option("--settings", "Settings file of the host")
+    .example("serve --settings /etc/rhubarbstage/host.yaml")
+    .action(handle(serve));
+  program.command("check", "Check settings and trees without a host")
+    .option("--settings", "Settings file; may be repeated")
+    .option("--tree", "Tree file; may be repeated")
+    .option("--files", "Also read the token and TLS files of the settings")
+    .option("--json", "Print JSON")
+    .example("check --settings host.yaml --tree tree.yaml")
+    .action(handle(check));
+  addEditOptions(
+    program.command("bootstrap", "Form a new system; once in its life"),
+  )
+    .option("--tree", "Tree file for revision 1")
+    .option("--hosts", "All hosts with a data folder, separated by commas")
+    .example("bootstrap --settings host.yaml --tree tree.yaml")
+    .action(handle(bootstrap));
+  addEditOptions(
+    program.command("repair", "Replace the seats of a lost data folder"),
+  )
+    .option("--lost", "Host whose data folder is lost")
+    .option("--replacement", "Host that takes the seats; default is --lost")
+    .example("repair --settings host.yaml --lost veneto-1")
+    .action(handle(repair));
+}
+
+function addTreeCommands(
+  program: Sade,
+  handle: (action: Action) => Handler,
+): void {
+  addHostOptions(program.command("tree get", "Print the tree in force"))
+    .option("--path", "Print only the value at this path")
+    .option("--effective", "Print settings of region/service/customer/kind")
+    .option("--json", "Print JSON")
+    .example("tree get --path regions/crete --url http://10.60.1.11:8080")
+    .example("tree get --effective crete/intake/practice-heraklion/fiscal")
+    .action(handle(getTree));
+  addHostOptions(
+    program.command(
+      "tree diff <file>",
+      "Compare a file with the tree in force",
+    ),
+  )
+    .option("--against", "Compare with this file in place of a host")
+    .option("--json", "Print JSON")
+    .example("tree diff tree.yaml --settings host.yaml")
+    .action(handle((context, file) => diffTree(context, file ?? "")));
+  addEditOptions(
+    program.command(
+      "tree apply [file]",
+      "Change the tree, as a whole or by path",
+    ),
+  )
+    .option("--set", "PATH=VALUE, the value in YAML; may be repeated")
+    .option("--remove", "PATH; may be repeated")
+    .option("--expected-revision", "Refuse when the tree has another revision")
+    .option("--dry-run", "Show the change and do not send it")
+    .example("tree apply tree.yaml --settings host.yaml")
+    .example("tree apply --set regions/crete/priority=5 --settings host.yaml")
+    .action(handle(applyTree));
+  addHostOptions(program.command("tree history", "Print accepted changes"))
+    .option("--limit", "Newest changes to print")
+    .option("--json", "Print JSON")
+    .example("tree history --limit 20 --settings host.yaml")
+    .action(handle(showHistory));
+}
+
+function addFleetCommands(
+  program: Sade,
+  handle: (action: Action) => Handler,
+): void {
+  addHostOptions(program.command("status", "Print the state of the system"))
+    .option("--json", "Print JSON")
+    .example("status --settings host.yaml")
+    .action(handle(showStatus));
+  addHostOptions(program.command("backends", "Print the backend servers"))
+    .option("--json", "Print JSON")
+    .example("backends --settings host.yaml")
+    .action(handle(showBackends));
+  addEditOptions(
+    program.command("drain <server>", "Give a backend server no new work"),
+  )
+    .example("drain engine-7 --settings host.yaml")
+    .action(
+      handle((context, server = "") =>
+        changeDrain(context, { server, drained: true })
+      ),
+    );
+  addEditOptions(
+    program.command("undrain <server>", "Give a backend server work again"),
+  )
+    .example("undrain engine-7 --settings host.yaml")
+    .action(
+      handle((context, server = "") =>
+        changeDrain(context, { server, drained: false })
+      ),
+    );
+  addEditOptions(
+    program.command(
+      "order end <order>",
+      "State how an order to an engine ended",
+    ),
+  )
+    .option("--carried-out", "The engine carried the order out")
+    .option("--not-carried-out", "The engine did not carry the order out")
+    .example("order end order-17 --not-carried-out --settings host.yaml")
+    .action(handle((context, order) => endOrder(context, order ?? "")));
+  addHostOptions(
+    program.command("timeline", "Print events of all hosts in causal order"),
+  )
+    .option("--request", "Only events of this request")
+    .option("--server", "Only events of this backend server")
+    .option("--revision", "Only events of this revision")
+    .option("--from", "Only events since this ISO 8601 time")
+    .option("--to", "Only events until this ISO 8601 time")
+    .option("--limit", "Newest events to print")
+    .option("--file", "Timeline file to read; may be repeated")
+    .option("--host-only", "Do not ask the other hosts")
+    .option("--json", "Print JSON")
+    .example("timeline --request 01J8 --settings host.yaml")
+    .example("timeline --file a/timeline.jsonl --file b/timeline.jsonl")
+    .action(handle(showTimeline));
+}
+
+function showVersion({ options, output }: Context): Promise<void> {
+  if (options.flag("json")) output.json({ version, node: process.version });
+  else output.line(`rhubarbstage ${version}`);
+  return Promise.resolve();
+}
+
+/**
+ * Runs the command and resolves with its exit code. Usage errors and `--help`
+ * end the process at once.
+ *
+ * `args` has neither the runtime nor the program name.
+ */
+export async function runCommand(
+  args: readonly string[],
+  environment: Environment,
+): Promise<number> {
+  const handle = (action: Action) => toHandler(environment, action);
+  const program = sade("rhubarbstage").version(version);
+  addSetupCommands(program, handle);
+  addTreeCommands(program, handle);
+  addFleetCommands(program, handle);
+  program.command("version", "Print the version")
+    .option("--json", "Print JSON")
+    .example("version")
+    .action(handle(showVersion));
+  const parsed = program.parse(["node", "rhubarbstage", ...args], {
+    lazy: true,
+    boolean: flags,
+    string: texts,
+    unknown: (option) => `Unknown option ${option}`,
+  });
+  // `--help` and `--version` print and leave no handler.
+  if (parsed === undefined) return exitCodes.ok;
+  const handler = parsed.handler as Handler;
+  return await handler(...parsed.args);
+}
--- /dev/null
+++ b/packages/rhubarbstage-cli/src/serve_command.ts
@@ -0,0 +1,27 @@
+/**
+ * `rhubarbstage serve`.
+ *
+ * @module
+ */
+
+import { loadProcessSettings } from "@rhubarbstage/settings";
+import type { Context } from "./context.ts";
+import { runHost } from "./host.ts";
+
+/**
+ * Runs a host until SIGTERM or SIGINT. A second signal does not interrupt
+ * requests that still run.
+ */
+export async function serve({ options }: Context): Promise<void> {
+  const settings = await loadProcessSettings(options.required("settings"));
+  const controller = new AbortController();
+  const stop = () => controller.abort();
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  try {
+    await runHost(settings, { signal: controller.signal });
+  } finally {
+    process.off("SIGTERM", stop);
+    process.off("SIGINT", stop);
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-cli/src/tree_commands.ts
@@ -0,0 +1,229 @@
+/**
+ * `rhubarbstage tree`: reading and changing the tree of settings.
+ *
+ * @module
+ */
+
+import {
+  applyOperations,
+  diffTrees,
+  type EditAnswer,
+  type EditRequest,
+  type EffectiveAnswer,
+  formatTree,
+  type HistoryAnswer,
+  loadTree,
+  operatorPaths,
+  parseValue,
+  toOperations,
+  type TreeAnswer,
+  type TreeDocument,
+  type TreeOperation,
+  valueAtPath,
+} from "@rhubarbstage/settings";
+import { createTwoFilesPatch } from "diff";
+import { type EditId, type Revision, RhubarbstageError } from "rhubarbstage";
+import { type Context, sendEdit, withClient } from "./context.ts";
+import { UsageError } from "./errors.ts";
+import type { OperatorClient } from "./operator_client.ts";
+import type { Options } from "./options.ts";
+import type { Output } from "./output.ts";
+
+const workPathRule = "--effective needs region/service/customer/kind";
+
+async function showEffective(context: Context, path: string): Promise<void> {
+  const { options, output } = context;
+  const [region, service, customer, kind, ...rest] = path.split("/");
+  if (!region || !service || !customer || rest.length > 0) {
+    throw new UsageError(`${workPathRule}, not "${path}"`);
+  }
+  const query = { region, service, customer, kind: kind ?? "default" };
+  const answer = await withClient(
+    context,
+    (client) => client.get<EffectiveAnswer>(operatorPaths.effective, query),
+  );
+  if (options.flag("json")) return output.json(answer);
+  output.table(
+    ["setting", "value", "from"],
+    answer.settings.map(({ name, value, from }) => [name, String(value), from]),
+  );
+}
+
+/** Prints the tree in force, a part of it, or the settings of one path. */
+export async function getTree(context: Context): Promise<void> {
+  const { options, output } = context;
+  const effective = options.text("effective");
+  if (effective !== undefined) return await showEffective(context, effective);
+  const answer = await withClient(
+    context,
+    (client) => client.get<TreeAnswer>(operatorPaths.tree),
+  );
+  const path = options.text("path") ?? "";
+  const value = valueAtPath(answer.tree, path);
+  if (value === undefined) {
+    throw new RhubarbstageError("not_found", {
+      message: `The tree has no path ${path}`,
+    });
+  }
+  if (options.flag("json")) {
+    return output.json({ revision: answer.revision, path, value });
+  }
+  output.line(output.tone(`# revision ${answer.revision}`, "muted"));
+  output.line(formatTree(value).trimEnd());
+}
+
+function printDifference(
+  output: Output,
+  left: { readonly name: string; readonly tree: TreeDocument },
+  right: { readonly name: string; readonly tree: TreeDocument },
+): void {
+  const patch = createTwoFilesPatch(
+    left.name,
+    right.name,
+    formatTree(left.tree),
+    formatTree(right.tree),
+    undefined,
+    undefined,
+    { context: 3 },
+  );
+  for (const line of patch.trimEnd().split("\n").slice(1)) {
+    const tone = line.startsWith("+")
+      ? "added"
+      : line.startsWith("-")
+      ? "removed"
+      : undefined;
+    output.line(tone === undefined ? line : output.tone(line, tone));
+  }
+}
+
+/** Prints what differs between the tree in force and a file. */
+export async function diffTree(context: Context, file: string): Promise<void> {
+  const { options, output } = context;
+  const tree = await loadTree(file);
+  const against = options.text("against");
+  const current = against === undefined
+    ? await withClient(
+      context,
+      (client) => client.get<TreeAnswer>(operatorPaths.tree),
+    )
+    : { tree: await loadTree(against), revision: undefined };
+  const differences = diffTrees(current.tree, tree);
+  if (options.flag("json")) {
+    const { revision } = current;
+    return output.json({ revision, differences });
+  }
+  if (differences.length === 0) return output.line("no differences");
+  const name = against ?? `revision ${current.revision}`;
+  printDifference(output, { name, tree: current.tree }, { name: file, tree });
+}
+
+/** Operations from `--set PATH=VALUE` and `--remove PATH`. */
+function readOperations(options: Options): TreeOperation[] {
+  const sets = options.list("set").map((text) => {
+    const at = text.indexOf("=");
+    if (at < 0) throw new UsageError(`--set needs PATH=VALUE, not "${text}"`);
+    return { path: text.slice(0, at), set: parseValue(text.slice(at + 1)) };
+  });
+  const removals = options.list("remove")
+    .map((path) => ({ path, remove: true as const }));
+  return [...sets, ...removals];
+}
+
+async function makeOperations(
+  options: Options,
+  change: { readonly file: string | undefined; readonly tree: TreeDocument },
+): Promise<TreeOperation[]> {
+  const operations = readOperations(options);
+  if (change.file === undefined) {
+    if (operations.length > 0) return operations;
+    throw new UsageError("A file, --set or --remove is missing");
+  }
+  if (operations.length > 0) {
+    throw new UsageError("A file excludes --set and --remove");
+  }
+  return toOperations(diffTrees(change.tree, await loadTree(change.file)));
+}
+
+/** Nothing has to be changed. */
+class NoChange extends Error {}
+
+async function makeEdit(
+  context: Context,
+  client: OperatorClient,
+  change: { readonly file: string | undefined; readonly editId: EditId },
+): Promise<EditRequest & Record<string, unknown>> {
+  const { options, output } = context;
+  const { revision, tree } = await client.get<TreeAnswer>(operatorPaths.tree);
+  const expected = options.count("expected-revision") as Revision | undefined;
+  const operations = await makeOperations(options, { ...change, tree });
+  if (operations.length === 0) throw new NoChange();
+  const result = applyOperations(tree, operations);
+  if (!options.flag("json")) {
+    printDifference(
+      output,
+      { name: `revision ${revision}`, tree },
+      { name: change.file ?? "edit", tree: result },
+    );
+  }
+  return {
+    edit_id: change.editId,
+    expected_revision: expected ?? revision,
+    operations,
+  };
+}
+
+/** Changes the tree by a file with the whole tree or by single operations. */
+export async function applyTree(
+  context: Context,
+  file: string | undefined,
+): Promise<void> {
+  const { options, output } = context;
+  const isJson = options.flag("json");
+  try {
+    const answer = await withClient(context, async (client) => {
+      if (options.flag("dry-run")) {
+        const editId = "dry-run" as EditId;
+        return await makeEdit(context, client, { file, editId });
+      }
+      return await sendEdit<EditAnswer>(context, client, {
+        path: operatorPaths.edits,
+        makeBody: (editId) => makeEdit(context, client, { file, editId }),
+      });
+    });
+    if (isJson) return output.json(answer);
+    if (!("revision" in answer)) return output.line("not sent (dry run)");
+    const replayed = answer.replayed ? " (an earlier send took effect)" : "";
+    output.line(`revision ${answer.revision}${replayed}`);
+  } catch (error) {
+    if (!(error instanceof NoChange)) throw error;
+    if (isJson) return output.json({ changed: false });
+    output.line("no differences");
+  }
+}
+
+function formatOperation(operation: TreeOperation): string {
+  return "set" in operation
+    ? `${operation.path}=${JSON.stringify(operation.set)}`
+    : `-${operation.path}`;
+}
+
+/** Prints accepted changes, newest first. */
+export async function showHistory(context: Context): Promise<void> {
+  const { options, output } = context;
+  const query = { limit: options.count("limit") };
+  const answer = await withClient(
+    context,
+    (client) => client.get<HistoryAnswer>(operatorPaths.history, query),
+  );
+  if (options.flag("json")) return output.json(answer);
+  output.table(
+    ["revision", "time", "operator", "edit id", "operations"],
+    answer.entries.map((entry) => [
+      String(entry.revision),
+      new Date(entry.at).toISOString(),
+      entry.operator || "-",
+      entry.edit_id,
+      entry.operations.map(formatOperation).join("; "),
+    ]),
+  );
+}
--- a/packages/rhubarbstage-settings/src/mod.ts
+++ b/packages/rhubarbstage-settings/src/mod.ts
@@ -53,6 +53,7 @@
   toOperations,
   valueAtPath,
 } from "./tree_edit.ts";
+export { formatTree, parseValue } from "./yaml_source.ts";
 export { SettingsTree } from "./settings_tree.ts";
 export { findRoute } from "./routes.ts";
 export type {
--- a/packages/rhubarbstage-settings/src/yaml_source.ts
+++ b/packages/rhubarbstage-settings/src/yaml_source.ts
@@ -13,6 +13,7 @@
   LineCounter,
   type Node,
   parseDocument,
+  stringify,
 } from "yaml";
 import { SettingsError } from "./errors.ts";
 import type { Source } from "./validation.ts";
@@ -76,3 +77,13 @@
     lineCounter.linePos(findOffset(document, path)).line;
   return { data: document.toJS(), source: { ...file, lineOf } };
 }
+
+/** Parses one value in YAML, for example `5` or `[a, b]`. */
+export function parseValue(content: string): unknown {
+  return parseYaml(content).data;
+}
+
+/** Formats a tree or a part of it as YAML with sorted keys. */
+export function formatTree(value: unknown): string {
+  return stringify(value, { sortMapEntries: true });
+}
