--- /dev/null
+++ b/packages/rhubarbstage-control/src/bounded.ts
@@ -0,0 +1,15 @@
+/**
+ * Collections with a bound, in insertion order.
+ *
+ * @module
+ */
+
+/** Adds an entry and drops the oldest entries above the bound. */
+export function setBounded<Key, Value>(
+  map: Map<Key, Value>,
+  entry: readonly [Key, Value],
+  limit: number,
+): void {
+  map.set(entry[0], entry[1]);
+  while (map.size > limit) map.delete(map.keys().next().value as Key);
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/claim_journal.ts
@@ -0,0 +1,162 @@
+/**
+ * Client of the journal groups: finds the group of a claim and stamps commands.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import {
+  type AttemptId,
+  type ClaimKey,
+  type Clock,
+  type CustomerId,
+  type Incarnation,
+  type ServiceName,
+  SystemClock,
+} from "rhubarbstage";
+import type { GroupCallOptions } from "@rhubarbstage/replica";
+import type {
+  ClaimView,
+  JournalCommand,
+  JournalGroup,
+  JournalResult,
+  KeptAnswer,
+  Sender,
+} from "./types.ts";
+
+/** What a claim key is made of. */
+export interface ClaimSubject {
+  readonly customer: CustomerId;
+  readonly service: ServiceName;
+  readonly idempotencyKey: string;
+}
+
+/** One attempt to claim a key. */
+export interface Claim {
+  readonly key: ClaimKey;
+  readonly attempt: AttemptId;
+}
+
+/** Options of a {@linkcode ClaimJournal}. */
+export interface ClaimJournalOptions {
+  /**
+   * The journal groups in the order of their numbers. Their count must never
+   * change: a key that moved to another group would be free there.
+   */
+  readonly groups: readonly JournalGroup[];
+  /** This process. */
+  readonly claimer: Sender;
+  readonly clock?: Clock;
+}
+
+/** Hash of customer, service and idempotency key. */
+export function claimKeyOf(subject: ClaimSubject): ClaimKey {
+  const { customer, service, idempotencyKey } = subject;
+  const content = JSON.stringify([customer, service, idempotencyKey]);
+  return createHash("sha256").update(content).digest("hex") as ClaimKey;
+}
+
+/** Number of the journal group that holds a key. */
+export function groupNumberOf(key: ClaimKey, groupCount: number): number {
+  return Number.parseInt(key.slice(0, 8), 16) % groupCount;
+}
+
+/**
+ * Claims of all journal groups. Each call is one try and throws what the group
+ * throws; every command may be repeated with the same attempt.
+ */
+export class ClaimJournal {
+  #groups: readonly JournalGroup[];
+  #claimer: Sender;
+  #clock: Clock;
+
+  constructor(options: ClaimJournalOptions) {
+    this.#groups = options.groups;
+    this.#claimer = options.claimer;
+    this.#clock = options.clock ?? new SystemClock();
+  }
+
+  /** Claims a key for an attempt. */
+  claim(
+    claim: Claim & { readonly bodyHash: string },
+    options?: GroupCallOptions,
+  ): Promise<JournalResult> {
+    return this.#propose(
+      { type: "claim", ...claim, ...this.#stamp() },
+      options,
+    );
+  }
+
+  /** States that the attempt ran and keeps its answer. */
+  settle(
+    claim: Claim & { readonly answer: KeptAnswer },
+    options?: GroupCallOptions,
+  ): Promise<JournalResult> {
+    return this.#propose(
+      { type: "settle", ...claim, ...this.#stamp() },
+      options,
+    );
+  }
+
+  /** States that the attempt did not run and never will. */
+  release(claim: Claim, options?: GroupCallOptions): Promise<JournalResult> {
+    return this.#propose(
+      { type: "release", ...claim, ...this.#stamp() },
+      options,
+    );
+  }
+
+  /** States that nobody knows whether the attempt ran. */
+  markUnknown(
+    claim: Claim,
+    options?: GroupCallOptions,
+  ): Promise<JournalResult> {
+    return this.#propose(
+      { type: "unknown", ...claim, ...this.#stamp() },
+      options,
+    );
+  }
+
+  /** States that the claimer's host runs a newer process. */
+  abandon(
+    claim: Claim & { readonly newer: Incarnation },
+    options?: GroupCallOptions,
+  ): Promise<JournalResult> {
+    return this.#propose(
+      { type: "abandon", ...claim, ...this.#stamp() },
+      options,
+    );
+  }
+
+  /** Linearizable state of a key. */
+  view(key: ClaimKey, options?: GroupCallOptions): Promise<ClaimView> {
+    return this.#groupOf(key).query<ClaimView>("claim", { key }, options);
+  }
+
+  /**
+   * Reports this host's wall time to all groups. Hosts call it every few
+   * minutes, so that claims expire while there is no traffic.
+   */
+  async reportTime(options?: GroupCallOptions): Promise<void> {
+    const command = { type: "time", ...this.#stamp() } as const;
+    await Promise.all(
+      this.#groups.map((group) => group.propose(command, options)),
+    );
+  }
+
+  #propose(
+    command: Exclude<JournalCommand, { type: "time" }>,
+    options?: GroupCallOptions,
+  ): Promise<JournalResult> {
+    return this.#groupOf(command.key).propose(command, options);
+  }
+
+  #groupOf(key: ClaimKey): JournalGroup {
+    const number = groupNumberOf(key, this.#groups.length);
+    return this.#groups[number] as JournalGroup;
+  }
+
+  #stamp(): { readonly claimer: Sender; readonly now: number } {
+    return { claimer: this.#claimer, now: this.#clock.wallMilliseconds() };
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/control_state.ts
@@ -0,0 +1,89 @@
+/**
+ * State of the control group. Entries are replaced, never changed in place, so
+ * that answers and snapshots may share them.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  EditId,
+  Incarnation,
+  OrderId,
+  Revision,
+} from "rhubarbstage";
+import { firstRevision } from "./constants.ts";
+import type {
+  Drain,
+  EditResult,
+  HistoryEntry,
+  OrderIntent,
+  Tree,
+} from "./types.ts";
+
+/** First answer to an edit, with the content it belongs to. */
+export interface RememberedEdit {
+  /** SHA-256 of expected revision and operations. */
+  readonly digest: string;
+  readonly result: EditResult;
+}
+
+/** What the state knows of one engine. */
+export interface KnownEngine {
+  readonly incarnation: Incarnation;
+  /** Order that may still take effect. */
+  readonly open?: OrderId;
+}
+
+/** State of the control group. */
+export interface ControlState {
+  revision: Revision;
+  tree: Tree;
+  /** Latest accepted edits, oldest first. */
+  history: HistoryEntry[];
+  /** Bytes of the history's operations, as JSON. */
+  historyBytes: number;
+  edits: Map<EditId, RememberedEdit>;
+  drains: Map<BackendServerId, Drain>;
+  drainVersion: number;
+  drainCommands: Map<EditId, boolean>;
+  orders: Map<OrderId, OrderIntent>;
+  /** Ids of ended orders, oldest first. */
+  endedOrders: Map<OrderId, true>;
+  /** Orders that were given up before their intent was applied. */
+  withdrawn: Map<OrderId, true>;
+  engines: Map<BackendServerId, KnownEngine>;
+}
+
+/** State before the first command. */
+export function initialControlState(): ControlState {
+  return {
+    revision: firstRevision as Revision,
+    tree: {},
+    history: [],
+    historyBytes: 0,
+    edits: new Map(),
+    drains: new Map(),
+    drainVersion: 0,
+    drainCommands: new Map(),
+    orders: new Map(),
+    endedOrders: new Map(),
+    withdrawn: new Map(),
+    engines: new Map(),
+  };
+}
+
+/** Plain data of a state, detached from later changes. */
+export function copyControlState(state: ControlState): ControlState {
+  return {
+    ...state,
+    history: [...state.history],
+    edits: new Map(state.edits),
+    drains: new Map(state.drains),
+    drainCommands: new Map(state.drainCommands),
+    orders: new Map(state.orders),
+    endedOrders: new Map(state.endedOrders),
+    withdrawn: new Map(state.withdrawn),
+    engines: new Map(state.engines),
+  };
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/control_state_machine.ts
@@ -0,0 +1,125 @@
+/**
+ * State machine of the control group and its queries.
+ *
+ * @module
+ */
+
+import { StateMachine } from "@rhubarbstage/replica";
+import {
+  type ControlState,
+  copyControlState,
+  initialControlState,
+} from "./control_state.ts";
+import { applyDrain, applyEdit, rememberedResult } from "./edits.ts";
+import {
+  applyEnd,
+  applyIntend,
+  applyTakeOver,
+  observeEngine,
+} from "./orders.ts";
+import type {
+  Confirmation,
+  ConfirmationRequest,
+  ControlCommand,
+  ControlResult,
+  Drain,
+  Edit,
+  EditLookup,
+  HistoryEntry,
+  OrderIntent,
+} from "./types.ts";
+
+/** Tree of settings, history, drains and orders. */
+export class ControlStateMachine
+  extends StateMachine<ControlState, ControlCommand, ControlResult> {
+  override initial(): ControlState {
+    return initialControlState();
+  }
+
+  override apply(
+    state: ControlState,
+    command: ControlCommand,
+    index: number,
+  ): ControlResult {
+    switch (command.type) {
+      case "edit":
+        return { type: "edit", result: applyEdit(state, command) };
+      case "set_drain":
+        return { type: "set_drain", drained: applyDrain(state, command) };
+      case "intend":
+        return { type: "intend", result: applyIntend(state, command, index) };
+      case "take_over":
+        return { type: "take_over", intent: applyTakeOver(state, command) };
+      case "end_order":
+        return { type: "end_order", intent: applyEnd(state, command) };
+      case "observe_engine": {
+        const { backendServer, incarnation } = command;
+        const ended = observeEngine(state, backendServer, incarnation);
+        return { type: "observe_engine", ended };
+      }
+    }
+  }
+
+  override snapshot(state: ControlState): unknown {
+    return copyControlState(state);
+  }
+
+  override restore(data: unknown): ControlState {
+    return copyControlState(data as ControlState);
+  }
+}
+
+/** Queries of the control group, by name. They share nothing that changes. */
+export const controlQueries = {
+  /** See {@linkcode Confirmation}. */
+  confirm(state: ControlState, argument: unknown): Confirmation {
+    const request = argument as ConfirmationRequest;
+    const drains = [...state.drains.keys()];
+    const { revision, tree, drainVersion } = state;
+    const changes = changesSince(state, request.revision);
+    if (changes === undefined) return { revision, tree, drains, drainVersion };
+    return { revision, changes, drains, drainVersion };
+  },
+
+  /** See {@linkcode EditLookup}. */
+  edit(state: ControlState, argument: unknown): EditLookup {
+    const first = rememberedResult(state, argument as Edit);
+    const { revision, tree } = state;
+    return first === undefined ? { revision, tree } : { first, revision, tree };
+  },
+
+  /** Latest edits, newest first. */
+  history(state: ControlState, argument: unknown): readonly HistoryEntry[] {
+    const { limit } = argument as { readonly limit: number };
+    return limit > 0 ? state.history.slice(-limit).reverse() : [];
+  },
+
+  /** Backend servers that operators took out of service. */
+  drains(state: ControlState): readonly Drain[] {
+    return [...state.drains.values()];
+  },
+
+  /** Orders that may still take effect. */
+  open_orders(state: ControlState): readonly OrderIntent[] {
+    return [...state.orders.values()].filter((intent) =>
+      intent.ending === undefined
+    );
+  },
+
+  /** One order, if it is remembered. */
+  order(state: ControlState, argument: unknown): OrderIntent | undefined {
+    const { orderId } = argument as Pick<OrderIntent, "orderId">;
+    return state.orders.get(orderId);
+  },
+};
+
+function changesSince(
+  state: ControlState,
+  revision: number | undefined,
+): Confirmation["changes"] {
+  if (revision === undefined || revision > state.revision) return undefined;
+  const missing = state.revision - revision;
+  if (missing > state.history.length) return undefined;
+  return state.history.slice(state.history.length - missing)
+    .map(({ revision, operations }) => ({ revision, operations }));
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/edits.ts
@@ -0,0 +1,126 @@
+/**
+ * Edits of the tree and drains, as the control state machine applies them.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import type { Revision } from "rhubarbstage";
+import { setBounded } from "./bounded.ts";
+import {
+  drainMemory,
+  editByteLimit,
+  editMemory,
+  historyByteLimit,
+  historyLimit,
+} from "./constants.ts";
+import type { ControlState } from "./control_state.ts";
+import { applyOperations, TreeOperationError } from "./tree.ts";
+import type {
+  ControlCommand,
+  Edit,
+  EditResult,
+  HistoryEntry,
+  Tree,
+} from "./types.ts";
+
+type EditCommand = Extract<ControlCommand, { type: "edit" }>;
+type DrainCommand = Extract<ControlCommand, { type: "set_drain" }>;
+
+/** SHA-256 of what an edit asks for, to recognise a reused edit id. */
+export function digestOfEdit(edit: Edit): string {
+  const content = JSON.stringify([edit.expectedRevision, edit.operations]);
+  return createHash("sha256").update(content).digest("hex");
+}
+
+/** First answer to the edit, if it is remembered. */
+export function rememberedResult(
+  state: ControlState,
+  edit: Edit,
+): EditResult | undefined {
+  const remembered = state.edits.get(edit.editId);
+  if (remembered === undefined) return undefined;
+  if (remembered.digest === digestOfEdit(edit)) return remembered.result;
+  return { type: "edit_id_reused" };
+}
+
+/** Applies an edit by compare-and-set on the revision, once for each id. */
+export function applyEdit(
+  state: ControlState,
+  command: EditCommand,
+): EditResult {
+  const { edit } = command;
+  const first = rememberedResult(state, edit);
+  if (first !== undefined) return first;
+  const result = applyNewEdit(state, command);
+  const remembered = { digest: digestOfEdit(edit), result };
+  setBounded(state.edits, [edit.editId, remembered], editMemory);
+  return result;
+}
+
+function applyNewEdit(state: ControlState, command: EditCommand): EditResult {
+  const { edit } = command;
+  if (edit.expectedRevision !== state.revision) {
+    return { type: "conflict", revision: state.revision };
+  }
+  const outcome = treeAfter(state.tree, edit);
+  if ("message" in outcome) {
+    return { type: "invalid", message: outcome.message };
+  }
+  state.tree = outcome.tree;
+  state.revision = (state.revision + 1) as Revision;
+  remember(state, {
+    revision: state.revision,
+    editId: edit.editId,
+    author: edit.author,
+    at: command.at,
+    operations: edit.operations,
+  });
+  return { type: "accepted", revision: state.revision };
+}
+
+/** Tree after an edit, or why the edit does not fit. */
+export function treeAfter(
+  tree: Tree,
+  edit: Edit,
+): { readonly tree: Tree } | { readonly message: string } {
+  if (bytesOf(edit.operations) > editByteLimit) {
+    return { message: `An edit may have at most ${editByteLimit} bytes` };
+  }
+  try {
+    return { tree: applyOperations(tree, edit.operations) };
+  } catch (error) {
+    if (error instanceof TreeOperationError) return { message: error.message };
+    throw error;
+  }
+}
+
+function bytesOf(value: unknown): number {
+  return JSON.stringify(value).length;
+}
+
+function remember(state: ControlState, entry: HistoryEntry): void {
+  state.history.push(entry);
+  state.historyBytes += bytesOf(entry.operations);
+  while (
+    state.history.length > historyLimit || state.historyBytes > historyByteLimit
+  ) {
+    const dropped = state.history.shift() as HistoryEntry;
+    state.historyBytes -= bytesOf(dropped.operations);
+  }
+}
+
+/** Sets or lifts a drain, once for each command id. */
+export function applyDrain(
+  state: ControlState,
+  command: DrainCommand,
+): boolean {
+  const first = state.drainCommands.get(command.commandId);
+  if (first !== undefined) return first;
+  const { backendServer, author, at, drained } = command;
+  state.drainVersion += 1;
+  if (drained) state.drains.set(backendServer, { backendServer, author, at });
+  else state.drains.delete(backendServer);
+  setBounded(state.drainCommands, [command.commandId, drained], drainMemory);
+  return drained;
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/group_calls.ts
@@ -0,0 +1,66 @@
+/**
+ * Repeated calls to a replicated group while it has no leader.
+ *
+ * @module
+ */
+
+import { delay, RhubarbstageError } from "rhubarbstage";
+import type { GroupCallOptions } from "@rhubarbstage/replica";
+import { callTimeout, tryPause, tryTimeout } from "./constants.ts";
+import { isNoQuorum } from "./errors.ts";
+import type { CallOptions } from "./types.ts";
+
+/**
+ * Calls until it succeeds, fails for another reason than `no_quorum`, or the
+ * time is over. Only for queries and for commands that are idempotent by their
+ * own id. The `no_quorum` at the end says `not_run` only if each try says so.
+ */
+export async function callRepeatedly<Result>(
+  call: (options: GroupCallOptions) => Promise<Result>,
+  options: CallOptions = {},
+): Promise<Result> {
+  const signal = options.signal;
+  const endsAt = performance.now() + (options.timeout ?? callTimeout);
+  let notRun = true;
+  let pause: number = tryPause.first;
+  while (true) {
+    const left = endsAt - performance.now();
+    try {
+      return await call({ signal, timeout: Math.min(left, tryTimeout) });
+    } catch (error) {
+      if (!isNoQuorum(error)) throw error;
+      if ((error as RhubarbstageError).outcome !== "not_run") notRun = false;
+      if (endsAt - performance.now() <= pause || signal?.aborted) {
+        const outcome = notRun ? "not_run" : "may_have_run";
+        throw new RhubarbstageError("no_quorum", { outcome, cause: error });
+      }
+    }
+    await delay(pause, { signal });
+    pause = Math.min(pause * 2, tryPause.longest);
+  }
+}
+
+/**
+ * Calls until it succeeds or the signal is aborted. Used for statements that
+ * only this process can make, such as the settlement of its own claim.
+ */
+export async function callUntilDone<Result>(
+  call: (options: GroupCallOptions) => Promise<Result>,
+  options: {
+    readonly signal?: AbortSignal;
+    readonly onFailure?: (error: unknown) => void;
+  } = {},
+): Promise<Result> {
+  const { signal } = options;
+  let pause: number = tryPause.first;
+  while (true) {
+    try {
+      return await call({ signal, timeout: tryTimeout });
+    } catch (error) {
+      if (signal?.aborted) throw error;
+      options.onFailure?.(error);
+    }
+    await delay(pause, { signal });
+    pause = Math.min(pause * 2, tryPause.longest);
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/journal_expiry.ts
@@ -0,0 +1,117 @@
+/**
+ * Time and bounds of a journal group.
+ *
+ * @module
+ */
+
+import type { ClaimKey } from "rhubarbstage";
+import { setBounded } from "./bounded.ts";
+import {
+  expiriesPerCommand,
+  expiryBucket,
+  reportedHostLimit,
+} from "./constants.ts";
+import {
+  bucketOf,
+  bytesOfAnswer,
+  type ClaimRecord,
+  dueTime,
+  type JournalState,
+} from "./journal_state.ts";
+import type { Sender } from "./types.ts";
+
+/**
+ * Moves the journal's time to the second latest of the wall times that hosts
+ * reported, so that one wrong clock expires no claim early. With reports from
+ * one host only, time stands still and nothing expires.
+ */
+export function advanceTime(
+  state: JournalState,
+  report: { readonly claimer: Sender; readonly now: number },
+): void {
+  const { host } = report.claimer;
+  const latest = Math.max(report.now, state.reports.get(host) ?? 0);
+  state.reports.delete(host);
+  setBounded(state.reports, [host, latest], reportedHostLimit);
+  if (report.now <= state.time) return;
+  state.time = Math.max(state.time, secondLatest(state.reports.values()));
+}
+
+function secondLatest(times: Iterable<number>): number {
+  let first = 0;
+  let second = 0;
+  for (const time of times) {
+    if (time > first) [first, second] = [time, first];
+    else if (time > second) second = time;
+  }
+  return second;
+}
+
+/** Stores a record and the time at which to look at it again. */
+export function putRecord(
+  state: JournalState,
+  entry: readonly [ClaimKey, ClaimRecord],
+): void {
+  const [key, record] = entry;
+  dropAnswer(state, key);
+  state.claims.set(key, record);
+  if (record.type === "settled") {
+    state.answers.set(key, true);
+    state.answerBytes += bytesOfAnswer(record.answer);
+  }
+  const bucket = Math.max(bucketOf(dueTime(record)), state.sweptBucket + 1);
+  const keys = state.due.get(bucket);
+  if (keys === undefined) state.due.set(bucket, [key]);
+  else keys.push(key);
+}
+
+function dropAnswer(state: JournalState, key: ClaimKey): void {
+  const record = state.claims.get(key);
+  if (record?.type !== "settled") return;
+  state.answers.delete(key);
+  state.answerBytes -= bytesOfAnswer(record.answer);
+}
+
+/** Drops the oldest answers above the bound; their claims stay settled. */
+export function trimAnswers(state: JournalState, limit: number): void {
+  while (state.answerBytes > limit) {
+    const key = state.answers.keys().next().value as ClaimKey;
+    expireAnswer(state, key);
+  }
+}
+
+function expireAnswer(state: JournalState, key: ClaimKey): void {
+  const record = state.claims.get(key);
+  if (record?.type !== "settled") return;
+  const { answer: _answer, ...rest } = record;
+  putRecord(state, [key, { ...rest, type: "expired" }]);
+}
+
+/** Expires a bounded number of claims whose time has come. */
+export function expireClaims(state: JournalState): void {
+  const current = Math.floor(state.time / expiryBucket);
+  if (current <= state.sweptBucket) return;
+  const passed = [...state.due.keys()]
+    .filter((bucket) => bucket <= current)
+    .sort((left, right) => left - right);
+  let budget = expiriesPerCommand;
+  for (const bucket of passed) {
+    const keys = state.due.get(bucket) as ClaimKey[];
+    while (keys.length > 0) {
+      if (budget === 0) return;
+      budget -= 1;
+      expireClaim(state, keys.pop() as ClaimKey);
+    }
+    state.due.delete(bucket);
+  }
+  state.sweptBucket = current;
+}
+
+function expireClaim(state: JournalState, key: ClaimKey): void {
+  const record = state.claims.get(key);
+  if (record === undefined || dueTime(record) > state.time) return;
+  if (record.type === "settled") expireAnswer(state, key);
+  else if (record.type === "open") {
+    putRecord(state, [key, { ...record, type: "unknown" }]);
+  } else state.claims.delete(key);
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/journal_state.ts
@@ -0,0 +1,130 @@
+/**
+ * State of a journal group. Records are replaced, never changed in place, so
+ * that answers and snapshots may share them.
+ *
+ * @module
+ */
+
+import type { AttemptId, ClaimKey, HostId } from "rhubarbstage";
+import {
+  answerRetention,
+  expiryBucket,
+  openRetention,
+  releaseRetention,
+  tombstoneRetention,
+} from "./constants.ts";
+import type { ClaimView, KeptAnswer, Sender } from "./types.ts";
+
+/** One claim, or what is left of it. */
+export type ClaimRecord =
+  | (ClaimRecordBase & { readonly type: "open" })
+  | (ClaimRecordBase & { readonly type: "unknown" })
+  | (ClaimRecordBase & { readonly type: "expired" })
+  | (ClaimRecordBase & {
+    readonly type: "settled";
+    readonly answer: KeptAnswer;
+  })
+  | {
+    readonly type: "released";
+    readonly at: number;
+    /** Attempts that ended and must not claim again, oldest first. */
+    readonly ended: readonly AttemptId[];
+  };
+
+interface ClaimRecordBase {
+  readonly attempt: AttemptId;
+  readonly bodyHash: string;
+  readonly claimer: Sender;
+  /** Journal time of the claim or its settlement, in milliseconds. */
+  readonly at: number;
+  /** Attempts that ended before this one. */
+  readonly ended: readonly AttemptId[];
+}
+
+/** State of one journal group. */
+export interface JournalState {
+  /** Time of the journal in milliseconds; see `advanceTime`. */
+  time: number;
+  /** Latest wall time that each host reported, in milliseconds. */
+  reports: Map<HostId, number>;
+  claims: Map<ClaimKey, ClaimRecord>;
+  /** Keys whose answer is kept, oldest first. */
+  answers: Map<ClaimKey, true>;
+  /** Bytes of the kept answers. */
+  answerBytes: number;
+  /** Keys to look at when the journal's time passes a bucket's end. */
+  due: Map<number, ClaimKey[]>;
+  /** Last bucket that was emptied. */
+  sweptBucket: number;
+}
+
+/** State before the first command. */
+export function initialJournalState(): JournalState {
+  return {
+    time: 0,
+    reports: new Map(),
+    claims: new Map(),
+    answers: new Map(),
+    answerBytes: 0,
+    due: new Map(),
+    sweptBucket: 0,
+  };
+}
+
+/** Plain data of a state, detached from later changes. */
+export function copyJournalState(state: JournalState): JournalState {
+  return {
+    ...state,
+    reports: new Map(state.reports),
+    claims: new Map(state.claims),
+    answers: new Map(state.answers),
+    due: new Map(
+      Array.from(state.due, ([bucket, keys]) => [bucket, [...keys]]),
+    ),
+  };
+}
+
+/** Journal time at which a record changes by itself, in milliseconds. */
+export function dueTime(record: ClaimRecord): number {
+  switch (record.type) {
+    case "open":
+      return record.at + openRetention;
+    case "settled":
+      return record.at + answerRetention;
+    case "released":
+      return record.at + releaseRetention;
+    case "unknown":
+    case "expired":
+      return record.at + tombstoneRetention;
+  }
+}
+
+/** First bucket whose end lies at or after a time. */
+export function bucketOf(time: number): number {
+  return Math.ceil(time / expiryBucket);
+}
+
+/** Bytes that a kept answer counts for. */
+export function bytesOfAnswer(answer: KeptAnswer): number {
+  const headers = Object.entries(answer.headers)
+    .reduce((sum, [name, value]) => sum + name.length + value.length, 0);
+  return headers + (answer.body?.byteLength ?? 0);
+}
+
+/** A record as clients see it. */
+export function viewOf(record: ClaimRecord | undefined): ClaimView {
+  if (record === undefined || record.type === "released") {
+    return { type: "free" };
+  }
+  const { bodyHash } = record;
+  switch (record.type) {
+    case "open": {
+      const { attempt, claimer } = record;
+      return { type: "open", attempt, claimer, bodyHash };
+    }
+    case "settled":
+      return { type: "settled", answer: record.answer, bodyHash };
+    default:
+      return { type: record.type, bodyHash };
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/journal_state_machine.ts
@@ -0,0 +1,183 @@
+/**
+ * State machine of the journal groups and its query.
+ *
+ * A key is claimed by one attempt at a time. Only the statement of the claiming
+ * attempt frees it again before the retention ends; time never does.
+ *
+ * @module
+ */
+
+import type { AttemptId, ClaimKey } from "rhubarbstage";
+import { StateMachine } from "@rhubarbstage/replica";
+import {
+  answerByteLimit,
+  claimLimit,
+  endedAttemptLimit,
+  keptBodyLimit,
+  keptHeaderLimit,
+} from "./constants.ts";
+import {
+  advanceTime,
+  expireClaims,
+  putRecord,
+  trimAnswers,
+} from "./journal_expiry.ts";
+import {
+  bytesOfAnswer,
+  type ClaimRecord,
+  copyJournalState,
+  initialJournalState,
+  type JournalState,
+  viewOf,
+} from "./journal_state.ts";
+import type {
+  ClaimView,
+  JournalBounds,
+  JournalCommand,
+  JournalResult,
+} from "./types.ts";
+
+type Command<Type extends JournalCommand["type"]> = Extract<
+  JournalCommand,
+  { type: Type }
+>;
+type HeldRecord = Exclude<ClaimRecord, { type: "released" }>;
+
+/** Claims of one journal group. The bounds must be the same on all replicas. */
+export class JournalStateMachine
+  extends StateMachine<JournalState, JournalCommand, JournalResult> {
+  #claimLimit: number;
+  #answerByteLimit: number;
+
+  constructor(bounds: JournalBounds = {}) {
+    super();
+    this.#claimLimit = bounds.claims ?? claimLimit;
+    this.#answerByteLimit = bounds.answerBytes ?? answerByteLimit;
+  }
+
+  override initial(): JournalState {
+    return initialJournalState();
+  }
+
+  override apply(state: JournalState, command: JournalCommand): JournalResult {
+    advanceTime(state, command);
+    expireClaims(state);
+    if (command.type === "claim") return this.#claim(state, command);
+    if (command.type === "time") {
+      return { type: "recorded", claim: { type: "free" } };
+    }
+    if (command.type === "release") this.#release(state, command);
+    else if (command.type === "settle") this.#settle(state, command);
+    else if (command.type === "unknown") markUnknown(state, command);
+    else abandon(state, command);
+    return { type: "recorded", claim: viewOf(state.claims.get(command.key)) };
+  }
+
+  override snapshot(state: JournalState): unknown {
+    return copyJournalState(state);
+  }
+
+  override restore(data: unknown): JournalState {
+    return copyJournalState(data as JournalState);
+  }
+
+  #claim(state: JournalState, command: Command<"claim">): JournalResult {
+    const { key, attempt, bodyHash, claimer } = command;
+    const record = state.claims.get(key);
+    if (record?.ended.includes(attempt)) return { type: "attempt_ended" };
+    if (record === undefined || record.type === "released") {
+      if (record === undefined && state.claims.size >= this.#claimLimit) {
+        return { type: "full" };
+      }
+      const at = timeOf(state, command);
+      const ended = record?.ended ?? [];
+      const open = { attempt, bodyHash, claimer, at, ended } as const;
+      putRecord(state, [key, { type: "open", ...open }]);
+      return { type: "granted" };
+    }
+    if (record.bodyHash !== bodyHash) return { type: "reused" };
+    if (record.type === "open" && record.attempt === attempt) {
+      return { type: "granted" };
+    }
+    return { type: "held", claim: viewOf(record) };
+  }
+
+  /**
+   * Also remembers an attempt that has no claim yet: its claim command may
+   * still be on the way, and nobody would end the claim it would make.
+   */
+  #release(state: JournalState, command: Command<"release">): void {
+    const { key, attempt } = command;
+    const record = state.claims.get(key);
+    const at = timeOf(state, command);
+    const ended = [...(record?.ended ?? []), attempt].slice(-endedAttemptLimit);
+    if (record === undefined || record.type === "released") {
+      if (record?.ended.includes(attempt)) return;
+      if (record === undefined && state.claims.size >= this.#claimLimit) return;
+      putRecord(state, [key, { type: "released", at, ended }]);
+      return;
+    }
+    if (record.attempt !== attempt) {
+      if (record.ended.includes(attempt)) return;
+      putRecord(state, [key, { ...record, ended }]);
+      return;
+    }
+    if (record.type === "open" || record.type === "unknown") {
+      putRecord(state, [key, { type: "released", at, ended }]);
+    }
+  }
+
+  /** Also takes the late word of a claimer that was given up as unknown. */
+  #settle(state: JournalState, command: Command<"settle">): void {
+    const record = ownRecord(state, command);
+    if (record?.type !== "open" && record?.type !== "unknown") return;
+    const { answer } = command;
+    const at = timeOf(state, command);
+    const tooLarge = bytesOfAnswer(answer) > keptBodyLimit + keptHeaderLimit;
+    const kept = tooLarge
+      ? { ...answer, headers: {}, body: undefined }
+      : answer;
+    const settled = { ...record, type: "settled", answer: kept, at } as const;
+    putRecord(state, [command.key, settled]);
+    trimAnswers(state, this.#answerByteLimit);
+  }
+}
+
+/**
+ * Time from which a record's retention counts. The proposer may be ahead of the
+ * journal; the later of both never shortens the retention.
+ */
+function timeOf(state: JournalState, command: { now: number }): number {
+  return Math.max(state.time, command.now);
+}
+
+function ownRecord(
+  state: JournalState,
+  command: { readonly key: ClaimKey; readonly attempt: AttemptId },
+): HeldRecord | undefined {
+  const record = state.claims.get(command.key);
+  if (record === undefined || record.type === "released") return undefined;
+  return record.attempt === command.attempt ? record : undefined;
+}
+
+function markUnknown(state: JournalState, command: Command<"unknown">): void {
+  const record = ownRecord(state, command);
+  if (record?.type !== "open") return;
+  putRecord(state, [command.key, { ...record, type: "unknown" }]);
+}
+
+function abandon(state: JournalState, command: Command<"abandon">): void {
+  const record = ownRecord(state, command);
+  if (record?.type !== "open") return;
+  if (record.claimer.incarnation >= command.newer) return;
+  putRecord(state, [command.key, { ...record, type: "unknown" }]);
+}
+
+/** Queries of the journal groups, by name. */
+export const journalQueries = {
+  /** State of one claim. */
+  claim(state: JournalState, argument: unknown): ClaimView {
+    const { key } = argument as { readonly key: ClaimKey };
+    return viewOf(state.claims.get(key));
+  },
+};
--- /dev/null
+++ b/packages/rhubarbstage-control/src/order_executor.ts
@@ -0,0 +1,344 @@
+/**
+ * Orders to engines from the leader of the control group.
+ *
+ * @module
+ */
+
+import {
+  type Clock,
+  type OrderId,
+  RhubarbstageError,
+  SystemClock,
+} from "rhubarbstage";
+import { orderWriteWindow } from "./constants.ts";
+import { callRepeatedly, callUntilDone } from "./group_calls.ts";
+import { isSameSender } from "./orders.ts";
+import type {
+  CallOptions,
+  ControlCommand,
+  ControlResult,
+  EngineReport,
+  EngineStatus,
+  EngineTarget,
+  IntentResult,
+  Order,
+  OrderAnswer,
+  OrderConnection,
+  OrderExecutorOptions,
+  OrderIntent,
+  OrderReport,
+} from "./types.ts";
+
+type StatedEnding = Extract<ControlCommand, { type: "end_order" }>["ending"];
+
+/** Ending that each answer proves; absent while the order may take effect. */
+const endingOfAnswer: Readonly<
+  Record<OrderAnswer["type"], StatedEnding | undefined>
+> = {
+  confirmed: "confirmed",
+  refused: "refused",
+  not_sent: "not_sent",
+  unknown: undefined,
+};
+
+/**
+ * Sends orders so that an engine never receives conflicting ones: the
+ * connection is opened and checked before the intent is committed, and the
+ * order is written once, on that connection only.
+ */
+export class OrderExecutor {
+  #options: OrderExecutorOptions;
+  #clock: Clock;
+  #running = new Set<OrderId>();
+  #statements = new Set<Promise<unknown>>();
+
+  constructor(options: OrderExecutorOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? new SystemClock();
+  }
+
+  /**
+   * Executes an order. Throws `order_conflict` while another order may take
+   * effect, `backend_unreachable`, and `no_quorum` when this host does not lead
+   * or the intent is not committed in time; all of them say `not_run`.
+   */
+  async execute(
+    order: Order,
+    target: EngineTarget,
+    options: CallOptions = {},
+  ): Promise<OrderReport> {
+    this.#refuseUnlessLeading();
+    this.#running.add(order.orderId);
+    const connection = await this.#open(order, target, options);
+    try {
+      const status = await checkedStatus(connection, target, options);
+      const proposedAt = this.#clock.monotonicMilliseconds();
+      const intent = await this.#intend(order, status, options);
+      const expired = () => this.#expired(proposedAt);
+      return await this.#write(intent, { connection, expired, options });
+    } finally {
+      connection.close();
+      this.#running.delete(order.orderId);
+    }
+  }
+
+  /**
+   * Finishes the open orders of earlier leaders and of this process's failed
+   * tries. Orders to engines that ignore fencing numbers stay open until the
+   * engine restarts, unless its status shows that it has. A target is absent
+   * for an engine that nobody announces.
+   */
+  async recover(
+    targetOf: (intent: OrderIntent) => EngineTarget | undefined,
+    options: CallOptions = {},
+  ): Promise<readonly OrderReport[]> {
+    this.#refuseUnlessLeading();
+    const open = await this.openOrders(options);
+    const reports: OrderReport[] = [];
+    for (const intent of open) {
+      const target = targetOf(intent);
+      if (this.#running.has(intent.orderId)) continue;
+      if (target === undefined) reports.push({ intent });
+      else reports.push(await this.#recoverQuietly(intent, target, options));
+    }
+    return reports;
+  }
+
+  /** Ends the orders to processes that an announcement shows to be gone. */
+  async observe(
+    report: EngineReport,
+    options: CallOptions = {},
+  ): Promise<readonly OrderId[]> {
+    const { backendServer, incarnation } = report;
+    const result = await this.#propose(
+      { type: "observe_engine", backendServer, incarnation },
+      options,
+    );
+    return result.type === "observe_engine" ? result.ended : [];
+  }
+
+  /**
+   * Ends an order on an operator's word that it can have no further effect: the
+   * sender or the engine process has been stopped for good.
+   */
+  async endByOperator(
+    orderId: OrderId,
+    options: CallOptions = {},
+  ): Promise<OrderIntent | undefined> {
+    const { sender } = this.#options;
+    const result = await this.#propose(
+      { type: "end_order", orderId, ending: "operator", sender },
+      options,
+    );
+    return result.type === "end_order" ? result.intent : undefined;
+  }
+
+  /** Orders that may still take effect. Throws `no_quorum`. */
+  openOrders(options: CallOptions = {}): Promise<readonly OrderIntent[]> {
+    return callRepeatedly(
+      (callOptions) =>
+        this.#options.group.query<readonly OrderIntent[]>(
+          "open_orders",
+          {},
+          callOptions,
+        ),
+      options,
+    );
+  }
+
+  /** Resolves when every ending that this process knows is committed. */
+  async idle(): Promise<void> {
+    while (this.#statements.size > 0) await Promise.all(this.#statements);
+  }
+
+  #refuseUnlessLeading(): void {
+    if (this.#options.leads()) return;
+    throw new RhubarbstageError("no_quorum", {
+      message: "This host does not lead the control group",
+    });
+  }
+
+  async #open(
+    order: Order,
+    target: EngineTarget,
+    options: CallOptions,
+  ): Promise<OrderConnection> {
+    try {
+      return await this.#options.connector.open(target, options);
+    } catch (error) {
+      this.#running.delete(order.orderId);
+      throw error;
+    }
+  }
+
+  async #intend(
+    order: Order,
+    status: EngineStatus,
+    options: CallOptions,
+  ): Promise<OrderIntent> {
+    const { incarnation, honoursFencing } = status;
+    const { sender } = this.#options;
+    try {
+      const command = {
+        type: "intend",
+        order,
+        incarnation,
+        honoursFencing,
+        sender,
+      } as const;
+      const answer = await this.#propose(command, options);
+      const { result } = answer as Extract<ControlResult, { type: "intend" }>;
+      return acceptedIntent(result);
+    } catch (error) {
+      // A delayed copy of the command may still be committed; this process
+      // will not send the order.
+      this.#state(order.orderId, "not_sent");
+      if (error instanceof RhubarbstageError) {
+        if (error.kind !== "no_quorum") throw error;
+      }
+      throw new RhubarbstageError("no_quorum", {
+        outcome: "not_run",
+        cause: error,
+      });
+    }
+  }
+
+  async #write(
+    intent: OrderIntent,
+    context: {
+      readonly connection: OrderConnection;
+      readonly expired: () => boolean;
+      readonly options: CallOptions;
+    },
+  ): Promise<OrderReport> {
+    const { sender } = this.#options;
+    if (intent.ending !== undefined || !isSameSender(intent.sender, sender)) {
+      return { intent, ending: intent.ending };
+    }
+    // A paused process may continue here long after it lost its authority.
+    const lost = context.expired() || !this.#options.leads();
+    const answer: OrderAnswer = lost
+      ? { type: "not_sent", message: "The leader lost its authority" }
+      : await context.connection.send(intent, context.options);
+    const message = "message" in answer ? answer.message : undefined;
+    const ending = endingOfAnswer[answer.type];
+    if (ending === undefined) return { intent, message };
+    // An earlier sender may have written an order that was taken over.
+    if (ending === "not_sent" && intent.takenOver) return { intent, message };
+    this.#state(intent.orderId, ending);
+    return { intent, ending, message };
+  }
+
+  #expired(proposedAt: number): boolean {
+    const elapsed = this.#clock.monotonicMilliseconds() - proposedAt;
+    return elapsed > (this.#options.writeWindow ?? orderWriteWindow);
+  }
+
+  /** Commits a statement that only this process can make, however long it takes. */
+  #state(orderId: OrderId, ending: StatedEnding): void {
+    const { group, sender } = this.#options;
+    const command = { type: "end_order", orderId, ending, sender } as const;
+    const statement = callUntilDone((callOptions) =>
+      group.propose(command, callOptions)
+    );
+    this.#statements.add(statement);
+    void statement.finally(() => this.#statements.delete(statement));
+  }
+
+  async #recoverQuietly(
+    intent: OrderIntent,
+    target: EngineTarget,
+    options: CallOptions,
+  ): Promise<OrderReport> {
+    this.#running.add(intent.orderId);
+    try {
+      return await this.#recoverOne(intent, target, options);
+    } catch (error) {
+      const message = error instanceof Error ? error.message : String(error);
+      return { intent, message };
+    } finally {
+      this.#running.delete(intent.orderId);
+    }
+  }
+
+  async #recoverOne(
+    intent: OrderIntent,
+    target: EngineTarget,
+    options: CallOptions,
+  ): Promise<OrderReport> {
+    const connection = await this.#options.connector.open(target, options);
+    try {
+      const status = await checkedStatus(connection, target, options);
+      if (status.incarnation > intent.incarnation) {
+        await this.observe(status, options);
+        return { intent, ending: "new_incarnation" };
+      }
+      if (!intent.honoursFencing || !status.honoursFencing) {
+        return { intent, message: "The engine ignores fencing numbers" };
+      }
+      const proposedAt = this.#clock.monotonicMilliseconds();
+      const taken = await this.#takeOver(intent, options);
+      if (taken === undefined) return { intent };
+      const expired = () => this.#expired(proposedAt);
+      return await this.#write(taken, { connection, expired, options });
+    } finally {
+      connection.close();
+    }
+  }
+
+  async #takeOver(
+    intent: OrderIntent,
+    options: CallOptions,
+  ): Promise<OrderIntent | undefined> {
+    const { sender } = this.#options;
+    const { orderId } = intent;
+    const result = await this.#propose(
+      { type: "take_over", orderId, sender },
+      options,
+    );
+    return result.type === "take_over" ? result.intent : undefined;
+  }
+
+  #propose(
+    command: ControlCommand,
+    options: CallOptions,
+  ): Promise<ControlResult> {
+    return callRepeatedly(
+      (callOptions) => this.#options.group.propose(command, callOptions),
+      options,
+    );
+  }
+}
+
+async function checkedStatus(
+  connection: OrderConnection,
+  target: EngineTarget,
+  options: CallOptions,
+): Promise<EngineStatus> {
+  const status = await connection.status(options);
+  if (status.backendServer === target.backendServer) return status;
+  throw new RhubarbstageError("backend_unreachable", {
+    message: `Backend server ${status.backendServer} answers at the address ` +
+      `of ${target.backendServer}`,
+  });
+}
+
+function acceptedIntent(result: IntentResult): OrderIntent {
+  switch (result.type) {
+    case "accepted":
+      return result.intent;
+    case "conflict":
+      throw new RhubarbstageError("order_conflict", {
+        message: `Order ${result.open.orderId} to ` +
+          `${result.open.backendServer} has not ended`,
+      });
+    case "stale_incarnation":
+      throw new RhubarbstageError("order_conflict", {
+        message: `The engine has restarted with incarnation ${result.known}`,
+      });
+    case "withdrawn":
+      throw new RhubarbstageError("order_conflict", {
+        message: "The order was given up before its intent was applied",
+      });
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/orders.ts
@@ -0,0 +1,166 @@
+/**
+ * Intents of orders to engines, as the control state machine applies them.
+ *
+ * @module
+ */
+
+import type {
+  BackendServerId,
+  FencingNumber,
+  Incarnation,
+  OrderId,
+} from "rhubarbstage";
+import { setBounded } from "./bounded.ts";
+import { engineMemory, orderMemory } from "./constants.ts";
+import type { ControlState, KnownEngine } from "./control_state.ts";
+import type {
+  ControlCommand,
+  IntentResult,
+  OrderEnding,
+  OrderIntent,
+  Sender,
+} from "./types.ts";
+
+type IntendCommand = Extract<ControlCommand, { type: "intend" }>;
+type EndCommand = Extract<ControlCommand, { type: "end_order" }>;
+type TakeOverCommand = Extract<ControlCommand, { type: "take_over" }>;
+
+/** Whether two senders are the same process. */
+export function isSameSender(left: Sender, right: Sender): boolean {
+  return left.host === right.host && left.incarnation === right.incarnation;
+}
+
+/** Records an intent unless an earlier one may still take effect. */
+export function applyIntend(
+  state: ControlState,
+  command: IntendCommand,
+  index: number,
+): IntentResult {
+  const { order, incarnation } = command;
+  const repeated = state.orders.get(order.orderId);
+  if (repeated !== undefined) return { type: "accepted", intent: repeated };
+  if (state.withdrawn.has(order.orderId)) return { type: "withdrawn" };
+  const known = state.engines.get(order.backendServer);
+  if (known !== undefined && known.incarnation > incarnation) {
+    return { type: "stale_incarnation", known: known.incarnation };
+  }
+  observeEngine(state, order.backendServer, incarnation);
+  const open = openIntent(state, order.backendServer);
+  if (open !== undefined && !mayFollow(open, command)) {
+    return { type: "conflict", open };
+  }
+  if (open !== undefined) endIntent(state, open, "superseded");
+  const intent: OrderIntent = {
+    ...order,
+    fencingNumber: index as FencingNumber,
+    incarnation,
+    honoursFencing: command.honoursFencing,
+    sender: command.sender,
+    takenOver: false,
+  };
+  state.orders.set(order.orderId, intent);
+  setEngine(state, order.backendServer, { incarnation, open: order.orderId });
+  return { type: "accepted", intent };
+}
+
+/** A later intent has the higher number, because log indexes grow. */
+function mayFollow(open: OrderIntent, command: IntendCommand): boolean {
+  return open.honoursFencing && command.honoursFencing;
+}
+
+function openIntent(
+  state: ControlState,
+  backendServer: BackendServerId,
+): OrderIntent | undefined {
+  const open = state.engines.get(backendServer)?.open;
+  return open === undefined ? undefined : state.orders.get(open);
+}
+
+/** Ends the intent of an engine process that is gone. */
+export function observeEngine(
+  state: ControlState,
+  backendServer: BackendServerId,
+  incarnation: Incarnation,
+): readonly OrderId[] {
+  const known = state.engines.get(backendServer);
+  if (known !== undefined && known.incarnation >= incarnation) return [];
+  const open = openIntent(state, backendServer);
+  if (open !== undefined) endIntent(state, open, "new_incarnation");
+  setEngine(state, backendServer, { incarnation });
+  return open === undefined ? [] : [open.orderId];
+}
+
+/** Hands an open order to another sender; only where numbers are honoured. */
+export function applyTakeOver(
+  state: ControlState,
+  command: TakeOverCommand,
+): OrderIntent | undefined {
+  const intent = state.orders.get(command.orderId);
+  if (intent === undefined || intent.ending !== undefined) return undefined;
+  if (!intent.honoursFencing) return undefined;
+  const taken = { ...intent, sender: command.sender, takenOver: true };
+  state.orders.set(command.orderId, taken);
+  return taken;
+}
+
+/** Ends an intent if the statement comes from a process that may make it. */
+export function applyEnd(
+  state: ControlState,
+  command: EndCommand,
+): OrderIntent | undefined {
+  const intent = state.orders.get(command.orderId);
+  if (intent === undefined) {
+    if (command.ending === "not_sent") {
+      setBounded(state.withdrawn, [command.orderId, true], orderMemory);
+    }
+    return undefined;
+  }
+  if (intent.ending !== undefined || !mayState(intent, command)) return intent;
+  return endIntent(state, intent, command.ending);
+}
+
+/**
+ * `not_sent` needs the word of the only process that could have written the
+ * order; answers of an engine that ignores numbers reach only the sender.
+ */
+function mayState(intent: OrderIntent, command: EndCommand): boolean {
+  if (command.ending === "operator") return true;
+  const own = isSameSender(intent.sender, command.sender);
+  if (command.ending === "not_sent") return own && !intent.takenOver;
+  return own || intent.honoursFencing;
+}
+
+function endIntent(
+  state: ControlState,
+  intent: OrderIntent,
+  ending: OrderEnding,
+): OrderIntent {
+  const ended = { ...intent, ending };
+  state.orders.set(intent.orderId, ended);
+  const engine = state.engines.get(intent.backendServer);
+  if (engine?.open === intent.orderId) {
+    setEngine(state, intent.backendServer, { incarnation: engine.incarnation });
+  }
+  state.endedOrders.set(intent.orderId, true);
+  while (state.endedOrders.size > orderMemory) {
+    const oldest = state.endedOrders.keys().next().value as OrderId;
+    state.endedOrders.delete(oldest);
+    state.orders.delete(oldest);
+  }
+  return ended;
+}
+
+function setEngine(
+  state: ControlState,
+  backendServer: BackendServerId,
+  engine: KnownEngine,
+): void {
+  state.engines.delete(backendServer);
+  state.engines.set(backendServer, engine);
+  if (state.engines.size <= engineMemory) return;
+  for (const [id, { open }] of state.engines) {
+    if (open !== undefined) continue;
+    state.engines.delete(id);
+    return;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-control/src/types.ts
@@ -0,0 +1,443 @@
+/**
+ * Types of the control state, the claim journal and their clients.
+ *
+ * @module
+ */
+
+import type {
+  AttemptId,
+  BackendServerId,
+  ClaimKey,
+  Clock,
+  EditId,
+  FencingNumber,
+  HostId,
+  Incarnation,
+  OrderId,
+  Revision,
+} from "rhubarbstage";
+import type { ReplicatedGroup } from "@rhubarbstage/replica";
+
+/** Plain JSON value of the tree of settings. */
+export type TreeValue =
+  | null
+  | boolean
+  | number
+  | string
+  | readonly TreeValue[]
+  | Tree;
+
+/** The tree of settings, or a branch of it. */
+export interface Tree {
+  readonly [name: string]: TreeValue;
+}
+
+/** Names from the root of the tree; names may contain any character. */
+export type TreePath = readonly string[];
+
+/** One change of the tree. */
+export type TreeOperation =
+  | { readonly path: TreePath; readonly set: TreeValue }
+  | { readonly path: TreePath; readonly remove: true };
+
+/** An operator's change of the tree. */
+export interface Edit {
+  /** Kept over resends: the same id takes effect once. */
+  readonly editId: EditId;
+  /** The edit is applied only when the tree has this revision. */
+  readonly expectedRevision: Revision;
+  readonly operations: readonly TreeOperation[];
+  /** Operator who sent the edit, for the history. */
+  readonly author: string;
+}
+
+/** First answer to an edit, repeated for every resend. */
+export type EditResult =
+  | { readonly type: "accepted"; readonly revision: Revision }
+  | { readonly type: "conflict"; readonly revision: Revision }
+  /** An operation does not fit the tree, for example a path through a number. */
+  | { readonly type: "invalid"; readonly message: string }
+  /** The edit id was used with other content. */
+  | { readonly type: "edit_id_reused" };
+
+/** One accepted edit. */
+export interface HistoryEntry {
+  readonly revision: Revision;
+  readonly editId: EditId;
+  readonly author: string;
+  /** Wall time of the host that proposed the edit, in milliseconds. */
+  readonly at: number;
+  readonly operations: readonly TreeOperation[];
+}
+
+/** A backend server that an operator takes out of service. */
+export interface Drain {
+  readonly backendServer: BackendServerId;
+  readonly author: string;
+  /** Wall time of the host that proposed the drain, in milliseconds. */
+  readonly at: number;
+}
+
+/** What an engine is ordered to do. */
+export type OrderKind =
+  | "load_model"
+  | "load_adapter"
+  | "load_version"
+  | "set_role"
+  | "drain"
+  | "undrain";
+
+/** One process of a host. */
+export interface Sender {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+}
+
+/** An order before it is committed. */
+export interface Order {
+  readonly orderId: OrderId;
+  readonly backendServer: BackendServerId;
+  readonly kind: OrderKind;
+  /** Model, adapter, version or role; empty for `drain` and `undrain`. */
+  readonly argument: string;
+}
+
+/** How an intent ended. */
+export type OrderEnding =
+  /** The engine confirmed the order. */
+  | "confirmed"
+  /** The sender states that it wrote no byte and never will. */
+  | "not_sent"
+  /** The engine refused the order. */
+  | "refused"
+  /** The engine process that could have received the order is gone. */
+  | "new_incarnation"
+  /** A later intent for an engine that honours fencing numbers. */
+  | "superseded"
+  /** An operator states that the order can have no further effect. */
+  | "operator";
+
+/** A committed order. */
+export interface OrderIntent extends Order {
+  /** Log index of the intent. */
+  readonly fencingNumber: FencingNumber;
+  /** Engine process that the order is for. */
+  readonly incarnation: Incarnation;
+  readonly honoursFencing: boolean;
+  readonly sender: Sender;
+  /** Whether a second process may have written the same order. */
+  readonly takenOver: boolean;
+  /** Absent while the order may still take effect. */
+  readonly ending?: OrderEnding;
+}
+
+/** Answer to an intent. */
+export type IntentResult =
+  | { readonly type: "accepted"; readonly intent: OrderIntent }
+  /** Another order to the same engine has not ended. */
+  | { readonly type: "conflict"; readonly open: OrderIntent }
+  /** A newer process of the engine is known. */
+  | { readonly type: "stale_incarnation"; readonly known: Incarnation }
+  /** The sender gave the order up before its intent was applied. */
+  | { readonly type: "withdrawn" };
+
+/** Commands of the control group. */
+export type ControlCommand =
+  | { readonly type: "edit"; readonly edit: Edit; readonly at: number }
+  | {
+    readonly type: "set_drain";
+    readonly commandId: EditId;
+    readonly backendServer: BackendServerId;
+    readonly drained: boolean;
+    readonly author: string;
+    readonly at: number;
+  }
+  | {
+    readonly type: "intend";
+    readonly order: Order;
+    readonly incarnation: Incarnation;
+    readonly honoursFencing: boolean;
+    readonly sender: Sender;
+  }
+  /** A new leader finishes an order of an engine that honours fencing. */
+  | {
+    readonly type: "take_over";
+    readonly orderId: OrderId;
+    readonly sender: Sender;
+  }
+  | {
+    readonly type: "end_order";
+    readonly orderId: OrderId;
+    readonly ending: "confirmed" | "not_sent" | "refused" | "operator";
+    /** Process that states the ending. */
+    readonly sender: Sender;
+  }
+  | {
+    readonly type: "observe_engine";
+    readonly backendServer: BackendServerId;
+    readonly incarnation: Incarnation;
+  };
+
+/** Results of the control group's commands. */
+export type ControlResult =
+  | { readonly type: "edit"; readonly result: EditResult }
+  | { readonly type: "set_drain"; readonly drained: boolean }
+  | { readonly type: "intend"; readonly result: IntentResult }
+  /** `intent` is absent when the order cannot be taken over. */
+  | { readonly type: "take_over"; readonly intent?: OrderIntent }
+  /** `intent` is absent when the order is unknown or forgotten. */
+  | { readonly type: "end_order"; readonly intent?: OrderIntent }
+  | { readonly type: "observe_engine"; readonly ended: readonly OrderId[] };
+
+/** The control group as its clients use it. */
+export type ControlGroup = ReplicatedGroup<ControlCommand, ControlResult>;
+
+/** Argument of the query `confirm`. */
+export interface ConfirmationRequest {
+  /** Revision that the host has; absent at its start. */
+  readonly revision?: Revision;
+}
+
+/** Answer of the query `confirm`, valid at the time of the request. */
+export interface Confirmation {
+  readonly revision: Revision;
+  /** Accepted edits after the host's revision, oldest first. */
+  readonly changes?: readonly Pick<HistoryEntry, "revision" | "operations">[];
+  /** The whole tree, when the changes are not known any more. */
+  readonly tree?: Tree;
+  /** Backend servers that operators took out of service. */
+  readonly drains: readonly BackendServerId[];
+  /** Grows with each change of the drains. */
+  readonly drainVersion: number;
+}
+
+/** Answer of the query `edit`: the first answer or the tree to validate. */
+export interface EditLookup {
+  readonly first?: EditResult;
+  readonly revision: Revision;
+  readonly tree: Tree;
+}
+
+/** The configuration that is in force on a host. */
+export interface Configuration {
+  readonly revision: Revision;
+  readonly tree: Tree;
+  readonly drains: ReadonlySet<BackendServerId>;
+  /** Grows with each change of the drains. */
+  readonly drainVersion: number;
+}
+
+/** Options of a `ConfigurationClient`. */
+export interface ConfigurationClientOptions {
+  readonly group: ControlGroup;
+  /** Stops the client. */
+  readonly signal: AbortSignal;
+  readonly clock?: Clock;
+  /** Time between confirmations in milliseconds; defaults to 1,000. */
+  readonly interval?: number;
+  /** Wait for one confirmation in milliseconds; defaults to 2,000. */
+  readonly timeout?: number;
+  /** Age of the confirmation that isolates, in milliseconds; defaults to 6,000. */
+  readonly isolationAge?: number;
+  /** Called after each new configuration is in force. */
+  readonly onConfiguration?: (configuration: Configuration) => void;
+  /** Called when a confirmation fails. */
+  readonly onFailure?: (error: unknown) => void;
+}
+
+/**
+ * Checks a whole tree. Returns problems in plain sentences, an empty list for a
+ * valid tree.
+ */
+export type TreeValidator = (tree: Tree) => readonly string[];
+
+/** Options of an `EditClient`. */
+export interface EditClientOptions {
+  readonly group: ControlGroup;
+  readonly validate: TreeValidator;
+  readonly clock?: Clock;
+  /** Whether the host's confirmation is too old; defaults to never. */
+  readonly isolated?: () => boolean;
+}
+
+/** Options of one call of a client. */
+export interface CallOptions {
+  readonly signal?: AbortSignal;
+  /** Longest wait in milliseconds; defaults to 5,000. */
+  readonly timeout?: number;
+}
+
+/** Where an engine is reached. */
+export interface EngineTarget {
+  readonly backendServer: BackendServerId;
+  /** Host and port, for example `10.0.0.7:9000`. */
+  readonly address: string;
+}
+
+/** What an engine answers about itself over an order connection. */
+export interface EngineStatus {
+  readonly backendServer: BackendServerId;
+  readonly incarnation: Incarnation;
+  readonly honoursFencing: boolean;
+}
+
+/** What became of an order that was to be written. */
+export type OrderAnswer =
+  | { readonly type: "confirmed" }
+  | { readonly type: "refused"; readonly message: string }
+  /** No byte of the order was written. */
+  | { readonly type: "not_sent"; readonly message: string }
+  /** Bytes were written and no complete answer came. */
+  | { readonly type: "unknown"; readonly message: string };
+
+/**
+ * One connection to one engine process. It never reconnects: once the
+ * connection is lost, every call fails without a byte written.
+ */
+export abstract class OrderConnection {
+  /** Status of the engine, read over this connection. */
+  abstract status(options?: CallOptions): Promise<EngineStatus>;
+  /** Writes the order once, over this connection. Never throws. */
+  abstract send(
+    intent: OrderIntent,
+    options?: CallOptions,
+  ): Promise<OrderAnswer>;
+  /** Closes the connection; has no effect the second time. */
+  abstract close(): void;
+}
+
+/** Opens order connections; implemented by the engine adapter. */
+export abstract class OrderConnector {
+  /** Throws `backend_unreachable` when no connection is made. */
+  abstract open(
+    target: EngineTarget,
+    options?: CallOptions,
+  ): Promise<OrderConnection>;
+}
+
+/** Options of an `OrderExecutor`. */
+export interface OrderExecutorOptions {
+  readonly group: ControlGroup;
+  readonly connector: OrderConnector;
+  readonly sender: Sender;
+  /** Whether this host leads the control group, as far as it knows. */
+  readonly leads: () => boolean;
+  readonly clock?: Clock;
+  /** Longest time from the intent to the write, in milliseconds; defaults to 5,000. */
+  readonly writeWindow?: number;
+}
+
+/** What became of an order. */
+export interface OrderReport {
+  readonly intent: OrderIntent;
+  /** Absent while the order may still take effect. */
+  readonly ending?: OrderEnding;
+  readonly message?: string;
+}
+
+/** What an engine announces, as far as orders are concerned. */
+export interface EngineReport {
+  readonly backendServer: BackendServerId;
+  readonly incarnation: Incarnation;
+}
+
+/** Answer of a plain service, as it is kept for resends. */
+export interface KeptAnswer {
+  readonly status: number;
+  /** Names in lower case. */
+  readonly headers: Readonly<Record<string, string>>;
+  /** Absent when the body is larger than the limit. */
+  readonly body?: Uint8Array;
+  /** SHA-256 of the body in hexadecimal. */
+  readonly digest: string;
+}
+
+/** Commands of the journal groups. `now` is the proposer's wall time. */
+export type JournalCommand =
+  | {
+    readonly type: "claim";
+    readonly key: ClaimKey;
+    readonly attempt: AttemptId;
+    readonly bodyHash: string;
+    readonly claimer: Sender;
+    readonly now: number;
+  }
+  | {
+    readonly type: "settle";
+    readonly key: ClaimKey;
+    readonly attempt: AttemptId;
+    readonly answer: KeptAnswer;
+    readonly claimer: Sender;
+    readonly now: number;
+  }
+  /** The attempt wrote no byte, or the service states that it did not run. */
+  | {
+    readonly type: "release";
+    readonly key: ClaimKey;
+    readonly attempt: AttemptId;
+    readonly claimer: Sender;
+    readonly now: number;
+  }
+  | {
+    readonly type: "unknown";
+    readonly key: ClaimKey;
+    readonly attempt: AttemptId;
+    readonly claimer: Sender;
+    readonly now: number;
+  }
+  /** The claimer's host runs a newer process. */
+  | {
+    readonly type: "abandon";
+    readonly key: ClaimKey;
+    readonly attempt: AttemptId;
+    /** Newer incarnation of the claimer's host. */
+    readonly newer: Incarnation;
+    /** Process that proposes the command. */
+    readonly claimer: Sender;
+    readonly now: number;
+  }
+  /** Moves the journal's time when there are no claims. */
+  | { readonly type: "time"; readonly claimer: Sender; readonly now: number };
+
+/** State of a claim as others see it. */
+export type ClaimView =
+  | { readonly type: "free" }
+  | {
+    readonly type: "open";
+    readonly attempt: AttemptId;
+    readonly claimer: Sender;
+    readonly bodyHash: string;
+  }
+  | {
+    readonly type: "settled";
+    readonly answer: KeptAnswer;
+    readonly bodyHash: string;
+  }
+  /** It ran; the answer is no longer kept. */
+  | { readonly type: "expired"; readonly bodyHash: string }
+  | { readonly type: "unknown"; readonly bodyHash: string };
+
+/** Results of the journal groups' commands. */
+export type JournalResult =
+  | { readonly type: "granted" }
+  /** The key was claimed with another body. */
+  | { readonly type: "reused" }
+  /** The journal holds as many claims as it may. */
+  | { readonly type: "full" }
+  /** The attempt ended before its claim was applied. */
+  | { readonly type: "attempt_ended" }
+  /** The claim belongs to another attempt, or what became of it. */
+  | { readonly type: "held"; readonly claim: ClaimView }
+  /** Result of all commands but `claim`. */
+  | { readonly type: "recorded"; readonly claim: ClaimView };
+
+/** One journal group as its clients use it. */
+export type JournalGroup = ReplicatedGroup<JournalCommand, JournalResult>;
+
+/** Bounds of one journal group. */
+export interface JournalBounds {
+  /** Claims and tombstones; defaults to 1,000,000. */
+  readonly claims?: number;
+  /** Bytes of kept answers; defaults to 128 MiB. */
+  readonly answerBytes?: number;
+}
--- /dev/null
+++ b/packages/rhubarbstage-service/src/claim_runner.ts
@@ -0,0 +1,439 @@
+/**
+ * Runs calls to plain services at most once.
+ *
+ * @module
+ */
+
+import { createHash, randomUUID } from "node:crypto";
+import {
+  type AttemptId,
+  type ClaimKey,
+  type Clock,
+  delay,
+  RhubarbstageError,
+  SystemClock,
+  toRhubarbstageError,
+} from "rhubarbstage";
+import {
+  callRepeatedly,
+  callUntilDone,
+  type Claim,
+  claimKeyOf,
+  type ClaimView,
+  type JournalResult,
+  type KeptAnswer,
+  keptBodyLimit,
+} from "@rhubarbstage/control";
+import {
+  answerLimit,
+  answerTimeout,
+  claimTimeout,
+  idempotencyKeyLimit,
+  lookPause,
+  releaseWait,
+  runningLimit,
+  sendWindow,
+} from "./constants.ts";
+import { sendOnce, type SendResult } from "./single_send.ts";
+import type {
+  ClaimedCall,
+  ClaimNote,
+  ClaimRunnerOptions,
+  ServiceAnswer,
+  ServiceRequest,
+  ServiceTarget,
+} from "./types.ts";
+
+type OpenClaim = Extract<ClaimView, { type: "open" }>;
+
+/** SHA-256 of method, path and body, to recognise a reused key. */
+export function bodyHashOf(request: ServiceRequest): string {
+  return createHash("sha256")
+    .update(JSON.stringify([request.method, request.path]))
+    .update(request.body)
+    .digest("hex");
+}
+
+/**
+ * Runs calls that must not run twice. A refusal that says `not_run` speaks of
+ * the request it answers: earlier requests with the same key may have run if
+ * the journal could not be asked.
+ */
+export class ClaimRunner {
+  #options: ClaimRunnerOptions;
+  #clock: Clock;
+  #running = 0;
+  #pending = new Set<Promise<unknown>>();
+
+  constructor(options: ClaimRunnerOptions) {
+    this.#options = options;
+    this.#clock = options.clock ?? new SystemClock();
+  }
+
+  /** Calls that run and claims whose end is not committed yet. */
+  get pending(): number {
+    return this.#pending.size;
+  }
+
+  /** Resolves when no call runs and the end of each claim is committed. */
+  async idle(): Promise<void> {
+    while (this.#pending.size > 0) await Promise.allSettled(this.#pending);
+  }
+
+  /**
+   * Claims, sends once and keeps the answer; or repeats the kept answer.
+   * Throws an error of the closed list whose outcome is true.
+   */
+  async run(call: ClaimedCall): Promise<ServiceAnswer> {
+    const key = this.#checkedKey(call);
+    const bodyHash = bodyHashOf(call.request);
+    let pause: number = lookPause.first;
+    while (true) {
+      const attempt = randomUUID() as AttemptId;
+      const result = await this.#claim({ key, attempt, bodyHash }, call);
+      const answer = await this.#answerTo(result, { key, attempt }, call);
+      if (answer !== undefined) return answer;
+      if (result.type === "held") {
+        pause = await this.#waitWhileOpen({ key, bodyHash }, call, pause);
+      }
+    }
+  }
+
+  #checkedKey(call: ClaimedCall): ClaimKey {
+    const { customer, service, idempotencyKey } = call;
+    if (!idempotencyKey) throw new RhubarbstageError("idempotency_key_missing");
+    if (idempotencyKey.length > idempotencyKeyLimit) {
+      throw new RhubarbstageError("invalid_request", {
+        message: `Idempotency-Key has more than ${idempotencyKeyLimit} ` +
+          "characters",
+      });
+    }
+    if (this.#options.isolated?.()) {
+      throw new RhubarbstageError("no_quorum", {
+        message: "This host cannot confirm its configuration",
+      });
+    }
+    if (this.#running >= runningLimit) {
+      throw new RhubarbstageError("overloaded", { retryAfterSeconds: 1 });
+    }
+    return claimKeyOf({ customer, service, idempotencyKey });
+  }
+
+  /** A claim that is not known to be granted is withdrawn in the background. */
+  async #claim(
+    claim: Claim & { readonly bodyHash: string },
+    call: ClaimedCall,
+  ): Promise<JournalResult> {
+    const left = call.deadlineAt - this.#clock.monotonicMilliseconds();
+    const timeout = Math.min(Math.max(left, 0), claimTimeout);
+    try {
+      return await callRepeatedly(
+        (options) => this.#options.journal.claim(claim, options),
+        { timeout },
+      );
+    } catch (error) {
+      void this.#release(claim);
+      throw new RhubarbstageError("no_quorum", {
+        outcome: "not_run",
+        cause: error,
+      });
+    }
+  }
+
+  /** Answer to the caller, or undefined when the claim has to be tried again. */
+  #answerTo(
+    result: JournalResult,
+    claim: Claim,
+    call: ClaimedCall,
+  ): Promise<ServiceAnswer> | ServiceAnswer | undefined {
+    switch (result.type) {
+      case "granted":
+        return this.#execute(claim, call);
+      case "reused":
+        throw new RhubarbstageError("idempotency_key_reused");
+      case "full":
+        throw new RhubarbstageError("overloaded", {
+          message: "The claim journal is full",
+          retryAfterSeconds: 60,
+        });
+      case "held":
+        return answerOfClaim(result.claim);
+      case "attempt_ended":
+      case "recorded":
+        return undefined;
+    }
+  }
+
+  /** Waits until an open claim of another attempt has ended. */
+  async #waitWhileOpen(
+    claim: { readonly key: ClaimKey; readonly bodyHash: string },
+    call: ClaimedCall,
+    firstPause: number,
+  ): Promise<number> {
+    let pause = firstPause;
+    while (true) {
+      const view = await this.#view(claim.key);
+      if (view?.type === "open") await this.#abandonIfGone(claim.key, view);
+      else if (view !== undefined) return pause;
+      const left = call.deadlineAt - this.#clock.monotonicMilliseconds();
+      if (left <= pause || call.signal?.aborted) {
+        throw new RhubarbstageError("claim_in_progress", {
+          retryAfterSeconds: 1,
+        });
+      }
+      await delay(pause);
+      pause = Math.min(pause * lookPause.growth, lookPause.longest);
+    }
+  }
+
+  async #view(key: ClaimKey): Promise<ClaimView | undefined> {
+    try {
+      return await this.#options.journal.view(key, {
+        timeout: lookPause.longest,
+      });
+    } catch {
+      return undefined;
+    }
+  }
+
+  async #abandonIfGone(key: ClaimKey, open: OpenClaim): Promise<void> {
+    const { claimer, attempt } = open;
+    const own = this.#options.claimer;
+    const newest = claimer.host === own.host
+      ? own.incarnation
+      : this.#options.newestIncarnation?.(claimer.host);
+    if (newest === undefined || newest <= claimer.incarnation) return;
+    try {
+      const claim = { key, attempt, newer: newest };
+      await this.#options.journal.abandon(claim, {
+        timeout: lookPause.longest,
+      });
+      this.#note("claim_abandoned", { key, attempt });
+    } catch {
+      // The next look tries again.
+    }
+  }
+
+  async #execute(claim: Claim, call: ClaimedCall): Promise<ServiceAnswer> {
+    const grantedAt = this.#clock.monotonicMilliseconds();
+    this.#note("claim_granted", claim);
+    const target = await this.#acquire(claim, call);
+    // The call goes on when the caller leaves, so that a resend finds its end.
+    this.#running += 1;
+    const sending = this.#send(claim, call, { target, grantedAt })
+      .finally(() => this.#running -= 1);
+    this.#track(sending);
+    return await this.#untilDeadline(sending, call);
+  }
+
+  async #acquire(claim: Claim, call: ClaimedCall): Promise<ServiceTarget> {
+    try {
+      return await call.acquireTarget();
+    } catch (thrown) {
+      await this.#releaseBriefly(claim);
+      const error = toRhubarbstageError(thrown);
+      const { kind, message, retryAfterSeconds } = error;
+      const cause = thrown;
+      throw new RhubarbstageError(kind, {
+        message,
+        outcome: "not_run",
+        retryAfterSeconds,
+        cause,
+      });
+    }
+  }
+
+  async #send(
+    claim: Claim,
+    call: ClaimedCall,
+    context: { readonly target: ServiceTarget; readonly grantedAt: number },
+  ): Promise<ServiceAnswer> {
+    const { target, grantedAt } = context;
+    let refusal: RhubarbstageError | undefined;
+    const result = await sendOnce(target.address, call.request, {
+      answerTimeout: this.#options.answerTimeout ?? answerTimeout,
+      answerLimit: this.#options.answerLimit ?? answerLimit,
+      mayWrite: () => {
+        refusal = this.#refusal(call, grantedAt);
+        return refusal === undefined;
+      },
+    });
+    call.onTargetDone?.({
+      target,
+      outcome: outcomeOf(result),
+      connectionLost: result.type === "not_run" || result.type === "unknown",
+    });
+    if (refusal === undefined) return await this.#conclude(claim, result);
+    await this.#releaseBriefly(claim);
+    throw refusal;
+  }
+
+  /** Checked after each wait, because the process may have been paused. */
+  #refusal(
+    call: ClaimedCall,
+    grantedAt: number,
+  ): RhubarbstageError | undefined {
+    const now = this.#clock.monotonicMilliseconds();
+    const window = this.#options.sendWindow ?? sendWindow;
+    const late = now - grantedAt > window || now > call.deadlineAt;
+    if (late || call.signal?.aborted) {
+      return new RhubarbstageError("deadline_exceeded", { outcome: "not_run" });
+    }
+    if (!this.#options.isolated?.()) return undefined;
+    return new RhubarbstageError("no_quorum", { outcome: "not_run" });
+  }
+
+  async #conclude(claim: Claim, result: SendResult): Promise<ServiceAnswer> {
+    switch (result.type) {
+      case "answered": {
+        const { notRun, type: _type, ...rest } = result;
+        if (notRun) await this.#releaseBriefly(claim);
+        else this.#settle(claim, keptAnswerOf(result));
+        const outcome = notRun ? "not_run" : "ran";
+        return { ...rest, outcome, replayed: false };
+      }
+      case "too_large": {
+        const { status, digest } = result;
+        this.#settle(claim, { status, headers: {}, digest });
+        throw new RhubarbstageError("backend_failed", {
+          outcome: "ran",
+          message: "The service ran the request; its answer is too large",
+        });
+      }
+      case "not_run":
+        await this.#releaseBriefly(claim);
+        throw new RhubarbstageError("backend_unreachable", {
+          outcome: "not_run",
+          cause: result.message,
+        });
+      case "unknown":
+        this.#commit(
+          "claim_unknown",
+          claim,
+          (options) => this.#options.journal.markUnknown(claim, options),
+        );
+        throw new RhubarbstageError("backend_failed", {
+          outcome: "may_have_run",
+          cause: result.message,
+        });
+    }
+  }
+
+  async #untilDeadline(
+    sending: Promise<ServiceAnswer>,
+    call: ClaimedCall,
+  ): Promise<ServiceAnswer> {
+    const waiting = new AbortController();
+    const leave = () => waiting.abort();
+    call.signal?.addEventListener("abort", leave, { once: true });
+    if (call.signal?.aborted) leave();
+    const left = call.deadlineAt - this.#clock.monotonicMilliseconds();
+    const timeOut = delay(Math.max(left, 0), { signal: waiting.signal })
+      .catch(() => {})
+      .then(() => {
+        throw new RhubarbstageError("deadline_exceeded", {
+          outcome: "may_have_run",
+        });
+      });
+    try {
+      return await Promise.race([sending, timeOut]);
+    } finally {
+      call.signal?.removeEventListener("abort", leave);
+      timeOut.catch(() => {});
+      waiting.abort();
+    }
+  }
+
+  #settle(claim: Claim, answer: KeptAnswer): void {
+    const { key, attempt } = claim;
+    this.#commit(
+      "claim_settled",
+      claim,
+      (options) =>
+        this.#options.journal.settle({ key, attempt, answer }, options),
+    );
+  }
+
+  #release(claim: Claim): Promise<void> {
+    const { key, attempt } = claim;
+    return this.#commit(
+      "claim_released",
+      claim,
+      (options) => this.#options.journal.release({ key, attempt }, options),
+    );
+  }
+
+  async #releaseBriefly(claim: Claim): Promise<void> {
+    const waiting = new AbortController();
+    const { signal } = waiting;
+    const pause = delay(releaseWait, { signal }).catch(() => {});
+    await Promise.race([this.#release(claim), pause]);
+    waiting.abort();
+  }
+
+  /** Tries until the process ends: nobody else knows how the claim ended. */
+  #commit(
+    event: ClaimNote["event"],
+    claim: Claim,
+    propose: Parameters<typeof callUntilDone<JournalResult>>[0],
+  ): Promise<void> {
+    const onFailure = (error: unknown) =>
+      this.#note("claim_commit_failed", claim, String(error));
+    const committing = callUntilDone(propose, { onFailure })
+      .then(() => this.#note(event, claim));
+    this.#track(committing);
+    return committing;
+  }
+
+  #track(work: Promise<unknown>): void {
+    const tracked = work.catch(() => {}).finally(() =>
+      this.#pending.delete(tracked)
+    );
+    this.#pending.add(tracked);
+  }
+
+  #note(event: ClaimNote["event"], claim: Claim, detail?: string): void {
+    const { key, attempt } = claim;
+    this.#options.onNote?.({ event, key, attempt, detail });
+  }
+}
+
+function outcomeOf(result: SendResult): "not_run" | "may_have_run" | "ran" {
+  switch (result.type) {
+    case "answered":
+      return result.notRun ? "not_run" : "ran";
+    case "too_large":
+      return "ran";
+    case "not_run":
+      return "not_run";
+    case "unknown":
+      return "may_have_run";
+  }
+}
+
+function keptAnswerOf(
+  answer: Extract<SendResult, { type: "answered" }>,
+): KeptAnswer {
+  const { status, headers, body } = answer;
+  const digest = createHash("sha256").update(body).digest("hex");
+  if (body.byteLength > keptBodyLimit) return { status, headers: {}, digest };
+  return { status, headers, body, digest };
+}
+
+/** Answer to a resend, or undefined while the claim is open or free. */
+function answerOfClaim(claim: ClaimView): ServiceAnswer | undefined {
+  switch (claim.type) {
+    case "settled": {
+      const { status, headers, body } = claim.answer;
+      if (body === undefined) throw new RhubarbstageError("answer_expired");
+      return { status, headers, body, outcome: "ran", replayed: true };
+    }
+    case "expired":
+      throw new RhubarbstageError("answer_expired");
+    case "unknown":
+      throw new RhubarbstageError("outcome_unknown");
+    case "open":
+    case "free":
+      return undefined;
+  }
+}
--- a/packages/rhubarbstage-service/src/mod.ts
+++ b/packages/rhubarbstage-service/src/mod.ts
@@ -1,7 +1,19 @@
 /**
- * Calls to plain services with at-most-once effects.
+ * Calls to plain services, with at-most-once execution through the journal.
  *
  * @module
  */
 
-export {};
+export type {
+  ClaimedCall,
+  ClaimNote,
+  ClaimRunnerOptions,
+  RepeatableCallOptions,
+  ServiceAnswer,
+  ServiceRequest,
+  ServiceTarget,
+  StreamedAnswer,
+  TargetResult,
+} from "./types.ts";
+export { bodyHashOf, ClaimRunner } from "./claim_runner.ts";
+export { RepeatableClient } from "./repeatable_client.ts";
--- /dev/null
+++ b/packages/rhubarbstage-service/src/repeatable_client.ts
@@ -0,0 +1,82 @@
+/**
+ * Calls to plain services that may run more than once.
+ *
+ * @module
+ */
+
+import { RhubarbstageError } from "rhubarbstage";
+import { Agent } from "undici";
+import { connectTimeout } from "./constants.ts";
+import { passedHeaders } from "./headers.ts";
+import type {
+  RepeatableCallOptions,
+  ServiceRequest,
+  ServiceTarget,
+  StreamedAnswer,
+} from "./types.ts";
+
+/**
+ * Makes one try of a call on kept-alive connections. Retries are the policy's
+ * decision, so that budgets and failed servers are taken into account.
+ */
+export class RepeatableClient {
+  #agent = new Agent({
+    connect: { timeout: connectTimeout },
+    pipelining: 1,
+    bodyTimeout: 0,
+  });
+
+  /**
+   * Returns once the head of the answer has arrived. Throws `backend_failed`
+   * (`may_have_run`), `backend_unreachable` (`not_run`) when no connection was
+   * made, and `deadline_exceeded` (`may_have_run`).
+   */
+  async call(
+    target: ServiceTarget,
+    request: ServiceRequest,
+    options: RepeatableCallOptions,
+  ): Promise<StreamedAnswer> {
+    try {
+      const response = await this.#agent.request({
+        origin: `http://${target.address}`,
+        method: request.method,
+        path: request.path,
+        headers: passedHeaders(request.headers),
+        body: request.body.byteLength > 0 ? request.body : null,
+        signal: options.signal,
+        headersTimeout: options.timeout,
+      });
+      const headers = passedHeaders(response.headers);
+      return { status: response.statusCode, headers, body: response.body };
+    } catch (error) {
+      throw errorOfTry(error);
+    }
+  }
+
+  /** Closes all connections at once. */
+  close(): Promise<void> {
+    return this.#agent.destroy();
+  }
+}
+
+/** Codes of errors that are raised before a connection stands. */
+const connectErrorCodes: ReadonlySet<unknown> = new Set([
+  "ECONNREFUSED",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+function errorOfTry(error: unknown): RhubarbstageError {
+  const code = (error as { code?: unknown } | undefined)?.code;
+  if (connectErrorCodes.has(code)) {
+    return new RhubarbstageError("backend_unreachable", { cause: error });
+  }
+  if (code === "UND_ERR_HEADERS_TIMEOUT") {
+    return new RhubarbstageError("deadline_exceeded", {
+      outcome: "may_have_run",
+      cause: error,
+    });
+  }
+  return new RhubarbstageError("backend_failed", { cause: error });
+}
--- /dev/null
+++ b/packages/rhubarbstage-service/src/single_send.ts
@@ -0,0 +1,174 @@
+/**
+ * One HTTP request on one new connection, with the truth about bytes written.
+ *
+ * @module
+ */
+
+import { connect, type Socket } from "node:net";
+import { createHash } from "node:crypto";
+import { Client } from "undici";
+import { connectTimeout, outcomeHeader } from "./constants.ts";
+import { passedHeaders } from "./headers.ts";
+import type { ServiceRequest } from "./types.ts";
+
+/** What became of one request. */
+export type SendResult =
+  | {
+    readonly type: "answered";
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string>>;
+    readonly body: Uint8Array;
+    /** The service states that it did not run the request. */
+    readonly notRun: boolean;
+  }
+  /** The service ran the request; its answer is larger than the limit. */
+  | {
+    readonly type: "too_large";
+    readonly status: number;
+    readonly digest: string;
+  }
+  /** No byte was written, or the service states that it did not run. */
+  | { readonly type: "not_run"; readonly message: string }
+  /** Bytes were written and no complete answer came. */
+  | { readonly type: "unknown"; readonly message: string };
+
+/** Options of {@linkcode sendOnce}. */
+export interface SendOptions {
+  /** Longest wait for the answer in milliseconds, from the first byte. */
+  readonly answerTimeout: number;
+  /** Largest body of an answer in bytes. */
+  readonly answerLimit: number;
+  /** Checked once the connection stands; `false` closes it unused. */
+  readonly mayWrite: () => boolean;
+}
+
+/** Host and port of an address such as `10.0.0.7:9000` or `[::1]:9000`. */
+export function parseAddress(
+  address: string,
+): { readonly host: string; readonly port: number } {
+  const url = new URL(`http://${address}`);
+  return {
+    host: url.hostname.replace(/^\[|\]$/g, ""),
+    port: Number(url.port || 80),
+  };
+}
+
+/** Sends a request at most once. Never throws. */
+export async function sendOnce(
+  address: string,
+  request: ServiceRequest,
+  options: SendOptions,
+): Promise<SendResult> {
+  let socket: Socket;
+  try {
+    socket = await openSocket(address);
+  } catch (error) {
+    return { type: "not_run", message: messageOf(error) };
+  }
+  if (!options.mayWrite()) {
+    socket.destroy();
+    return { type: "not_run", message: "The time to send has passed" };
+  }
+  const client = clientOf(address, socket);
+  try {
+    return await exchange(client, request, options);
+  } catch (error) {
+    const message = messageOf(error);
+    // Counts bytes that Node.js still holds as well as those it has sent.
+    const written = socket.bytesWritten > 0;
+    return { type: written ? "unknown" : "not_run", message };
+  } finally {
+    socket.destroy();
+    await client.destroy().catch(() => {});
+  }
+}
+
+function openSocket(address: string): Promise<Socket> {
+  return new Promise((resolve, reject) => {
+    const socket = connect({ ...parseAddress(address), noDelay: true });
+    const timer = setTimeout(
+      () => socket.destroy(new Error("The connection took too long")),
+      connectTimeout,
+    );
+    socket.once("error", (error) => {
+      clearTimeout(timer);
+      reject(error);
+    });
+    socket.once("connect", () => {
+      clearTimeout(timer);
+      socket.removeAllListeners("error");
+      socket.on("error", () => {});
+      resolve(socket);
+    });
+  });
+}
+
+/** A client that can only use the given connection and never opens another. */
+function clientOf(address: string, socket: Socket): Client {
+  let used = false;
+  return new Client(`http://${address}`, {
+    pipelining: 1,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+    connect: (_options, callback) => {
+      if (used || socket.destroyed) {
+        callback(new Error("The connection was lost"), null);
+        return;
+      }
+      used = true;
+      callback(null, socket);
+    },
+  });
+}
+
+async function exchange(
+  client: Client,
+  request: ServiceRequest,
+  options: SendOptions,
+): Promise<SendResult> {
+  const signal = AbortSignal.timeout(options.answerTimeout);
+  const response = await client.request({
+    method: request.method,
+    path: request.path,
+    headers: passedHeaders(request.headers),
+    body: request.body,
+    reset: true,
+    signal,
+  });
+  const status = response.statusCode;
+  const headers = passedHeaders(response.headers);
+  const notRun = headers[outcomeHeader] === "not_run";
+  try {
+    const read = await readBody(response.body, options.answerLimit);
+    if (read.body === undefined) {
+      return { type: "too_large", status, digest: read.digest };
+    }
+    return { type: "answered", status, headers, body: read.body, notRun };
+  } catch (error) {
+    if (!notRun) throw error;
+    return { type: "not_run", message: messageOf(error) };
+  }
+}
+
+/** Reads a body to its end; keeps none that is above the limit. */
+async function readBody(
+  body: AsyncIterable<Uint8Array>,
+  limit: number,
+): Promise<{ readonly body?: Uint8Array; readonly digest: string }> {
+  const hash = createHash("sha256");
+  const chunks: Uint8Array[] = [];
+  let length = 0;
+  for await (const chunk of body) {
+    hash.update(chunk);
+    length += chunk.byteLength;
+    if (length <= limit) chunks.push(chunk);
+    else chunks.length = 0;
+  }
+  const digest = hash.digest("hex");
+  if (length > limit) return { digest };
+  return { body: Buffer.concat(chunks), digest };
+}
+
+function messageOf(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
