--- /dev/null
+++ b/packages/rhubarbstage-engine/src/engine_client.ts
@@ -0,0 +1,294 @@
+/**
+ * Client of the engines' HTTP interface.
+ *
+ * @module
+ */
+
+import { Agent, type Dispatcher } from "undici";
+import type { AttemptId, RequestId } from "rhubarbstage";
+import {
+  answerSizeLimit,
+  defaultConnections,
+  defaultConnectTimeout,
+  defaultIdleTimeout,
+  resumedFromHeader,
+} from "./constants.ts";
+import { connectionError, EngineError, refusalError } from "./errors.ts";
+import { EventStreamReader } from "./event_stream.ts";
+import { type AnswerHead, Exchange } from "./exchange.ts";
+import { parseExportedCache, parseStatus } from "./schema.ts";
+import type {
+  EngineAddress,
+  EngineStatus,
+  ExportedCache,
+  GenerationEvent,
+  GenerationRequest,
+  JsonObject,
+} from "./types.ts";
+
+/** Options of an {@linkcode EngineClient}. */
+export interface EngineClientOptions {
+  /** Bearer token for the engines. */
+  readonly token?: string;
+  /** Connections to one engine. Defaults to 256. */
+  readonly connections?: number;
+  /** Time to connect, in milliseconds. Defaults to 2,000. */
+  readonly connectTimeout?: number;
+  /** Silence that ends a stream, in milliseconds. Defaults to 10,000. */
+  readonly idleTimeout?: number;
+  /** Certificate authorities for engines that use TLS, in PEM form. */
+  readonly certificateAuthorities?: string;
+}
+
+/** Options of one call. */
+export interface CallOptions {
+  readonly signal?: AbortSignal;
+}
+
+/** Options of {@linkcode EngineClient.importCache}. */
+export interface ImportOptions extends CallOptions {
+  /** Engine that exported the cache. */
+  readonly source: EngineAddress;
+  readonly cache: ExportedCache;
+}
+
+interface Call extends CallOptions {
+  readonly method: "GET" | "POST";
+  readonly path: string;
+  readonly body?: JsonObject;
+}
+
+/** Calls engines. Never sends a request twice by itself. */
+export class EngineClient {
+  #agent: Agent;
+  #headers: Record<string, string>;
+  #idleTimeout: number;
+
+  constructor(options: EngineClientOptions = {}) {
+    this.#agent = new Agent({
+      connections: options.connections ?? defaultConnections,
+      pipelining: 1,
+      connect: {
+        timeout: options.connectTimeout ?? defaultConnectTimeout,
+        ca: options.certificateAuthorities,
+      },
+    });
+    this.#idleTimeout = options.idleTimeout ?? defaultIdleTimeout;
+    this.#headers = { "content-type": "application/json" };
+    if (options.token) this.#headers.authorization = `Bearer ${options.token}`;
+  }
+
+  /** Closes all connections. */
+  close(): Promise<void> {
+    return this.#agent.destroy();
+  }
+
+  /**
+   * Runs one attempt and yields its events; the last is `finished`. Returning
+   * from the iteration or aborting the signal cancels the attempt on the
+   * engine.
+   *
+   * @throws {EngineError} If the engine cannot be reached, refuses, or ends its
+   * stream without the terminator.
+   */
+  async *generate(
+    address: EngineAddress,
+    request: GenerationRequest,
+    options: CallOptions = {},
+  ): AsyncGenerator<GenerationEvent, void, void> {
+    const exchange = this.#dispatch(address, {
+      method: "POST",
+      path: generationPaths[request.endpoint],
+      body: encodeGeneration(request),
+    });
+    const unlink = abortWith(exchange, options.signal);
+    let answered = false;
+    try {
+      const head = await exchange.head;
+      await checkHead(exchange, head, request);
+      answered = true;
+      const reader = new EventStreamReader(request.resumeFrom);
+      for await (const bytes of exchange.read()) {
+        yield* reader.feed(bytes);
+        if (reader.finished) return;
+      }
+      throw new EngineError("stream_interrupted", { written: true });
+    } catch (thrown) {
+      if (options.signal?.aborted) throw options.signal.reason;
+      if (thrown instanceof EngineError) throw thrown;
+      throw connectionError(thrown, { written: exchange.written, answered });
+    } finally {
+      unlink();
+      exchange.abort(new Error("The attempt is over"));
+    }
+  }
+
+  /** Asks an engine to cancel an attempt whose connection may hang. */
+  async cancel(
+    address: EngineAddress,
+    attempt: { readonly request: RequestId; readonly attempt: AttemptId },
+    options: CallOptions = {},
+  ): Promise<void> {
+    await this.#call(address, {
+      method: "POST",
+      path: "/v1/cancel",
+      body: { request_id: attempt.request, attempt_id: attempt.attempt },
+      ...options,
+    });
+  }
+
+  /** Reads the status of an engine. */
+  async status(
+    address: EngineAddress,
+    options: CallOptions = {},
+  ): Promise<EngineStatus> {
+    const answer = await this.#call(address, {
+      method: "GET",
+      path: "/v1/status",
+      ...options,
+    });
+    return parseStatus(answer);
+  }
+
+  /** Lets an engine compute a prompt and hold its KV cache for another one. */
+  async exportCache(
+    address: EngineAddress,
+    request: GenerationRequest,
+    options: CallOptions = {},
+  ): Promise<ExportedCache> {
+    const answer = await this.#call(address, {
+      method: "POST",
+      path: "/v1/kv/export",
+      body: encodeGeneration(request),
+      ...options,
+    });
+    return parseExportedCache(answer);
+  }
+
+  /** Lets an engine fetch an exported KV cache; resolves with its handle. */
+  async importCache(
+    address: EngineAddress,
+    options: ImportOptions,
+  ): Promise<ExportedCache> {
+    const answer = await this.#call(address, {
+      method: "POST",
+      path: "/v1/kv/import",
+      body: { handle: options.cache.handle, source: options.source.url },
+      signal: options.signal,
+    });
+    return parseExportedCache(answer);
+  }
+
+  #dispatch(address: EngineAddress, call: Call): Exchange {
+    const exchange = new Exchange();
+    const options: Dispatcher.DispatchOptions = {
+      origin: address.url,
+      path: call.path,
+      method: call.method,
+      headers: this.#headers,
+      body: call.body === undefined ? null : JSON.stringify(call.body),
+      headersTimeout: this.#idleTimeout,
+      bodyTimeout: this.#idleTimeout,
+    };
+    this.#agent.dispatch(options, exchange);
+    return exchange;
+  }
+
+  async #call(address: EngineAddress, call: Call): Promise<unknown> {
+    const exchange = this.#dispatch(address, call);
+    return await readAnswer(exchange, call);
+  }
+}
+
+const generationPaths = {
+  chat: "/v1/chat/completions",
+  text: "/v1/completions",
+} as const;
+
+function encodeGeneration(request: GenerationRequest): JsonObject {
+  return {
+    ...request.body,
+    stream: true,
+    stream_options: { include_usage: true },
+    request_id: request.request,
+    attempt_id: request.attempt,
+    priority: request.priority,
+    resume_from: request.resumeFrom,
+    created: request.created,
+    prefixes: request.prefixes,
+    kv_handle: request.cacheHandle,
+  };
+}
+
+/** Reads a JSON answer and converts refusals and connection errors. */
+export async function readAnswer(
+  exchange: Exchange,
+  options: CallOptions,
+): Promise<unknown> {
+  const unlink = abortWith(exchange, options.signal);
+  let answered = false;
+  try {
+    const head = await exchange.head;
+    answered = true;
+    const body = await readText(exchange);
+    if (head.status !== 200) {
+      throw refusalError({ ...head, body });
+    }
+    return body === "" ? {} : JSON.parse(body);
+  } catch (thrown) {
+    if (options.signal?.aborted) throw options.signal.reason;
+    if (thrown instanceof EngineError) throw thrown;
+    if (thrown instanceof SyntaxError) {
+      throw new EngineError("backend_failed", { written: true, cause: thrown });
+    }
+    throw connectionError(thrown, { written: exchange.written, answered });
+  } finally {
+    unlink();
+    exchange.abort(new Error("The call is over"));
+  }
+}
+
+async function readText(exchange: Exchange): Promise<string> {
+  const parts: Buffer[] = [];
+  let size = 0;
+  for await (const part of exchange.read()) {
+    size += part.length;
+    if (size > answerSizeLimit) {
+      throw new EngineError("backend_failed", {
+        message: "The engine's answer is too large",
+        written: true,
+      });
+    }
+    parts.push(part);
+  }
+  return Buffer.concat(parts).toString("utf8");
+}
+
+async function checkHead(
+  exchange: Exchange,
+  head: AnswerHead,
+  request: GenerationRequest,
+): Promise<void> {
+  if (head.status !== 200) {
+    throw refusalError({ ...head, body: await readText(exchange) });
+  }
+  const contentType = String(head.headers["content-type"] ?? "");
+  if (!contentType.startsWith("text/event-stream")) {
+    throw new EngineError("backend_failed", {
+      message: "The engine's answer is not an event stream",
+      written: true,
+    });
+  }
+  const resumedFrom = Number(head.headers[resumedFromHeader] ?? 0);
+  if (resumedFrom !== request.resumeFrom) {
+    throw new EngineError("resume_failed", { written: true });
+  }
+}
+
+function abortWith(exchange: Exchange, signal?: AbortSignal): () => void {
+  if (!signal) return () => {};
+  const onAbort = () => exchange.abort(new Error("The call was cancelled"));
+  if (signal.aborted) onAbort();
+  signal.addEventListener("abort", onAbort, { once: true });
+  return () => signal.removeEventListener("abort", onAbort);
+}
--- a/packages/rhubarbstage-engine/src/mod.ts
+++ b/packages/rhubarbstage-engine/src/mod.ts
@@ -4,4 +4,47 @@
  * @module
  */
 
-export {};
+export {
+  cacheBlockTokens,
+  charactersPerToken,
+  outcomeHeader,
+  resumedFromHeader,
+} from "./constants.ts";
+export type { EngineErrorDetails, EngineRefusal } from "./errors.ts";
+export { EngineError, refusalError } from "./errors.ts";
+export type {
+  Announcement,
+  CacheEvents,
+  Departure,
+  EngineAddress,
+  EngineLoad,
+  EngineOrder,
+  EngineRole,
+  EngineStatus,
+  ExportedCache,
+  FencingMode,
+  GenerationChunk,
+  GenerationEndpoint,
+  GenerationEvent,
+  GenerationRequest,
+  JsonObject,
+  OrderAnswer,
+  OrderKind,
+  ReportedOrder,
+} from "./types.ts";
+export type {
+  CallOptions,
+  EngineClientOptions,
+  ImportOptions,
+} from "./engine_client.ts";
+export { EngineClient } from "./engine_client.ts";
+export type { OrderConnectionOptions } from "./order_connection.ts";
+export { openOrderConnection, OrderConnection } from "./order_connection.ts";
+export { EventStreamReader } from "./event_stream.ts";
+export {
+  parseAnnouncement,
+  parseCacheEvents,
+  parseDeparture,
+  parseStatus,
+} from "./schema.ts";
+export { estimateTokens, promptPrefixes, promptText } from "./prompt.ts";
--- /dev/null
+++ b/packages/rhubarbstage-test-support/src/fake_engine_text.ts
@@ -0,0 +1,58 @@
+/**
+ * Text of the fake engine: each token is a function of prompt and position, so
+ * that tests can check every token of an answer.
+ *
+ * @module
+ */
+
+const charactersPerToken = 4;
+
+/** Length of a prompt in the fake engine's tokens. */
+export function fakeTokenCount(prompt: string): number {
+  return Math.ceil(prompt.length / charactersPerToken);
+}
+
+/** Seed of the answer to a prompt (the FNV-1a hash of its UTF-16 units). */
+export function fakeSeed(prompt: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < prompt.length; index++) {
+    hash = Math.imul(hash ^ prompt.charCodeAt(index), 0x01000193);
+  }
+  return hash >>> 0;
+}
+
+/** Token at a position of the answer that belongs to a seed. */
+export function fakeTokenOfSeed(seed: number, position: number): string {
+  let mixed = Math.imul(seed ^ (position + 1), 0x9e3779b1);
+  mixed = Math.imul(mixed ^ (mixed >>> 15), 0x85ebca6b);
+  return ` ${((mixed ^ (mixed >>> 13)) >>> 0).toString(36)}`;
+}
+
+/** Token at a position of the answer to a prompt. */
+export function fakeToken(prompt: string, position: number): string {
+  return fakeTokenOfSeed(fakeSeed(prompt), position);
+}
+
+/** The answer to a prompt with a given number of tokens. */
+export function fakeText(prompt: string, tokens: number): string {
+  const seed = fakeSeed(prompt);
+  return Array.from(
+    { length: tokens },
+    (_, position) => fakeTokenOfSeed(seed, position),
+  ).join("");
+}
+
+/** Prompt of a chat as the fake engine reads it. */
+export function fakeChatPrompt(
+  messages: readonly { readonly role: string; readonly content: unknown }[],
+): string {
+  return messages
+    .map(({ role, content }) => `${role}: ${contentText(content)}`)
+    .join("\n");
+}
+
+function contentText(content: unknown): string {
+  if (typeof content === "string") return content;
+  if (!Array.isArray(content)) return "";
+  return content.map((part) => part?.text ?? "").join("");
+}
