--- a/packages/rhubarbstage-control/src/order_executor.ts
+++ b/packages/rhubarbstage-control/src/order_executor.ts
@@ -215,11 +215,12 @@
     if (intent.ending !== undefined || !isSameSender(intent.sender, sender)) {
       return { intent, ending: intent.ending };
     }
+    const { signal } = context.options;
     // A paused process may continue here long after it lost its authority.
     const lost = context.expired() || !this.#options.leads();
     const answer: OrderAnswer = lost
       ? { type: "not_sent", message: "The leader lost its authority" }
-      : await context.connection.send(intent, context.options);
+      : await context.connection.send(intent, { signal });
     const message = "message" in answer ? answer.message : undefined;
     const ending = endingOfAnswer[answer.type];
     if (ending === undefined) return { intent, message };
--- a/packages/rhubarbstage-control/src/types.ts
+++ b/packages/rhubarbstage-control/src/types.ts
@@ -270,7 +270,7 @@
 /** Where an engine is reached. */
 export interface EngineTarget {
   readonly backendServer: BackendServerId;
-  /** Host and port, for example `10.0.0.7:9000`. */
+  /** Base address, for example `http://10.0.0.7:9000`. */
   readonly address: string;
 }
 
@@ -297,7 +297,10 @@
 export abstract class OrderConnection {
   /** Status of the engine, read over this connection. */
   abstract status(options?: CallOptions): Promise<EngineStatus>;
-  /** Writes the order once, over this connection. Never throws. */
+  /**
+   * Writes the order once, over this connection, and waits for the answer as
+   * long as the change may take. Never throws.
+   */
   abstract send(
     intent: OrderIntent,
     options?: CallOptions,
--- a/packages/rhubarbstage-service/src/repeatable_client.ts
+++ b/packages/rhubarbstage-service/src/repeatable_client.ts
@@ -38,7 +38,7 @@
   ): Promise<StreamedAnswer> {
     try {
       const response = await this.#agent.request({
-        origin: `http://${target.address}`,
+        origin: target.address,
         method: request.method,
         path: request.path,
         headers: passedHeaders(request.headers),
--- a/packages/rhubarbstage-service/src/single_send.ts
+++ b/packages/rhubarbstage-service/src/single_send.ts
@@ -42,11 +42,11 @@
   readonly mayWrite: () => boolean;
 }
 
-/** Host and port of an address such as `10.0.0.7:9000` or `[::1]:9000`. */
+/** Host and port of a base address such as `http://10.0.0.7:9000`. */
 export function parseAddress(
   address: string,
 ): { readonly host: string; readonly port: number } {
-  const url = new URL(`http://${address}`);
+  const url = new URL(address);
   return {
     host: url.hostname.replace(/^\[|\]$/g, ""),
     port: Number(url.port || 80),
@@ -106,7 +106,7 @@
 /** A client that can only use the given connection and never opens another. */
 function clientOf(address: string, socket: Socket): Client {
   let used = false;
-  return new Client(`http://${address}`, {
+  return new Client(address, {
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
--- /dev/null
+++ b/packages/rhubarbstage-test-support/src/fake_service.ts
@@ -0,0 +1,229 @@
+/**
+ * A plain service that counts what it runs.
+ *
+ * @module
+ */
+
+import { fastify, type FastifyInstance } from "fastify";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { delay } from "rhubarbstage";
+import { request } from "undici";
+import {
+  type FakeExecution,
+  fakeServiceDefaults,
+  type FakeServiceOptions,
+  type FakeServiceRecords,
+  type FakeServiceSwitches,
+} from "./fake_service_types.ts";
+
+type Countdown = "closeBefore" | "closeAfter" | "breakAnswer" | "refuse";
+
+const bodyLimit = 16 * 1_024 * 1_024;
+
+/** Runs any method below any path and answers with what it ran. */
+export class FakeService {
+  readonly options: FakeServiceOptions;
+  /** Start of the service in milliseconds since the Unix epoch. */
+  readonly incarnation = Date.now();
+  #server: FastifyInstance;
+  #executions: FakeExecution[] = [];
+  #arrived = 0;
+  #connections = 0;
+  #running = 0;
+  #sequence = 0;
+  #entryHost = 0;
+  #leaving = false;
+  #timer: NodeJS.Timeout | undefined;
+  #url = "";
+
+  constructor(options: Partial<FakeServiceOptions> = {}) {
+    this.options = { ...fakeServiceDefaults, ...options };
+    this.#server = fastify({ bodyLimit, forceCloseConnections: true });
+    this.#server.server.on("connection", () => this.#connections += 1);
+    this.#addRoutes();
+  }
+
+  get switches(): FakeServiceSwitches {
+    return this.options;
+  }
+
+  get url(): string {
+    return this.#url;
+  }
+
+  get records(): FakeServiceRecords {
+    const counts: Record<string, number> = {};
+    for (const { key } of this.#executions) {
+      counts[key] = (counts[key] ?? 0) + 1;
+    }
+    return {
+      incarnation: this.incarnation,
+      arrived: this.#arrived,
+      connections: this.#connections,
+      executions: this.#executions,
+      counts,
+    };
+  }
+
+  /** Starts to listen and to announce; resolves with the origin. */
+  async listen(): Promise<string> {
+    const { address, port, announceInterval } = this.options;
+    this.#url = await this.#server.listen({ host: address, port });
+    this.#announce();
+    this.#timer = setInterval(() => this.#announce(), announceInterval);
+    return this.#url;
+  }
+
+  /** Stops at once, as a killed process would. */
+  async close(): Promise<void> {
+    clearInterval(this.#timer);
+    await this.#server.close();
+  }
+
+  #addRoutes(): void {
+    const server = this.#server;
+    server.removeAllContentTypeParsers();
+    server.addContentTypeParser(
+      "*",
+      { parseAs: "string" },
+      (_request, body, done) => done(null, body),
+    );
+    server.get("/v1/status", () => this.#status());
+    server.get("/test/records", () => this.records);
+    server.post("/test/switch", (request) => {
+      Object.assign(this.options, JSON.parse(request.body as string));
+      return {};
+    });
+    server.post("/test/leave", () => {
+      this.#leaving = true;
+      this.#announce();
+      const { id } = this.options;
+      void this.#post("/backends/leave", { id, incarnation: this.incarnation });
+      return {};
+    });
+    server.all("/*", (request, reply) => this.#serve(request, reply));
+  }
+
+  async #serve(request: FastifyRequest, reply: FastifyReply): Promise<void> {
+    this.#arrived += 1;
+    this.#running += 1;
+    try {
+      await this.#run(request, reply);
+    } finally {
+      this.#running -= 1;
+    }
+  }
+
+  async #run(request: FastifyRequest, reply: FastifyReply): Promise<void> {
+    const { delayBefore, delayAfter, status, padding } = this.options;
+    if (this.#take("closeBefore")) return closeConnection(reply);
+    if (delayBefore > 0) await delay(delayBefore);
+    if (this.#take("refuse")) {
+      reply.code(503).header("rhubarbstage-outcome", "not_run");
+      return await reply.send({ error: "refused" });
+    }
+    const execution = executionOf(request);
+    this.#executions.push(execution);
+    if (this.#take("closeAfter")) return closeConnection(reply);
+    if (delayAfter > 0) await delay(delayAfter);
+    const body = JSON.stringify({
+      execution: this.#executions.length,
+      key: execution.key,
+      padding: "x".repeat(padding),
+    });
+    if (this.#take("breakAnswer")) return breakOff(reply, body);
+    if (this.options.closeKeptAlive) {
+      reply.raw.once("finish", () => request.raw.socket.destroySoon());
+    }
+    reply.code(status).header("content-type", "application/json");
+    await reply.send(body);
+  }
+
+  /** Whether the next requests show a behaviour; counts down. */
+  #take(name: Countdown): boolean {
+    if (this.options[name] === 0) return false;
+    this.options[name] -= 1;
+    return true;
+  }
+
+  #status(): Readonly<Record<string, unknown>> {
+    const { id, services, capacity } = this.options;
+    return {
+      id,
+      incarnation: this.incarnation,
+      models: [],
+      adapters: [],
+      services,
+      role: "mixed",
+      capacity,
+      state: this.#leaving ? "leaving" : "serving",
+      fencing: "ignored",
+      load: {
+        running_requests: this.#running,
+        queued_requests: 0,
+        cache_tokens_used: 0,
+        cache_tokens_total: 0,
+      },
+    };
+  }
+
+  #announce(): void {
+    const { announcedUrl, region, availabilityZone } = this.options;
+    this.#sequence += 1;
+    void this.#post("/backends/announce", {
+      ...this.#status(),
+      sequence: this.#sequence,
+      url: announcedUrl || this.#url,
+      region,
+      availability_zone: availabilityZone,
+      leaving: this.#leaving,
+    });
+  }
+
+  /** Sends to the current entry host and turns to the next when it fails. */
+  async #post(path: string, body: unknown): Promise<void> {
+    const { entryHosts, announceToken, announceInterval, announcing } =
+      this.options;
+    if (entryHosts.length === 0 || !announcing) return;
+    const origin = entryHosts[this.#entryHost % entryHosts.length];
+    try {
+      const answer = await request(`${origin}${path}`, {
+        method: "POST",
+        headers: {
+          "content-type": "application/json",
+          authorization: `Bearer ${announceToken}`,
+        },
+        body: JSON.stringify(body),
+        headersTimeout: announceInterval,
+      });
+      await answer.body.dump();
+      if (answer.statusCode >= 500) this.#entryHost += 1;
+    } catch {
+      this.#entryHost += 1;
+    }
+  }
+}
+
+function executionOf(request: FastifyRequest): FakeExecution {
+  const { headers, method, url } = request;
+  return {
+    key: String(headers["idempotency-key"] ?? ""),
+    sendId: String(headers["x-send-id"] ?? ""),
+    method,
+    path: url,
+    body: typeof request.body === "string" ? request.body : "",
+    at: Date.now(),
+  };
+}
+
+function closeConnection(reply: FastifyReply): void {
+  reply.hijack();
+  reply.raw.destroy();
+}
+
+/** Promises more bytes than it sends. */
+function breakOff(reply: FastifyReply, body: string): void {
+  reply.hijack();
+  reply.raw.writeHead(200, { "content-length": body.length + 1 });
+  reply.raw.write(body, () => reply.raw.destroy());
+}
--- a/packages/rhubarbstage-test-support/src/mod.ts
+++ b/packages/rhubarbstage-test-support/src/mod.ts
@@ -1,7 +1,35 @@
 /**
- * Fake engine, fake service, fault proxy and process driver for tests.
+ * Fakes, fault proxy and process driver for tests.
  *
  * @module
  */
 
-export {};
+export { FaultProxy } from "./fault_proxy.ts";
+export type { FaultLink } from "./fault_link.ts";
+export type {
+  DirectionFaults,
+  FaultProxyOptions,
+  LinkFaults,
+  LinkFaultsChange,
+  LinkRecords,
+  ProxyDirection,
+  ProxyLink,
+  ProxyLoss,
+} from "./fault_proxy_types.ts";
+export { FakeService } from "./fake_service.ts";
+export type {
+  FakeExecution,
+  FakeServiceOptions,
+  FakeServiceRecords,
+  FakeServiceSwitches,
+} from "./fake_service_types.ts";
+export { fakeServiceDefaults } from "./fake_service_types.ts";
+export type { DriverEvent, ProgramStart } from "./process_driver.ts";
+export {
+  DrivenProcess,
+  flipByte,
+  freePorts,
+  loseDisk,
+  ProcessDriver,
+  truncateTail,
+} from "./process_driver.ts";
