bench: Add experiments over real processes

Cause: the targets of the policy need figures.

Change: an experiment host that drives either policy over HTTP, an open-loop seeded caller, runs of both deployments' sizes with the fake engines and services, four experiments, a table and a result file.

--- /dev/null
+++ b/packages/rhubarbstage-bench/src/caller.ts
@@ -0,0 +1,169 @@
+/**
+ * Open-loop load generator: requests leave at their intended times, whether
+ * earlier ones are answered or not.
+ *
+ * @module
+ */
+
+import { setTimeout as sleep } from "node:timers/promises";
+import { SeededRandom } from "rhubarbstage";
+import { Agent, request as httpRequest } from "undici";
+import type {
+  CallerOptions,
+  CallerResult,
+  RequestRecord,
+  RequestStream,
+  RunEnd,
+  RunRequest,
+} from "./protocol.ts";
+
+interface Arrival {
+  /** Milliseconds since the start of the run. */
+  readonly at: number;
+  readonly host: string;
+  readonly straggler: boolean;
+  readonly run: RunRequest;
+}
+
+/** Seconds after the last arrival for which answers are awaited. */
+const answerPatience = 40;
+
+/** Rate of a stream at a time in seconds. */
+export function rateAt(stream: RequestStream, second: number): number {
+  let [before, rate] = stream.rate[0] ?? [0, 0];
+  for (const [after, next] of stream.rate) {
+    if (second < after) {
+      const part = (second - before) / (after - before);
+      return rate + (next - rate) * Math.max(0, part);
+    }
+    before = after;
+    rate = next;
+  }
+  return rate;
+}
+
+/** Seeded arrivals of one stream (a Poisson process, thinned to the rate). */
+function planStream(
+  stream: RequestStream,
+  options: CallerOptions,
+  seed: number,
+): Arrival[] {
+  const random = new SeededRandom(seed);
+  const highest = Math.max(...stream.rate.map(([, rate]) => rate)) *
+    options.part;
+  const arrivals: Arrival[] = [];
+  if (highest <= 0) return arrivals;
+  let second = 0;
+  for (;;) {
+    second += -Math.log(1 - random.next()) / highest;
+    if (second >= options.duration) return arrivals;
+    const accepted = random.next() * highest <
+      rateAt(stream, second) * options.part;
+    if (!accepted) continue;
+    const straggler = random.next() < stream.stragglers.part;
+    const factor = straggler ? stream.stragglers.factor : 1;
+    arrivals.push({
+      at: second * 1_000,
+      host: random.pick(options.hosts),
+      straggler,
+      run: {
+        id: `${stream.name}-${seed}-${arrivals.length}`,
+        stream,
+        promptTokens: between(stream.promptTokens, random) * factor,
+        outputTokens: between(stream.outputTokens, random) * factor,
+      },
+    });
+  }
+}
+
+function between(
+  [least, most]: readonly [number, number],
+  random: SeededRandom,
+): number {
+  return least + random.integer(most - least + 1);
+}
+
+/** Sends all arrivals and resolves with what came of them. */
+export async function runCaller(options: CallerOptions): Promise<CallerResult> {
+  const arrivals = options.streams
+    .flatMap((stream, index) =>
+      planStream(stream, options, options.seed * 1_000 + index)
+    )
+    .sort((left, right) => left.at - right.at);
+  const agent = new Agent({
+    connections: 1_000,
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  const records: RequestRecord[] = [];
+  const pending: Promise<void>[] = [];
+  for (const arrival of arrivals) {
+    const wait = options.startAt + arrival.at - wallClock();
+    if (wait > 1) await sleep(wait);
+    const sent = send(arrival, options, agent)
+      .then((record) => void records.push(record));
+    pending.push(sent);
+  }
+  const patience = sleep(answerPatience * 1_000, undefined, { ref: false });
+  await Promise.race([Promise.all(pending), patience]);
+  await agent.destroy();
+  return { records };
+}
+
+async function send(
+  arrival: Arrival,
+  options: CallerOptions,
+  dispatcher: Agent,
+): Promise<RequestRecord> {
+  const intended = options.startAt + arrival.at;
+  const base = {
+    stream: arrival.run.stream.name,
+    straggler: arrival.straggler,
+    arrival: arrival.at,
+  };
+  let firstToken: number | undefined;
+  try {
+    const answer = await httpRequest(`${arrival.host}/run`, {
+      method: "POST",
+      body: JSON.stringify(arrival.run),
+      dispatcher,
+    });
+    let text = "";
+    for await (const part of answer.body) {
+      text += part;
+      if (text.startsWith("first\n")) firstToken ??= wallClock() - intended;
+    }
+    const end = JSON.parse(text.replace("first\n", "")) as RunEnd;
+    const total = wallClock() - intended;
+    if (end.end === "finished") {
+      const tokens = arrival.run.promptTokens + end.outputTokens;
+      firstToken ??= total;
+      return {
+        ...base,
+        firstToken,
+        total,
+        end: "finished",
+        untrue: false,
+        tokens,
+      };
+    }
+    return {
+      ...base,
+      ...(firstToken === undefined ? {} : { firstToken }),
+      total,
+      end: end.outcome === "not_run" ? "refused" : "failed",
+      ...(end.kind === undefined ? {} : { kind: end.kind }),
+      untrue: end.outcome === "not_run" && end.attempts > 0,
+      tokens: 0,
+    };
+  } catch (thrown) {
+    const total = wallClock() - intended;
+    const kind = String(thrown);
+    return { ...base, total, end: "failed", kind, untrue: false, tokens: 0 };
+  }
+}
+
+/** Milliseconds since the Unix epoch, with fractions. */
+function wallClock(): number {
+  return performance.timeOrigin + performance.now();
+}
--- /dev/null
+++ b/packages/rhubarbstage-bench/src/main.ts
@@ -0,0 +1,65 @@
+/**
+ * Program of the experiments.
+ *
+ * `bench [experiment...] [--seeds=N]` runs experiments and prints a table;
+ * `bench decisions` measures the time for a decision; `bench host` and `bench
+ * caller` are the processes of a run.
+ *
+ * @module
+ */
+
+import { mkdirSync, writeFileSync } from "node:fs";
+import { dirname } from "node:path";
+import process from "node:process";
+import { runCaller } from "./caller.ts";
+import { measureDecisions } from "./decision_time.ts";
+import { ExperimentHost } from "./experiment_host.ts";
+import { experiments, type Figure } from "./experiments.ts";
+import { type FigureSummary, formatTable, summarise } from "./report.ts";
+
+const defaultSeeds = 3;
+/** Ignored by git. */
+const resultFile = ".data/bench.json";
+
+async function main(): Promise<void> {
+  const [command, argument] = process.argv.slice(2);
+  if (command === "host") {
+    new ExperimentHost(JSON.parse(argument ?? "")).listen();
+    return;
+  }
+  if (command === "caller") {
+    const options = JSON.parse(argument ?? "");
+    const result = await runCaller(options);
+    writeFileSync(options.resultFile, JSON.stringify(result));
+    process.exit(0);
+  }
+  if (command === "decisions") {
+    console.log(formatTable(summarise("decisions", [measureDecisions()])));
+    return;
+  }
+  await runExperiments(process.argv.slice(2));
+}
+
+async function runExperiments(options: readonly string[]): Promise<void> {
+  const names = options.filter((option) => !option.startsWith("--"));
+  const seedsOption = options.find((option) => option.startsWith("--seeds="));
+  const seeds = Number(seedsOption?.split("=")[1] ?? defaultSeeds);
+  const chosen = experiments.filter((experiment) =>
+    names.length === 0 || names.includes(experiment.name)
+  );
+  const summaries: FigureSummary[] = [];
+  for (const experiment of chosen) {
+    const runs: (readonly Figure[])[] = [];
+    for (let seed = 1; seed <= seeds; seed += 1) {
+      runs.push(await experiment.run(seed));
+    }
+    const summary = summarise(experiment.name, runs);
+    console.log(`${formatTable(summary)}\n`);
+    summaries.push(...summary);
+  }
+  mkdirSync(dirname(resultFile), { recursive: true });
+  writeFileSync(resultFile, JSON.stringify({ seeds, summaries }, null, 2));
+  console.log(`The figures are in ${resultFile}`);
+}
+
+void main();
