policy: Correct predicted waits by real ones

Cause: in a crest the fleet policy accepted work that then waited 1.6 s on the host against a target of 1 s, because higher priorities and the engines' own queues take slots that the prediction counted.

Change: predictions leave out the slots that higher priorities used in the last seconds, are scaled by real over estimated slot time, and are corrected by the ratio of real to predicted waits. Work is admitted up to 0.7 of its target. Hosts together may send 1.25 requests for each slot, since late reports otherwise leave slots idle.

--- a/packages/rhubarbstage-bench/src/caller.ts
+++ b/packages/rhubarbstage-bench/src/caller.ts
@@ -135,6 +135,7 @@
     }
     const end = JSON.parse(text.replace("first\n", "")) as RunEnd;
     const total = wallClock() - intended;
+    const { queueWait } = end;
     if (end.end === "finished") {
       const tokens = arrival.run.promptTokens + end.outputTokens;
       firstToken ??= total;
@@ -144,6 +145,7 @@
         total,
         end: "finished",
         untrue: false,
+        queueWait,
         tokens,
       };
     }
@@ -154,12 +156,21 @@
       end: end.outcome === "not_run" ? "refused" : "failed",
       ...(end.kind === undefined ? {} : { kind: end.kind }),
       untrue: end.outcome === "not_run" && end.attempts > 0,
+      queueWait,
       tokens: 0,
     };
   } catch (thrown) {
     const total = wallClock() - intended;
     const kind = String(thrown);
-    return { ...base, total, end: "failed", kind, untrue: false, tokens: 0 };
+    return {
+      ...base,
+      total,
+      end: "failed",
+      kind,
+      untrue: false,
+      queueWait: 0,
+      tokens: 0,
+    };
   }
 }
 
--- a/packages/rhubarbstage-bench/src/experiment_host.ts
+++ b/packages/rhubarbstage-bench/src/experiment_host.ts
@@ -61,6 +61,8 @@
 interface Call {
   readonly run: RunRequest;
   readonly response: ServerResponse;
+  readonly arrivedAt: number;
+  dispatchedAt: number | undefined;
   attempts: number;
   /** Tokens that the caller has. */
   delivered: number;
@@ -145,6 +147,8 @@
     const call: Call = {
       run,
       response,
+      arrivedAt: now,
+      dispatchedAt: undefined,
       attempts: 0,
       delivered: 0,
       running: new Map(),
@@ -203,6 +207,7 @@
       outcome,
       attempts: call.attempts,
       outputTokens: call.delivered,
+      queueWait: (call.dispatchedAt ?? clock()) - call.arrivedAt,
     };
     if (!call.response.headersSent) {
       call.response.statusCode = errorAnswers[kind].status;
@@ -218,6 +223,7 @@
     const controller = new AbortController();
     call.running.set(attempt, controller);
     call.attempts += 1;
+    call.dispatchedAt ??= clock();
     try {
       await this.#travel(dispatch.server);
       if (call.run.stream.service !== undefined) {
@@ -328,6 +334,7 @@
       end: "finished",
       attempts: call.attempts,
       outputTokens: call.delivered,
+      queueWait: (call.dispatchedAt ?? clock()) - call.arrivedAt,
     };
     call.response.end(JSON.stringify(end));
   }
--- a/packages/rhubarbstage-bench/src/experiments.ts
+++ b/packages/rhubarbstage-bench/src/experiments.ts
@@ -204,6 +204,9 @@
       value: refused.filter((record) => record.untrue).length,
       ...ifFleet({ atMost: 0 }),
     },
+    ...["bulk-a", "bulk-b", "bought", "floor"].flatMap((name) =>
+      latencyFigures(`${policy}: ${name}`, ofStream(records, name))
+    ),
     { name: `${policy}: refused part`, value: refused.length / records.length },
     {
       name: `${policy}: failed part`,
@@ -212,6 +215,24 @@
   ];
 }
 
+function latencyFigures(
+  name: string,
+  records: readonly RequestRecord[],
+): Figure[] {
+  const served = records.filter((record) => record.end === "finished");
+  const waits = served.map((record) => record.queueWait);
+  return [50, 99].flatMap((percent) => [
+    {
+      name: `${name} first token p${percent}, ms`,
+      value: percentile(firstTokens(served), percent),
+    },
+    {
+      name: `${name} wait on the host p${percent}, ms`,
+      value: percentile(waits, percent),
+    },
+  ]);
+}
+
 /** A hundredth of the requests is 20 times as long. */
 export const stragglers: Experiment = {
   name: "stragglers",
--- a/packages/rhubarbstage-bench/src/protocol.ts
+++ b/packages/rhubarbstage-bench/src/protocol.ts
@@ -84,6 +84,8 @@
   /** Attempts that were sent to servers. */
   readonly attempts: number;
   readonly outputTokens: number;
+  /** From arrival at the host to the first dispatch, in milliseconds. */
+  readonly queueWait: number;
 }
 
 /** One request as the caller saw it; times in milliseconds. */
@@ -99,6 +101,8 @@
   readonly kind?: string;
   /** Whether the refusal says `not_run` although an attempt was sent. */
   readonly untrue: boolean;
+  /** From arrival at the host to the first dispatch, in milliseconds. */
+  readonly queueWait: number;
   readonly tokens: number;
 }
 
--- a/packages/rhubarbstage-policy/src/admission.ts
+++ b/packages/rhubarbstage-policy/src/admission.ts
@@ -20,6 +20,8 @@
   /** Finished requests from which the pool's estimates come. */
   readonly samples: number;
   readonly typicalRunTime: number;
+  /** Real over predicted waits in the recent past. */
+  readonly correction: number;
   readonly patience: number;
   readonly now: number;
 }
@@ -27,6 +29,11 @@
 /** Expected wait for a slot, in milliseconds. */
 export function predictWait(view: AdmissionView): number {
   if (view.hasRoom && view.costAhead === 0) return 0;
+  return rawWait(view) * view.correction;
+}
+
+/** The wait without the correction that is learned from real waits. */
+export function rawWait(view: AdmissionView): number {
   const slots = Math.max(1, view.slots);
   return (view.costAhead + view.typicalRunTime / 2) / slots;
 }
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -195,7 +195,8 @@
   }
   const outputTokens = Math.max(result.outputTokens, attempt.tokens);
   if (attempt.resumeFrom === 0) {
-    pool.estimates.learnRun(work, { outputTokens, runTime }, now);
+    const { estimate } = record;
+    pool.estimates.learnRun(work, { outputTokens, runTime, estimate }, now);
   }
   const used = result.promptTokens + outputTokens;
   state.limits.settle(work.customer, used - record.chargedTokens);
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -9,8 +9,8 @@
 /** Settings that apply unless the tree says otherwise. */
 export const defaultFleetSettings: FleetSettings = {
   queueLimit: 5_000,
-  admissionPatience: 1,
-  concurrencySlack: 1.1,
+  admissionPatience: 0.7,
+  concurrencySlack: 1.25,
   priorityOvercommit: 0.25,
   longCostFactor: 4,
   longPerServer: 1,
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -8,6 +8,7 @@
 import {
   type AdmissionView,
   predictWait,
+  rawWait,
   retryAfter,
   wouldMissTime,
 } from "./admission.ts";
@@ -31,6 +32,7 @@
   type PoolState,
   poolStateOf,
   type RequestRecord,
+  slotsAbove,
 } from "./fleet_state.ts";
 import { Policy } from "./policy.ts";
 import { dequeue, dispatchPool, enqueue, waitingIn } from "./scheduling.ts";
@@ -49,6 +51,8 @@
   { type: Type }
 >;
 
+/** Bound of the correction of predicted waits, in both directions. */
+const largestCorrection = 4;
 /** How often the split of roles is looked at, in milliseconds. */
 const rolePeriod = 500;
 
@@ -154,6 +158,8 @@
     const wait = retryAfter(predictWait(view), state.random);
     return [refusal(request, "overloaded", wait)];
   }
+  const hasQueue = !view.hasRoom || view.costAhead > 0;
+  if (hasQueue) record.predictedWait = rawWait(view);
   state.limits.charge(customer, tokens);
   record.chargedTokens = tokens;
   state.requests.set(request, record);
@@ -201,6 +207,7 @@
     failedOn: new Set(),
     delivered: 0,
     chargedTokens: 0,
+    predictedWait: 0,
     lane: undefined,
     queuedAt: now,
     preemptions: 0,
@@ -220,17 +227,23 @@
     (record.long ? long.costAhead(work) : 0);
   const open = [...pool.pool.generating.values()]
     .some((servers) => servers.size > 0);
+  const above = slotsAbove(pool, work.settings.priority, now);
   return {
-    costAhead,
-    slots: pool.pool.own,
+    costAhead: costAhead * pool.estimates.calibration(now),
+    slots: Math.max(1, pool.pool.own - above),
     hasRoom: open,
     samples: pool.estimates.samples,
     typicalRunTime: pool.estimates.typicalRunTime(now),
+    correction: clampCorrection(pool.waits.value(now)),
     patience: state.settings.admissionPatience,
     now,
   };
 }
 
+function clampCorrection(ratio: number): number {
+  return Math.min(largestCorrection, Math.max(1 / largestCorrection, ratio));
+}
+
 function abandon(
   state: FleetState,
   event: EventOf<"caller_gone">,
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -10,7 +10,7 @@
   readonly queueLimit: number;
   /** First-token targets that a request may be predicted to need. */
   readonly admissionPatience: number;
-  /** A host's part of the slots of a pool, over its part of the demand. */
+  /** Slots that hosts together may use, over the capacity of the servers. */
   readonly concurrencySlack: number;
   /** Slots over capacity, in parts of it, for work with bought priority. */
   readonly priorityOvercommit: number;
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -16,6 +16,7 @@
 import TinyQueue from "tinyqueue";
 import { defaultFleetSettings } from "./constants.ts";
 import { CustomerLimits } from "./customer_limits.ts";
+import { DecayedRatio, DecayedSum } from "./decayed.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { PrefixMap } from "./prefix_map.ts";
@@ -28,6 +29,11 @@
 import type { ModelDemand, PolicyEffect, Work } from "./types.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
+/** Time over which the slots of higher priorities are averaged. */
+const servedMemory = 2_000;
+/** Time over which predicted waits are compared with real ones. */
+const waitMemory = 4_000;
+
 /** Options of a fleet policy. */
 export interface FleetOptions {
   /** Region of the host that runs the policy. */
@@ -58,6 +64,8 @@
   delivered: number;
   /** Tokens charged to the customer's limit. */
   chargedTokens: number;
+  /** Predicted wait without correction, in milliseconds. */
+  predictedWait: number;
   lane: Lane | undefined;
   queuedAt: number;
   preemptions: number;
@@ -95,6 +103,10 @@
   readonly lanes: Readonly<Record<Lane, FairQueue>>;
   readonly estimates: WorkEstimates;
   readonly slow: SlowServers;
+  /** Real over predicted waits of requests that found no room. */
+  readonly waits: DecayedRatio;
+  /** Slot time given to each priority in the recent past. */
+  readonly served: Map<number, DecayedSum>;
   /** Running work that may be preempted, by priority. */
   readonly preemptible: Map<number, Set<RequestRecord>>;
 }
@@ -145,7 +157,7 @@
 /** State before the first event. */
 export function createFleetState(options: FleetOptions): FleetState {
   const settings = { ...defaultFleetSettings, ...options.settings };
-  const table = new ServerTable();
+  const table = new ServerTable(settings.concurrencySlack);
   const hosts = options.hosts ?? 1;
   table.setHosts(hosts, options.position ?? 0);
   return {
@@ -194,6 +206,8 @@
       },
       estimates: new WorkEstimates(),
       slow: new SlowServers({ threshold: slowThreshold, probeInterval }),
+      waits: new DecayedRatio(1, waitMemory),
+      served: new Map(),
       preemptible: new Map(),
     };
     state.poolStates.set(pool.target, found);
@@ -201,6 +215,33 @@
   return found;
 }
 
+/** Counts slot time that a priority gets. */
+export function addServed(
+  pool: PoolState,
+  served: { readonly priority: number; readonly cost: number },
+  now: number,
+): void {
+  let sum = pool.served.get(served.priority);
+  if (sum === undefined) {
+    sum = new DecayedSum(servedMemory);
+    pool.served.set(served.priority, sum);
+  }
+  sum.add(served.cost, now);
+}
+
+/** Slots that priorities above a given one have used in the recent past. */
+export function slotsAbove(
+  pool: PoolState,
+  priority: number,
+  now: number,
+): number {
+  let slots = 0;
+  for (const [other, sum] of pool.served) {
+    if (other > priority) slots += sum.value(now) / servedMemory;
+  }
+  return slots;
+}
+
 /** What routing reads for one pool. */
 export function routingView(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -7,6 +7,7 @@
 import { avoidedServers, cancelAttempt, startAttempt } from "./attempts.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
+  addServed,
   type FleetState,
   type Lane,
   type PoolState,
@@ -165,10 +166,13 @@
   record.lane = undefined;
   record.byFloor = byFloor;
   if (record.tries === 0) {
+    pool.waits.add(now - record.queuedAt, record.predictedWait, now);
     state.retries.earn(item.work.customer, item.work.settings.retryRatio);
     state.extraRuns.earn(state.settings.hedgeRatio);
   }
   record.tries += 1;
+  const { priority } = item.work.settings;
+  addServed(pool, { priority, cost: item.cost }, now);
   effects.push(startAttempt(state, record, route, now));
   return effects;
 }
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -77,6 +77,12 @@
   #departed = new Map<BackendServerId, ServerEntry>();
   #hosts = 1;
   #position = 0;
+  /** Slots that hosts together may use, over the capacity. */
+  #slack: number;
+
+  constructor(slack: number) {
+    this.#slack = slack;
+  }
 
   /** Sets how many hosts share the servers and which of them this one is. */
   setHosts(hosts: number, position: number): void {
@@ -134,11 +140,13 @@
   /** Slots that the server has left for this host. */
   room(entry: ServerEntry): number {
     const { capacity } = entry.server;
-    const left = capacity - entry.own - entry.others;
-    if (left > 0) return left;
-    // Reports are late, so a host may always use its even part of a server.
-    const evenSlots = Math.ceil(capacity / this.#hosts);
-    return entry.own < evenSlots && capacity > entry.own ? 1 : 0;
+    if (this.#hosts === 1) return capacity - entry.own;
+    // Late reports leave slots idle unless a few more requests than slots may
+    // be sent; and a host may always use its even part of a server.
+    const slots = Math.ceil(capacity * this.#slack);
+    const left = slots - entry.own - entry.others;
+    const evenLeft = Math.ceil(capacity / this.#hosts) - entry.own;
+    return Math.max(left, evenLeft);
   }
 
   /** Members that only this host uses for long and suspected work. */
--- a/packages/rhubarbstage-policy/src/work_estimates.ts
+++ b/packages/rhubarbstage-policy/src/work_estimates.ts
@@ -68,6 +68,7 @@
   #fastOutputTime = new LowQuantile(20);
   #uncached = new DecayedRatio(1, rateMemory);
   #serviceTime = new DecayedRatio(50, rateMemory);
+  #calibration = new DecayedRatio(1, rateMemory);
   #logRunTime = new DecayedRatio(Math.log(1_000), rateMemory);
   #kinds = new LRUCache<string, KindStatistics>({ max: rememberedKinds });
 
@@ -90,6 +91,11 @@
     };
   }
 
+  /** Real over estimated slot time. */
+  calibration(now: number): number {
+    return this.#calibration.value(now);
+  }
+
   /** Milliseconds to compute a prompt that is not cached. */
   prefillTime(promptTokens: number, now: number): number {
     return promptTokens * this.#promptTime.value(now);
@@ -134,10 +140,15 @@
 
   learnRun(
     work: Work,
-    run: { readonly outputTokens: number; readonly runTime: number },
+    run: {
+      readonly outputTokens: number;
+      readonly runTime: number;
+      readonly estimate: WorkEstimate;
+    },
     now: number,
   ): void {
     this.#output.add(run.outputTokens, 1, now);
+    this.#calibration.add(run.runTime, run.estimate.runTime, now);
     this.#serviceTime.add(run.runTime, 1, now);
     this.#logRunTime.add(Math.log(Math.max(1, run.runTime)), 1, now);
     const key = kindKey(work);
