policy: Balance servers without overreacting to shared reports

All hosts read the same load report and all closed the whole gap, and the wait in a full engine's queue counted as slowness, which moved streams off healthy engines.

Change: own changes since a report count once for each host that probably considers the server. First-token times count only if the server had room. The score of servers that are not eased off ignores small differences. The benchmark samples idle and queued slots of the engines.

--- a/packages/rhubarbstage-bench/src/experiments.ts
+++ b/packages/rhubarbstage-bench/src/experiments.ts
@@ -5,7 +5,12 @@
  */
 
 import type { EngineRole, FleetSettings } from "@rhubarbstage/policy";
-import { type Deployment, runFleet, type RunResult } from "./fleet_run.ts";
+import {
+  type Deployment,
+  type EngineSample,
+  runFleet,
+  type RunResult,
+} from "./fleet_run.ts";
 import {
   arrivedWithin,
   completionRate,
@@ -207,6 +212,14 @@
     ...["bulk-a", "bulk-b", "bought", "floor"].flatMap((name) =>
       latencyFigures(`${policy}: ${name}`, ofStream(records, name))
     ),
+    {
+      name: `${policy}: idle slots`,
+      value: meanSample(result, crestWindow, ({ idle }) => idle),
+    },
+    {
+      name: `${policy}: queued in engines`,
+      value: meanSample(result, crestWindow, ({ queued }) => queued),
+    },
     { name: `${policy}: refused part`, value: refused.length / records.length },
     {
       name: `${policy}: failed part`,
@@ -215,6 +228,17 @@
   ];
 }
 
+function meanSample(
+  result: RunResult,
+  [from, to]: readonly [number, number],
+  value: (sample: EngineSample) => number,
+): number {
+  const samples = result.samples
+    .filter(({ second }) => second >= from && second < to);
+  return samples.reduce((sum, sample) => sum + value(sample), 0) /
+    samples.length;
+}
+
 function latencyFigures(
   name: string,
   records: readonly RequestRecord[],
--- a/packages/rhubarbstage-bench/src/fleet_run.ts
+++ b/packages/rhubarbstage-bench/src/fleet_run.ts
@@ -67,6 +67,24 @@
   readonly hosts: readonly HostMetrics[];
   /** Start of the arrivals in milliseconds since the Unix epoch. */
   readonly startAt: number;
+  readonly samples: readonly EngineSample[];
+}
+
+/** Load of all engines together at one time. */
+export interface EngineSample {
+  /** Seconds since the start of the arrivals. */
+  readonly second: number;
+  readonly running: number;
+  readonly queued: number;
+  readonly idle: number;
+}
+
+interface EngineStatusBody {
+  readonly capacity: number;
+  readonly load: {
+    readonly running_requests: number;
+    readonly queued_requests: number;
+  };
 }
 
 interface StartedCaller {
@@ -75,6 +93,7 @@
 }
 
 const callers = 2;
+const sampleInterval = 250;
 const readyTimeout = 15_000;
 /** From the last process ready to the first arrival, in milliseconds. */
 const leadTime = 1_200;
@@ -92,11 +111,16 @@
     const startAt = Date.now() + leadTime;
     const callerProcesses = startCallers(driver, run, { origins, startAt });
     const actions = runActions(run, { engines, startAt });
+    const samples: EngineSample[] = [];
+    const sampler = setInterval(() => {
+      void sampleEngines(engines, startAt).then((one) => samples.push(one));
+    }, sampleInterval);
     const results = await Promise.all(callerProcesses.map(readResult));
+    clearInterval(sampler);
     await actions;
     const hosts = await Promise.all(origins.map(readMetrics));
     const records = results.flatMap((result) => result.records);
-    return { records, hosts, startAt };
+    return { records, hosts, startAt, samples };
   } finally {
     await driver.stop();
   }
@@ -197,6 +221,24 @@
   throw new Error("The hosts do not know all servers in time");
 }
 
+async function sampleEngines(
+  engines: readonly string[],
+  startAt: number,
+): Promise<EngineSample> {
+  const statuses = await Promise.all(engines.map(async (origin) => {
+    const answer = await httpRequest(`${origin}/v1/status`);
+    return await answer.body.json() as EngineStatusBody;
+  }));
+  const sum = (value: (status: EngineStatusBody) => number) =>
+    statuses.reduce((total, status) => total + value(status), 0);
+  return {
+    second: (Date.now() - startAt) / 1_000,
+    running: sum(({ load }) => load.running_requests),
+    queued: sum(({ load }) => load.queued_requests),
+    idle: sum(({ load, capacity }) => capacity - load.running_requests),
+  };
+}
+
 async function readMetrics(origin: string): Promise<HostMetrics> {
   const answer = await httpRequest(`${origin}/metrics`);
   return await answer.body.json() as HostMetrics;
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -41,6 +41,8 @@
     expectedFirstToken: route.expectedFirstToken,
     resumeFrom: record.delivered,
     suspect,
+    queued: state.table.used(prefill ?? entry) >=
+      (prefill ?? entry).server.capacity,
     pendingPrefill: route.expectedFirstToken - entry.pendingPrefill,
     countedLong: record.long,
     firstTokenAt: undefined,
@@ -141,7 +143,10 @@
   if (record.work.model !== undefined) {
     const tokens = attempt.uncachedTokens + promptOverhead;
     const expected = estimates.prefillTime(tokens, now);
-    slow.observe((prefill ?? entry).server.id, elapsed / expected, now);
+    // Time in the queue of a full engine says nothing about its speed.
+    if (!attempt.queued) {
+      slow.observe((prefill ?? entry).server.id, elapsed / expected, now);
+    }
     estimates.learnFirstToken(tokens, elapsed, now);
   }
   return cancelOthers(state, attempt, now);
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -385,7 +385,7 @@
     const engines = [...pool.members.values()].map((entry) => ({
       id: entry.server.id,
       role: entry.server.role,
-      outstanding: entry.own + entry.others,
+      outstanding: state.table.used(entry),
     }));
     const slots = pool.capacity / pool.members.size;
     const prefillTime = estimates.prefillTimePerToken(now);
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -29,6 +29,8 @@
 import type { ModelDemand, PolicyEffect, Work } from "./types.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
+/** Servers are drawn from each region; deployments have three. */
+const regionsOfSamples = 3;
 /** Time over which the slots of higher priorities are averaged. */
 const servedMemory = 2_000;
 /** Time over which predicted waits are compared with real ones. */
@@ -85,6 +87,8 @@
   readonly expectedFirstToken: number;
   readonly resumeFrom: number;
   readonly suspect: boolean;
+  /** Whether the server was probably full, so that the engine queues. */
+  readonly queued: boolean;
   /** Expected prompt time that is still counted on the server. */
   pendingPrefill: number;
   /** Whether it is counted among the long work of its server. */
@@ -157,7 +161,10 @@
 /** State before the first event. */
 export function createFleetState(options: FleetOptions): FleetState {
   const settings = { ...defaultFleetSettings, ...options.settings };
-  const table = new ServerTable(settings.concurrencySlack);
+  const table = new ServerTable({
+    slack: settings.concurrencySlack,
+    sampled: settings.sampledServers * regionsOfSamples,
+  });
   const hosts = options.hosts ?? 1;
   table.setHosts(hosts, options.position ?? 0);
   return {
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -97,7 +97,7 @@
   if (!demand.long) return true;
   const { capacity } = entry.server;
   const reserved = Math.floor(capacity * view.settings.reservedRoom);
-  const used = entry.own + entry.others;
+  const used = view.table.used(entry);
   const limit = demand.aged ? Infinity : capacity - reserved;
   const fits = entry.own === 0 || used + 1 <= limit;
   return fits && entry.ownLong < view.settings.longPerServer;
@@ -191,13 +191,15 @@
     : estimates.prefillTime(uncachedTokens + promptOverhead, now);
   const path = pathTime(view, entry);
   const penalty = region === view.region ? 0 : settings.crossRegionPenalty;
-  const load = (entry.own + entry.others) / Math.max(1, capacity);
+  const load = view.table.used(entry) / Math.max(1, capacity);
   const typical = estimates.typicalRunTime(now);
   const queueing = entry.pendingPrefill + typical * (load ** 2) / 2 +
     typical * Math.max(0, load - 1);
   // A probe must win, otherwise a recovered server would never be noticed.
   const probe = isProbe(view, demand, id);
-  const factor = probe ? 0.5 : view.slow.factor(id, now);
+  // Small differences between servers are noise.
+  const slowed = view.slow.weight(id) < 1;
+  const factor = probe ? 0.5 : slowed ? view.slow.factor(id, now) : 1;
   return {
     entry,
     uncachedTokens,
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -253,16 +253,19 @@
   const { pool } = record.pool;
   const view = routingView(state, record.pool, now);
   let best: ServerEntry | undefined;
+  let bestUsed = Infinity;
   const owned = state.table.ownedMembers(pool)
     .sample(sampledForOvercommit, state.random);
   for (const entry of owned) {
     const { capacity, role } = entry.server;
     const extra = Math.ceil(capacity * state.settings.priorityOvercommit);
-    const used = entry.own + entry.others;
+    const used = state.table.used(entry);
     if (role === "prefill" || entry.own >= capacity + extra) continue;
     if (used >= capacity + extra || !suits(view, demand, entry)) continue;
     if (record.pool.slow.weight(entry.server.id) < 0.5) continue;
-    if (best === undefined || used < best.own + best.others) best = entry;
+    if (used >= bestUsed) continue;
+    best = entry;
+    bestUsed = used;
   }
   if (best === undefined) return undefined;
   return directRoute(state, record, { entry: best, now });
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -22,8 +22,10 @@
   ownSuspects: number;
   /** Expected time of own prompts that have no first token yet. */
   pendingPrefill: number;
-  /** Requests of other hosts, from the last load report. */
-  others: number;
+  /** Requests of all hosts in the last load report, if there was one. */
+  reported: number | undefined;
+  /** Own attempts that the report counts, as far as its lag is known. */
+  ownAtReport: number;
   /** Own attempts over the recent past. */
   averageOwn: number;
   averageAt: number;
@@ -79,9 +81,12 @@
   #position = 0;
   /** Slots that hosts together may use, over the capacity. */
   #slack: number;
+  #sampled: number;
 
-  constructor(slack: number) {
-    this.#slack = slack;
+  /** @param options Slots over capacity; servers drawn for one decision. */
+  constructor(options: { readonly slack: number; readonly sampled: number }) {
+    this.#slack = options.slack;
+    this.#sampled = options.sampled;
   }
 
   /** Sets how many hosts share the servers and which of them this one is. */
@@ -137,6 +142,25 @@
     this.refresh(entry);
   }
 
+  /**
+   * Estimated requests of all hosts on the server. Other hosts read the same
+   * report and react to it like this one, so own changes since the report count
+   * once for each host that probably considers the server.
+   */
+  used(entry: ServerEntry): number {
+    if (entry.reported === undefined) return entry.own;
+    const change = entry.own - entry.ownAtReport;
+    const estimate = entry.reported + change * this.#likeMinded(entry);
+    return Math.max(entry.own, estimate);
+  }
+
+  /** Hosts that probably consider the server when this one does. */
+  #likeMinded(entry: ServerEntry): number {
+    const size = entry.pools[0]?.members.size ?? 1;
+    const part = Math.min(1, this.#sampled / Math.max(1, size));
+    return Math.max(1, this.#hosts * part);
+  }
+
   /** Slots that the server has left for this host. */
   room(entry: ServerEntry): number {
     const { capacity } = entry.server;
@@ -144,7 +168,7 @@
     // Late reports leave slots idle unless a few more requests than slots may
     // be sent; and a host may always use its even part of a server.
     const slots = Math.ceil(capacity * this.#slack);
-    const left = slots - entry.own - entry.others;
+    const left = Math.floor(slots - this.used(entry));
     const evenLeft = Math.ceil(capacity / this.#hosts) - entry.own;
     return Math.max(left, evenLeft);
   }
@@ -238,7 +262,8 @@
     if (load === undefined) return;
     updateAverage(entry, now);
     const reported = load.runningRequests + load.queuedRequests;
-    entry.others = Math.max(0, Math.round(reported - entry.averageOwn));
+    entry.reported = reported;
+    entry.ownAtReport = entry.averageOwn;
   }
 
   #pool(target: string): Pool {
@@ -280,7 +305,8 @@
     ownLong: 0,
     ownSuspects: 0,
     pendingPrefill: 0,
-    others: 0,
+    reported: undefined,
+    ownAtReport: 0,
     averageOwn: 0,
     averageAt: now,
     lost: false,
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -57,7 +57,9 @@
     const expected = Math.max(1, attempt.expectedFirstToken);
     const ratio = (now - attempt.startedAt) / expected;
     const computing = attempt.prefill ?? attempt.entry;
-    record.pool.slow.observe(computing.server.id, ratio, now);
+    if (!attempt.queued) {
+      record.pool.slow.observe(computing.server.id, ratio, now);
+    }
     effects.push(...startHedge(state, attempt, now));
   }
 }
