policy: Judge slowness by each kind of latency

Cause: a slowed engine without a queue computes prompts quickly enough to look healthy, and a hedge that was due early counted as a good sample, so that slowed engines kept 0.48 of an even share.

Change: first-token, between-token and call latencies are smoothed and compared apart; the worst counts. A wait that is not over can show that a server is slow, never that it is fast.

--- a/packages/rhubarbstage-bench/src/experiments.ts
+++ b/packages/rhubarbstage-bench/src/experiments.ts
@@ -261,7 +261,7 @@
 export const stragglers: Experiment = {
   name: "stragglers",
   async run(seed) {
-    const rate = padana.engines * ratePerEngine * 0.55;
+    const rate = padana.engines * ratePerEngine * 0.7;
     const run = async (policy: PolicyName, part: number) => {
       const streams = [stream("work", {
         rate: [[0, rate]],
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -145,7 +145,11 @@
     const expected = estimates.prefillTime(tokens, now);
     // Time in the queue of a full engine says nothing about its speed.
     if (!attempt.queued) {
-      slow.observe((prefill ?? entry).server.id, elapsed / expected, now);
+      const sample = {
+        kind: "first_token",
+        ratio: elapsed / expected,
+      } as const;
+      slow.observe((prefill ?? entry).server.id, sample, now);
     }
     estimates.learnFirstToken(tokens, elapsed, now);
   }
@@ -169,7 +173,8 @@
     elapsed >= speedWindowTime;
   if (!due || elapsed <= 0) return effects;
   const expected = record.pool.estimates.decodeTime(attempt.windowTokens, now);
-  record.pool.slow.observe(entry.server.id, elapsed / expected, now);
+  const sample = { kind: "between_tokens", ratio: elapsed / expected } as const;
+  record.pool.slow.observe(entry.server.id, sample, now);
   record.pool.estimates.learnTokens(attempt.windowTokens, elapsed, now);
   attempt.windowTokens = 0;
   attempt.windowAt = now;
@@ -196,7 +201,8 @@
   state.requests.delete(work.request);
   if (work.model === undefined) {
     const expected = Math.max(1, record.estimate.runTime);
-    pool.slow.observe(entry.server.id, runTime / expected, now);
+    const sample = { kind: "call", ratio: runTime / expected } as const;
+    pool.slow.observe(entry.server.id, sample, now);
   }
   const outputTokens = Math.max(result.outputTokens, attempt.tokens);
   if (attempt.resumeFrom === 0) {
--- a/packages/rhubarbstage-policy/src/slow_servers.ts
+++ b/packages/rhubarbstage-policy/src/slow_servers.ts
@@ -8,11 +8,18 @@
 import { smallestWeight } from "./constants.ts";
 import { DecayedSum } from "./decayed.ts";
 
-interface ServerLatency {
-  /** Observed over expected latency, smoothed. */
-  ratio: number;
+/** Which latency was observed. */
+export type LatencyKind = "first_token" | "between_tokens" | "call";
+
+interface SmoothedRatio {
+  /** Observed over expected latency. */
+  value: number;
   samples: number;
   lastAt: number;
+}
+
+interface ServerLatency {
+  readonly ratios: Map<LatencyKind, SmoothedRatio>;
   /** Part of its normal traffic that the server gets. */
   weight: number;
   lastProbe: number;
@@ -69,7 +76,7 @@
 
 /** Slowness of the servers of one pool. */
 export class SlowServers {
-  #peers = new PeerRatios();
+  #peers = new Map<LatencyKind, PeerRatios>();
   #servers = new Map<BackendServerId, ServerLatency>();
   #slow = new Set<BackendServerId>();
   #threshold: number;
@@ -83,35 +90,42 @@
   /**
    * Takes one latency sample.
    *
-   * @param ratio Observed over expected latency for the same work.
+   * @param sample Observed over expected latency for the same work.
    */
-  observe(server: BackendServerId, ratio: number, now: number): void {
+  observe(
+    server: BackendServerId,
+    sample: { readonly kind: LatencyKind; readonly ratio: number },
+    now: number,
+  ): void {
+    const { kind, ratio } = sample;
     if (!(ratio > 0)) return;
     const known = this.#servers.get(server) ??
-      {
-        ratio,
-        samples: 0,
-        lastAt: now,
-        weight: 1,
-        lastProbe: now,
-        probeFactor: 1,
-      };
+      { ratios: new Map(), weight: 1, lastProbe: now, probeFactor: 1 };
     this.#servers.set(server, known);
-    const age = now - known.lastAt;
-    const share = 1 - (1 - smoothing) * Math.exp(-age / sampleMemory);
-    known.ratio = Math.exp(
-      (1 - share) * Math.log(known.ratio) + share * Math.log(ratio),
-    );
-    known.samples += 1;
-    known.lastAt = now;
-    this.#peers.add(ratio, now);
-    const good = ratio < this.#peers.median(now) * this.#threshold;
+    smooth(known, sample, now);
+    const peers = this.#peersOf(kind);
+    peers.add(ratio, now);
+    const good = ratio < peers.median(now) * this.#threshold;
     known.probeFactor = good ? goodProbeFactor : 1;
     this.#moveWeight(known, now);
     if (known.weight < slowWeight) this.#slow.add(server);
     else this.#slow.delete(server);
   }
 
+  /**
+   * Takes a wait that is not over yet. It can show that a server is slow, but
+   * not that it is fast.
+   */
+  observeWait(
+    server: BackendServerId,
+    sample: { readonly kind: LatencyKind; readonly ratio: number },
+    now: number,
+  ): void {
+    const median = this.#peersOf(sample.kind).median(now);
+    if (sample.ratio < median * this.#threshold) return;
+    this.observe(server, sample, now);
+  }
+
   /** Servers that are slow enough to move work away from them. */
   slowServers(): ReadonlySet<BackendServerId> {
     return this.#slow;
@@ -120,8 +134,7 @@
   /** Latency of a server in that of its peers; 1 when not judged yet. */
   factor(server: BackendServerId, now: number): number {
     const known = this.#servers.get(server);
-    if (known === undefined || known.samples < samplesToJudge) return 1;
-    return Math.max(1, known.ratio / this.#peers.median(now));
+    return known === undefined ? 1 : this.#worstFactor(known, now);
   }
 
   /** Part of its normal traffic that a server should get, in (0, 1]. */
@@ -149,12 +162,47 @@
   }
 
   #moveWeight(known: ServerLatency, now: number): void {
-    if (known.samples < samplesToJudge) return;
-    const factor = known.ratio / this.#peers.median(now);
+    const factor = this.#worstFactor(known, now);
     const target = factor > this.#threshold
       ? Math.max(smallestWeight, (this.#threshold / factor) ** 4)
       : 1;
     known.weight += (target - known.weight) * weightStep;
     if (known.weight > 0.95) known.weight = 1;
   }
+
+  /** A server is as slow as the worst of its latencies. */
+  #worstFactor(known: ServerLatency, now: number): number {
+    let worst = 1;
+    for (const [kind, ratio] of known.ratios) {
+      if (ratio.samples < samplesToJudge) continue;
+      worst = Math.max(worst, ratio.value / this.#peersOf(kind).median(now));
+    }
+    return worst;
+  }
+
+  #peersOf(kind: LatencyKind): PeerRatios {
+    let peers = this.#peers.get(kind);
+    if (peers === undefined) {
+      peers = new PeerRatios();
+      this.#peers.set(kind, peers);
+    }
+    return peers;
+  }
+}
+
+function smooth(
+  known: ServerLatency,
+  sample: { readonly kind: LatencyKind; readonly ratio: number },
+  now: number,
+): void {
+  const smoothed = known.ratios.get(sample.kind) ??
+    { value: sample.ratio, samples: 0, lastAt: now };
+  known.ratios.set(sample.kind, smoothed);
+  const age = now - smoothed.lastAt;
+  const share = 1 - (1 - smoothing) * Math.exp(-age / sampleMemory);
+  smoothed.value = Math.exp(
+    (1 - share) * Math.log(smoothed.value) + share * Math.log(sample.ratio),
+  );
+  smoothed.samples += 1;
+  smoothed.lastAt = now;
 }
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -58,7 +58,8 @@
     const ratio = (now - attempt.startedAt) / expected;
     const computing = attempt.prefill ?? attempt.entry;
     if (!attempt.queued) {
-      record.pool.slow.observe(computing.server.id, ratio, now);
+      const kind = record.work.model === undefined ? "call" : "first_token";
+      record.pool.slow.observeWait(computing.server.id, { kind, ratio }, now);
     }
     effects.push(...startHedge(state, attempt, now));
   }
