policy: Let a recovered server show that it has recovered

Cause: after recovery, slowed engines stayed at 0.6 of their share. Each probe's stream was moved right after its first token, so that no between-token time was ever seen again.

Change: a stream is moved only if its own tokens are late. Probes go out every 4 s, and are hedged after twice the expected wait instead of once, which left no samples.

--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -12,6 +12,8 @@
 /** Tokens or time after which the speed of a stream is judged anew. */
 const speedWindowTokens = 16;
 const speedWindowTime = 250;
+/** Wait before a hedge of a probe, in expected waits; 1 left no samples. */
+const slowedHedgeFactor = 2;
 /** Shorter waits are within the jitter of paths and timers. */
 const smallestHedgeDelay = 30;
 /** The overhead of a prompt in tokens, as routing counts it. */
@@ -49,6 +51,7 @@
     tokens: 0,
     windowTokens: 0,
     windowAt: now,
+    pace: 1,
   };
   attempt.pendingPrefill = Math.max(0, attempt.pendingPrefill);
   record.attempts.set(attempt.id, attempt);
@@ -176,6 +179,7 @@
   const sample = { kind: "between_tokens", ratio: elapsed / expected } as const;
   record.pool.slow.observe(entry.server.id, sample, now);
   record.pool.estimates.learnTokens(attempt.windowTokens, elapsed, now);
+  attempt.pace = sample.ratio;
   attempt.windowTokens = 0;
   attempt.windowAt = now;
   return effects;
@@ -233,7 +237,9 @@
 /** Wait for the first token before a second attempt, in milliseconds. */
 function hedgeDelayOf(state: FleetState, attempt: Attempt): number {
   const slowed = attempt.record.pool.slow.weight(attempt.entry.server.id) < 1;
-  const factor = slowed ? 1 : state.settings.hedgeDelayFactor;
+  const factor = slowed
+    ? Math.min(slowedHedgeFactor, state.settings.hedgeDelayFactor)
+    : state.settings.hedgeDelayFactor;
   return Math.max(smallestHedgeDelay, attempt.expectedFirstToken * factor);
 }
 
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -23,7 +23,7 @@
   prefixEntries: 20_000,
   prefixLife: 120_000,
   slowThreshold: 2,
-  probeInterval: 3_000,
+  probeInterval: 4_000,
   hedgeRatio: 0.05,
   hedgeDelayFactor: 3,
   quarantinePeriod: 600_000,
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -98,6 +98,8 @@
   /** Tokens and start of the window over which speed is measured. */
   windowTokens: number;
   windowAt: number;
+  /** Time between tokens in the last window, in that of the pool. */
+  pace: number;
 }
 
 /** What the policy keeps for each pool. */
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -198,7 +198,7 @@
   // A probe must win, otherwise a recovered server would never be noticed.
   const probe = isProbe(view, demand, id);
   // Small differences between servers are noise.
-  const slowed = view.slow.weight(id) < 1;
+  const slowed = view.slow.isSlow(id, now);
   const factor = probe ? 0.5 : slowed ? view.slow.factor(id, now) : 1;
   return {
     entry,
--- a/packages/rhubarbstage-policy/src/slow_servers.ts
+++ b/packages/rhubarbstage-policy/src/slow_servers.ts
@@ -27,6 +27,11 @@
   probeFactor: number;
 }
 
+interface WorstLatency {
+  readonly kind: LatencyKind | undefined;
+  readonly factor: number;
+}
+
 const bucketsPerDoubling = 4;
 const bucketCount = 64;
 const peerMemory = 10_000;
@@ -42,6 +47,8 @@
 const slowWeight = 0.5;
 /** Part of the way to its target that a weight moves for each sample. */
 const weightStep = 0.4;
+/** The same on the way back; a probe is rare, so each one counts more. */
+const recoveryStep = 0.7;
 
 /**
  * Distribution of observed over expected latency of all servers of a pool, in
@@ -106,7 +113,11 @@
     const peers = this.#peersOf(kind);
     peers.add(ratio, now);
     const good = ratio < peers.median(now) * this.#threshold;
-    known.probeFactor = good ? goodProbeFactor : 1;
+    // An engine without a queue may compute prompts quickly though it is slow.
+    const telling = kind !== "first_token" ||
+      this.#worst(known, now).kind === kind;
+    if (!good) known.probeFactor = 1;
+    else if (telling) known.probeFactor = goodProbeFactor;
     this.#moveWeight(known, now);
     if (known.weight < slowWeight) this.#slow.add(server);
     else this.#slow.delete(server);
@@ -126,6 +137,11 @@
     this.observe(server, sample, now);
   }
 
+  /** Whether the server is slower than its peers by the threshold. */
+  isSlow(server: BackendServerId, now: number): boolean {
+    return this.factor(server, now) > this.#threshold;
+  }
+
   /** Servers that are slow enough to move work away from them. */
   slowServers(): ReadonlySet<BackendServerId> {
     return this.#slow;
@@ -134,7 +150,7 @@
   /** Latency of a server in that of its peers; 1 when not judged yet. */
   factor(server: BackendServerId, now: number): number {
     const known = this.#servers.get(server);
-    return known === undefined ? 1 : this.#worstFactor(known, now);
+    return known === undefined ? 1 : this.#worst(known, now).factor;
   }
 
   /** Part of its normal traffic that a server should get, in (0, 1]. */
@@ -162,20 +178,22 @@
   }
 
   #moveWeight(known: ServerLatency, now: number): void {
-    const factor = this.#worstFactor(known, now);
+    const { factor } = this.#worst(known, now);
     const target = factor > this.#threshold
       ? Math.max(smallestWeight, (this.#threshold / factor) ** 4)
       : 1;
-    known.weight += (target - known.weight) * weightStep;
+    const step = target > known.weight ? recoveryStep : weightStep;
+    known.weight += (target - known.weight) * step;
     if (known.weight > 0.95) known.weight = 1;
   }
 
   /** A server is as slow as the worst of its latencies. */
-  #worstFactor(known: ServerLatency, now: number): number {
-    let worst = 1;
+  #worst(known: ServerLatency, now: number): WorstLatency {
+    let worst: WorstLatency = { kind: undefined, factor: 1 };
     for (const [kind, ratio] of known.ratios) {
       if (ratio.samples < samplesToJudge) continue;
-      worst = Math.max(worst, ratio.value / this.#peersOf(kind).median(now));
+      const factor = ratio.value / this.#peersOf(kind).median(now);
+      if (factor > worst.factor) worst = { kind, factor };
     }
     return worst;
   }
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -14,6 +14,8 @@
 const movesPerTick = 2;
 /** Saved time, in milliseconds, from which a move of a stream pays. */
 const movePays = 100;
+/** Shorter gaps between tokens are within the steps of an engine. */
+const smallestPaceWindow = 100;
 
 /** Refuses waiting work and cancels repeatable work at its deadline. */
 export function expire(state: FleetState, now: number): PolicyEffect[] {
@@ -71,7 +73,7 @@
   for (const pool of state.poolStates.values()) {
     for (const server of pool.slow.slowServers()) {
       const attempts = [...state.attemptsByServer.get(server) ?? []]
-        .filter((attempt) => movePaysFor(attempt, now))
+        .filter((attempt) => movePaysFor(state, attempt, now))
         .slice(0, movesPerTick);
       for (const attempt of attempts) {
         effects.push(...moveStream(state, attempt, now));
@@ -102,20 +104,40 @@
   }];
 }
 
-function movePaysFor(attempt: Attempt, now: number): boolean {
-  const { record, entry } = attempt;
+/** Time between tokens of a stream now, in that of the pool. */
+function paceOf(attempt: Attempt, now: number): number {
+  const { pool } = attempt.record;
+  const elapsed = now - attempt.windowAt;
+  if (elapsed < smallestPaceWindow) return attempt.pace;
+  const tokens = Math.max(1, attempt.windowTokens);
+  return elapsed / pool.estimates.decodeTime(tokens, now);
+}
+
+/**
+ * Whether the rest of a stream takes so much longer on its server that a move
+ * pays. The stream itself must be slow; otherwise a server that has recovered
+ * would lose each stream that could show it.
+ */
+function movePaysFor(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): boolean {
+  const { record } = attempt;
   const { work, pool } = record;
   if (!work.repeatable || !work.resumable) return false;
   if (attempt.firstTokenAt === undefined || record.attempts.size !== 1) {
     return false;
   }
+  const pace = paceOf(attempt, now);
+  if (pace < state.settings.slowThreshold) return false;
   const expected = Math.max(
     record.estimate.outputTokens - attempt.tokens,
     attempt.tokens,
   );
   const left = Math.min(expected, work.outputTokenLimit - attempt.tokens);
   const normal = pool.estimates.decodeTime(left, now);
-  const excess = normal * (pool.slow.factor(entry.server.id, now) - 1);
+  const excess = normal * (pace - 1);
   const cost = pool.estimates.prefillTime(
     work.promptTokens + attempt.tokens,
     now,
@@ -131,6 +153,11 @@
   const { record } = attempt;
   const route = betterRoute(state, attempt, now);
   if (route === undefined || !state.extraRuns.spend()) return [];
+  const sample = {
+    kind: "between_tokens",
+    ratio: paceOf(attempt, now),
+  } as const;
+  record.pool.slow.observeWait(attempt.entry.server.id, sample, now);
   const cancel = cancelAttempt(state, attempt, "moved", now);
   return [cancel, startAttempt(state, record, route, now), {
     type: "note",
