policy: Move single late streams and cache the peers' median

Cause: streams that were running when an engine slowed down waited until the whole engine was judged. The median of the peers took two thirds of the time of a decision. The split of roles counted prompts that decode engines compute as work of prefill engines and changed in a steady mix.

Change: each stream whose own tokens are late may be moved. The median is computed at most every 50 ms. The time of prompts is learned apart for prefill and other engines, and a new split must carry 1.1 times the work of the current one.

--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -16,6 +16,8 @@
 const slowedHedgeFactor = 2;
 /** Shorter waits are within the jitter of paths and timers. */
 const smallestHedgeDelay = 30;
+/** Shorter gaps between tokens are within the steps of an engine. */
+const smallestPaceWindow = 100;
 /** The overhead of a prompt in tokens, as routing counts it. */
 const promptOverhead = 100;
 /** Generated tokens, in estimated ones, from which running work is long. */
@@ -63,7 +65,13 @@
   }
   if (work.model !== undefined) {
     state.prefixes.store(entry.server.id, work.prefixes, now);
-    pool.estimates.learnCache(route.uncachedTokens, work.promptTokens, now);
+    const { uncachedTokens } = route;
+    const onPrefillEngine = prefill?.server.role === "prefill";
+    const tokens = work.promptTokens;
+    pool.estimates.learnPlacement(
+      { tokens, uncachedTokens, onPrefillEngine },
+      now,
+    );
   }
   pool.slow.sent(entry.server.id, now);
   const priority = work.settings.priority * 2 + (record.long ? 0 : 1);
@@ -96,6 +104,7 @@
   const { record, entry, prefill } = attempt;
   if (!record.attempts.delete(attempt.id)) return;
   if (record.attempts.size === 0) unmarkPreemptible(record);
+  state.sluggish.delete(attempt);
   record.delivered = Math.max(
     record.delivered,
     attempt.resumeFrom + attempt.tokens,
@@ -155,6 +164,8 @@
       slow.observe((prefill ?? entry).server.id, sample, now);
     }
     estimates.learnFirstToken(tokens, elapsed, now);
+    const onPrefillEngine = prefill?.server.role === "prefill";
+    estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
   }
   return cancelOthers(state, attempt, now);
 }
@@ -171,6 +182,9 @@
   attempt.tokens += count;
   attempt.windowTokens += count;
   markStraggler(attempt);
+  if (paceOf(attempt, now) >= state.settings.slowThreshold) {
+    state.sluggish.add(attempt);
+  } else state.sluggish.delete(attempt);
   const elapsed = now - attempt.windowAt;
   const due = attempt.windowTokens >= speedWindowTokens ||
     elapsed >= speedWindowTime;
@@ -185,6 +199,15 @@
   return effects;
 }
 
+/** Time between tokens of a stream now, in that of the pool. */
+export function paceOf(attempt: Attempt, now: number): number {
+  const { pool } = attempt.record;
+  const elapsed = now - attempt.windowAt;
+  if (elapsed < smallestPaceWindow) return attempt.pace;
+  const tokens = Math.max(1, attempt.windowTokens);
+  return elapsed / pool.estimates.decodeTime(tokens, now);
+}
+
 /** Ends a request that has its complete answer. */
 export function finishAttempt(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -388,15 +388,18 @@
       outstanding: state.table.used(entry),
     }));
     const slots = pool.capacity / pool.members.size;
-    const prefillTime = estimates.prefillTimePerToken(now);
+    const prefillTime = estimates.prefillEngineTimePerToken(now);
+    const promptTime = estimates.decodeEngineTimePerToken(now);
     const decodeTime = estimates.decodeTimePerToken() / slots;
+    const prompts = demand.promptTokensPerSecond / 1_000;
+    const outputs = demand.outputTokensPerSecond / 1_000;
     const changes = state.roles.decide(
       {
         model,
         engines,
         demand: {
-          prefillEngines: demand.promptTokensPerSecond * prefillTime / 1_000,
-          decodeEngines: demand.outputTokensPerSecond * decodeTime / 1_000,
+          prefillEngines: prompts * prefillTime,
+          decodeEngines: outputs * decodeTime + prompts * promptTime,
         },
       },
       state.settings,
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -134,6 +134,8 @@
   readonly poolStates: Map<string, PoolState>;
   readonly requests: Map<RequestId, RequestRecord>;
   readonly attemptsByServer: Map<BackendServerId, Set<Attempt>>;
+  /** Running streams whose own tokens are late. */
+  readonly sluggish: Set<Attempt>;
   readonly limits: CustomerLimits;
   readonly retries: RetryBudgets;
   /** Budget of hedged and moved requests. */
@@ -177,6 +179,7 @@
     poolStates: new Map(),
     requests: new Map(),
     attemptsByServer: new Map(),
+    sluggish: new Set(),
     limits: new CustomerLimits(hosts),
     retries: new RetryBudgets(),
     extraRuns: new RunBudget(),
--- a/packages/rhubarbstage-policy/src/roles.ts
+++ b/packages/rhubarbstage-policy/src/roles.ts
@@ -42,6 +42,8 @@
 
 /** Part of a role's capacity in use from which a change may pay. */
 const busyRole = 0.7;
+/** A split must carry this many times what the current one carries. */
+const betterSplit = 1.1;
 /** A change that takes this many times its expected time counts as lost. */
 const lostChangeFactor = 3;
 
@@ -148,6 +150,7 @@
     const fewer = carried(demand, { prefill: prefill - 1, decode: decode + 1 });
     const role = more > fewer ? "prefill" : "decode";
     const after = Math.max(more, fewer);
+    if (after < before * betterSplit) return undefined;
     const shrinking = role === "prefill" ? decode : prefill;
     if (shrinking <= settings.roleFloor) return undefined;
     const offered = demand.prefillEngines + demand.decodeEngines;
--- a/packages/rhubarbstage-policy/src/slow_servers.ts
+++ b/packages/rhubarbstage-policy/src/slow_servers.ts
@@ -35,6 +35,8 @@
 const bucketsPerDoubling = 4;
 const bucketCount = 64;
 const peerMemory = 10_000;
+/** In milliseconds; the median took two thirds of the time of a decision. */
+const medianPeriod = 50;
 /** A server needs this many samples before it counts as slow. */
 const samplesToJudge = 3;
 /** Share of a new sample in the smoothed ratio. */
@@ -43,8 +45,6 @@
 const sampleMemory = 3_000;
 /** After a good probe the next one comes this much earlier. */
 const goodProbeFactor = 0.1;
-/** Weight below which work is moved away. */
-const slowWeight = 0.5;
 /** Part of the way to its target that a weight moves for each sample. */
 const weightStep = 0.4;
 /** The same on the way back; a probe is rare, so each one counts more. */
@@ -60,6 +60,9 @@
     () => new DecayedSum(peerMemory),
   );
 
+  #median = 1;
+  #medianAt = -Infinity;
+
   add(ratio: number, now: number): void {
     const index = Math.round(Math.log2(ratio) * bucketsPerDoubling) +
       bucketCount / 2;
@@ -67,7 +70,16 @@
     this.#buckets[bounded]?.add(1, now);
   }
 
+  /** The median; computed anew at most every `medianPeriod`. */
   median(now: number): number {
+    if (now - this.#medianAt >= medianPeriod) {
+      this.#median = this.#computeMedian(now);
+      this.#medianAt = now;
+    }
+    return this.#median;
+  }
+
+  #computeMedian(now: number): number {
     const values = this.#buckets.map((bucket) => bucket.value(now));
     const half = values.reduce((sum, value) => sum + value, 0) / 2;
     let sum = 0;
@@ -85,7 +97,6 @@
 export class SlowServers {
   #peers = new Map<LatencyKind, PeerRatios>();
   #servers = new Map<BackendServerId, ServerLatency>();
-  #slow = new Set<BackendServerId>();
   #threshold: number;
   #probeInterval: number;
 
@@ -119,8 +130,6 @@
     if (!good) known.probeFactor = 1;
     else if (telling) known.probeFactor = goodProbeFactor;
     this.#moveWeight(known, now);
-    if (known.weight < slowWeight) this.#slow.add(server);
-    else this.#slow.delete(server);
   }
 
   /**
@@ -142,11 +151,6 @@
     return this.factor(server, now) > this.#threshold;
   }
 
-  /** Servers that are slow enough to move work away from them. */
-  slowServers(): ReadonlySet<BackendServerId> {
-    return this.#slow;
-  }
-
   /** Latency of a server in that of its peers; 1 when not judged yet. */
   factor(server: BackendServerId, now: number): number {
     const known = this.#servers.get(server);
@@ -173,7 +177,6 @@
 
   /** Forgets a server that left or came back as a new process. */
   forget(server: BackendServerId): void {
-    this.#slow.delete(server);
     this.#servers.delete(server);
   }
 
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -4,18 +4,16 @@
  * @module
  */
 
-import { cancelAttempt, startAttempt } from "./attempts.ts";
+import { cancelAttempt, paceOf, startAttempt } from "./attempts.ts";
 import { type Attempt, type FleetState, routingView } from "./fleet_state.ts";
 import { chooseRoute, type Route } from "./routing.ts";
 import { dequeue, mayHaveRun, routingDemand, waitingIn } from "./scheduling.ts";
 import type { PolicyEffect } from "./types.ts";
 
-/** Attempts that are moved off one slowed server in one tick. */
-const movesPerTick = 2;
+/** Streams that are moved in one tick. */
+const movesPerTick = 4;
 /** Saved time, in milliseconds, from which a move of a stream pays. */
 const movePays = 100;
-/** Shorter gaps between tokens are within the steps of an engine. */
-const smallestPaceWindow = 100;
 
 /** Refuses waiting work and cancels repeatable work at its deadline. */
 export function expire(state: FleetState, now: number): PolicyEffect[] {
@@ -67,18 +65,16 @@
   }
 }
 
-/** Moves resumable streams off slowed servers. */
+/** Moves resumable streams whose tokens are late to other servers. */
 export function moveStreams(state: FleetState, now: number): PolicyEffect[] {
   const effects: PolicyEffect[] = [];
-  for (const pool of state.poolStates.values()) {
-    for (const server of pool.slow.slowServers()) {
-      const attempts = [...state.attemptsByServer.get(server) ?? []]
-        .filter((attempt) => movePaysFor(state, attempt, now))
-        .slice(0, movesPerTick);
-      for (const attempt of attempts) {
-        effects.push(...moveStream(state, attempt, now));
-      }
-    }
+  let moved = 0;
+  for (const attempt of state.sluggish) {
+    if (moved >= movesPerTick) break;
+    if (!movePaysFor(state, attempt, now)) continue;
+    const moves = moveStream(state, attempt, now);
+    if (moves.length > 0) moved += 1;
+    effects.push(...moves);
   }
   return effects;
 }
@@ -104,15 +100,6 @@
   }];
 }
 
-/** Time between tokens of a stream now, in that of the pool. */
-function paceOf(attempt: Attempt, now: number): number {
-  const { pool } = attempt.record;
-  const elapsed = now - attempt.windowAt;
-  if (elapsed < smallestPaceWindow) return attempt.pace;
-  const tokens = Math.max(1, attempt.windowTokens);
-  return elapsed / pool.estimates.decodeTime(tokens, now);
-}
-
 /**
  * Whether the rest of a stream takes so much longer on its server that a move
  * pays. The stream itself must be slow; otherwise a server that has recovered
--- a/packages/rhubarbstage-policy/src/work_estimates.ts
+++ b/packages/rhubarbstage-policy/src/work_estimates.ts
@@ -26,7 +26,7 @@
 const lowQuantile = 0.2;
 const quantileStep = 0.05;
 /** Shorter prompts say little about the time for a token. */
-const tellingPromptTokens = 500;
+const tellingPromptTokens = 200;
 
 interface KindStatistics {
   count: number;
@@ -64,9 +64,11 @@
   #promptTime = new DecayedRatio(0.2, rateMemory);
   #outputTime = new DecayedRatio(20, rateMemory);
   #output = new DecayedRatio(200, rateMemory);
-  #fastPromptTime = new LowQuantile(0.2);
+  #prefillEngineTime = new LowQuantile(0.2);
+  #decodeEngineTime = new LowQuantile(0.2);
   #fastOutputTime = new LowQuantile(20);
-  #uncached = new DecayedRatio(1, rateMemory);
+  #onPrefillEngines = new DecayedRatio(1, rateMemory);
+  #onDecodeEngines = new DecayedRatio(0, rateMemory);
   #serviceTime = new DecayedRatio(50, rateMemory);
   #calibration = new DecayedRatio(1, rateMemory);
   #logRunTime = new DecayedRatio(Math.log(1_000), rateMemory);
@@ -113,19 +115,46 @@
 
   learnFirstToken(promptTokens: number, elapsed: number, now: number): void {
     this.#promptTime.add(elapsed, promptTokens, now);
-    if (promptTokens >= tellingPromptTokens) {
-      this.#fastPromptTime.add(elapsed / promptTokens);
-    }
   }
 
-  /** Learns which part of the prompts has to be computed. */
-  learnCache(uncachedTokens: number, promptTokens: number, now: number): void {
-    this.#uncached.add(uncachedTokens, promptTokens, now);
+  /** Learns the speed of a prompt on an engine of a split pool. */
+  learnPromptSpeed(
+    prompt: {
+      readonly tokens: number;
+      readonly elapsed: number;
+      readonly onPrefillEngine: boolean;
+    },
+  ): void {
+    if (prompt.tokens < tellingPromptTokens) return;
+    const quantile = prompt.onPrefillEngine
+      ? this.#prefillEngineTime
+      : this.#decodeEngineTime;
+    quantile.add(prompt.elapsed / prompt.tokens);
+  }
+
+  /** Learns which part of the prompts is computed on which engines. */
+  learnPlacement(
+    prompt: {
+      readonly tokens: number;
+      readonly uncachedTokens: number;
+      readonly onPrefillEngine: boolean;
+    },
+    now: number,
+  ): void {
+    const { tokens, uncachedTokens, onPrefillEngine } = prompt;
+    const prefill = onPrefillEngine ? uncachedTokens : 0;
+    this.#onPrefillEngines.add(prefill, tokens, now);
+    this.#onDecodeEngines.add(uncachedTokens - prefill, tokens, now);
+  }
+
+  /** Time of prefill engines for each offered prompt token, without queues. */
+  prefillEngineTimePerToken(now: number): number {
+    return this.#prefillEngineTime.value * this.#onPrefillEngines.value(now);
   }
 
-  /** Engine time for each offered prompt token, without queues. */
-  prefillTimePerToken(now: number): number {
-    return this.#fastPromptTime.value * this.#uncached.value(now);
+  /** Time of decode engines for each offered prompt token, without queues. */
+  decodeEngineTimePerToken(now: number): number {
+    return this.#decodeEngineTime.value * this.#onDecodeEngines.value(now);
   }
 
   /** Stream time for each output token, without queues. */
