--- a/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -300,6 +300,18 @@
     expect(driver.dispatches().at(-1)!.request).toBe("2");
   });
 
+  // Guards against a resend that reaches another host before the mark does.
+  test("holds the answer back until marks have spread", () => {
+    const driver = newDriver(["a", "b"]);
+    driver.arrive(makeWork("1", { repeatable: false }));
+    const [dispatch] = driver.dispatches();
+    const effects = fail(driver, dispatch!, { connectionLost: true }, 10);
+    expect(effects).toMatchObject([{ type: "publish_quarantine" }]);
+    expect(driver.refusals(driver.tick(1_000))).toEqual([]);
+    expect(driver.refusals(driver.tick(1_600)))
+      .toMatchObject([{ request: "1", outcome: "may_have_run" }]);
+  });
+
   // Guards against marks that stay on the host that made them.
   test("takes marks of other hosts", () => {
     const driver = newDriver();
@@ -400,6 +412,19 @@
   });
 });
 
+describe("settings", () => {
+  // Guards against settings that take effect only after a restart.
+  test("take effect on running modules", () => {
+    const driver = newDriver();
+    const mark = { fingerprint: "f", crashes: 2, blocked: true, age: 0 };
+    driver.send({ type: "quarantine_reported", now: 0, marks: [mark] });
+    const settings = { quarantinePeriod: 1_000 };
+    driver.send({ type: "settings_changed", now: 0, settings });
+    driver.arrive(makeWork("1", { fingerprint: "f", arrivedAt: 1_500 }));
+    expect(driver.dispatches()).toHaveLength(1);
+  });
+});
+
 describe("plain services", () => {
   // Guards against routing a service call to an engine.
   test("run on servers that offer the service", () => {
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -20,12 +20,12 @@
   takeTokens,
 } from "./attempts.ts";
 import {
-  defaultFleetSettings,
   demandPeriod,
   samplesForAdmission,
 } from "./constants.ts";
 import { markCrash, takeDelayedRefusals, takeFailure } from "./failures.ts";
 import {
+  applySettings,
   createFleetState,
   type FleetOptions,
   type FleetState,
@@ -111,7 +111,7 @@
         state.holdsRoleAuthority = event.held;
         return [];
       case "settings_changed":
-        state.settings = { ...defaultFleetSettings, ...event.settings };
+        applySettings(state, event.settings);
         return [];
       case "tick":
         return tick(state, event.now);
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -165,10 +165,7 @@
 /** State before the first event. */
 export function createFleetState(options: FleetOptions): FleetState {
   const settings = { ...defaultFleetSettings, ...options.settings };
-  const table = new ServerTable({
-    slack: settings.concurrencySlack,
-    sampled: settings.sampledServers * regionsOfSamples,
-  });
+  const table = new ServerTable(tableOptions(settings));
   const hosts = options.hosts ?? 1;
   table.setHosts(hosts, options.position ?? 0);
   return {
@@ -199,6 +196,31 @@
   };
 }
 
+function tableOptions(settings: FleetSettings) {
+  return {
+    slack: settings.concurrencySlack,
+    sampled: settings.sampledServers * regionsOfSamples,
+  };
+}
+
+/**
+ * Takes changed settings. The size of the prefix map and the life of its hints
+ * stay as they were at the start.
+ */
+export function applySettings(
+  state: FleetState,
+  changes: Partial<FleetSettings>,
+): void {
+  const settings = { ...defaultFleetSettings, ...changes };
+  const { slowThreshold: threshold, probeInterval } = settings;
+  state.settings = settings;
+  state.table.configure(tableOptions(settings));
+  state.quarantine.configure(settings.quarantinePeriod);
+  for (const pool of state.poolStates.values()) {
+    pool.slow.configure({ threshold, probeInterval });
+  }
+}
+
 /** State of the pool with this name, created on first use. */
 export function poolStateOf(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/quarantine.ts
+++ b/packages/rhubarbstage-policy/src/quarantine.ts
@@ -39,6 +39,11 @@
     this.#period = period;
   }
 
+  /** Takes a changed period, in milliseconds. */
+  configure(period: number): void {
+    this.#period = period;
+  }
+
   isBlocked(fingerprint: string, now: number): boolean {
     return this.#crashesOf(fingerprint, now) >= crashesToBlock;
   }
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -89,6 +89,15 @@
     this.#sampled = options.sampled;
   }
 
+  /** Takes changed settings. */
+  configure(
+    options: { readonly slack: number; readonly sampled: number },
+  ): void {
+    this.#slack = options.slack;
+    this.#sampled = options.sampled;
+    for (const entry of this.servers.values()) this.refresh(entry);
+  }
+
   /** Sets how many hosts share the servers and which of them this one is. */
   setHosts(hosts: number, position: number): void {
     if (hosts === this.#hosts && position === this.#position) return;
@@ -167,7 +176,9 @@
     if (this.#hosts === 1) return capacity - entry.own;
     // Late reports leave slots idle unless a few more requests than slots may
     // be sent; and a host may always use its even part of a server.
-    const slots = Math.ceil(capacity * this.#slack);
+    // Engines queue by priority; plain services may refuse what is too much.
+    const engine = entry.server.models.length > 0;
+    const slots = Math.ceil(capacity * (engine ? this.#slack : 1));
     const left = Math.floor(slots - this.used(entry));
     const evenLeft = Math.ceil(capacity / this.#hosts) - entry.own;
     return Math.max(left, evenLeft);
--- a/packages/rhubarbstage-policy/src/slow_servers.ts
+++ b/packages/rhubarbstage-policy/src/slow_servers.ts
@@ -8,6 +8,14 @@
 import { smallestWeight } from "./constants.ts";
 import { DecayedSum } from "./decayed.ts";
 
+/** Options of {@linkcode SlowServers}. */
+export interface SlowServersOptions {
+  /** Latency, in that of the peers, from which a server counts as slow. */
+  readonly threshold: number;
+  /** Milliseconds between probes of a slowed server. */
+  readonly probeInterval: number;
+}
+
 /** Which latency was observed. */
 export type LatencyKind = "first_token" | "between_tokens" | "call";
 
@@ -100,7 +108,13 @@
   #threshold: number;
   #probeInterval: number;
 
-  constructor(options: { threshold: number; probeInterval: number }) {
+  constructor(options: SlowServersOptions) {
+    this.#threshold = options.threshold;
+    this.#probeInterval = options.probeInterval;
+  }
+
+  /** Takes changed settings. */
+  configure(options: SlowServersOptions): void {
     this.#threshold = options.threshold;
     this.#probeInterval = options.probeInterval;
   }
