--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -19,10 +19,7 @@
   takeFirstToken,
   takeTokens,
 } from "./attempts.ts";
-import {
-  demandPeriod,
-  samplesForAdmission,
-} from "./constants.ts";
+import { demandPeriod, samplesForAdmission } from "./constants.ts";
 import { markCrash, takeDelayedRefusals, takeFailure } from "./failures.ts";
 import {
   applySettings,
