Add the gateway, its dispatcher and a streamed path end to end

Callers had no way in, and a host had nothing to compose. The gateway serves generations, plain services, backend servers and operators on Nest and Fastify; the dispatcher turns HTTP and engine happenings into policy events and carries out the effects. Other parts are reached only through the classes in ports.ts.

--- a/packages/rhubarbstage-engine/src/engine_client.ts
+++ b/packages/rhubarbstage-engine/src/engine_client.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { createHash } from "node:crypto";
 import { Agent, type Dispatcher } from "undici";
 import type { AttemptId, RequestId } from "rhubarbstage";
 import {
@@ -207,6 +208,7 @@
 
 function encodeGeneration(request: GenerationRequest): JsonObject {
   return {
+    seed: sharedSeed(request.request),
     ...request.body,
     stream: true,
     stream_options: { include_usage: true },
@@ -220,6 +222,14 @@
   };
 }
 
+/**
+ * Seed that all attempts of a request share, so that another engine continues
+ * the same text.
+ */
+function sharedSeed(request: RequestId): number {
+  return createHash("sha256").update(request).digest().readUInt32BE();
+}
+
 /** Reads a JSON answer and converts refusals and connection errors. */
 export async function readAnswer(
   exchange: Exchange,
--- a/packages/rhubarbstage-engine/src/event_stream.ts
+++ b/packages/rhubarbstage-engine/src/event_stream.ts
@@ -79,6 +79,7 @@
     this.#outputTokens = part.usage.completion_tokens ?? this.#position;
     this.#events.push({
       type: "usage",
+      position: this.#position,
       data,
       promptTokens: this.#promptTokens,
       outputTokens: this.#outputTokens,
--- a/packages/rhubarbstage-engine/src/types.ts
+++ b/packages/rhubarbstage-engine/src/types.ts
@@ -62,6 +62,7 @@
   | {
     /** Token counts; sent to callers only if they asked for them. */
     readonly type: "usage";
+    readonly position: number;
     readonly data: string;
     readonly promptTokens: number;
     readonly outputTokens: number;
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/caller_request.ts
@@ -0,0 +1,113 @@
+/**
+ * Bookkeeping around one request of a caller.
+ *
+ * @module
+ */
+
+import type { FastifyReply, FastifyRequest } from "fastify";
+import {
+  type CustomerId,
+  type RequestId,
+  type Revision,
+  RhubarbstageError,
+} from "rhubarbstage";
+import type { GatewayContext } from "./context.ts";
+import { CallerGone, toCallerError } from "./errors.ts";
+import { sendError } from "./replies.ts";
+import type { EffectiveSettings, RequestRecord } from "./ports.ts";
+
+/** How a request ended well. */
+export interface CallerResult {
+  readonly outputTokens: number;
+  readonly attempts: number;
+}
+
+/** One request of a caller. */
+export interface CallerRequest {
+  readonly id: RequestId;
+  readonly customer: CustomerId;
+  readonly request: FastifyRequest;
+  readonly reply: FastifyReply;
+  /** Monotonic time of arrival, in milliseconds. */
+  readonly arrivedAt: number;
+  /** Revision of the settings, once they are read. */
+  revision: Revision;
+  /** Sends an error after the answer has started. */
+  failStarted?: (error: RhubarbstageError) => void;
+}
+
+/** Options of {@linkcode serveCaller}. */
+export interface ServeOptions {
+  readonly request: FastifyRequest;
+  readonly reply: FastifyReply;
+  readonly route: RequestRecord["route"];
+}
+
+/** Runs the handler of a caller's request and reports how it ended. */
+export async function serveCaller(
+  context: GatewayContext,
+  options: ServeOptions,
+  handle: (call: CallerRequest) => Promise<CallerResult>,
+): Promise<void> {
+  const { request, reply, route } = options;
+  const call: CallerRequest = {
+    id: request.id as RequestId,
+    customer: context.access.customerOf(request),
+    request,
+    reply,
+    arrivedAt: context.dispatcher.clock.monotonicMilliseconds(),
+    revision: 0 as Revision,
+  };
+  const { requests, telemetry } = context;
+  let result: RequestRecord["result"] = "ok";
+  let ended: CallerResult = { outputTokens: 0, attempts: 0 };
+  requests.add(call.id);
+  try {
+    ended = await handle(call);
+  } catch (thrown) {
+    result = report(context, call, thrown);
+  } finally {
+    requests.remove(call.id);
+    telemetry.requestEnded({
+      request: call.id,
+      route,
+      customer: call.customer,
+      revision: call.revision,
+      result,
+      duration: context.dispatcher.clock.monotonicMilliseconds() -
+        call.arrivedAt,
+      ...ended,
+    });
+  }
+}
+
+function report(
+  context: GatewayContext,
+  call: CallerRequest,
+  thrown: unknown,
+): RequestRecord["result"] {
+  if (thrown instanceof CallerGone) return "caller_gone";
+  const error = toCallerError(thrown);
+  if (error.kind === "internal") {
+    context.telemetry.note("request_failed", {
+      request: call.id,
+      cause: describeCause(error),
+    });
+  }
+  if (call.reply.raw.headersSent) call.failStarted?.(error);
+  else sendError(call.reply, error);
+  return error.kind;
+}
+
+function describeCause(error: RhubarbstageError): string {
+  return error.cause instanceof Error
+    ? error.cause.stack ?? error.cause.message
+    : error.message;
+}
+
+/** Refuses repeatable work on an isolated host where the tree says so. */
+export function checkIsolation(settings: EffectiveSettings): void {
+  if (settings.isolated && settings.whenIsolated === "refuse") {
+    throw new RhubarbstageError("isolated");
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -0,0 +1,200 @@
+/**
+ * Drives a policy: turns what happens to requests into its events and carries
+ * out its effects.
+ *
+ * @module
+ */
+
+import type { EngineClient } from "@rhubarbstage/engine";
+import type {
+  Policy,
+  PolicyEffect,
+  PolicyEvent,
+  Work,
+} from "@rhubarbstage/policy";
+import {
+  type Clock,
+  every,
+  type RequestId,
+  RhubarbstageError,
+  SystemClock,
+} from "rhubarbstage";
+import { tickInterval } from "./constants.ts";
+import { GenerationRun } from "./generation_run.ts";
+import type {
+  BackendServers,
+  GatewayTelemetry,
+  PolicyListener,
+  SendService,
+  ServiceAnswer,
+} from "./ports.ts";
+import type { ActiveRequest, DispatchEffect, Run } from "./run.ts";
+import { ServiceRun } from "./service_run.ts";
+import type { GenerationSink } from "./sinks.ts";
+import type { Generation, GenerationResult, PolicyNews } from "./types.ts";
+
+/** What a {@linkcode Dispatcher} works with. */
+export interface DispatcherOptions {
+  readonly policy: Policy;
+  readonly engines: EngineClient;
+  readonly backendServers: Pick<BackendServers, "addressOf">;
+  readonly listener: PolicyListener;
+  readonly telemetry: GatewayTelemetry;
+  readonly clock?: Clock;
+}
+
+/** Options of one request. */
+export interface DispatchOptions {
+  /** Aborted when the caller closes its connection. */
+  readonly signal: AbortSignal;
+}
+
+/** Leads requests through the policy to backend servers. */
+export class Dispatcher {
+  readonly engines: EngineClient;
+  readonly backendServers: Pick<BackendServers, "addressOf">;
+  readonly telemetry: GatewayTelemetry;
+  readonly clock: Clock;
+  #policy: Policy;
+  #state: unknown;
+  #listener: PolicyListener;
+  #runs = new Map<RequestId, ActiveRequest>();
+  #events: PolicyEvent[] = [];
+  #reducing = false;
+
+  constructor(options: DispatcherOptions) {
+    this.engines = options.engines;
+    this.backendServers = options.backendServers;
+    this.telemetry = options.telemetry;
+    this.clock = options.clock ?? new SystemClock();
+    this.#policy = options.policy;
+    this.#state = options.policy.initial();
+    this.#listener = options.listener;
+  }
+
+  /** Ids of the requests that wait or run. */
+  get requests(): readonly RequestId[] {
+    return [...this.#runs.keys()];
+  }
+
+  /** Sends ticks to the policy until the signal is aborted. */
+  start(options: { readonly signal: AbortSignal }): void {
+    every(tickInterval, () => this.notify({ type: "tick" }), options);
+  }
+
+  /** Tells the policy what happened and carries out what it decides. */
+  notify(news: PolicyNews): void {
+    const now = this.clock.monotonicMilliseconds();
+    this.#events.push({ ...news, now } as PolicyEvent);
+    if (this.#reducing) return;
+    this.#reducing = true;
+    try {
+      this.#drain();
+    } finally {
+      this.#reducing = false;
+    }
+  }
+
+  /**
+   * Generates an answer into a sink.
+   *
+   * @throws {RhubarbstageError} If the policy refuses the request.
+   * @throws {CallerGone} If the caller closes its connection.
+   */
+  async generate(
+    generation: Generation,
+    sink: GenerationSink,
+    options: DispatchOptions,
+  ): Promise<GenerationResult> {
+    const run = new GenerationRun(this, { generation, sink });
+    return await this.#lead(run, generation.work, options);
+  }
+
+  /** Runs a call to a plain service. Throws as {@linkcode generate} does. */
+  async callService(
+    work: Work,
+    send: SendService,
+    options: DispatchOptions,
+  ): Promise<ServiceAnswer> {
+    return await this.#lead(
+      new ServiceRun(this, { work, send }),
+      work,
+      options,
+    );
+  }
+
+  async #lead<Result>(
+    run: Run<Result>,
+    work: Work,
+    options: DispatchOptions,
+  ): Promise<Result> {
+    const { signal } = options;
+    if (this.#runs.has(work.request)) {
+      throw new RhubarbstageError("internal", {
+        message: "The request id is already in use",
+        outcome: "not_run",
+      });
+    }
+    const onAbort = () => this.#onCallerGone(run);
+    this.#runs.set(work.request, run);
+    signal.addEventListener("abort", onAbort, { once: true });
+    try {
+      this.notify({ type: "arrived", work });
+      if (signal.aborted) onAbort();
+      return await run.result;
+    } finally {
+      signal.removeEventListener("abort", onAbort);
+      this.#runs.delete(work.request);
+      run.stop();
+    }
+  }
+
+  #onCallerGone(run: ActiveRequest): void {
+    // The policy lets work that may not be repeated run to its end.
+    if (!run.work.repeatable && run.attempts > 0) return;
+    this.notify({ type: "caller_gone", request: run.work.request });
+    run.abandon();
+  }
+
+  #drain(): void {
+    let event = this.#events.shift();
+    while (event) {
+      const effects = this.#policy.reduce(this.#state, event);
+      for (const effect of effects) this.#carryOut(effect);
+      event = this.#events.shift();
+    }
+  }
+
+  #carryOut(effect: PolicyEffect): void {
+    switch (effect.type) {
+      case "dispatch":
+        return this.#dispatch(effect);
+      case "refuse":
+        return this.#refuse(effect);
+      case "cancel":
+        return this.#runs.get(effect.request)?.cancel(effect.attempt);
+      case "set_role":
+        return this.#listener.setRole(effect.server, effect.role);
+      case "publish_quarantine":
+        return this.#listener.publishQuarantine(effect.marks);
+      case "note":
+        return this.telemetry.note(effect.event, effect.fields);
+    }
+  }
+
+  #dispatch(effect: DispatchEffect): void {
+    const run = this.#runs.get(effect.request);
+    if (run) {
+      run.dispatch(effect);
+      return;
+    }
+    // The request ended in the same turn; the policy frees the slot.
+    this.notify({ type: "caller_gone", request: effect.request });
+  }
+
+  #refuse(effect: Extract<PolicyEffect, { type: "refuse" }>): void {
+    const { kind, outcome, retryAfterSeconds } = effect;
+    const error = new RhubarbstageError(kind, { outcome, retryAfterSeconds });
+    this.#runs.get(effect.request)?.refuse(error);
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/error_filter.ts
@@ -0,0 +1,38 @@
+/**
+ * Answers errors outside the handlers of callers.
+ *
+ * @module
+ */
+
+import {
+  type ArgumentsHost,
+  Catch,
+  type ExceptionFilter,
+} from "@nestjs/common";
+import type { FastifyReply } from "fastify";
+import type { GatewayTelemetry } from "./ports.ts";
+import { toCallerError } from "./errors.ts";
+import { sendError } from "./replies.ts";
+
+/** Converts whatever was thrown to an answer of the closed list. */
+@Catch()
+export class ErrorFilter implements ExceptionFilter {
+  #telemetry: GatewayTelemetry;
+
+  constructor(telemetry: GatewayTelemetry) {
+    this.#telemetry = telemetry;
+  }
+
+  catch(thrown: unknown, host: ArgumentsHost): void {
+    const reply = host.switchToHttp().getResponse<FastifyReply>();
+    const error = toCallerError(thrown);
+    if (error.kind === "internal") {
+      const cause = thrown instanceof Error ? thrown.stack : undefined;
+      this.#telemetry.note("request_failed", {
+        request: reply.request.id,
+        cause: cause ?? "",
+      });
+    }
+    sendError(reply, error);
+  }
+}
--- a/packages/rhubarbstage-gateway/src/mod.ts
+++ b/packages/rhubarbstage-gateway/src/mod.ts
@@ -1,7 +1,42 @@
 /**
- * HTTP interface for callers, back ends and operators.
+ * HTTP interface for callers, backend servers and operators, and the dispatcher
+ * that drives the policy.
  *
  * @module
  */
 
-export {};
+export type {
+  AnnouncementAnswer,
+  DrainAction,
+  EffectiveServiceSettings,
+  EffectiveSettings,
+  EventFields,
+  MetricsText,
+  ModelQuery,
+  RecordFilter,
+  RequestRecord,
+  SendService,
+  ServiceAnswer,
+  ServiceAttempt,
+  ServiceCall,
+  ServiceQuery,
+  TreeEdit,
+} from "./ports.ts";
+export {
+  BackendServers,
+  Credentials,
+  GatewayTelemetry,
+  OperatorActions,
+  PolicyListener,
+  Readiness,
+  ServiceCalls,
+  ServiceRouting,
+  SettingsSource,
+} from "./ports.ts";
+export type { Generation, GenerationResult, PolicyNews } from "./types.ts";
+export type { DispatcherOptions, DispatchOptions } from "./dispatcher.ts";
+export { Dispatcher } from "./dispatcher.ts";
+export { GenerationSink } from "./sinks.ts";
+export { CallerGone, errorBody, errorHeaders } from "./errors.ts";
+export type { GatewayOptions, GatewayParts, ListenOptions } from "./gateway.ts";
+export { Gateway } from "./gateway.ts";
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -0,0 +1,252 @@
+/**
+ * What the gateway needs from the other parts of a host.
+ *
+ * @module
+ */
+
+import type {
+  Announcement,
+  CacheEvents,
+  Departure,
+  EngineAddress,
+} from "@rhubarbstage/engine";
+import type {
+  EngineRole,
+  QuarantineMark,
+  WorkSettings,
+} from "@rhubarbstage/policy";
+import type {
+  AttemptId,
+  BackendServerId,
+  CustomerId,
+  ErrorKind,
+  ModelName,
+  RequestId,
+  Revision,
+  ServiceName,
+  WorkKind,
+} from "rhubarbstage";
+
+/** Recognises callers, operators and backend servers by their secrets. */
+export abstract class Credentials {
+  /** Customer of an API key, or nothing if the key is unknown. */
+  abstract customerOf(apiKey: string): CustomerId | undefined;
+  /** Name of the operator with a token, or nothing if it is unknown. */
+  abstract operatorOf(token: string): string | undefined;
+  /** Whether a token belongs to backend servers. */
+  abstract isBackendServer(token: string): boolean;
+}
+
+/** Settings in force for one request. */
+export interface EffectiveSettings {
+  /** Revision that the settings were read from. */
+  readonly revision: Revision;
+  /** Whether the host has lost confirmation of its revision. */
+  readonly isolated: boolean;
+  /** What an isolated host does with repeatable work. */
+  readonly whenIsolated: "serve" | "refuse";
+  readonly service: ServiceName;
+  readonly kind: WorkKind;
+  /** Time for the request, in milliseconds, unless the caller gives less. */
+  readonly timeout: number;
+  readonly work: WorkSettings;
+}
+
+/** Settings in force for one call to a plain service. */
+export interface EffectiveServiceSettings extends EffectiveSettings {
+  /** Whether calls to this route may run more than once. */
+  readonly repeatable: boolean;
+}
+
+/** What settings of a generation depend on. */
+export interface ModelQuery {
+  readonly customer: CustomerId;
+  readonly model: ModelName;
+  /** Kind of work that the caller names. */
+  readonly kind?: WorkKind;
+}
+
+/** What settings of a call to a plain service depend on. */
+export interface ServiceQuery {
+  readonly customer: CustomerId;
+  readonly service: ServiceName;
+  readonly method: string;
+  /** Path below the service, with its leading slash and without the query. */
+  readonly path: string;
+  /** Kind of work that the caller names. */
+  readonly kind?: WorkKind;
+}
+
+/** Reads the tree of settings that is in force on this host. */
+export abstract class SettingsSource {
+  /** Models that a customer may use. */
+  abstract models(customer: CustomerId): readonly ModelName[];
+  /** Settings of a generation, or nothing if the model is unknown. */
+  abstract forModel(query: ModelQuery): EffectiveSettings | undefined;
+  /** Settings of a service call, or nothing if the service is unknown. */
+  abstract forService(
+    query: ServiceQuery,
+  ): EffectiveServiceSettings | undefined;
+}
+
+/** A call of a caller to a plain service. */
+export interface ServiceCall {
+  readonly request: RequestId;
+  readonly customer: CustomerId;
+  readonly service: ServiceName;
+  readonly method: string;
+  /** Path below the service with its leading slash and the query. */
+  readonly path: string;
+  /** Headers of the caller without credentials and hop-by-hop headers. */
+  readonly headers: Readonly<Record<string, string | readonly string[]>>;
+  readonly body: Uint8Array;
+  readonly repeatable: boolean;
+  readonly idempotencyKey?: string;
+  /** Monotonic time of the deadline, in milliseconds. */
+  readonly deadlineAt: number;
+}
+
+/** Answer to a call to a plain service. */
+export interface ServiceAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string | readonly string[]>>;
+  readonly body: Uint8Array;
+  /** Whether the answer is the kept one of an earlier request. */
+  readonly replayed: boolean;
+}
+
+/** One attempt of a call on the server that the policy has selected. */
+export interface ServiceAttempt {
+  readonly attempt: AttemptId;
+  readonly server: EngineAddress;
+  /** Aborted when the answer is no longer wanted. */
+  readonly signal: AbortSignal;
+}
+
+/** Sends a call once to one server. */
+export type SendService = (attempt: ServiceAttempt) => Promise<ServiceAnswer>;
+
+/** Leads a call through the policy. */
+export abstract class ServiceRouting {
+  /**
+   * Waits for the policy's selection and runs `send`. When `send` rejects with
+   * an error whose outcome and repeatability allow it, the policy may run it
+   * again on another server.
+   *
+   * @throws {RhubarbstageError} If the policy refuses the call or the last
+   * attempt fails.
+   */
+  abstract run(send: SendService): Promise<ServiceAnswer>;
+}
+
+/** Calls plain services; keeps to at-most-once execution where it is needed. */
+export abstract class ServiceCalls {
+  /**
+   * Runs one call. A call that is not repeatable is claimed before
+   * `routing.run` and settled or released after it.
+   *
+   * @throws {RhubarbstageError} With an outcome that is true.
+   */
+  abstract call(
+    call: ServiceCall,
+    routing: ServiceRouting,
+  ): Promise<ServiceAnswer>;
+}
+
+/** What a backend server learns from its announcement. */
+export interface AnnouncementAnswer {
+  /** Time until the next renewal, in milliseconds. */
+  readonly renewAfter: number;
+}
+
+/** Takes announcements and knows where backend servers are reached. */
+export abstract class BackendServers {
+  abstract announce(announcement: Announcement): AnnouncementAnswer;
+  abstract leave(departure: Departure): void;
+  abstract changeCache(events: CacheEvents): void;
+  /** Address of a backend server, or nothing if it is unknown. */
+  abstract addressOf(server: BackendServerId): EngineAddress | undefined;
+}
+
+/** Edit of the tree as an operator sends it. */
+export interface TreeEdit {
+  readonly editId: string;
+  readonly expectedRevision: number;
+  readonly operations: readonly unknown[];
+}
+
+/** Part of the history or the time line. */
+export interface RecordFilter {
+  readonly request?: string;
+  readonly backendServer?: string;
+  readonly revision?: number;
+  /** Largest number of records. */
+  readonly limit: number;
+}
+
+/** Drain or undrain of a backend server. */
+export interface DrainAction {
+  readonly server: BackendServerId;
+  readonly operator: string;
+}
+
+/** What operators read and do. Answers are JSON values. */
+export abstract class OperatorActions {
+  abstract tree(): Promise<unknown>;
+  abstract edit(edit: TreeEdit, operator: string): Promise<unknown>;
+  abstract history(filter: RecordFilter): Promise<unknown>;
+  abstract status(): Promise<unknown>;
+  abstract backends(): Promise<unknown>;
+  abstract drains(): Promise<unknown>;
+  abstract drain(action: DrainAction): Promise<unknown>;
+  abstract undrain(action: DrainAction): Promise<unknown>;
+  abstract timeline(filter: RecordFilter): Promise<unknown>;
+}
+
+/** One request that has ended. */
+export interface RequestRecord {
+  readonly request: RequestId;
+  readonly route: "chat" | "text" | "service";
+  readonly customer: CustomerId;
+  readonly revision: Revision;
+  /** Error kind, or `ok`, or `caller_gone`. */
+  readonly result: ErrorKind | "ok" | "caller_gone";
+  /** Time since arrival, in milliseconds. */
+  readonly duration: number;
+  readonly outputTokens: number;
+  readonly attempts: number;
+}
+
+/** Text of the metrics endpoint. */
+export interface MetricsText {
+  readonly contentType: string;
+  readonly text: string;
+}
+
+/** Field values of an event. */
+export type EventFields = Readonly<Record<string, string | number | boolean>>;
+
+/** Takes events of the time line and measurements. */
+export abstract class GatewayTelemetry {
+  abstract note(event: string, fields: EventFields): void;
+  abstract requestEnded(record: RequestRecord): void;
+  /** Time from arrival to the first token, in milliseconds. */
+  abstract firstToken(milliseconds: number): void;
+  /** Mean time between tokens over `tokens` tokens, in milliseconds. */
+  abstract betweenTokens(milliseconds: number, tokens: number): void;
+  abstract metrics(): Promise<MetricsText>;
+}
+
+/** Whether the host takes work. */
+export abstract class Readiness {
+  /** Reason why the load balancer should send nothing, or nothing. */
+  abstract notReadyReason(): string | undefined;
+  /** Whether new work is accepted; otherwise it is refused. */
+  abstract acceptsWork(): boolean;
+}
+
+/** Carries out the effects of the policy that the dispatcher does not. */
+export abstract class PolicyListener {
+  abstract setRole(server: BackendServerId, role: EngineRole): void;
+  abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
+}
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/replies.ts
@@ -0,0 +1,26 @@
+/**
+ * Sends answers that are not streams.
+ *
+ * @module
+ */
+
+import type { FastifyReply } from "fastify";
+import type { RhubarbstageError } from "rhubarbstage";
+import { requestIdHeader } from "./constants.ts";
+import { errorBody, errorHeaders } from "./errors.ts";
+
+/** Sends the answer to an error. */
+export function sendError(reply: FastifyReply, error: RhubarbstageError): void {
+  if (reply.sent || reply.raw.destroyed) return;
+  const { id } = reply.request;
+  reply.code(error.status).headers(errorHeaders(error, id))
+    .send(errorBody(error, id));
+}
+
+/** Sends JSON text. */
+export function sendJson(reply: FastifyReply, body: string): void {
+  reply.code(200).headers({
+    "content-type": "application/json; charset=utf-8",
+    [requestIdHeader]: reply.request.id,
+  }).send(body);
+}
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -0,0 +1,172 @@
+/**
+ * A request between its arrival and its end.
+ *
+ * @module
+ */
+
+import type { EngineAddress } from "@rhubarbstage/engine";
+import type { PolicyEffect, Work } from "@rhubarbstage/policy";
+import {
+  type AttemptId,
+  RhubarbstageError,
+  toRhubarbstageError,
+} from "rhubarbstage";
+import type { Dispatcher } from "./dispatcher.ts";
+import { CallerGone } from "./errors.ts";
+
+/** The effect that starts an attempt. */
+export type DispatchEffect = Extract<PolicyEffect, { type: "dispatch" }>;
+
+/** One attempt; a late answer of a cancelled one is dropped. */
+export interface Attempt {
+  readonly id: AttemptId;
+  readonly effect: DispatchEffect;
+  readonly address: EngineAddress;
+  readonly controller: AbortController;
+}
+
+/** A request as the dispatcher sees it, whatever its result. */
+export interface ActiveRequest {
+  readonly work: Work;
+  /** Number of attempts so far. */
+  readonly attempts: number;
+  /** Starts an attempt on a server. */
+  dispatch(effect: DispatchEffect): void;
+  /** Ends an attempt; nothing that it still yields is used. */
+  cancel(id: AttemptId): void;
+  /** Ends the request with an error. */
+  refuse(error: RhubarbstageError): void;
+  /** Ends the request because its caller is gone. */
+  abandon(): void;
+}
+
+/** Attempts and result of one request. */
+export abstract class Run<Result> implements ActiveRequest {
+  readonly work: Work;
+  /** Resolves or rejects when the request ends. */
+  readonly result: Promise<Result>;
+  attempts = 0;
+  protected dispatcher: Dispatcher;
+  #live = new Map<AttemptId, Attempt>();
+  #settle!: {
+    resolve: (result: Result) => void;
+    reject: (error: Error) => void;
+  };
+
+  constructor(dispatcher: Dispatcher, work: Work) {
+    this.dispatcher = dispatcher;
+    this.work = work;
+    this.result = new Promise((resolve, reject) => {
+      this.#settle = { resolve, reject };
+    });
+    // The error is reported to whoever awaits the result later.
+    this.result.catch(() => {});
+  }
+
+  dispatch(effect: DispatchEffect): void {
+    this.attempts += 1;
+    const { attempt: id, server } = effect;
+    const address = this.dispatcher.backendServers.addressOf(server);
+    const controller = new AbortController();
+    if (!address) {
+      this.#reportFailure(id, new RhubarbstageError("backend_unreachable"));
+      return;
+    }
+    const attempt = { id, effect, address, controller };
+    this.#live.set(id, attempt);
+    void this.#follow(attempt);
+  }
+
+  cancel(id: AttemptId): void {
+    const attempt = this.#live.get(id);
+    if (!attempt) return;
+    this.#live.delete(id);
+    this.onAttemptEnd(attempt);
+    attempt.controller.abort(new Error("The attempt was cancelled"));
+  }
+
+  refuse(error: RhubarbstageError): void {
+    this.stop();
+    this.#settle.reject(error);
+  }
+
+  abandon(): void {
+    this.stop();
+    this.#settle.reject(new CallerGone());
+  }
+
+  /** Cancels all attempts. */
+  stop(): void {
+    for (const id of [...this.#live.keys()]) this.cancel(id);
+  }
+
+  /** Runs one attempt to the end of the request. */
+  protected abstract run(attempt: Attempt): Promise<Result>;
+
+  /** Called when an attempt ends without the result. */
+  protected onAttemptEnd(_attempt: Attempt): void {}
+
+  /** Tokens that the caller has. */
+  protected get deliveredTokens(): number {
+    return 0;
+  }
+
+  /** Tokens of the prompt and the answer for the policy. */
+  protected abstract tokensOf(result: Result): {
+    readonly promptTokens: number;
+    readonly outputTokens: number;
+  };
+
+  /** Whether an attempt may still contribute to the answer. */
+  protected isLive(attempt: Attempt): boolean {
+    return this.#live.has(attempt.id);
+  }
+
+  /** Attempts that may still contribute to the answer. */
+  protected get live(): readonly Attempt[] {
+    return [...this.#live.values()];
+  }
+
+  async #follow(attempt: Attempt): Promise<void> {
+    try {
+      const result = await this.run(attempt);
+      if (!this.isLive(attempt)) return;
+      this.#live.delete(attempt.id);
+      this.#reportFinish(attempt.id, result);
+      this.#settle.resolve(result);
+    } catch (thrown) {
+      if (!this.isLive(attempt)) return;
+      this.#live.delete(attempt.id);
+      this.onAttemptEnd(attempt);
+      this.#reportFailure(attempt.id, toRhubarbstageError(thrown));
+    }
+  }
+
+  #reportFinish(attempt: AttemptId, result: Result): void {
+    const { request } = this.work;
+    const tokens = this.tokensOf(result);
+    this.dispatcher.notify({ type: "finished", request, attempt, ...tokens });
+  }
+
+  #reportFailure(attempt: AttemptId, error: RhubarbstageError): void {
+    const { request } = this.work;
+    const { kind, outcome, cause } = error;
+    const { connectionLost } = error as { connectionLost?: boolean };
+    this.dispatcher.telemetry.note("attempt_failed", {
+      request,
+      attempt,
+      kind,
+      outcome,
+      cause: cause instanceof Error ? cause.message : "",
+    });
+    this.dispatcher.notify({
+      type: "failed",
+      request,
+      attempt,
+      kind,
+      outcome,
+      deliveredTokens: this.deliveredTokens,
+      connectionLost: connectionLost ?? false,
+    });
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-gateway/src/services_controller.ts
@@ -0,0 +1,201 @@
+/**
+ * Calls to plain services.
+ *
+ * @module
+ */
+
+import { All, Controller, Inject, Req, Res } from "@nestjs/common";
+import type { FastifyReply, FastifyRequest } from "fastify";
+import { RhubarbstageError, type ServiceName } from "rhubarbstage";
+import {
+  type CallerRequest,
+  type CallerResult,
+  checkIsolation,
+  serveCaller,
+} from "./caller_request.ts";
+import { callerSignal } from "./connection_owner.ts";
+import { replayedHeader, requestIdHeader } from "./constants.ts";
+import type { GatewayContext } from "./context.ts";
+import type {
+  EffectiveServiceSettings,
+  SendService,
+  ServiceAnswer,
+  ServiceCall,
+} from "./ports.ts";
+import { ServiceRouting } from "./ports.ts";
+import { fingerprint, readKind, readTimeout } from "./request_reader.ts";
+import { contextToken } from "./tokens.ts";
+
+/** Headers that belong to one connection or to the gateway itself. */
+const headersNotForwarded = new Set([
+  "authorization",
+  "connection",
+  "content-length",
+  "expect",
+  "host",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+]);
+
+/** Serves `/services/{service}/...`. */
+@Controller("services")
+export class ServicesController {
+  #context: GatewayContext;
+
+  constructor(@Inject(contextToken) context: GatewayContext) {
+    this.#context = context;
+  }
+
+  @All([":service", ":service/*"])
+  async call(
+    @Req() request: FastifyRequest,
+    @Res() reply: FastifyReply,
+  ): Promise<void> {
+    await serveCaller(
+      this.#context,
+      { request, reply, route: "service" },
+      (call) => this.#call(call),
+    );
+  }
+
+  async #call(call: CallerRequest): Promise<CallerResult> {
+    const { service, path } = splitPath(call.request.url);
+    const settings = this.#context.settings.forService({
+      customer: call.customer,
+      service,
+      method: call.request.method,
+      path: path.split("?", 1)[0] as string,
+      kind: readKind(call.request.headers),
+    });
+    if (!settings) throw new RhubarbstageError("unknown_service");
+    call.revision = settings.revision;
+    const serviceCall = this.#read(call, { service, path, settings });
+    const routing = new DispatcherRouting(this.#context, {
+      call: serviceCall,
+      settings,
+      arrivedAt: call.arrivedAt,
+      signal: callerSignal(call.reply.raw),
+    });
+    const answer = await this.#context.services.call(serviceCall, routing);
+    sendAnswer(call.reply, answer);
+    return { outputTokens: 0, attempts: routing.attempts };
+  }
+
+  #read(
+    call: CallerRequest,
+    route: {
+      readonly service: ServiceName;
+      readonly path: string;
+      readonly settings: EffectiveServiceSettings;
+    },
+  ): ServiceCall {
+    const { headers, method, body } = call.request;
+    const { settings } = route;
+    const key = headers["idempotency-key"];
+    checkServiceCall(settings, key);
+    return {
+      request: call.id,
+      customer: call.customer,
+      service: route.service,
+      method,
+      path: route.path,
+      headers: forwardedHeaders(headers),
+      body: Buffer.isBuffer(body) ? body : new Uint8Array(),
+      repeatable: settings.repeatable,
+      idempotencyKey: typeof key === "string" ? key : undefined,
+      deadlineAt: call.arrivedAt + readTimeout(headers, settings.timeout),
+    };
+  }
+}
+
+function checkServiceCall(
+  settings: EffectiveServiceSettings,
+  key: string | string[] | undefined,
+): void {
+  if (settings.repeatable) {
+    checkIsolation(settings);
+    return;
+  }
+  if (typeof key !== "string" || key === "") {
+    throw new RhubarbstageError("idempotency_key_missing");
+  }
+  if (settings.isolated) throw new RhubarbstageError("no_quorum");
+}
+
+interface RoutedCall {
+  readonly call: ServiceCall;
+  readonly settings: EffectiveServiceSettings;
+  readonly arrivedAt: number;
+  readonly signal: AbortSignal;
+}
+
+/** Leads a service call through the dispatcher. */
+class DispatcherRouting extends ServiceRouting {
+  attempts = 0;
+  #context: GatewayContext;
+  #routed: RoutedCall;
+
+  constructor(context: GatewayContext, routed: RoutedCall) {
+    super();
+    this.#context = context;
+    this.#routed = routed;
+  }
+
+  override run(send: SendService): Promise<ServiceAnswer> {
+    const { call, settings, arrivedAt, signal } = this.#routed;
+    const work = {
+      request: call.request,
+      customer: call.customer,
+      service: settings.service,
+      kind: settings.kind,
+      promptTokens: 0,
+      outputTokenLimit: 0,
+      prefixes: [],
+      fingerprint: fingerprint(call.customer, call.body),
+      repeatable: call.repeatable,
+      resumable: false,
+      arrivedAt,
+      deadlineAt: call.deadlineAt,
+      settings: settings.work,
+    };
+    const counted: SendService = (attempt) => {
+      this.attempts += 1;
+      return send(attempt);
+    };
+    return this.#context.dispatcher.callService(work, counted, { signal });
+  }
+}
+
+function splitPath(url: string): { service: ServiceName; path: string } {
+  const [, service = "", path = ""] = /^\/services\/([^/?]+)(.*)$/.exec(url) ??
+    [];
+  return {
+    service: decodeURIComponent(service) as ServiceName,
+    path: path.startsWith("/") ? path : `/${path}`,
+  };
+}
+
+function forwardedHeaders(
+  headers: FastifyRequest["headers"],
+): Record<string, string | readonly string[]> {
+  const entries = Object.entries(headers).filter(([name, value]) =>
+    value !== undefined && !headersNotForwarded.has(name)
+  );
+  return Object.fromEntries(entries) as Record<string, string>;
+}
+
+function sendAnswer(reply: FastifyReply, answer: ServiceAnswer): void {
+  if (reply.raw.destroyed) return;
+  for (const [name, value] of Object.entries(answer.headers)) {
+    if (!headersNotForwarded.has(name)) reply.header(name, value);
+  }
+  reply.header(requestIdHeader, reply.request.id);
+  if (answer.replayed) reply.header(replayedHeader, "true");
+  reply.code(answer.status).send(Buffer.from(answer.body));
+}
