--- a/packages/rhubarbstage-settings/src/mod.ts
+++ b/packages/rhubarbstage-settings/src/mod.ts
@@ -45,7 +45,13 @@
 } from "./process_settings.ts";
 export type { Token } from "./tokens.ts";
 export { findToken, hashKey, loadTokens, parseTokens } from "./tokens.ts";
-export { checkTree, loadTree, parseTree } from "./tree_document.ts";
+export { splitPath } from "./tree_path.ts";
+export {
+  checkTree,
+  findTreeProblems,
+  loadTree,
+  parseTree,
+} from "./tree_document.ts";
 export {
   applyCheckedOperations,
   applyOperations,
--- a/packages/rhubarbstage-settings/src/tree_document.ts
+++ b/packages/rhubarbstage-settings/src/tree_document.ts
@@ -152,14 +152,21 @@
   ];
 }
 
+/** Lists all faults of plain data that should be a tree. */
+export function findTreeProblems(
+  data: unknown,
+  source: Source = {},
+): SettingsProblem[] {
+  const problems = findProblems(treeSchema, data, source);
+  if (problems.length > 0) return problems;
+  return findCrossProblems(data as TreeDocument, source);
+}
+
 /** Checks plain data and returns it as a tree. Throws `SettingsError`. */
 export function checkTree(data: unknown, source: Source = {}): TreeDocument {
-  const problems = findProblems(treeSchema, data, source);
+  const problems = findTreeProblems(data, source);
   if (problems.length > 0) throw new SettingsError(problems);
-  const tree = data as TreeDocument;
-  const more = findCrossProblems(tree, source);
-  if (more.length > 0) throw new SettingsError(more);
-  return tree;
+  return data as TreeDocument;
 }
 
 /** Reads a tree from YAML. Throws `SettingsError` with all faults. */
