Harden settings errors and the command, and add the quickstart

Cause: an error quoted a key that stood in place of its hash; an edit refused for lack of a quorum looked like one that may have run; a removal of the root emptied the tree; a full disk of the log ended the process.

The quickstart is written against the documented interfaces.

--- /dev/null
+++ b/packages/rhubarbstage-bench/src/quickstart.ts
@@ -0,0 +1,280 @@
+/**
+ * Forms a small system on loopback, uses it and stops it. Exits with 0 only
+ * when every step did what it should.
+ *
+ * @module
+ */
+
+import { join } from "node:path";
+import process from "node:process";
+import {
+  type BackendsAnswer,
+  type BootstrapAnswer,
+  type EditAnswer,
+  type EffectiveAnswer,
+  operatorPaths,
+} from "@rhubarbstage/settings";
+import {
+  type DrivenProcess,
+  freePorts,
+  ProcessDriver,
+} from "@rhubarbstage/test-support";
+import { delay } from "rhubarbstage";
+import {
+  countExecutions,
+  isOk,
+  readOperator,
+  sendCharge,
+  streamChat,
+} from "./quickstart_calls.ts";
+import {
+  backendToken,
+  type QuickstartFiles,
+  type QuickstartHost,
+  quickstartPorts,
+  writeQuickstartFiles,
+} from "./quickstart_files.ts";
+
+/** Longest wait for one condition, in milliseconds. */
+const conditionTimeout = 20_000;
+
+/** Bound on the time until an edit is in force, in milliseconds. */
+const editInForceTimeout = 8_000;
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+function assert(condition: boolean, message: string): void {
+  if (!condition) throw new Error(message);
+}
+
+/** Waits until a check holds and returns the time it took, in milliseconds. */
+async function waitUntil(
+  what: string,
+  options: {
+    readonly check: () => Promise<boolean>;
+    readonly processes: readonly DrivenProcess[];
+  },
+): Promise<number> {
+  const start = performance.now();
+  while (!await options.check()) {
+    const gone = options.processes.find(({ running }) => !running);
+    if (gone !== undefined) throw new Error(`${gone.name} has stopped`);
+    if (performance.now() - start > conditionTimeout) {
+      throw new Error(`Waited ${conditionTimeout} ms in vain until ${what}`);
+    }
+    await delay(100);
+  }
+  return Math.round(performance.now() - start);
+}
+
+/** The system of the quickstart. */
+class Quickstart {
+  readonly #driver: ProcessDriver;
+  readonly #files: QuickstartFiles;
+  readonly #processes: DrivenProcess[] = [];
+
+  constructor(driver: ProcessDriver, files: QuickstartFiles) {
+    this.#driver = driver;
+    this.#files = files;
+  }
+
+  get #urls(): readonly string[] {
+    return this.#files.hosts.map(({ url }) => url);
+  }
+
+  get #first(): QuickstartHost {
+    return this.#files.hosts[0] as QuickstartHost;
+  }
+
+  #waitUntil(what: string, check: () => Promise<boolean>): Promise<number> {
+    return waitUntil(what, { check, processes: this.#processes });
+  }
+
+  /** Runs an operator command against the first host. */
+  async #operate<Answer>(
+    ...args: readonly string[]
+  ): Promise<Answer> {
+    const command = this.#driver.start("rhubarbstage", {
+      name: args[0] ?? "",
+      arguments: [...args, "--json", "--settings", this.#first.file],
+      environment: {
+        RHUBARBSTAGE_STATE_FOLDER: join(this.#driver.folder, "state"),
+      },
+    });
+    const code = await command.exited;
+    assert(code === 0, `${args.join(" ")} failed:\n${command.output}`);
+    const { output } = command;
+    return JSON.parse(
+      output.slice(output.indexOf("{"), output.lastIndexOf("}") + 1),
+    );
+  }
+
+  async formSystem(): Promise<void> {
+    for (const host of this.#files.hosts) {
+      const started = this.#driver.start("rhubarbstage", {
+        name: host.name,
+        arguments: ["serve", "--settings", host.file],
+      });
+      this.#processes.push(started);
+    }
+    await this.#waitUntil("all hosts listen", async () => {
+      const alive = this.#urls.map((url) => isOk(`${url}/healthz`));
+      return (await Promise.all(alive)).every(Boolean);
+    });
+    const formed = await this.#operate<BootstrapAnswer>(
+      "bootstrap",
+      "--tree",
+      this.#files.tree,
+    );
+    print(`formed: ${formed.seats.map(({ host }) => host).join(", ")}`);
+    const time = await this.#waitUntil("all hosts are ready", async () => {
+      const ready = this.#urls.map((url) => isOk(`${url}/readyz`));
+      return (await Promise.all(ready)).every(Boolean);
+    });
+    print(`ready: ${this.#urls.length} hosts, ${time} ms after the bootstrap`);
+  }
+
+  /** Starts the fakes and returns the origin of the fake service. */
+  async startBackends(): Promise<string> {
+    const common = { entryHosts: this.#urls, announceToken: backendToken };
+    const engine = this.#driver.start("fake_engine", {
+      arguments: [JSON.stringify({ ...common, models: ["small"] })],
+    });
+    const service = this.#driver.start("fake_service", {
+      arguments: [JSON.stringify({ ...common, services: ["kiosk"] })],
+    });
+    this.#processes.push(engine, service);
+    await engine.ready();
+    const { url } = await service.ready<{ url: string }>();
+    const time = await this.#waitUntil(
+      "all hosts know both fakes",
+      async () => {
+        const answers = await Promise.all(
+          this.#urls.map((url) =>
+            readOperator<BackendsAnswer>(`${url}${operatorPaths.backends}`)
+          ),
+        );
+        return answers.every(({ backends }) => backends.length === 2);
+      },
+    );
+    print(`backend servers: 2, known to all hosts after ${time} ms`);
+    return url;
+  }
+
+  async chat(): Promise<void> {
+    const answer = await streamChat(
+      this.#first.url,
+      "What does a litre of water cost?",
+    );
+    assert(answer.complete, "The stream ended without its terminator");
+    assert(answer.chunks > 1, "The answer was not streamed");
+    const firstToken = Math.round(answer.firstToken);
+    print(`chat: ${answer.chunks} chunks, the first after ${firstToken} ms`);
+    print(`  ${answer.text.slice(0, 60)}`);
+  }
+
+  async charge(serviceUrl: string): Promise<void> {
+    const key = "charge-1";
+    const first = await sendCharge(this.#urls[1] as string, key);
+    assert(first.status === 200, `The charge failed: ${first.body}`);
+    const again = await sendCharge(this.#urls[2] as string, key);
+    assert(again.body === first.body, "The resend got another answer");
+    assert(again.replayed && !first.replayed, "The resend was not replayed");
+    const runs = await countExecutions(serviceUrl, key);
+    assert(runs === 1, `The charge ran ${runs} times`);
+    print("charge: sent twice through two hosts, ran once, same answer");
+  }
+
+  async edit(): Promise<void> {
+    const start = performance.now();
+    const { revision } = await this.#operate<EditAnswer>(
+      "tree",
+      "apply",
+      "--set",
+      "regions/*/services/chat/priority=5",
+    );
+    const query = "region=lombardia&service=chat&customer=kiosks&kind=default";
+    await this.#waitUntil("the edit is in force on all hosts", async () => {
+      const answers = await Promise.all(
+        this.#urls.map((url) =>
+          readOperator<EffectiveAnswer>(
+            `${url}${operatorPaths.effective}?${query}`,
+          )
+        ),
+      );
+      return answers.every((answer) =>
+        answer.revision >= revision &&
+        answer.settings.some(({ name, value }) =>
+          name === "priority" && value === 5
+        )
+      );
+    });
+    const time = Math.round(performance.now() - start);
+    assert(time <= editInForceTimeout, `The edit took ${time} ms`);
+    print(`edit: revision ${revision} in force on all hosts after ${time} ms`);
+  }
+
+  async stop(): Promise<void> {
+    for (const { name, code } of await this.#terminateAll()) {
+      assert(code === 0, `${name} exited with ${code}`);
+    }
+    print("stopped: every process exited with 0");
+  }
+
+  async #terminateAll() {
+    return await Promise.all(
+      this.#processes.map(async (driven) => ({
+        name: driven.name,
+        code: await driven.terminate(),
+      })),
+    );
+  }
+
+  /** Last output of each process, for the report of a failure. */
+  describeProcesses(): string {
+    return this.#processes.map(({ name, output }) =>
+      `${name}:\n${output.slice(-2_000)}`
+    ).join("\n");
+  }
+}
+
+async function runSteps(quickstart: Quickstart): Promise<void> {
+  try {
+    await quickstart.formSystem();
+    const serviceUrl = await quickstart.startBackends();
+    await quickstart.chat();
+    await quickstart.charge(serviceUrl);
+    await quickstart.edit();
+    await quickstart.stop();
+  } catch (error) {
+    process.stderr.write(`${quickstart.describeProcesses()}\n`);
+    throw error;
+  }
+}
+
+async function main(driver: ProcessDriver): Promise<void> {
+  const start = performance.now();
+  const ports = await freePorts(quickstartPorts);
+  const files = await writeQuickstartFiles(driver.folder, ports);
+  await runSteps(new Quickstart(driver, files));
+  const seconds = ((performance.now() - start) / 1_000).toFixed(1);
+  print(`done in ${seconds} s`);
+}
+
+const driver = new ProcessDriver();
+
+function exitAfter(code: number): void {
+  void driver.stop().finally(() => process.exit(code));
+}
+
+process.once("SIGINT", () => exitAfter(130));
+process.once("SIGTERM", () => exitAfter(143));
+main(driver).then(
+  () => exitAfter(0),
+  (error) => {
+    process.stderr.write(`${(error as Error).message}\n`);
+    exitAfter(1);
+  },
+);
--- a/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
@@ -150,6 +150,16 @@
     expect(await readdir(join(folder, "state"))).toEqual([]);
   });
 
+  // Guards against an operator who looks for an edit that cannot have happened.
+  test("reports a refusal without a quorum as nothing changed", async () => {
+    const target = await startHost({
+      "POST /operator/tree/edits": () => errorAnswer(503, "no_quorum"),
+    });
+    const { code } = await run([...setPriority, ...target]);
+    expect(code).toBe(exitCodes.refused);
+    expect(await readdir(join(folder, "state"))).toEqual([]);
+  });
+
   // Guards against sending what is known to be wrong, or a dry run that edits.
   test("checks edits before it sends them and sends no dry run", async () => {
     const target = await startHost({});
@@ -268,6 +278,7 @@
         ["drain", "a", "b"],
         ["check"],
         ["order", "end", "o1"],
+        ["timeline", "--file", join(folder, "missing")],
       ]
     ) {
       expect((await run(args)).code).toBe(exitCodes.usage);
--- a/packages/rhubarbstage-cli/src/errors.ts
+++ b/packages/rhubarbstage-cli/src/errors.ts
@@ -24,10 +24,17 @@
   }
 }
 
+/** Whether a file that the user named cannot be read. */
+function isFileError(thrown: unknown): boolean {
+  return typeof thrown === "object" && thrown !== null &&
+    "syscall" in thrown && "path" in thrown;
+}
+
 /** Exit code for what a command threw. */
 export function exitCodeOf(thrown: unknown): number {
   if (thrown instanceof UsageError) return exitCodes.usage;
   if (thrown instanceof NoAnswerError) return exitCodes.noAnswer;
+  if (isFileError(thrown)) return exitCodes.usage;
   if (!(thrown instanceof RhubarbstageError)) return exitCodes.internal;
   switch (thrown.kind) {
     case "invalid_request":
--- a/packages/rhubarbstage-cli/src/kept_edits.ts
+++ b/packages/rhubarbstage-cli/src/kept_edits.ts
@@ -57,9 +57,12 @@
     }
   }
 
-  /** Forgets an edit after its answer. */
+  /**
+   * Forgets an edit after its answer. A file that stays does no harm, because a
+   * resend of it gets the first answer.
+   */
   async remove(editId: EditId): Promise<void> {
-    await rm(this.#fileOf(editId), { force: true });
+    await rm(this.#fileOf(editId), { force: true }).catch(() => {});
   }
 
   #fileOf(editId: EditId): string {
--- a/packages/rhubarbstage-cli/src/operator_client.ts
+++ b/packages/rhubarbstage-cli/src/operator_client.ts
@@ -132,7 +132,7 @@
   async #call<Answer>(call: Call): Promise<Answer> {
     const { urls } = this.#options;
     let mayHaveRun = false;
-    let reason = "";
+    let last: RhubarbstageError | string = "";
     const sends = Math.max(maxSends, urls.length);
     for (let send = 0; send < sends; send += 1) {
       if (send >= urls.length) {
@@ -144,11 +144,13 @@
       if (result.type === "error" && isFinal(result.error, mayHaveRun)) {
         throw result.error;
       }
-      reason = result.type === "error" ? result.error.message : result.reason;
+      last = result.type === "error" ? result.error : result.reason;
       mayHaveRun ||= result.type === "lost"
         ? result.mayHaveRun
         : result.error.outcome !== "not_run";
     }
+    if (last instanceof RhubarbstageError && !mayHaveRun) throw last;
+    const reason = typeof last === "string" ? last : last.message;
     throw new NoAnswerError(
       `No answer from ${urls.join(", ")}: ${reason}`,
       { mayHaveRun: mayHaveRun && call.method === "POST" },
--- a/packages/rhubarbstage-settings/__tests__/unit/process_settings_test.ts
+++ b/packages/rhubarbstage-settings/__tests__/unit/process_settings_test.ts
@@ -92,6 +92,15 @@
     });
   });
 
+  // Guards against a host that can never confirm its configuration.
+  test("refuses settings that know no replica", () => {
+    const content = minimal.replace(", replica: true", "");
+    expect(problemsOf(content)[0]).toMatchObject({
+      path: "peers",
+      value: '["attica-1","crete-1"]',
+    });
+  });
+
   // Guards against a stack trace in place of a line for broken YAML.
   test("reports broken syntax and missing keys", () => {
     expect(problemsOf("host: [a\n")[0]?.line).toBe(2);
--- a/packages/rhubarbstage-settings/__tests__/unit/tree_edit_test.ts
+++ b/packages/rhubarbstage-settings/__tests__/unit/tree_edit_test.ts
@@ -67,6 +67,7 @@
       "a path that the tree has",
     );
     expect(messageOf([{ path: "regions/a/b", set: 1 }])).toContain("services");
+    expect(messageOf([{ path: "", remove: true }])).toContain("below the root");
     expect(messageOf([{ path: "priority/x", set: 1 }])).toContain(
       "no further segment",
     );
--- a/packages/rhubarbstage-settings/__tests__/unit/tree_test.ts
+++ b/packages/rhubarbstage-settings/__tests__/unit/tree_test.ts
@@ -254,6 +254,25 @@
     ]);
   });
 
+  // Guards against an error that shows a key which someone put in place of its
+  // hash.
+  test("does not quote values that may be secret", () => {
+    const faulty = content.replace(hash, "sk-customer-key");
+    const [problem] = problemsOf(faulty);
+    expect(problem?.value).toBe("[redacted]");
+    expect(JSON.stringify(problemsOf(faulty))).not.toContain("sk-customer");
+  });
+
+  // Guards against a small file that expands without bound.
+  test("refuses aliases that multiply", () => {
+    const lines = ["a0: &a0 [x, x, x, x, x, x, x, x, x, x]"];
+    for (let index = 1; index < 9; index += 1) {
+      const items = Array(10).fill(`*a${index - 1}`).join(", ");
+      lines.push(`a${index}: &a${index} [${items}]`);
+    }
+    expect(problemsOf(lines.join("\n"))[0]?.allowed).toContain("YAML");
+  });
+
   // Guards against names that break paths.
   test("refuses names with a slash", () => {
     expect(() => checkTree({ regions: { "a/b": {} } })).toThrow(SettingsError);
--- a/packages/rhubarbstage-settings/src/process_settings.ts
+++ b/packages/rhubarbstage-settings/src/process_settings.ts
@@ -126,6 +126,14 @@
   source: Source,
 ): SettingsProblem[] {
   const problems: SettingsProblem[] = [];
+  const hasReplica = fields.data_folder !== undefined ||
+    fields.peers.some((peer) => peer.replica);
+  if (!hasReplica) {
+    problems.push(makeProblem(source, ["peers"], {
+      value: fields.peers.map((peer) => peer.host),
+      allowed: "a list with at least one replica, or a data_folder here",
+    }));
+  }
   const hosts = new Set<string>();
   fields.peers.forEach((peer, index) => {
     if (hosts.has(peer.host)) {
--- a/packages/rhubarbstage-settings/src/tree_edit.ts
+++ b/packages/rhubarbstage-settings/src/tree_edit.ts
@@ -86,7 +86,13 @@
       ...(target.nearest === undefined ? {} : { nearest: target.nearest }),
     })];
   }
-  if (!("set" in operation)) return [];
+  if (!("set" in operation)) {
+    if (segments.length > 0) return [];
+    return [makeProblem({}, [], {
+      value: operation,
+      allowed: "a removal below the root",
+    })];
+  }
   return findProblems(target.schema, operation.set, { prefix: segments });
 }
 
--- a/packages/rhubarbstage-settings/src/validation.ts
+++ b/packages/rhubarbstage-settings/src/validation.ts
@@ -22,10 +22,24 @@
   readonly lineOf?: LineFinder;
 }
 
-/** The value as JSON, shortened. */
-export function quoteValue(value: unknown): string | undefined {
+/**
+ * Names of settings whose values are not quoted, because someone may have put a
+ * key or a token there in place of its hash or its file.
+ */
+const secretName = /(^|_)(tokens?|secret|password|keys?|key_hashes)$/;
+
+function isSecret(path: readonly PropertyKey[]): boolean {
+  return path.some((segment) => secretName.test(String(segment)));
+}
+
+/** The value as JSON, shortened; of a map only the keys. */
+function quoteValue(value: unknown): string | undefined {
   if (value === undefined) return undefined;
-  const json = JSON.stringify(value) ?? String(value);
+  const isMap = typeof value === "object" && value !== null &&
+    !Array.isArray(value);
+  const json = isMap
+    ? `{${Object.keys(value).join(", ")}}`
+    : JSON.stringify(value) ?? String(value);
   if (json.length <= maxQuotedValue) return json;
   return `${json.slice(0, maxQuotedValue)}…`;
 }
@@ -47,7 +61,9 @@
   path: readonly PropertyKey[],
   details: { value?: unknown; allowed: string; nearest?: string },
 ): SettingsProblem {
-  const value = quoteValue(details.value);
+  const value = isSecret(path) && details.value !== undefined
+    ? "[redacted]"
+    : quoteValue(details.value);
   const line = source.lineOf?.(path);
   return {
     ...(source.file === undefined ? {} : { file: source.file }),
--- a/packages/rhubarbstage-settings/src/yaml_source.ts
+++ b/packages/rhubarbstage-settings/src/yaml_source.ts
@@ -56,6 +56,16 @@
   return offset;
 }
 
+/** Resolves aliases; the library bounds how much they may multiply. */
+function toPlainData(document: Document, file: { file?: string }): unknown {
+  try {
+    return document.toJS();
+  } catch (error) {
+    const allowed = `YAML 1.2 (${(error as Error).message})`;
+    throw new SettingsError([{ ...file, path: "", value: "ALIAS", allowed }]);
+  }
+}
+
 /** Parses YAML 1.2. Throws {@linkcode SettingsError} for broken syntax. */
 export function parseYaml(
   content: string,
@@ -75,7 +85,7 @@
   }
   const lineOf = (path: readonly PropertyKey[]) =>
     lineCounter.linePos(findOffset(document, path)).line;
-  return { data: document.toJS(), source: { ...file, lineOf } };
+  return { data: toPlainData(document, file), source: { ...file, lineOf } };
 }
 
 /** Parses one value in YAML, for example `5` or `[a, b]`. */
--- a/packages/rhubarbstage-telemetry/src/logger.ts
+++ b/packages/rhubarbstage-telemetry/src/logger.ts
@@ -56,6 +56,13 @@
 
 const lineFormat = format.printf((info) => info.message as string);
 
+function reportFailure(error: unknown): void {
+  const detail = error instanceof Error ? error.message : String(error);
+  process.stderr.write(
+    `${formatFields({ level: "error", event: "log_failed", detail })}\n`,
+  );
+}
+
 function createTransport(options: LoggerOptions) {
   if (options.file !== undefined) {
     return new transports.File({ filename: options.file });
@@ -125,6 +132,8 @@
     format: lineFormat,
     transports: [createTransport(options)],
   });
+  // Without a listener, a full disk would end the serving process.
+  winston.on("error", reportFailure);
   return new KeyValueLogger(winston, fields);
 }
 
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -63,7 +63,7 @@
   readonly service: ServiceName;
   readonly customer?: CustomerId;
   /** Absent when the request succeeded. */
-  readonly error?: ErrorKind;
+  readonly error?: ErrorKind | "caller_gone";
   /** From arrival to the end of the answer, in milliseconds. */
   readonly duration: number;
 }
@@ -188,7 +188,8 @@
     const service = this.#services.limit(end.service);
     this.#requests.inc({ service, result: end.error ?? "ok" });
     this.#duration.observe({ service }, end.duration / 1_000);
-    if (end.error !== undefined) this.#errors.inc({ kind: end.error });
+    const isError = end.error !== undefined && end.error !== "caller_gone";
+    if (isError) this.#errors.inc({ kind: end.error });
     if (end.customer !== undefined) this.#customers.add(end.customer);
   }
 
