Write the timeline file in linear time

Change: the size of each line is added once. A test covers bootstrap.

Conclusion: recording no longer depends on the length of the backlog.

--- a/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
@@ -182,6 +182,56 @@
   });
 });
 
+describe("bootstrap", () => {
+  // Guards against a system formed without one of its replicas, and against a
+  // host that is asked without the token of its settings.
+  test("names all replicas of the settings file", async () => {
+    host = new FakeOperatorHost({
+      "POST /operator/bootstrap": () => ({
+        status: 200,
+        body: {
+          cluster: "pinakas",
+          revision: 1,
+          seats: [{ host: "attica-1", replica: "r1" }],
+          replayed: false,
+        },
+      }),
+    });
+    const { port } = new URL(await host.start());
+    const place = "address: 10.0.0.1, port: 1, region: r, availability_zone: z";
+    const settings = join(folder, "host.yaml");
+    await writeFile(
+      settings,
+      `
+host: attica-1
+cluster: pinakas
+region: attica
+availability_zone: attica-a
+http: {listen: "127.0.0.1:${port}"}
+peer: {listen: "127.0.0.1:7400"}
+data_folder: data
+peers:
+  - {host: crete-1, ${place}, replica: true}
+  - {host: crete-2, ${place}}
+token_files: {peer: token, operators: token, backend_servers: token}
+`,
+    );
+    const file = join(folder, "tree.yaml");
+    await writeFile(file, "priority: 1\n");
+    const { code, stdout } = await run(
+      ["bootstrap", "--settings", settings, "--tree", file],
+    );
+    expect(code).toBe(exitCodes.ok);
+    expect(stdout).toContain("pinakas formed at revision 1\n");
+    const [call] = host.calls;
+    expect(call?.authorization).toBe(`Bearer ${token}`);
+    expect(call?.body).toMatchObject({
+      hosts: ["attica-1", "crete-1"],
+      tree: { priority: 1 },
+    });
+  });
+});
+
 describe("operator commands", () => {
   // Guards against scripts that cannot tell why a command failed.
   test.each([
--- a/packages/rhubarbstage-telemetry/src/rotated_file.ts
+++ b/packages/rhubarbstage-telemetry/src/rotated_file.ts
@@ -24,6 +24,10 @@
   return age === 0 ? file : `${file}.${age}`;
 }
 
+function joinLines(lines: readonly string[]): string {
+  return `${lines.join("\n")}\n`;
+}
+
 /** Appends lines in order and rotates the file when it is full. */
 export class RotatedFile {
   readonly #file: string;
@@ -75,19 +79,16 @@
 
   async #append(lines: readonly string[]): Promise<void> {
     this.#size ??= await this.#open();
-    let batch = "";
+    let batch: string[] = [];
     for (const line of lines) {
-      batch += `${line}\n`;
-      if (this.#size + Buffer.byteLength(batch) < this.#options.maxBytes) {
-        continue;
-      }
-      await appendFile(this.#file, batch);
-      batch = "";
+      batch.push(line);
+      this.#size += Buffer.byteLength(line) + 1;
+      if (this.#size < this.#options.maxBytes) continue;
+      await appendFile(this.#file, joinLines(batch));
+      batch = [];
       await this.#rotate();
     }
-    if (batch === "") return;
-    await appendFile(this.#file, batch);
-    this.#size += Buffer.byteLength(batch);
+    if (batch.length > 0) await appendFile(this.#file, joinLines(batch));
   }
 
   async #open(): Promise<number> {
