--- /dev/null
+++ b/packages/rhubarbstage-gateway/__tests__/integration/other_endpoints_test.ts
@@ -0,0 +1,152 @@
+import { RhubarbstageError } from "rhubarbstage";
+import {
+  backendToken,
+  EngineProcess,
+  eventually,
+  Harness,
+  operatorToken,
+} from "../harness.ts";
+
+describe("services, backend servers and operators", () => {
+  let harness: Harness;
+
+  beforeAll(async () => {
+    harness = await Harness.start();
+    harness.addServer("ledger-1", "http://127.0.0.1:9");
+  });
+
+  afterAll(() => harness.close());
+
+  // Guards against calls that lose their path, body or headers, and against
+  // API keys that reach a service.
+  test("forwards a call to a plain service", async () => {
+    const answer = await harness.post("/services/ledger/top-up/7?a=b", "{}", {
+      "idempotency-key": "k1",
+      "x-kiosk": "4",
+    });
+    expect(answer.status).toBe(201);
+    expect(answer.headers.get("x-server")).toBe("ledger-1");
+    expect(await answer.text()).toBe("done");
+    const call = harness.services.calls.at(-1);
+    expect(call).toMatchObject({
+      method: "POST",
+      path: "/top-up/7?a=b",
+      repeatable: false,
+      idempotencyKey: "k1",
+      headers: { "x-kiosk": "4" },
+    });
+    expect(call?.headers).not.toHaveProperty("authorization");
+    expect(Buffer.from(call?.body ?? []).toString()).toBe("{}");
+  });
+
+  async function refusalOf(answer: Response) {
+    const { error } = await answer.json() as { error: unknown };
+    return error;
+  }
+
+  // Guards against top-ups that could run twice.
+  test("refuses unsafe calls before anything runs", async () => {
+    const keyless = await harness.post("/services/ledger/top-up", "{}");
+    expect(await refusalOf(keyless)).toMatchObject({
+      type: "idempotency_key_missing",
+    });
+    const { settings } = harness.settings;
+    harness.settings.settings = { ...settings, isolated: true };
+    const key = { "idempotency-key": "k2" };
+    const isolated = await harness.post("/services/ledger/top-up", "{}", key);
+    const read = await harness.post("/services/ledger/balance", "{}");
+    harness.settings.settings = settings;
+    expect(await refusalOf(isolated)).toMatchObject({
+      type: "no_quorum",
+      outcome: "not_run",
+    });
+    expect(read.status).toBe(201);
+    const unknown = await harness.post("/services/other", "{}");
+    expect(await refusalOf(unknown)).toMatchObject({ type: "unknown_service" });
+  });
+
+  // Guards against an outcome that is lost between service and caller.
+  test("reports the outcome of a failed call", async () => {
+    const { send } = harness.services;
+    harness.services.send = () =>
+      Promise.reject(new RhubarbstageError("outcome_unknown"));
+    const answer = await harness.post("/services/ledger/top-up", "{}", {
+      "idempotency-key": "k3",
+    });
+    harness.services.send = send;
+    expect(answer.headers.get("rhubarbstage-outcome")).toBe("may_have_run");
+    expect(await refusalOf(answer)).toMatchObject({ type: "outcome_unknown" });
+  });
+
+  // Guards against announcements of the engines that the gateway misreads.
+  test("takes announcements, cache events and departures", async () => {
+    const engine = await EngineProcess.start({
+      entryHosts: [harness.url],
+      announceToken: backendToken,
+      announceInterval: 50,
+      cacheEventDelay: 50,
+    });
+    const { announcements, changes } = harness.servers;
+    await eventually(() => announcements.length > 1);
+    harness.addServer(engine.id, engine.url);
+    const generation = fetch(`${engine.url}/v1/completions`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify({
+        model: "small",
+        prompt: "Once",
+        prefixes: ["block-1"],
+      }),
+    });
+    await (await generation).text();
+    await eventually(() => changes.length === 1);
+    await fetch(`${engine.url}/test/leave`, { method: "POST" });
+    await eventually(() => changes.length === 2);
+    await engine.stop();
+    expect(announcements[0]).toMatchObject({
+      id: "engine-1",
+      url: engine.url,
+      sequence: 1,
+      models: ["small"],
+      fencing: "checked",
+      load: { runningRequests: 0, cacheTokensTotal: 64_000 },
+    });
+    expect(changes[0]).toMatchObject({ stored: ["block-1"], evicted: [] });
+  });
+
+  // Guards against operator calls that lose their arguments.
+  test("passes operator calls on", async () => {
+    const call = async (path: string, options: RequestInit = {}) => {
+      const answer = await fetch(`${harness.url}/operator/${path}`, {
+        ...options,
+        headers: {
+          authorization: `Bearer ${operatorToken}`,
+          "content-type": "application/json",
+        },
+      });
+      return await answer.json();
+    };
+    const edit = { editId: "e1", expectedRevision: 7, operations: [] };
+    const sent = { method: "POST", body: JSON.stringify(edit) };
+    expect(await call("tree")).toEqual({ revision: 7 });
+    expect(await call("edits", sent)).toEqual({ ...edit, operator: "ada" });
+    expect(await call("drains/engine-1", { method: "PUT", body: "{}" }))
+      .toEqual({ server: "engine-1", operator: "ada" });
+    expect(await call("timeline?request=r1&limit=5"))
+      .toEqual({ request: "r1", limit: 5 });
+    expect(await call("timeline?limit=x"))
+      .toMatchObject({ error: { type: "invalid_request" } });
+  });
+
+  // Guards against a load balancer that is not told of a shutdown.
+  test("serves health, readiness and metrics", async () => {
+    const status = async (path: string) =>
+      (await fetch(`${harness.url}/${path}`)).status;
+    expect(await status("readyz")).toBe(200);
+    harness.readiness.reason = "shutting_down";
+    expect(await status("readyz")).toBe(503);
+    expect(await status("healthz")).toBe(200);
+    const metrics = await fetch(`${harness.url}/metrics`);
+    expect(await metrics.text()).toBe("up 1\n");
+  });
+});
