--- /dev/null
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -0,0 +1,241 @@
+/**
+ * The servers that the relay benchmark compares, each in a process of its own:
+ * the gateway under the fleet policy and a bare pass-through.
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { EngineClient } from "@rhubarbstage/engine";
+import {
+  BackendServers,
+  Credentials,
+  Dispatcher,
+  Gateway,
+  GatewayTelemetry,
+  OperatorActions,
+  PolicyListener,
+  Readiness,
+  ServiceCalls,
+  SettingsSource,
+} from "@rhubarbstage/gateway";
+import { FleetPolicy } from "@rhubarbstage/policy";
+import fastify from "fastify";
+import {
+  type AvailabilityZone,
+  type BackendServerId,
+  type CustomerId,
+  every,
+  type Incarnation,
+  type ModelName,
+  type Region,
+  type Revision,
+  RhubarbstageError,
+  type ServiceName,
+  type WorkKind,
+} from "rhubarbstage";
+import { Agent, request } from "undici";
+
+/** Options of a server process. */
+export interface RelayServerOptions {
+  /** Origin of the engine. */
+  readonly engine: string;
+  /** Requests that the engine runs at the same time. */
+  readonly capacity: number;
+}
+
+/** What a server process uses, as it reports it. */
+export interface RelayUsage {
+  /** CPU time since the start, in milliseconds. */
+  readonly cpu: number;
+  /** Resident memory in bytes. */
+  readonly resident: number;
+  /** Live JavaScript heap after a collection, in bytes. */
+  readonly heap: number;
+}
+
+/** Interval of renewals, as backend servers keep it. */
+const renewalInterval = 2_000;
+
+const region = "lombardia" as Region;
+const engineId = "engine-1" as BackendServerId;
+const model = "small" as ModelName;
+
+/** Runs the bare pass-through. */
+export async function servePassThrough(
+  options: RelayServerOptions,
+): Promise<void> {
+  const dispatcher = new Agent({ connections: options.capacity });
+  const server = fastify({ bodyLimit: 8 * 1_048_576 });
+  server.post("/v1/completions", async (incoming, reply) => {
+    const answer = await request(`${options.engine}/v1/completions`, {
+      method: "POST",
+      headers: { "content-type": "application/json" },
+      body: JSON.stringify(incoming.body),
+      dispatcher,
+    });
+    reply.code(answer.statusCode);
+    reply.header("content-type", answer.headers["content-type"]);
+    return reply.send(answer.body);
+  });
+  report(await server.listen({ host: "127.0.0.1", port: 0 }));
+}
+
+/** Runs the gateway. */
+export async function serveGateway(options: RelayServerOptions): Promise<void> {
+  const telemetry = new SilentTelemetry();
+  const backendServers = new OneEngine(options.engine);
+  const dispatcher = new Dispatcher({
+    policy: new FleetPolicy({ region, seed: 1 }),
+    engines: new EngineClient({ connections: options.capacity }),
+    backendServers,
+    listener: new NoListener(),
+    telemetry,
+  });
+  const gateway = await Gateway.create({
+    dispatcher,
+    credentials: new OneKey(),
+    settings: new FixedSettings(),
+    services: new NoServices(),
+    backendServers,
+    operators: new NoOperators(),
+    telemetry,
+    readiness: new AlwaysReady(),
+  });
+  const { signal } = new AbortController();
+  const renew = () => dispatcher.notify(engineSeen(options.capacity));
+  renew();
+  every(renewalInterval, renew, { signal });
+  dispatcher.start({ signal });
+  report(await gateway.listen({ address: "127.0.0.1", port: 0 }));
+}
+
+/** Tells the parent the origin, and the usage whenever it asks. */
+function report(url: string): void {
+  process.on("message", () => {
+    (globalThis as { gc?: () => void }).gc?.();
+    const { user, system } = process.cpuUsage();
+    const { rss, heapUsed } = process.memoryUsage();
+    const cpu = (user + system) / 1_000;
+    process.send?.({ cpu, resident: rss, heap: heapUsed });
+  });
+  process.on("disconnect", () => process.exit(0));
+  process.send?.({ url });
+}
+
+function engineSeen(capacity: number) {
+  return {
+    type: "server_seen" as const,
+    server: {
+      id: engineId,
+      incarnation: 1 as Incarnation,
+      region,
+      availabilityZone: "lombardia-1" as AvailabilityZone,
+      models: [model],
+      services: [],
+      role: "mixed" as const,
+      capacity,
+      acceptsNewWork: true,
+    },
+  };
+}
+
+class OneKey extends Credentials {
+  override customerOf() {
+    return "padana" as CustomerId;
+  }
+  override operatorOf() {
+    return undefined;
+  }
+  override isBackendServer() {
+    return false;
+  }
+}
+
+class FixedSettings extends SettingsSource {
+  #settings = {
+    revision: 1 as Revision,
+    isolated: false,
+    whenIsolated: "serve" as const,
+    service: "models" as ServiceName,
+    kind: "chat" as WorkKind,
+    timeout: 120_000,
+    work: {
+      priority: 0,
+      share: 1,
+      requestsPerSecond: Infinity,
+      tokensPerSecond: Infinity,
+      floorRequestsPerSecond: 0,
+      firstTokenTarget: 60_000,
+      retryRatio: 0.1,
+    },
+  };
+  override models() {
+    return [model];
+  }
+  override forModel() {
+    return this.#settings;
+  }
+  override forService() {
+    return undefined;
+  }
+}
+
+class OneEngine extends BackendServers {
+  #url: string;
+  constructor(url: string) {
+    super();
+    this.#url = url;
+  }
+  override announce() {
+    return { renewAfter: renewalInterval };
+  }
+  override leave() {}
+  override changeCache() {}
+  override addressOf(id: BackendServerId) {
+    return { id, url: this.#url };
+  }
+}
+
+class NoServices extends ServiceCalls {
+  override call(): Promise<never> {
+    return Promise.reject(new RhubarbstageError("unknown_service"));
+  }
+}
+
+class NoOperators extends OperatorActions {
+  override tree = () => Promise.resolve({});
+  override edit = () => Promise.resolve({});
+  override history = () => Promise.resolve([]);
+  override status = () => Promise.resolve({});
+  override backends = () => Promise.resolve([]);
+  override drains = () => Promise.resolve([]);
+  override drain = () => Promise.resolve({});
+  override undrain = () => Promise.resolve({});
+  override timeline = () => Promise.resolve([]);
+}
+
+class NoListener extends PolicyListener {
+  override setRole() {}
+  override publishQuarantine() {}
+  override publishDemand() {}
+}
+
+class SilentTelemetry extends GatewayTelemetry {
+  override note() {}
+  override requestEnded() {}
+  override firstToken() {}
+  override betweenTokens() {}
+  override metrics() {
+    return Promise.resolve({ contentType: "text/plain", text: "" });
+  }
+}
+
+class AlwaysReady extends Readiness {
+  override notReadyReason() {
+    return undefined;
+  }
+  override acceptsWork() {
+    return true;
+  }
+}
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -180,11 +180,13 @@
 class NoListener extends PolicyListener {
   override setRole() {}
   override publishQuarantine() {}
+  override publishDemand() {}
 }
 
 export interface HarnessOptions extends GatewayOptions {
   readonly policy?: Policy;
   readonly engineClient?: EngineClientOptions;
+  readonly engines?: EngineClient;
 }
 
 /** A running gateway and what it was given. */
@@ -201,7 +203,8 @@
   #abort = new AbortController();
 
   constructor(options: HarnessOptions) {
-    this.engineClient = new EngineClient(options.engineClient);
+    this.engineClient = options.engines ??
+      new EngineClient(options.engineClient);
     this.dispatcher = new Dispatcher({
       policy: options.policy ?? new NaivePolicy(),
       engines: this.engineClient,
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -177,6 +177,8 @@
         return this.#listener.setRole(effect.server, effect.role);
       case "publish_quarantine":
         return this.#listener.publishQuarantine(effect.marks);
+      case "publish_demand":
+        return this.#listener.publishDemand(effect.own, effect.ownModels);
       case "note":
         return this.telemetry.note(effect.event, effect.fields);
     }
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -11,7 +11,9 @@
   EngineAddress,
 } from "@rhubarbstage/engine";
 import type {
+  Demand,
   EngineRole,
+  ModelDemand,
   QuarantineMark,
   WorkSettings,
 } from "@rhubarbstage/policy";
@@ -249,4 +251,8 @@
 export abstract class PolicyListener {
   abstract setRole(server: BackendServerId, role: EngineRole): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
+  abstract publishDemand(
+    own: ReadonlyMap<CustomerId, Demand>,
+    ownModels: ReadonlyMap<ModelName, ModelDemand>,
+  ): void;
 }
