--- /dev/null
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -0,0 +1,167 @@
+/**
+ * Backend servers between the HTTP interface, membership and the policy.
+ *
+ * @module
+ */
+
+import type { BackendServerId } from "rhubarbstage";
+import {
+  type AnnouncementAnswer,
+  BackendServers,
+  type Dispatcher,
+} from "@rhubarbstage/gateway";
+import type {
+  Announcement,
+  CacheEvents,
+  Departure,
+  EngineAddress,
+} from "@rhubarbstage/engine";
+import {
+  type CacheChange,
+  type Membership,
+  membershipConstants,
+  type ServerLoad,
+  type ServerRecord,
+} from "@rhubarbstage/membership";
+import type { SettingsInForce } from "./settings_in_force.ts";
+
+/** A server as membership last reported it. */
+interface SeenServer {
+  readonly record: ServerRecord;
+  readonly load?: ServerLoad;
+  readonly usable: boolean;
+}
+
+/** Takes announcements and tells the policy which servers take work. */
+export class BackendRegistry extends BackendServers {
+  #settings: SettingsInForce;
+  #seen = new Map<BackendServerId, SeenServer>();
+  #cacheSequences = new Map<BackendServerId, number>();
+  #membership: Membership | undefined;
+  #dispatcher: Dispatcher | undefined;
+
+  constructor(options: { readonly settings: SettingsInForce }) {
+    super();
+    this.#settings = options.settings;
+  }
+
+  /** Connects the parts, which refer to each other; called once. */
+  connect(parts: {
+    readonly membership: Membership;
+    readonly dispatcher: Dispatcher;
+  }): void {
+    this.#membership = parts.membership;
+    this.#dispatcher = parts.dispatcher;
+  }
+
+  override announce(announcement: Announcement): AnnouncementAnswer {
+    const { load } = announcement;
+    this.#membership?.announce(toRecord(announcement), load);
+    return { renewAfter: membershipConstants.renewInterval };
+  }
+
+  override leave(departure: Departure): void {
+    this.#membership?.leave(departure.id, departure.incarnation);
+  }
+
+  override changeCache(events: CacheEvents): void {
+    const { id, incarnation, sequence, stored, evicted } = events;
+    const expected = this.#cacheSequences.get(id);
+    const gap = expected !== undefined && expected !== sequence;
+    this.#cacheSequences.set(id, sequence + stored.length + evicted.length);
+    const change = { id, incarnation, stored, evicted, gap };
+    this.#membership?.changeCache(change);
+  }
+
+  override addressOf(server: BackendServerId): EngineAddress | undefined {
+    const seen = this.#seen.get(server);
+    return seen === undefined
+      ? undefined
+      : { id: server, url: seen.record.address };
+  }
+
+  /** Record of a server, if it is known. */
+  recordOf(server: BackendServerId): ServerRecord | undefined {
+    return this.#seen.get(server)?.record;
+  }
+
+  /** Membership saw a server or a change of it. */
+  see(seen: SeenServer): void {
+    this.#seen.set(seen.record.id, seen);
+    this.#tell(seen);
+  }
+
+  /** Membership lost a server. */
+  lose(id: BackendServerId, options: { readonly crashed: boolean }): void {
+    const { crashed } = options;
+    this.#seen.delete(id);
+    this.#cacheSequences.delete(id);
+    this.#dispatcher?.notify({ type: "server_gone", server: id, crashed });
+  }
+
+  /** Membership heard of cache events. */
+  noteCache(change: CacheChange): void {
+    const { id, incarnation, stored, evicted, gap } = change;
+    if (this.#seen.get(id)?.record.incarnation !== incarnation) return;
+    this.#dispatcher?.notify({
+      type: "cache_changed",
+      server: id,
+      stored,
+      evicted,
+      gap,
+    });
+  }
+
+  /** Tells the policy of all servers again, after drains have changed. */
+  refresh(): void {
+    for (const seen of this.#seen.values()) this.#tell(seen);
+  }
+
+  /** Whether an operator has drained a server. */
+  isDrained(server: BackendServerId): boolean {
+    if (!this.#settings.ready) return false;
+    return this.#settings.configuration.drains.has(server);
+  }
+
+  #tell(seen: SeenServer): void {
+    const { record, load } = seen;
+    const { id, incarnation, region, availabilityZone } = record;
+    const { models, services, role, capacity } = record;
+    this.#dispatcher?.notify({
+      type: "server_seen",
+      server: {
+        id,
+        incarnation,
+        region,
+        availabilityZone,
+        models,
+        services,
+        role,
+        capacity,
+        acceptsNewWork: seen.usable && !this.isDrained(id),
+        load,
+      },
+    });
+  }
+}
+
+function toRecord(announcement: Announcement): ServerRecord {
+  const { id, incarnation, sequence, url, region } = announcement;
+  const { availabilityZone, models, services, role } = announcement;
+  return {
+    id,
+    incarnation,
+    sequence,
+    takeover: 0,
+    address: url,
+    region,
+    availabilityZone,
+    models,
+    services,
+    role,
+    capacity: announcement.capacity,
+    honoursFencing: announcement.fencing === "checked",
+    leaving: announcement.leaving,
+    loaded: announcement.adapters,
+  };
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/host_service_calls.ts
@@ -0,0 +1,147 @@
+/**
+ * Calls to plain services: repeatable ones directly, others through the claim
+ * journal.
+ *
+ * @module
+ */
+
+import {
+  ServiceCalls,
+  type ServiceAnswer as GatewayAnswer,
+  type ServiceAttempt,
+  type ServiceCall,
+  type ServiceRouting,
+} from "@rhubarbstage/gateway";
+import type {
+  ClaimRunner,
+  RepeatableClient,
+  ServiceRequest,
+  ServiceTarget,
+  StreamedAnswer,
+} from "@rhubarbstage/service";
+import { type Clock, RhubarbstageError } from "rhubarbstage";
+
+/** Largest answer of a repeatable call, in bytes. */
+const answerLimit = 32 * 1_024 * 1_024;
+
+/** Options of {@linkcode HostServiceCalls}. */
+export interface HostServiceCallsOptions {
+  readonly claims: ClaimRunner;
+  readonly repeatable: RepeatableClient;
+  readonly clock: Clock;
+}
+
+/** Runs calls to plain services for the gateway. */
+export class HostServiceCalls extends ServiceCalls {
+  #options: HostServiceCallsOptions;
+
+  constructor(options: HostServiceCallsOptions) {
+    super();
+    this.#options = options;
+  }
+
+  override async call(
+    call: ServiceCall,
+    routing: ServiceRouting,
+  ): Promise<GatewayAnswer> {
+    if (!call.repeatable) return await this.#callOnce(call, routing);
+    return await routing.run((attempt) => this.#repeat(call, attempt));
+  }
+
+  async #repeat(
+    call: ServiceCall,
+    attempt: ServiceAttempt,
+  ): Promise<GatewayAnswer> {
+    const now = this.#options.clock.monotonicMilliseconds();
+    const answer = await this.#options.repeatable.call(
+      targetOf(attempt),
+      requestOf(call),
+      {
+        signal: attempt.signal,
+        timeout: Math.max(1, call.deadlineAt - now),
+      },
+    );
+    const { status, headers } = answer;
+    return { status, headers, body: await readBody(answer), replayed: false };
+  }
+
+  /**
+   * Claims the call before the policy picks a server. When an attempt did not
+   * run, its claim is released and the policy may pick another server, for
+   * which the call is claimed again.
+   */
+  async #callOnce(
+    call: ServiceCall,
+    routing: ServiceRouting,
+  ): Promise<GatewayAnswer> {
+    let routed: Promise<GatewayAnswer> | undefined;
+    const first: Promise<GatewayAnswer> = this.#claim(
+      call,
+      () =>
+        new Promise((resolve, reject) => {
+          let attempts = 0;
+          routed = routing.run((attempt) => {
+            attempts += 1;
+            const target = targetOf(attempt);
+            if (attempts > 1) return this.#claim(call, async () => target);
+            resolve(target);
+            return first;
+          });
+          routed.catch(reject);
+        }),
+    );
+    const settled = await first.catch((thrown: unknown) => ({ thrown }));
+    if (routed !== undefined) return await routed;
+    if ("thrown" in settled) throw settled.thrown;
+    return settled;
+  }
+
+  async #claim(
+    call: ServiceCall,
+    acquireTarget: () => Promise<ServiceTarget>,
+  ): Promise<GatewayAnswer> {
+    const { customer, service, idempotencyKey, deadlineAt } = call;
+    const answer = await this.#options.claims.run({
+      customer,
+      service,
+      idempotencyKey,
+      request: requestOf(call),
+      deadlineAt,
+      acquireTarget,
+    });
+    const { status, headers, body, replayed } = answer;
+    return { status, headers, body, replayed };
+  }
+}
+
+function targetOf(attempt: ServiceAttempt): ServiceTarget {
+  const { id, url } = attempt.server;
+  return { backendServer: id, address: new URL(url).host };
+}
+
+function requestOf(call: ServiceCall): ServiceRequest {
+  const headers = Object.entries(call.headers).map(([name, value]) =>
+    [name, typeof value === "string" ? value : value.join(", ")] as const
+  );
+  const { method, path, body } = call;
+  return { method, path, headers: Object.fromEntries(headers), body };
+}
+
+async function readBody(answer: StreamedAnswer): Promise<Uint8Array> {
+  const parts: Uint8Array[] = [];
+  let size = 0;
+  try {
+    for await (const part of answer.body) {
+      size += part.length;
+      if (size > answerLimit) break;
+      parts.push(part);
+    }
+  } catch (cause) {
+    throw new RhubarbstageError("stream_interrupted", { cause });
+  }
+  if (size <= answerLimit) return Buffer.concat(parts);
+  throw new RhubarbstageError("backend_failed", {
+    message: "The service's answer is too large",
+    outcome: "ran",
+  });
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/host_settings_source.ts
@@ -0,0 +1,84 @@
+/**
+ * Settings of requests, read from the tree in force.
+ *
+ * @module
+ */
+
+import type {
+  CustomerId,
+  ModelName,
+  ServiceName,
+  WorkKind,
+} from "rhubarbstage";
+import {
+  type EffectiveServiceSettings,
+  type EffectiveSettings,
+  type ModelQuery,
+  type ServiceQuery,
+  SettingsSource,
+} from "@rhubarbstage/gateway";
+import { findRoute } from "@rhubarbstage/settings";
+import type { SettingsInForce } from "./settings_in_force.ts";
+
+const defaultKind = "default" as WorkKind;
+
+/** Reads the tree in force for the region of this host. */
+export class HostSettingsSource extends SettingsSource {
+  #settings: SettingsInForce;
+
+  constructor(settings: SettingsInForce) {
+    super();
+    this.#settings = settings;
+  }
+
+  override models(_customer: CustomerId): readonly ModelName[] {
+    const { tree, region } = this.#settings;
+    return tree.services(region).flatMap(({ models }) => models);
+  }
+
+  override forModel(query: ModelQuery): EffectiveSettings | undefined {
+    const { tree, region } = this.#settings;
+    const service = tree.serviceOfModel(region, query.model);
+    if (service === undefined || service.type !== "model") return undefined;
+    return this.#effective({
+      customer: query.customer,
+      service: service.service,
+      kind: query.kind ?? defaultKind,
+    });
+  }
+
+  override forService(
+    query: ServiceQuery,
+  ): EffectiveServiceSettings | undefined {
+    const { tree, region } = this.#settings;
+    const service = tree.service(region, query.service);
+    if (service === undefined || service.type !== "plain") return undefined;
+    const { method, path } = query;
+    const route = findRoute(service.routes, { method, path });
+    const effective = this.#effective({
+      customer: query.customer,
+      service: service.service,
+      kind: query.kind ?? route?.kind ?? defaultKind,
+    });
+    // A call that no route describes must not run twice.
+    return { ...effective, repeatable: route?.repeatable ?? false };
+  }
+
+  #effective(work: {
+    customer: CustomerId;
+    service: ServiceName;
+    kind: WorkKind;
+  }): EffectiveSettings {
+    const { tree, region, isolated, configuration } = this.#settings;
+    const settings = tree.effective({ region, ...work });
+    return {
+      revision: configuration.revision,
+      isolated,
+      whenIsolated: settings.whenIsolated,
+      service: work.service,
+      kind: work.kind,
+      timeout: settings.deadline,
+      work: settings,
+    };
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/settings_in_force.ts
@@ -0,0 +1,64 @@
+/**
+ * The tree of settings that is in force on this host.
+ *
+ * @module
+ */
+
+import { type Region, RhubarbstageError } from "rhubarbstage";
+import type {
+  Configuration,
+  ConfigurationClient,
+} from "@rhubarbstage/control";
+import { SettingsTree, type TreeDocument } from "@rhubarbstage/settings";
+
+/** Keeps the look-up structure of the newest configuration. */
+export class SettingsInForce {
+  readonly region: Region;
+  #client: ConfigurationClient | undefined;
+  #tree: SettingsTree | undefined;
+
+  constructor(options: { readonly region: Region }) {
+    this.region = options.region;
+  }
+
+  /** Client that confirms the configuration; set once at the start. */
+  set client(client: ConfigurationClient) {
+    this.#client = client;
+  }
+
+  /** Takes a newer configuration. */
+  take(configuration: Configuration): void {
+    const document = configuration.tree as unknown as TreeDocument;
+    if (this.#tree?.document === document) return;
+    this.#tree = new SettingsTree(document);
+  }
+
+  /** The tree in force. Throws `isolated` before the first confirmation. */
+  get tree(): SettingsTree {
+    if (this.#tree !== undefined) return this.#tree;
+    throw new RhubarbstageError("isolated", {
+      message: "This host has no configuration yet",
+    });
+  }
+
+  /** The configuration in force. Throws `isolated` before the first one. */
+  get configuration(): Configuration {
+    if (this.#client !== undefined) return this.#client.configuration;
+    throw new RhubarbstageError("isolated");
+  }
+
+  /** Whether a configuration is in force. */
+  get ready(): boolean {
+    return this.#tree !== undefined;
+  }
+
+  /** Whether the last confirmation is too old. */
+  get isolated(): boolean {
+    return this.#client?.isolated ?? true;
+  }
+
+  /** Age of the last confirmation, in milliseconds. */
+  get confirmationAge(): number {
+    return this.#client?.confirmationAge ?? Infinity;
+  }
+}
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -180,11 +180,11 @@
 
   #registerHandlers(): void {
     const { link } = this.#options;
-    link.handle("gossip", (from, body) => {
+    link.onMessage("gossip", (from, body) => {
       const message = body as GossipMessage;
       this.#dispatch({ type: "received", now: this.#now(), from, message });
     });
-    link.handle("renew", (_from, body) => {
+    link.onRequest("renew", (_from, body) => {
       const { record, load } = body as {
         record: ServerRecord;
         load?: ServerLoad;
@@ -192,10 +192,10 @@
       this.#dispatch({ type: "announced", now: this.#now(), record, load });
       return true;
     });
-    link.handle("cache", (_from, body) => {
+    link.onMessage("cache", (_from, body) => {
       this.#options.listener.cacheChanged?.(body as CacheChange);
     });
-    link.handle("demand", (from, body) => {
+    link.onRequest("demand", (from, body) => {
       return this.#aggregate.report(from, body as DemandRow[], this.#now());
     });
   }
