--- /dev/null
+++ b/packages/rhubarbstage-host/src/host_events.ts
@@ -0,0 +1,38 @@
+/**
+ * One event goes to the log and to the timeline.
+ *
+ * @module
+ */
+
+import type { BackendServerId, RequestId, Revision } from "rhubarbstage";
+import type { Fields, Level, Logger, Timeline } from "@rhubarbstage/telemetry";
+
+/** Options of {@linkcode HostEvents}. */
+export interface HostEventsOptions {
+  readonly logger: Logger;
+  readonly timeline: Timeline;
+}
+
+/** Records events of this host. */
+export class HostEvents {
+  #options: HostEventsOptions;
+
+  constructor(options: HostEventsOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Records an event. The fields `request`, `server` and `revision` say what
+   * it is about, so that the timeline can be filtered by them.
+   */
+  note(event: string, fields: Fields = {}, level: Level = "info"): void {
+    const { request, server, revision, ...rest } = fields;
+    this.#options.logger.log(level, event, fields);
+    this.#options.timeline.record(event, {
+      request: request as RequestId | undefined,
+      server: server as BackendServerId | undefined,
+      revision: revision as Revision | undefined,
+      fields: rest,
+    });
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/host_status.ts
@@ -0,0 +1,159 @@
+/**
+ * State of this host and what it knows of others, for operators.
+ *
+ * @module
+ */
+
+import type { HostId, Incarnation } from "rhubarbstage";
+import type { OrderIntent } from "@rhubarbstage/control";
+import type { HostRecord, Membership } from "@rhubarbstage/membership";
+import type {
+  BackendStatus,
+  Endpoint,
+  GroupStatus,
+  HostStatus,
+  ProcessSettings,
+  StatusAnswer,
+} from "@rhubarbstage/settings";
+import type { BackendRegistry } from "./backend_registry.ts";
+import type { Lifecycle } from "./lifecycle.ts";
+import type { SeatOperations } from "./seat_operations.ts";
+import type { SettingsInForce } from "./settings_in_force.ts";
+
+/** Options of {@linkcode HostStatusReport}. */
+export interface HostStatusReportOptions {
+  readonly process: ProcessSettings;
+  readonly incarnation: Incarnation;
+  readonly version: string;
+  readonly settings: SettingsInForce;
+  readonly lifecycle: Lifecycle;
+  readonly membership: Membership;
+  readonly backends: BackendRegistry;
+  readonly seats: SeatOperations;
+  /** Requests of callers that wait or run. */
+  readonly openRequests: () => number;
+}
+
+/** Builds the answers of the operator interface about state. */
+export class HostStatusReport {
+  #options: HostStatusReportOptions;
+
+  constructor(options: HostStatusReportOptions) {
+    this.#options = options;
+  }
+
+  /** State of this host. */
+  report(): StatusAnswer {
+    const { process, incarnation, version, settings } = this.#options;
+    const { lifecycle, seats, openRequests } = this.#options;
+    return {
+      host: process.host,
+      cluster: process.cluster,
+      version,
+      region: process.region,
+      availability_zone: process.availabilityZone,
+      incarnation,
+      ready: lifecycle.notReadyReason() === undefined,
+      shutting_down: lifecycle.shuttingDown,
+      isolated: settings.isolated,
+      ...(settings.ready
+        ? {
+          revision: settings.configuration.revision,
+          confirmation_age_ms: Math.round(settings.confirmationAge),
+        }
+        : {}),
+      running_requests: openRequests(),
+      queued_requests: 0,
+      bootstrapped: settings.ready,
+      ...(seats.replicaId === undefined ? {} : { replica: seats.replicaId }),
+      groups: this.groups(),
+      hosts: this.#hosts(),
+    };
+  }
+
+  /** Replicated groups with a seat on this host. */
+  groups(): readonly GroupStatus[] {
+    return this.#options.seats.status().map((group) => ({
+      group: group.group,
+      term: group.term,
+      ...(group.leader === undefined ? {} : { leader: group.leader }),
+      commit_index: group.commitIndex,
+      seats: group.seats.map((seat) => ({
+        host: seat.host,
+        replica: seat.replica,
+        voter: seat.role === "voter",
+        durable_index: seat.durableIndex ?? 0,
+      })),
+    }));
+  }
+
+  /** Backend servers with their open orders, sorted by id. */
+  backends(open: readonly OrderIntent[]): readonly BackendStatus[] {
+    const orders = new Map(
+      open.map((intent) => [intent.backendServer, intent]),
+    );
+    return this.#options.membership.listServers()
+      .map((server) => this.#backend(server, orders.get(server.record.id)))
+      .sort((left, right) => left.server < right.server ? -1 : 1);
+  }
+
+  #backend(
+    server: ReturnType<Membership["listServers"]>[number],
+    order: OrderIntent | undefined,
+  ): BackendStatus {
+    const { record, load, usable, evidenceAge } = server;
+    const drained = this.#options.backends.isDrained(record.id);
+    const state = record.leaving
+      ? "leaving"
+      : drained
+      ? "drained"
+      : usable
+      ? "ready"
+      : "stale";
+    return {
+      server: record.id,
+      incarnation: record.incarnation,
+      address: record.address,
+      region: record.region,
+      availability_zone: record.availabilityZone,
+      models: record.models,
+      services: record.services,
+      role: record.role,
+      state,
+      honours_fencing: record.honoursFencing,
+      evidence_age_ms: Math.round(evidenceAge),
+      running_requests: load?.runningRequests ?? 0,
+      queued_requests: load?.queuedRequests ?? 0,
+      ...(order === undefined ? {} : {
+        order: {
+          order_id: order.orderId,
+          kind: order.kind,
+          fencing_number: order.fencingNumber,
+        },
+      }),
+    };
+  }
+
+  #hosts(): readonly HostStatus[] {
+    return this.#options.membership.listKnownHosts().map((known) => ({
+      host: known.record.host,
+      region: known.record.region,
+      availability_zone: known.record.availabilityZone,
+      incarnation: known.incarnation,
+      alive: known.alive,
+      ...(known.revision === undefined ? {} : { revision: known.revision }),
+      replica: known.record.replica,
+      http: parseEndpoint(known.record),
+    }));
+  }
+}
+
+function parseEndpoint(record: HostRecord): Endpoint {
+  const { hostname, port } = new URL(record.httpAddress);
+  return { address: hostname, port: Number(port) };
+}
+
+/** Ids of hosts, as a set. */
+export function hostIds(records: readonly HostRecord[]): Set<HostId> {
+  return new Set(records.map((record) => record.host));
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/lifecycle.ts
@@ -0,0 +1,45 @@
+/**
+ * Stages of a host from its start to its end.
+ *
+ * @module
+ */
+
+import { Readiness } from "@rhubarbstage/gateway";
+import type { SettingsInForce } from "./settings_in_force.ts";
+
+/** Stage of a host. */
+export type Stage = "running" | "leaving" | "refusing";
+
+/** Tells the load balancer and the gateway whether the host takes work. */
+export class Lifecycle extends Readiness {
+  #settings: SettingsInForce;
+  #stage: Stage = "running";
+
+  constructor(settings: SettingsInForce) {
+    super();
+    this.#settings = settings;
+  }
+
+  /** Whether the host is shutting down. */
+  get shuttingDown(): boolean {
+    return this.#stage !== "running";
+  }
+
+  /** Moves to the next stage of a shutdown. */
+  enter(stage: Exclude<Stage, "running">): void {
+    this.#stage = stage;
+  }
+
+  override notReadyReason(): string | undefined {
+    if (this.shuttingDown) return "shutting_down";
+    if (!this.#settings.ready) return "no_configuration";
+    if (this.#settings.configuration.tree.regions === undefined) {
+      return "empty_tree";
+    }
+    return undefined;
+  }
+
+  override acceptsWork(): boolean {
+    return this.#stage !== "refusing";
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/seat_operations.ts
@@ -0,0 +1,171 @@
+/**
+ * Replicated groups on this host: own seats, or clients of other hosts' seats.
+ *
+ * @module
+ */
+
+import {
+  type GroupName,
+  type HostId,
+  type ReplicaId,
+  RhubarbstageError,
+} from "rhubarbstage";
+import {
+  type ControlCommand,
+  type ControlGroup,
+  controlQueries,
+  type ControlResult,
+  type ControlState,
+  ControlStateMachine,
+  type JournalCommand,
+  type JournalGroup,
+  journalQueries,
+  type JournalResult,
+  JournalStateMachine,
+} from "@rhubarbstage/control";
+import {
+  type AnyGroupDefinition,
+  GroupClient,
+  type GroupSeat,
+  type GroupStatus,
+  Replica,
+} from "@rhubarbstage/replica";
+import type { BootstrapAnswer, ProcessSettings } from "@rhubarbstage/settings";
+import type { Transport } from "@rhubarbstage/transport";
+
+const controlName = "control" as GroupName;
+
+function journalName(number: number): GroupName {
+  return `journal-${number}` as GroupName;
+}
+
+/** Options of {@linkcode SeatOperations.open}. */
+export interface SeatOperationsOptions {
+  readonly process: ProcessSettings;
+  readonly transport: Transport;
+  readonly onFailure: (failure: { group: GroupName; error: Error }) => void;
+}
+
+type ControlSeat = GroupSeat<ControlState, ControlCommand, ControlResult>;
+
+/** The replicated groups as this host takes part in them. */
+export class SeatOperations {
+  readonly control: ControlGroup;
+  readonly journals: readonly JournalGroup[];
+  #options: SeatOperationsOptions;
+  #replica: Replica | undefined;
+
+  private constructor(
+    options: SeatOperationsOptions,
+    replica: Replica | undefined,
+  ) {
+    this.#options = options;
+    this.#replica = replica;
+    const { journalGroups } = options.process;
+    this.control = this.#group<ControlCommand, ControlResult>(controlName);
+    this.journals = Array.from(
+      { length: journalGroups },
+      (_, number) =>
+        this.#group<JournalCommand, JournalResult>(journalName(number)),
+    );
+  }
+
+  /** Opens the data folder, if this host has one. */
+  static async open(options: SeatOperationsOptions): Promise<SeatOperations> {
+    const { process, transport, onFailure } = options;
+    const { dataFolder, journalGroups } = process;
+    if (dataFolder === undefined) return new SeatOperations(options, undefined);
+    const groups = defineGroups(journalGroups);
+    const replica = await Replica.open({
+      dataFolder,
+      transport,
+      groups,
+      onFailure,
+    });
+    return new SeatOperations(options, replica);
+  }
+
+  /** Seat of the control group, if this host has a data folder. */
+  get controlSeat(): ControlSeat | undefined {
+    return this.#replica?.group(controlName) as ControlSeat | undefined;
+  }
+
+  /** Id of this host's replica, if it has a data folder. */
+  get replicaId(): ReplicaId | undefined {
+    return this.#replica?.id;
+  }
+
+  /** State of the groups on this host. */
+  status(): readonly GroupStatus[] {
+    return this.#replica?.status() ?? [];
+  }
+
+  /** Forms the system once. See the operator interface for errors. */
+  async bootstrap(
+    hosts: readonly HostId[],
+  ): Promise<Omit<BootstrapAnswer, "revision">> {
+    const replica = this.#requireReplica();
+    const result = await replica.bootstrap({ hosts });
+    return { ...result, cluster: this.#options.process.cluster };
+  }
+
+  /** Moves the seats of a lost replica; true when they had been moved. */
+  async repair(
+    request: { readonly lost: HostId; readonly replacement: HostId },
+  ): Promise<boolean> {
+    const replica = this.#requireReplica();
+    const { lost, replacement } = request;
+    const seat = replica.status()
+      .flatMap((group) => group.seats)
+      .find(({ host }) => host === lost);
+    if (seat === undefined) return true;
+    await replica.repair({ lost: seat.replica, replacement });
+    return false;
+  }
+
+  /** Closes the data folder. */
+  async close(): Promise<void> {
+    await this.#replica?.close();
+  }
+
+  #requireReplica(): Replica {
+    if (this.#replica !== undefined) return this.#replica;
+    throw new RhubarbstageError("invalid_request", {
+      message: "This host has no data folder; ask one that has",
+    });
+  }
+
+  #group<Command, Result>(
+    name: GroupName,
+  ): GroupClient<Command, Result> | GroupSeat<unknown, Command, Result> {
+    if (this.#replica !== undefined) {
+      return this.#replica.group(name) as GroupSeat<unknown, Command, Result>;
+    }
+    const { transport, process } = this.#options;
+    const hosts = process.peers
+      .filter(({ replica }) => replica)
+      .toSorted((left, right) =>
+        Number(right.region === process.region) -
+        Number(left.region === process.region)
+      )
+      .map(({ host }) => host);
+    return new GroupClient({ transport, group: name, hosts: () => hosts });
+  }
+}
+
+function defineGroups(
+  journalGroups: number,
+): ReadonlyMap<GroupName, AnyGroupDefinition> {
+  const groups = new Map<GroupName, AnyGroupDefinition>();
+  groups.set(controlName, {
+    stateMachine: new ControlStateMachine(),
+    queries: controlQueries,
+  });
+  for (let number = 0; number < journalGroups; number += 1) {
+    groups.set(journalName(number), {
+      stateMachine: new JournalStateMachine(),
+      queries: journalQueries,
+    });
+  }
+  return groups;
+}
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -11,6 +11,7 @@
   every,
   type HostId,
   type Incarnation,
+  type Revision,
   SystemClock,
 } from "rhubarbstage";
 import { gossipInterval } from "./constants.ts";
@@ -22,7 +23,13 @@
 } from "./demand_exchange.ts";
 import type { MembershipLink } from "./link.ts";
 import { MembershipReducer } from "./membership_reducer.ts";
-import { findHost, isAlive, type MembershipState } from "./state.ts";
+import {
+  evidenceAt,
+  findHost,
+  type HostLog,
+  isAlive,
+  type MembershipState,
+} from "./state.ts";
 import { listNeighbours } from "./neighbours.ts";
 import type {
   GossipMessage,
@@ -70,6 +77,27 @@
   demandHeard?(total: ReadonlyMap<CustomerId, CustomerDemand>): void;
 }
 
+/** A backend server as this host knows it. */
+export interface ServerView {
+  readonly record: ServerRecord;
+  readonly load?: ServerLoad;
+  /** Whether it may get new work. */
+  readonly usable: boolean;
+  /** Host that vouches for it. */
+  readonly owner: HostId;
+  /** Age of the newest evidence, in milliseconds. */
+  readonly evidenceAge: number;
+}
+
+/** A host as this host knows it. */
+export interface HostView {
+  readonly record: HostRecord;
+  readonly incarnation: Incarnation;
+  readonly alive: boolean;
+  /** Revision in force there, as far as gossip tells. */
+  readonly revision?: Revision;
+}
+
 /** Options of a {@linkcode Membership}. */
 export interface MembershipOptions {
   readonly self: HostRecord;
@@ -146,13 +174,40 @@
   }
 
   /** Known servers, for operators. */
-  listServers(): readonly {
-    record: ServerRecord;
-    load?: ServerLoad;
-    usable: boolean;
-    owner: HostId;
-  }[] {
-    return [...this.#state.servers.values()];
+  listServers(): readonly ServerView[] {
+    const now = this.#now();
+    return [...this.#state.servers.values()].map((server) => ({
+      record: server.record,
+      load: server.load,
+      usable: server.usable,
+      owner: server.owner,
+      evidenceAge: now - evidenceAt(this.#state, server),
+    }));
+  }
+
+  /** All hosts that gossip tells of, for operators. */
+  listKnownHosts(): readonly HostView[] {
+    const now = this.#now();
+    const views: HostView[] = [];
+    for (const log of this.#state.logs.values()) {
+      const record = findHost(this.#state, log.host);
+      if (record === undefined) continue;
+      const alive = isAlive(this.#state, log, now);
+      const { incarnation } = log;
+      const revision = readRevision(log);
+      views.push({ record, incarnation, alive, revision });
+    }
+    return views;
+  }
+
+  /** Tells other hosts which revision is in force here. */
+  publishRevision(revision: Revision): void {
+    this.#dispatch({ type: "revision_changed", now: this.#now(), revision });
+  }
+
+  /** Newest process of a host that gossip told of. */
+  newestIncarnation(host: HostId): Incarnation | undefined {
+    return this.#state.logs.get(host)?.incarnation;
   }
 
   /** Hosts that are alive, this one included. */
@@ -168,12 +223,6 @@
     return records;
   }
 
-  /** Whether a process of a host is known to be gone for good. */
-  isProcessGone(host: HostId, incarnation: Incarnation): boolean {
-    const log = this.#state.logs.get(host);
-    return log !== undefined && log.incarnation > incarnation;
-  }
-
   #now(): number {
     return this.#clock.monotonicMilliseconds();
   }
@@ -329,3 +378,8 @@
     ]);
   }
 }
+
+function readRevision(log: HostLog): Revision | undefined {
+  const value = log.entries.get("revision")?.value;
+  return value?.type === "revision" ? value.revision : undefined;
+}
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -116,6 +116,11 @@
       case "marks_published":
         publishMarks(state, event.marks, event.now);
         break;
+      case "revision_changed": {
+        const { revision, now } = event;
+        writeEntry(state, "revision", { type: "revision", revision }, now);
+        break;
+      }
       case "tick":
         tick(state, event.now, effects);
         break;
@@ -418,6 +423,8 @@
     case "marks":
       effects.push({ type: "marks_heard", marks: value.marks });
       break;
+    case "revision":
+      break;
     case "server_gone":
       depart(state, { ...value, now }, effects);
       break;
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -11,9 +11,11 @@
 export { MembershipLink } from "./link.ts";
 export type {
   CacheChange,
+  HostView,
   MembershipListener,
   MembershipOptions,
   ServerCheck,
+  ServerView,
 } from "./membership.ts";
 export { Membership } from "./membership.ts";
 export type { MembershipReducerOptions } from "./membership_reducer.ts";
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -12,6 +12,7 @@
   Incarnation,
   ModelName,
   Region,
+  Revision,
   ServiceName,
 } from "rhubarbstage";
 
@@ -88,7 +89,8 @@
     /** Whether the server left in good order. */
     readonly left: boolean;
   }
-  | { readonly type: "marks"; readonly marks: readonly SharedMark[] };
+  | { readonly type: "marks"; readonly marks: readonly SharedMark[] }
+  | { readonly type: "revision"; readonly revision: Revision };
 
 /** State of one host's log as a sender has it. */
 export interface DigestEntry {
@@ -173,6 +175,11 @@
     readonly now: number;
     readonly marks: readonly SharedMark[];
   }
+  | {
+    readonly type: "revision_changed";
+    readonly now: number;
+    readonly revision: Revision;
+  }
   | { readonly type: "tick"; readonly now: number };
 
 /** What has to be done. */
