--- /dev/null
+++ b/packages/rhubarbstage-host/src/foundation.ts
@@ -0,0 +1,81 @@
+/**
+ * Parts of a host that depend on its process settings only.
+ *
+ * @module
+ */
+
+import { type Clock, type Incarnation, SystemClock } from "rhubarbstage";
+import {
+  loadTokens,
+  type ProcessSettings,
+  type Token,
+} from "@rhubarbstage/settings";
+import {
+  createLogger,
+  type Logger,
+  Metrics,
+  Timeline,
+} from "@rhubarbstage/telemetry";
+import { HostEvents } from "./host_events.ts";
+import { Lifecycle } from "./lifecycle.ts";
+import { SettingsInForce } from "./settings_in_force.ts";
+
+/** Tokens of hosts, operators and backend servers. */
+export interface HostTokens {
+  readonly peer: readonly Token[];
+  readonly operators: readonly Token[];
+  readonly backendServers: readonly Token[];
+}
+
+/** Parts that all others build on. */
+export interface Foundation {
+  readonly process: ProcessSettings;
+  readonly version: string;
+  readonly incarnation: Incarnation;
+  readonly clock: Clock;
+  readonly tokens: HostTokens;
+  readonly logger: Logger;
+  readonly timeline: Timeline;
+  readonly events: HostEvents;
+  readonly metrics: Metrics;
+  readonly settings: SettingsInForce;
+  readonly lifecycle: Lifecycle;
+  /** Aborted when all timers of the host have to end. */
+  readonly stopped: AbortController;
+}
+
+/** Reads the token files and opens log and timeline. */
+export async function openFoundation(
+  process: ProcessSettings,
+  options: { readonly version: string },
+): Promise<Foundation> {
+  const { host, log, region } = process;
+  const incarnation = Date.now() as Incarnation;
+  const tokens = await loadHostTokens(process);
+  const logger = createLogger({ ...log, fields: { host } });
+  const timeline = new Timeline({ ...process.timeline, host, incarnation });
+  const settings = new SettingsInForce({ region });
+  return {
+    process,
+    version: options.version,
+    incarnation,
+    clock: new SystemClock(),
+    tokens,
+    logger,
+    timeline,
+    events: new HostEvents({ logger, timeline }),
+    metrics: new Metrics(),
+    settings,
+    lifecycle: new Lifecycle(settings),
+    stopped: new AbortController(),
+  };
+}
+
+async function loadHostTokens(process: ProcessSettings): Promise<HostTokens> {
+  const { peer, operators, backendServers } = process.tokenFiles;
+  return {
+    peer: await loadTokens(peer),
+    operators: await loadTokens(operators),
+    backendServers: await loadTokens(backendServers),
+  };
+}
--- a/packages/rhubarbstage-host/src/host.ts
+++ b/packages/rhubarbstage-host/src/host.ts
@@ -1,56 +1,195 @@
 /**
- * One host: its parts, their connections and its shutdown.
+ * One host: start and graceful shutdown.
  *
  * @module
  */
 
 import { readFile } from "node:fs/promises";
-import {
-  type Clock,
-  delay,
-  every,
-  type Incarnation,
-  type RhubarbstageError,
-  SystemClock,
-  toRhubarbstageError,
-} from "rhubarbstage";
-import {
-  type Configuration,
-  ConfigurationClient,
-  EditClient,
-  OrderExecutor,
-} from "@rhubarbstage/control";
-import { ClaimJournal } from "@rhubarbstage/control";
-import { EngineClient } from "@rhubarbstage/engine";
-import { Dispatcher, Gateway } from "@rhubarbstage/gateway";
-import { type HostRecord, Membership } from "@rhubarbstage/membership";
-import { ClaimRunner, RepeatableClient } from "@rhubarbstage/service";
-import { loadTokens, type ProcessSettings } from "@rhubarbstage/settings";
-import { createLogger, Metrics, Timeline } from "@rhubarbstage/telemetry";
-import type { Transport } from "@rhubarbstage/transport";
-import { BackendRegistry } from "./backend_registry.ts";
-import { EngineOrderConnector } from "./engine_orders.ts";
+import { delay, every, type Revision } from "rhubarbstage";
+import { Gateway } from "@rhubarbstage/gateway";
+import type { ProcessSettings } from "@rhubarbstage/settings";
+import type { Foundation } from "./foundation.ts";
+import { openFoundation } from "./foundation.ts";
 import { HostCredentials } from "./host_credentials.ts";
-import { HostEvents } from "./host_events.ts";
 import { HostOperatorActions } from "./host_operator_actions.ts";
 import { HostServiceCalls } from "./host_service_calls.ts";
 import { HostSettingsSource } from "./host_settings_source.ts";
 import { HostStatusReport } from "./host_status.ts";
-import { HostTelemetry } from "./host_telemetry.ts";
-import { Lifecycle } from "./lifecycle.ts";
-import { openTransport } from "./links.ts";
-import { TransportLink } from "./membership_link.ts";
-import { OrderDesk } from "./order_desk.ts";
-import { createPolicy } from "./host_policy.ts";
-import { HostPolicyListener } from "./policy_listener.ts";
-import { SeatOperations } from "./seat_operations.ts";
-import { SettingsInForce } from "./settings_in_force.ts";
+import { openReplication, type Replication } from "./replication.ts";
+import { sampleMetrics } from "./metrics_sample.ts";
+import { createServing, type Serving } from "./serving.ts";
 import { TimelineQueries } from "./timeline_queries.ts";
-import { validateTree } from "./tree_conversion.ts";
 
 /** Time between two reports of stragglers during shutdown, in milliseconds. */
 const stragglerReportInterval = 10_000;
 /** Time between two reports of wall time to the journal, in milliseconds. */
 const journalTimeInterval = 300_000;
-/** Time between two samples of control traffic, in milliseconds. */
-const sampleInterval = 1_000;
+
+/** Options of {@linkcode Host.start}. */
+export interface HostOptions {
+  /** Version for the status; defaults to `0.1.0`. */
+  readonly version?: string;
+}
+
+interface HostParts {
+  readonly foundation: Foundation;
+  readonly replication: Replication;
+  readonly serving: Serving;
+  readonly gateway: Gateway;
+}
+
+/** One running host. */
+export class Host {
+  /** Origin of the HTTP interface. */
+  readonly origin: string;
+  #parts: HostParts;
+
+  private constructor(parts: HostParts, origin: string) {
+    this.#parts = parts;
+    this.origin = origin;
+  }
+
+  /** Starts a host; it takes requests when its configuration is confirmed. */
+  static async start(
+    process: ProcessSettings,
+    options: HostOptions = {},
+  ): Promise<Host> {
+    const { version = "0.1.0" } = options;
+    const foundation = await openFoundation(process, { version });
+    const replication = await openReplication(foundation);
+    const serving = createServing(foundation, replication, {
+      sample: () => sampleMetrics(foundation, replication, serving),
+    });
+    const gateway = await createGateway({ foundation, replication, serving });
+    startParts({ foundation, replication, serving });
+    const origin = await gateway.listen(process.http.listen);
+    foundation.events.note("host_started", { origin, version });
+    return new Host({ foundation, replication, serving, gateway }, origin);
+  }
+
+  /**
+   * Shuts down without cutting a request: the load balancer is told first, new
+   * work is refused after the notice, and everything that runs may end.
+   */
+  async shutDown(): Promise<void> {
+    const { foundation, serving, gateway } = this.#parts;
+    const { lifecycle, events, process } = foundation;
+    events.note("shutdown_started", {
+      notice_milliseconds: process.shutdownNotice,
+    });
+    lifecycle.enter("leaving");
+    await delay(process.shutdownNotice);
+    lifecycle.enter("refusing");
+    await this.#waitForRequests();
+    await serving.claims.idle();
+    await gateway.close();
+    await this.#closeParts();
+  }
+
+  async #waitForRequests(): Promise<void> {
+    const { gateway, foundation } = this.#parts;
+    const waiting = new AbortController();
+    const report = () => {
+      for (const request of gateway.openRequests) {
+        foundation.events.note("request_outlasts_shutdown", { request });
+      }
+    };
+    every(stragglerReportInterval, report, { signal: waiting.signal });
+    await gateway.idle();
+    waiting.abort();
+  }
+
+  async #closeParts(): Promise<void> {
+    const { foundation, replication, serving } = this.#parts;
+    foundation.stopped.abort();
+    await serving.engines.close();
+    await serving.repeatable.close();
+    await replication.seats.close();
+    await replication.transport.close();
+    foundation.events.note("host_stopped");
+    await foundation.timeline.flush();
+    await foundation.logger.close();
+  }
+}
+
+async function createGateway(
+  parts: Omit<HostParts, "gateway">,
+): Promise<Gateway> {
+  const { foundation, replication, serving } = parts;
+  const { process, settings, tokens, clock, lifecycle } = foundation;
+  const { backends, claims, dispatcher, membership, repeatable } = serving;
+  const status: HostStatusReport = new HostStatusReport({
+    ...foundation,
+    seats: replication.seats,
+    membership,
+    backends,
+    openRequests: () => gateway.openRequests.length,
+  });
+  const timeline = new TimelineQueries({
+    host: process.host,
+    timeline: foundation.timeline,
+    transport: replication.transport,
+    hosts: () => membership.listHosts().map(({ host }) => host),
+  });
+  const gateway: Gateway = await Gateway.create({
+    dispatcher,
+    credentials: new HostCredentials({ settings, ...tokens }),
+    settings: new HostSettingsSource(settings),
+    services: new HostServiceCalls({ claims, repeatable, clock }),
+    backendServers: backends,
+    operators: new HostOperatorActions({
+      control: replication.seats.control,
+      edits: replication.edits,
+      settings,
+      backends,
+      orders: serving.orders,
+      seats: replication.seats,
+      status,
+      timeline,
+    }),
+    telemetry: serving.telemetry,
+    readiness: lifecycle,
+  }, { tls: await readCertificate(process) });
+  return gateway;
+}
+
+async function readCertificate(
+  process: ProcessSettings,
+): Promise<{ cert: string; key: string } | undefined> {
+  if (process.tls === undefined) return undefined;
+  const { certificate, key } = process.tls;
+  return {
+    cert: await readFile(certificate, "utf8"),
+    key: await readFile(key, "utf8"),
+  };
+}
+
+function startParts(parts: Omit<HostParts, "gateway">): void {
+  const { foundation, replication, serving } = parts;
+  const { signal } = foundation.stopped;
+  const { backends, claims: _claims, dispatcher, membership } = serving;
+  let published: Revision | undefined;
+  replication.onConfiguration = ({ revision }) => {
+    backends.refresh();
+    if (revision !== published) membership.publishRevision(revision);
+    published = revision;
+  };
+  replication.seats.controlSeat?.onLeadership(
+    ({ isLeader: held }) =>
+      dispatcher.notify({ type: "role_authority_changed", held }),
+    { signal },
+  );
+  replication.configuration.start();
+  membership.start();
+  dispatcher.start({ signal });
+  serving.orders.start({ signal });
+  every(journalTimeInterval, () => void reportTime(serving), { signal });
+}
+
+async function reportTime(serving: Serving): Promise<void> {
+  try {
+    await serving.journal.reportTime();
+  } catch {
+    // Other hosts report the time as well.
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-host/src/host_policy_listener.ts
@@ -0,0 +1,57 @@
+/**
+ * Effects of the policy that concern other hosts and engines' roles.
+ *
+ * @module
+ */
+
+import type { BackendServerId, CustomerId, ModelName } from "rhubarbstage";
+import { PolicyListener } from "@rhubarbstage/gateway";
+import type { Membership } from "@rhubarbstage/membership";
+import type {
+  Demand,
+  EngineRole,
+  ModelDemand,
+  QuarantineMark,
+} from "@rhubarbstage/policy";
+import type { Metrics } from "@rhubarbstage/telemetry";
+import type { DemandReport } from "./demand_report.ts";
+import type { OrderDesk } from "./order_desk.ts";
+
+/** Options of {@linkcode HostPolicyListener}. */
+export interface HostPolicyListenerOptions {
+  readonly orders: OrderDesk;
+  readonly demand: DemandReport;
+  readonly metrics: Metrics;
+}
+
+/** Hands the policy's effects to orders, gossip and demand reports. */
+export class HostPolicyListener extends PolicyListener {
+  #options: HostPolicyListenerOptions;
+  #membership: Membership | undefined;
+
+  constructor(options: HostPolicyListenerOptions) {
+    super();
+    this.#options = options;
+  }
+
+  /** Set once at the start, because membership reports to the policy. */
+  set membership(membership: Membership) {
+    this.#membership = membership;
+  }
+
+  override setRole(server: BackendServerId, role: EngineRole): void {
+    this.#options.metrics.roleChanged();
+    void this.#options.orders.setRole(server, role);
+  }
+
+  override publishQuarantine(marks: readonly QuarantineMark[]): void {
+    this.#membership?.publishMarks(marks);
+  }
+
+  override publishDemand(
+    own: ReadonlyMap<CustomerId, Demand>,
+    ownModels: ReadonlyMap<ModelName, ModelDemand>,
+  ): void {
+    this.#options.demand.publish(own, ownModels);
+  }
+}
--- a/packages/rhubarbstage-host/src/host_status.ts
+++ b/packages/rhubarbstage-host/src/host_status.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
-import type { HostId, Incarnation } from "rhubarbstage";
+import type { Incarnation } from "rhubarbstage";
 import type { OrderIntent } from "@rhubarbstage/control";
-import type { HostRecord, Membership } from "@rhubarbstage/membership";
+import type { HostRecord, Membership, ServerView } from "@rhubarbstage/membership";
 import type {
   BackendStatus,
   Endpoint,
@@ -15,6 +15,7 @@
   ProcessSettings,
   StatusAnswer,
 } from "@rhubarbstage/settings";
+import { backendStateOf } from "./backend_state.ts";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { Lifecycle } from "./lifecycle.ts";
 import type { SeatOperations } from "./seat_operations.ts";
@@ -98,18 +99,11 @@
   }
 
   #backend(
-    server: ReturnType<Membership["listServers"]>[number],
+    server: ServerView,
     order: OrderIntent | undefined,
   ): BackendStatus {
-    const { record, load, usable, evidenceAge } = server;
-    const drained = this.#options.backends.isDrained(record.id);
-    const state = record.leaving
-      ? "leaving"
-      : drained
-      ? "drained"
-      : usable
-      ? "ready"
-      : "stale";
+    const { record, load, evidenceAge } = server;
+    const state = backendStateOf(server, this.#options.backends);
     return {
       server: record.id,
       incarnation: record.incarnation,
@@ -153,7 +147,3 @@
   return { address: hostname, port: Number(port) };
 }
 
-/** Ids of hosts, as a set. */
-export function hostIds(records: readonly HostRecord[]): Set<HostId> {
-  return new Set(records.map((record) => record.host));
-}
--- a/packages/rhubarbstage-host/src/mod.ts
+++ b/packages/rhubarbstage-host/src/mod.ts
@@ -4,4 +4,7 @@
  * @module
  */
 
-export {};
+export type { RunHostOptions } from "./run_host.ts";
+export { runHost } from "./run_host.ts";
+export type { HostOptions } from "./host.ts";
+export { Host } from "./host.ts";
--- /dev/null
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -0,0 +1,215 @@
+/**
+ * Membership, policy and calls to backend servers.
+ *
+ * @module
+ */
+
+import {
+  ClaimJournal,
+  OrderExecutor,
+  type Sender,
+} from "@rhubarbstage/control";
+import { EngineClient } from "@rhubarbstage/engine";
+import { Dispatcher } from "@rhubarbstage/gateway";
+import { type HostRecord, Membership } from "@rhubarbstage/membership";
+import { FleetPolicy } from "@rhubarbstage/policy";
+import { ClaimRunner, RepeatableClient } from "@rhubarbstage/service";
+import type { PeerHost, ProcessSettings } from "@rhubarbstage/settings";
+import { BackendRegistry } from "./backend_registry.ts";
+import { DemandReport } from "./demand_report.ts";
+import { EngineOrderConnector } from "./engine_orders.ts";
+import type { Foundation } from "./foundation.ts";
+import { HostPolicyListener } from "./host_policy_listener.ts";
+import { HostTelemetry } from "./host_telemetry.ts";
+import { TransportLink } from "./membership_link.ts";
+import { OrderDesk } from "./order_desk.ts";
+import type { Replication } from "./replication.ts";
+
+/** Parts that serve requests. */
+export interface Serving {
+  readonly backends: BackendRegistry;
+  readonly dispatcher: Dispatcher;
+  readonly membership: Membership;
+  readonly claims: ClaimRunner;
+  readonly repeatable: RepeatableClient;
+  readonly engines: EngineClient;
+  readonly orders: OrderDesk;
+  readonly telemetry: HostTelemetry;
+}
+
+/** Connects the parts that serve requests; nothing runs yet. */
+export function createServing(
+  foundation: Foundation,
+  replication: Replication,
+  options: { readonly sample: () => void },
+): Serving {
+  const { process, clock, events, metrics, settings, tokens } = foundation;
+  const backends = new BackendRegistry({ settings });
+  const engines = new EngineClient({ token: tokens.backendServers[0]?.value });
+  const telemetry = new HostTelemetry({
+    metrics,
+    events,
+    sample: options.sample,
+  });
+  const demand = new DemandReport({ host: process.host });
+  const orders = createOrderDesk(foundation, replication, backends);
+  const listener = new HostPolicyListener({ orders, demand, metrics });
+  const dispatcher = new Dispatcher({
+    policy: new FleetPolicy({
+      region: process.region,
+      seed: foundation.incarnation % 2 ** 32,
+    }),
+    engines,
+    backendServers: backends,
+    listener,
+    telemetry,
+    clock,
+  });
+  const membership = createMembership(foundation, replication, {
+    backends,
+    demand,
+    dispatcher,
+    engines,
+    orders,
+  });
+  listener.membership = membership;
+  backends.connect({ membership, dispatcher });
+  const claims = createClaimRunner(foundation, replication, membership);
+  return {
+    backends,
+    dispatcher,
+    membership,
+    claims,
+    repeatable: new RepeatableClient(),
+    engines,
+    orders,
+    telemetry,
+  };
+}
+
+function senderOf(foundation: Foundation): Sender {
+  const { process, incarnation } = foundation;
+  return { host: process.host, incarnation };
+}
+
+function createOrderDesk(
+  foundation: Foundation,
+  replication: Replication,
+  backends: BackendRegistry,
+): OrderDesk {
+  const { events, tokens } = foundation;
+  const { seats } = replication;
+  const leads = () => seats.controlSeat?.leadership().isLeader ?? false;
+  const executor = new OrderExecutor({
+    group: seats.control,
+    connector: new EngineOrderConnector({
+      token: tokens.backendServers[0]?.value,
+    }),
+    sender: senderOf(foundation),
+    leads,
+  });
+  return new OrderDesk({ executor, backends, events, leads });
+}
+
+function createClaimRunner(
+  foundation: Foundation,
+  replication: Replication,
+  membership: Membership,
+): ClaimRunner {
+  const { clock, events, settings } = foundation;
+  const claimer = senderOf(foundation);
+  return new ClaimRunner({
+    journal: new ClaimJournal({ groups: replication.seats.journals, claimer }),
+    claimer,
+    clock,
+    isolated: () => settings.isolated,
+    newestIncarnation: (host) => membership.newestIncarnation(host),
+    onNote: ({ event, ...fields }) => events.note(event, fields),
+  });
+}
+
+function createMembership(
+  foundation: Foundation,
+  replication: Replication,
+  parts: Pick<Serving, "backends" | "dispatcher" | "engines" | "orders"> & {
+    readonly demand: DemandReport;
+  },
+): Membership {
+  const { process, incarnation, clock, stopped } = foundation;
+  const { backends, demand, dispatcher, engines, orders } = parts;
+  const { transport } = replication;
+  const membership: Membership = new Membership({
+    self: selfRecord(process),
+    incarnation,
+    seeds: process.peers.map(seedRecord),
+    link: new TransportLink(transport),
+    listener: {
+      serverSeen: (record, { load, usable }) => {
+        backends.see({ record, load, usable });
+        void orders.observe(record);
+      },
+      serverGone: (id, gone) => backends.lose(id, gone),
+      hostSeen: (record) => learnAddress(transport, process, record),
+      marksHeard: (marks) =>
+        dispatcher.notify({ type: "quarantine_reported", marks }),
+      cacheChanged: (change) => backends.noteCache(change),
+      demandHeard: (totals) => {
+        const hosts = membership.listHosts().map(({ host }) => host);
+        dispatcher.notify({
+          type: "demand_reported",
+          ...demand.toEvent(totals, hosts),
+        });
+      },
+    },
+    check: async (address, { signal }) => {
+      const status = await engines.status(
+        { id: "" as never, url: address },
+        { signal },
+      );
+      const leaving = status.state === "leaving";
+      return { incarnation: status.incarnation, leaving };
+    },
+    demand: () => demand.rates(),
+    signal: stopped.signal,
+    clock,
+  });
+  return membership;
+}
+
+function selfRecord(process: ProcessSettings): HostRecord {
+  const { http, peer } = process;
+  const scheme = process.tls === undefined ? "http" : "https";
+  return {
+    host: process.host,
+    region: process.region,
+    availabilityZone: process.availabilityZone,
+    peerAddress: `${peer.advertise.address}:${peer.advertise.port}`,
+    httpAddress: `${scheme}://${http.advertise.address}:${http.advertise.port}`,
+    replica: process.dataFolder !== undefined,
+  };
+}
+
+function seedRecord(peer: PeerHost): HostRecord {
+  return {
+    host: peer.host,
+    region: peer.region,
+    availabilityZone: peer.availabilityZone,
+    peerAddress: `${peer.address}:${peer.port}`,
+    // Gossip replaces the record as soon as the host is heard.
+    httpAddress: `http://${peer.address}:${peer.port}`,
+    replica: peer.replica,
+  };
+}
+
+function learnAddress(
+  transport: Replication["transport"],
+  process: ProcessSettings,
+  record: HostRecord,
+): void {
+  // Addresses in the process settings win, because an operator may send links
+  // through a relay.
+  const configured = process.peers.some(({ host }) => host === record.host);
+  if (configured || record.host === process.host) return;
+  const [address = "", port] = record.peerAddress.split(":");
+  transport.setAddress(record.host, { address, port: Number(port) });
+}
--- a/packages/rhubarbstage-host/src/settings_in_force.ts
+++ b/packages/rhubarbstage-host/src/settings_in_force.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Region, RhubarbstageError } from "rhubarbstage";
+import { type Region, type Revision, RhubarbstageError } from "rhubarbstage";
 import type {
   Configuration,
   ConfigurationClient,
@@ -16,6 +16,7 @@
   readonly region: Region;
   #client: ConfigurationClient | undefined;
   #tree: SettingsTree | undefined;
+  #revision: Revision | undefined;
 
   constructor(options: { readonly region: Region }) {
     this.region = options.region;
@@ -28,6 +29,7 @@
 
   /** Takes a newer configuration. */
   take(configuration: Configuration): void {
+    this.#revision = configuration.revision;
     const document = configuration.tree as unknown as TreeDocument;
     if (this.#tree?.document === document) return;
     this.#tree = new SettingsTree(document);
@@ -41,6 +43,11 @@
     });
   }
 
+  /** Revision in force, if there is one. */
+  get revision(): Revision | undefined {
+    return this.#revision;
+  }
+
   /** The configuration in force. Throws `isolated` before the first one. */
   get configuration(): Configuration {
     if (this.#client !== undefined) return this.#client.configuration;
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -7,7 +7,6 @@
 import {
   type BackendServerId,
   type Clock,
-  type CustomerId,
   every,
   type HostId,
   type Incarnation,
@@ -16,9 +15,10 @@
 } from "rhubarbstage";
 import { gossipInterval } from "./constants.ts";
 import {
-  type CustomerDemand,
   DemandAggregate,
+  type DemandRates,
   type DemandRow,
+  type DemandSubject,
   pickAggregator,
 } from "./demand_exchange.ts";
 import type { MembershipLink } from "./link.ts";
@@ -74,7 +74,8 @@
   hostGone?(host: HostId): void;
   marksHeard?(marks: readonly SharedMark[]): void;
   cacheChanged?(change: CacheChange): void;
-  demandHeard?(total: ReadonlyMap<CustomerId, CustomerDemand>): void;
+  /** Demand of the own subjects over all hosts. */
+  demandHeard?(total: ReadonlyMap<DemandSubject, DemandRates>): void;
 }
 
 /** A backend server as this host knows it. */
@@ -111,7 +112,7 @@
     options: { signal: AbortSignal },
   ) => Promise<ServerCheck>;
   /** Own demand of the last interval. */
-  readonly demand: () => ReadonlyMap<CustomerId, CustomerDemand>;
+  readonly demand: () => ReadonlyMap<DemandSubject, DemandRates>;
   /** Ends all timers. */
   readonly signal: AbortSignal;
   readonly clock?: Clock;
@@ -320,11 +321,11 @@
     const now = this.#now();
     this.#aggregate.expire(now);
     const byHost = this.#groupDemand();
-    const total = new Map<CustomerId, CustomerDemand>();
+    const total = new Map<DemandSubject, DemandRates>();
     const reports = [...byHost].map(async ([host, rows]) => {
       for (const row of await this.#sendDemand(host, rows)) {
-        const [customer, requestsPerSecond, tokensPerSecond] = row;
-        total.set(customer, { requestsPerSecond, tokensPerSecond });
+        const [subject, first, second] = row;
+        total.set(subject, [first, second]);
       }
     });
     await Promise.all(reports);
@@ -338,11 +339,11 @@
     const aggregators = (replicas.length > 0 ? replicas : hosts)
       .map((record) => record.host);
     const byHost = new Map<HostId, DemandRow[]>();
-    for (const [customer, demand] of this.#options.demand()) {
-      const host = pickAggregator(customer, aggregators);
+    for (const [subject, [first, second]] of this.#options.demand()) {
+      const host = pickAggregator(subject, aggregators);
       if (host === undefined) continue;
       const rows = byHost.get(host) ?? [];
-      rows.push([customer, demand.requestsPerSecond, demand.tokensPerSecond]);
+      rows.push([subject, first, second]);
       byHost.set(host, rows);
     }
     return byHost;
@@ -365,8 +366,8 @@
       // Without the aggregator, assumes that all hosts see the same demand. This
       // keeps the sum of the hosts' parts at the limit when demand is even.
       const count = this.listHosts().length;
-      return rows.map(([customer, requests, tokens]) =>
-        [customer, requests * count, tokens * count] as const
+      return rows.map(([subject, first, second]) =>
+        [subject, first * count, second * count] as const
       );
     }
   }
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -6,7 +6,7 @@
  */
 
 export * as membershipConstants from "./constants.ts";
-export type { CustomerDemand, DemandRow } from "./demand_exchange.ts";
+export type { DemandRates, DemandRow, DemandSubject } from "./demand_exchange.ts";
 export { DemandAggregate, pickAggregator } from "./demand_exchange.ts";
 export { MembershipLink } from "./link.ts";
 export type {
