--- a/packages/rhubarbstage-membership/src/demand_exchange.ts
+++ b/packages/rhubarbstage-membership/src/demand_exchange.ts
@@ -6,7 +6,7 @@
  */
 
 import type { HostId } from "rhubarbstage";
-import { hashText } from "./neighbours.ts";
+import { hashText } from "./hash.ts";
 
 /** What demand is counted for, for example `customer/kiosks`. */
 export type DemandSubject = string;
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -31,8 +31,8 @@
   type MembershipState,
 } from "./state.ts";
 import { listNeighbours } from "./neighbours.ts";
+import { decodeMessage, encodeMessage, type WireMessage } from "./wire.ts";
 import type {
-  GossipMessage,
   HostRecord,
   MembershipEffect,
   MembershipEvent,
@@ -231,7 +231,7 @@
   #registerHandlers(): void {
     const { link } = this.#options;
     link.onMessage("gossip", (from, body) => {
-      const message = body as GossipMessage;
+      const message = decodeMessage(body as WireMessage);
       this.#dispatch({ type: "received", now: this.#now(), from, message });
     });
     link.onRequest("renew", (_from, body) => {
@@ -239,7 +239,8 @@
         record: ServerRecord;
         load?: ServerLoad;
       };
-      this.#dispatch({ type: "announced", now: this.#now(), record, load });
+      const now = this.#now();
+      this.#dispatch({ type: "announced", now, record, load, forwarded: true });
       return true;
     });
     link.onMessage("cache", (_from, body) => {
@@ -260,7 +261,7 @@
     const { link, listener } = this.#options;
     switch (effect.type) {
       case "send":
-        link.send(effect.to, "gossip", effect.message);
+        link.send(effect.to, "gossip", encodeMessage(effect.message));
         break;
       case "forward":
         void this.#forward(effect);
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -6,7 +6,11 @@
  */
 
 export * as membershipConstants from "./constants.ts";
-export type { DemandRates, DemandRow, DemandSubject } from "./demand_exchange.ts";
+export type {
+  DemandRates,
+  DemandRow,
+  DemandSubject,
+} from "./demand_exchange.ts";
 export { DemandAggregate, pickAggregator } from "./demand_exchange.ts";
 export { MembershipLink } from "./link.ts";
 export type {
@@ -31,3 +35,5 @@
   ServerRecord,
   SharedMark,
 } from "./types.ts";
+export type { WireMessage } from "./wire.ts";
+export { decodeMessage, encodeMessage } from "./wire.ts";
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -146,7 +146,9 @@
     readonly now: number;
     readonly record: ServerRecord;
     readonly load?: ServerLoad;
-    /** Set when the owner of the record could not be reached. */
+    /** Whether another host passed it on, so that it is not passed on again. */
+    readonly forwarded?: boolean;
+    /** Set when the host it belongs to could not be reached. */
     readonly takeOver?: boolean;
   }
   | {
@@ -191,7 +193,7 @@
   }
   | {
     readonly type: "forward";
-    /** Owner of the record, to which the renewal belongs. */
+    /** Owner of the record, or the registrar that has to own it. */
     readonly to: HostId;
     readonly record: ServerRecord;
     readonly load?: ServerLoad;
