Own server records at registrars and measure what gossip costs

Cause: at 8 hosts gossip already took 30 KB/s of the 29 KB/s that control may use at 650 hosts, and the time until all hosts knew of a leave grew with the number of hosts (1.5 s at 8, 3.5 s at 128), because digests rotated through all hosts and loads were repeated in every message. Change: eight registrars in each region own the records; their heartbeats are in each digest, the other hosts' rotate. Figures before: 30.3, 114 and 143 KB/s at 8, 32 and 128 hosts.

--- /dev/null
+++ b/packages/rhubarbstage-bench/src/capacity_figure.ts
@@ -0,0 +1,90 @@
+/**
+ * Figures of the capacity report: points that were measured, the line through
+ * them and its value at the size of two years.
+ *
+ * @module
+ */
+
+/** One measured point. */
+export interface Point {
+  readonly x: number;
+  readonly y: number;
+}
+
+/** A quantity that was measured at several sizes. */
+export interface Figure {
+  readonly name: string;
+  readonly unit: string;
+  /** What the size counts. */
+  readonly size: string;
+  readonly points: readonly Point[];
+  /** Size to which the line is extended. */
+  readonly target: number;
+  /** Limit at the target, in the unit of the figure. */
+  readonly limit?: number;
+}
+
+/** A least-squares line. */
+export interface Line {
+  readonly intercept: number;
+  readonly slope: number;
+  /** Largest distance of a point from the line, as a share of the point. */
+  readonly residual: number;
+}
+
+/** Least-squares line through at least two points of different size. */
+export function fitLine(points: readonly Point[]): Line {
+  const count = points.length;
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / count;
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / count;
+  let above = 0;
+  let below = 0;
+  for (const { x, y } of points) {
+    above += (x - meanX) * (y - meanY);
+    below += (x - meanX) ** 2;
+  }
+  const slope = above / below;
+  const intercept = meanY - slope * meanX;
+  const residuals = points.map(({ x, y }) =>
+    Math.abs(intercept + slope * x - y) / Math.max(Math.abs(y), Number.EPSILON)
+  );
+  return { intercept, slope, residual: Math.max(...residuals) };
+}
+
+/** Value of the line at a size. */
+export function extrapolate(line: Line, size: number): number {
+  return line.intercept + line.slope * size;
+}
+
+/** Three significant digits, without an exponent. */
+export function formatNumber(value: number): string {
+  return Number(value.toPrecision(3)).toLocaleString("en", {
+    maximumSignificantDigits: 3,
+    useGrouping: false,
+  });
+}
+
+/** One line of the report's table. */
+export function formatFigure(figure: Figure): string {
+  const line = fitLine(figure.points);
+  const measured = figure.points
+    .map(({ x, y }) => `${x}: ${formatNumber(y)}`)
+    .join(", ");
+  const cells = [
+    `${figure.name} (${figure.unit})`,
+    `${figure.size}: ${measured}`,
+    `${formatNumber(line.intercept)} + ${formatNumber(line.slope)}·x`,
+    `${Math.round(line.residual * 100)}%`,
+    `${figure.target}: ${
+      formatNumber(extrapolate(line, figure.target))
+    } (extrapolated)`,
+    figure.limit === undefined ? "" : formatNumber(figure.limit),
+  ];
+  return `| ${cells.join(" | ")} |`;
+}
+
+/** Head of the report's table. */
+export const figureTableHead = [
+  "| figure | measured | line | residual | at the target | limit |",
+  "| --- | --- | --- | --- | --- | --- |",
+];
--- /dev/null
+++ b/packages/rhubarbstage-bench/src/capacity_gossip.ts
@@ -0,0 +1,305 @@
+/**
+ * What membership costs one host as hosts and servers grow.
+ *
+ * @module
+ */
+
+import { pack, unpack } from "msgpackr";
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  HostId,
+  Incarnation,
+  ModelName,
+  Region,
+} from "rhubarbstage";
+import {
+  decodeMessage,
+  encodeMessage,
+  type HostRecord,
+  type MembershipEvent,
+  MembershipReducer,
+  type MembershipState,
+  type ServerLoad,
+  type ServerRecord,
+  type WireMessage,
+} from "@rhubarbstage/membership";
+import type { Figure } from "./capacity_figure.ts";
+import { measureMemory } from "./capacity_memory.ts";
+
+const regions = ["lombardia", "veneto", "emilia"] as Region[];
+/** Time between two ticks of a host, in milliseconds. */
+const tickInterval = 500;
+/** Time between two renewals of a server, in milliseconds. */
+const renewInterval = 2_000;
+/** Bytes of WebSocket, TCP and IP headers of one message. */
+const frameOverhead = 60;
+/** Virtual time of one measurement, in milliseconds. */
+const measuredTime = 20_000;
+const warmUpTime = 10_000;
+
+interface Member {
+  readonly host: HostId;
+  readonly reducer: MembershipReducer;
+  readonly state: MembershipState;
+}
+
+interface Mail {
+  readonly to: HostId;
+  readonly from: HostId;
+  readonly bytes: Buffer;
+  /** Whether it is a renewal that belongs to another host. */
+  readonly renewal: boolean;
+}
+
+function makeHost(index: number): HostRecord {
+  const region = regions[index % regions.length] as Region;
+  return {
+    host: `entry-${index}` as HostId,
+    region,
+    availabilityZone: `${region}-${index % 10}` as AvailabilityZone,
+    peerAddress: `127.0.0.1:${20_000 + index}`,
+    httpAddress: `http://127.0.0.1:${30_000 + index}`,
+    replica: index < 11,
+  };
+}
+
+function makeServer(index: number): ServerRecord {
+  const region = regions[index % regions.length] as Region;
+  return {
+    id: `engine-${index}` as BackendServerId,
+    incarnation: 1_800_000_000_000 + index as Incarnation,
+    sequence: 1,
+    takeover: 0,
+    address: `http://127.0.0.1:${10_000 + index}`,
+    region,
+    availabilityZone: `${region}-${index % 10}` as AvailabilityZone,
+    models: ["acqua-chat" as ModelName],
+    services: [],
+    role: "mixed",
+    capacity: 32,
+    honoursFencing: true,
+    leaving: false,
+    loaded: [],
+  };
+}
+
+interface Renewal {
+  readonly record: ServerRecord;
+  readonly load?: ServerLoad;
+}
+
+/** Hosts of one process that exchange encoded messages in virtual time. */
+class GossipFleet {
+  readonly members: Member[] = [];
+  readonly #byHost = new Map<HostId, Member>();
+  readonly #servers: number;
+  #now = 0;
+  bytes = 0;
+  messages = 0;
+  /** Processor time of reducers and codec, in milliseconds. */
+  processorTime = 0;
+
+  constructor(hostCount: number, serverCount: number) {
+    this.#servers = serverCount;
+    const hosts = Array.from({ length: hostCount }, (_, i) => makeHost(i));
+    for (const self of hosts) {
+      const reducer = new MembershipReducer({
+        self,
+        incarnation: 1_800_000_000_000 as Incarnation,
+        seeds: hosts.slice(0, 11),
+      });
+      const member = { host: self.host, reducer, state: reducer.initial() };
+      this.members.push(member);
+      this.#byHost.set(self.host, member);
+    }
+  }
+
+  /** Runs for a virtual time, in milliseconds. */
+  run(milliseconds: number): void {
+    const end = this.#now + milliseconds;
+    while (this.#now < end) {
+      this.#now += tickInterval;
+      const start = performance.now();
+      this.#renew();
+      let mail = this.members.flatMap((member) =>
+        this.#dispatch(member, { type: "tick", now: this.#now })
+      );
+      while (mail.length > 0) mail = mail.flatMap((one) => this.#deliver(one));
+      this.processorTime += performance.now() - start;
+    }
+  }
+
+  /** Virtual time until all hosts know that a server left, in milliseconds. */
+  timeToSpreadLeave(): number {
+    const id = "engine-0" as BackendServerId;
+    const start = this.#now;
+    const last = this.members.at(-1) as Member;
+    const incarnation = makeServer(0).incarnation;
+    this.#dispatch(last, { type: "left", now: start, id, incarnation });
+    while (this.members.some(({ state }) => state.servers.get(id)?.usable)) {
+      this.run(tickInterval);
+    }
+    return this.#now - start;
+  }
+
+  #renew(): void {
+    if (this.#now % renewInterval !== 0) return;
+    for (let index = 0; index < this.#servers; index += 1) {
+      const record = makeServer(index);
+      const member = this.#renewalHost(index, record);
+      const load = {
+        runningRequests: index % 32,
+        queuedRequests: index % 5,
+        cacheTokensUsed: 1_000 * (index % 400),
+        cacheTokensTotal: 400_000,
+      };
+      const now = this.#now;
+      const event = { type: "announced", now, record, load } as const;
+      let mail = this.#dispatch(member, event);
+      while (mail.length > 0) mail = mail.flatMap((one) => this.#deliver(one));
+    }
+  }
+
+  /** Servers renew at the host that the answer to their announcement names. */
+  #renewalHost(index: number, record: ServerRecord): Member {
+    const first = this.members[index % this.members.length] as Member;
+    const owner = first.state.servers.get(record.id)?.owner;
+    return owner === undefined ? first : this.#byHost.get(owner) ?? first;
+  }
+
+  #dispatch(member: Member, event: MembershipEvent): Mail[] {
+    const mail: Mail[] = [];
+    for (const effect of member.reducer.reduce(member.state, event)) {
+      if (effect.type !== "send" && effect.type !== "forward") continue;
+      const renewal = effect.type === "forward";
+      const body = renewal
+        ? { record: effect.record, load: effect.load }
+        : encodeMessage(effect.message);
+      const bytes = pack(body);
+      this.bytes += bytes.length + frameOverhead;
+      this.messages += 1;
+      mail.push({ to: effect.to, from: member.host, bytes, renewal });
+    }
+    return mail;
+  }
+
+  #deliver(mail: Mail): Mail[] {
+    const member = this.#byHost.get(mail.to);
+    if (member === undefined) return [];
+    if (mail.renewal) {
+      const { record, load } = unpack(mail.bytes) as Renewal;
+      const now = this.#now;
+      const event = { type: "announced", now, record, load } as const;
+      return this.#dispatch(member, { ...event, forwarded: true });
+    }
+    const message = decodeMessage(unpack(mail.bytes) as WireMessage);
+    const { from } = mail;
+    return this.#dispatch(member, {
+      type: "received",
+      now: this.#now,
+      from,
+      message,
+    });
+  }
+}
+
+/** Cost of membership for one host of a fleet. */
+interface GossipCost {
+  readonly hosts: number;
+  readonly servers: number;
+  /** Bytes sent and received a second. */
+  readonly bytesPerSecond: number;
+  /** Share of one core, in percent. */
+  readonly corePercent: number;
+  readonly memoryBytes: number;
+  readonly spreadMilliseconds: number;
+}
+
+function measureFleet(hosts: number, servers: number): GossipCost {
+  const { value: fleet, bytes: memory } = measureMemory(() => {
+    const created = new GossipFleet(hosts, servers);
+    created.run(warmUpTime);
+    return created;
+  });
+  fleet.bytes = 0;
+  fleet.processorTime = 0;
+  fleet.run(measuredTime);
+  const seconds = measuredTime / 1_000;
+  return {
+    hosts,
+    servers,
+    bytesPerSecond: 2 * fleet.bytes / hosts / seconds,
+    corePercent: fleet.processorTime / hosts / measuredTime * 100,
+    memoryBytes: memory / hosts,
+    spreadMilliseconds: fleet.timeToSpreadLeave(),
+  };
+}
+
+/** Servers for each host at the size of two years. */
+const serversPerHost = 1_800 / 650;
+
+function toFigures(
+  costs: readonly GossipCost[],
+  scale: { size: string; target: number; of: (cost: GossipCost) => number },
+): Figure[] {
+  const { size, target, of } = scale;
+  const points = (value: (cost: GossipCost) => number) =>
+    costs.map((cost) => ({ x: of(cost), y: value(cost) }));
+  return [
+    {
+      name: "gossip traffic of one host, both ways",
+      unit: "KB/s",
+      size,
+      target,
+      points: points(({ bytesPerSecond }) => bytesPerSecond / 1_000),
+      limit: 29,
+    },
+    {
+      name: "gossip processor time of one host",
+      unit: "% of a core",
+      size,
+      target,
+      points: points(({ corePercent }) => corePercent),
+      limit: 2.2,
+    },
+    {
+      name: "gossip state of one host",
+      unit: "MB",
+      size,
+      target,
+      points: points(({ memoryBytes }) => memoryBytes / 1_000_000),
+      limit: 32,
+    },
+    {
+      name: "time until all hosts know of a leave",
+      unit: "s",
+      size,
+      target,
+      points: points(({ spreadMilliseconds }) => spreadMilliseconds / 1_000),
+      limit: 5,
+    },
+  ];
+}
+
+/** Figures of membership against hosts, and against servers. */
+export function measureGossip(): Figure[] {
+  const byHosts = [8, 32, 128].map((hosts) =>
+    measureFleet(hosts, Math.round(hosts * serversPerHost))
+  );
+  const byServers = [13, 130, 1_800].map((servers) =>
+    measureFleet(32, servers)
+  );
+  return [
+    ...toFigures(byHosts, {
+      size: "hosts with 2.8 servers each",
+      target: 650,
+      of: ({ hosts }) => hosts,
+    }),
+    ...toFigures(byServers, {
+      size: "servers of 32 hosts",
+      target: 1_800,
+      of: ({ servers }) => servers,
+    }),
+  ];
+}
--- a/packages/rhubarbstage-membership/__tests__/unit/demand_exchange_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/demand_exchange_test.ts
@@ -1,33 +1,33 @@
-import type { CustomerId, HostId } from "rhubarbstage";
+import type { HostId } from "rhubarbstage";
 import { DemandAggregate, pickAggregator } from "../../src/mod.ts";
 
-const customer = "kiosks" as CustomerId;
+const subject = "customer/kiosks";
 const hosts = ["a", "b", "c"] as HostId[];
 
 describe("demand exchange", () => {
   // Guards against hosts that report one customer to different aggregators.
   test("picks the same aggregator whatever the order of hosts", () => {
-    const picked = pickAggregator(customer, hosts);
-    expect(pickAggregator(customer, [...hosts].reverse())).toBe(picked);
-    expect(pickAggregator(customer, [])).toBeUndefined();
+    const picked = pickAggregator(subject, hosts);
+    expect(pickAggregator(subject, [...hosts].reverse())).toBe(picked);
+    expect(pickAggregator(subject, [])).toBeUndefined();
   });
 
   // Guards against counting a host that stopped reporting.
   test("sums current reports and forgets old ones", () => {
     const aggregate = new DemandAggregate();
-    aggregate.report(hosts[0] as HostId, [[customer, 3, 30]], 0);
+    aggregate.report(hosts[0] as HostId, [[subject, 3, 30]], 0);
     const total = aggregate.report(
       hosts[1] as HostId,
-      [[customer, 2, 20]],
+      [[subject, 2, 20]],
       1_000,
     );
-    expect(total).toEqual([[customer, 5, 50]]);
+    expect(total).toEqual([[subject, 5, 50]]);
     const later = aggregate.report(
       hosts[1] as HostId,
-      [[customer, 2, 20]],
+      [[subject, 2, 20]],
       4_500,
     );
-    expect(later).toEqual([[customer, 2, 20]]);
+    expect(later).toEqual([[subject, 2, 20]]);
     aggregate.expire(20_000);
     expect(aggregate.size).toBe(0);
   });
--- a/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -118,13 +118,14 @@
     const network = new Network(hostCount);
     network.announce(0, makeServer("engine"));
     network.run(4_000, renewEvery(network, () => 0));
-    network.member(0).up = false;
-    network.run(8_000, renewEvery(network, () => 4));
-    const others = network.hosts.slice(1);
-    const usable = others.filter((_, index) =>
-      network.usable(index + 1, "engine")
+    const owner = network.ownerOf("engine");
+    network.member(owner).up = false;
+    const helper = (owner + 1) % hostCount;
+    network.run(8_000, renewEvery(network, () => helper));
+    const usable = network.hosts.filter((_, index) =>
+      index !== owner && network.usable(index, "engine")
     );
-    expect(usable.length).toBe(others.length);
+    expect(usable.length).toBe(hostCount - 1);
   });
 
   // Guards against a server that stays out after a pause, although it renews
--- a/packages/rhubarbstage-membership/__tests__/unit/network.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/network.ts
@@ -75,7 +75,6 @@
     { incarnation: Incarnation; leaving: boolean }
   >();
   now = 0;
-  bytes = 0;
   #flights: Flight[] = [];
   #random: SeededRandom;
 
@@ -141,6 +140,13 @@
     }
   }
 
+  /** Index of the host that owns a server's record. */
+  ownerOf(id: string): number {
+    const { state } = this.member(0);
+    const owner = state.servers.get(id as BackendServerId)?.owner;
+    return this.hosts.findIndex(({ host }) => host === owner);
+  }
+
   usable(index: number, id: string): boolean {
     const { state } = this.member(index);
     return state.servers.get(id as BackendServerId)?.usable ?? false;
@@ -158,7 +164,6 @@
   #execute(from: HostId, effect: MembershipEffect): void {
     if (effect.type === "send") {
       const { message } = effect;
-      this.bytes += JSON.stringify(message).length;
       this.#send(
         from,
         effect.to,
@@ -170,7 +175,7 @@
       const sent = this.#send(
         from,
         effect.to,
-        (now) => ({ type: "announced", now, record }),
+        (now) => ({ type: "announced", now, record, forwarded: true }),
       );
       if (sent) return;
       const now = this.now;
--- a/packages/rhubarbstage-membership/src/constants.ts
+++ b/packages/rhubarbstage-membership/src/constants.ts
@@ -12,10 +12,20 @@
 export const regionalNeighbourCount = 5;
 /** Neighbours addressed in one round. */
 export const gossipFanout = 2;
-/** Digest entries in one message; more hosts are sent in rotating slices. */
-export const digestSliceLimit = 64;
-/** Bytes of deltas and loads in one message, before framing. */
-export const deltaByteBudget = 4_096;
+/**
+ * Registrars in each region: the hosts that own the records of backend servers.
+ * Their heartbeats are in every digest, so that evidence stays fresh however
+ * many other hosts there are.
+ */
+export const registrarsPerRegion = 8;
+/** Digest entries of other hosts in one message; more are sent in slices. */
+export const digestSliceLimit = 24;
+/** Bytes of deltas in one message, before framing. */
+export const deltaByteBudget = 2_048;
+/** Loads in one message, newest first. */
+export const loadLimit = 16;
+/** Loads older than this are not passed on, in milliseconds. */
+export const loadLifetime = 3_000;
 /** Interval at which backend servers are asked to renew, in milliseconds. */
 export const renewInterval = 2_000;
 /** The owning host drops a record that was not renewed for this long, in ms. */
@@ -29,8 +39,13 @@
 export const probeAge = 3_500;
 /** Direct checks started in one round, so that no host polls all servers. */
 export const probesPerRound = 8;
-/** A host whose heartbeat is older than this counts as gone, in milliseconds. */
-export const hostTimeout = 6_000;
+/** A registrar whose heartbeat is older counts as gone, in milliseconds. */
+export const registrarTimeout = 6_000;
+/**
+ * Another host whose heartbeat is older counts as gone, in milliseconds. At 650
+ * hosts, slices bring its heartbeat round in about 10 s.
+ */
+export const hostTimeout = 30_000;
 /** Time for which departed servers and hosts are remembered, in milliseconds. */
 export const departureMemory = 600_000;
 /** Time for which a deleted record is still gossiped, in milliseconds. */
--- a/packages/rhubarbstage-membership/src/demand_exchange.ts
+++ b/packages/rhubarbstage-membership/src/demand_exchange.ts
@@ -1,34 +1,34 @@
 /**
- * Demand of customers over all hosts. Each customer has one aggregating host,
- * so that a host sends its demand to a few others and never to all.
+ * Demand over all hosts, by customer or model. Each subject has one aggregating
+ * host, so that a host sends its demand to a few others and never to all.
  *
  * @module
  */
 
-import type { CustomerId, HostId } from "rhubarbstage";
-import { hashText } from "./neighbours.ts";
+import type { HostId } from "rhubarbstage";
+import { hashText } from "./hash.ts";
 
-/** Demand of one customer, in the unit of the limits. */
-export interface CustomerDemand {
-  readonly requestsPerSecond: number;
-  readonly tokensPerSecond: number;
-}
+/** What demand is counted for, for example `customer/kiosks`. */
+export type DemandSubject = string;
+
+/** Two rates of one subject, each per second; their unit is the user's. */
+export type DemandRates = readonly [number, number];
 
-/** Demand as it is sent: customer, requests a second, tokens a second. */
-export type DemandRow = readonly [CustomerId, number, number];
+/** Demand as it is sent. */
+export type DemandRow = readonly [DemandSubject, number, number];
 
 /** Time after which a host's report no longer counts, in milliseconds. */
 const reportLifetime = 4_000;
 
-/** Host that aggregates a customer's demand, or undefined when there is none. */
+/** Host that aggregates a subject's demand, or undefined when there is none. */
 export function pickAggregator(
-  customer: CustomerId,
+  subject: DemandSubject,
   aggregators: readonly HostId[],
 ): HostId | undefined {
   let best: HostId | undefined;
   let bestRank = -1;
   for (const host of aggregators) {
-    const rank = hashText(`${host}\n${customer}`);
+    const rank = hashText(`${host}\n${subject}`);
     if (rank > bestRank) {
       best = host;
       bestRank = rank;
@@ -40,43 +40,43 @@
 /** Sums of the demand that hosts reported, on the aggregating host. */
 export class DemandAggregate {
   #reports = new Map<
-    CustomerId,
-    Map<HostId, CustomerDemand & { at: number }>
+    DemandSubject,
+    Map<HostId, { readonly rates: DemandRates; readonly at: number }>
   >();
 
-  /** Takes a report and returns the totals of the customers in it. */
+  /** Takes a report and returns the totals of the subjects in it. */
   report(from: HostId, rows: readonly DemandRow[], now: number): DemandRow[] {
-    return rows.map(([customer, requestsPerSecond, tokensPerSecond]) => {
-      const reports = this.#reports.get(customer) ?? new Map();
-      this.#reports.set(customer, reports);
-      reports.set(from, { requestsPerSecond, tokensPerSecond, at: now });
-      return this.#sum(customer, now);
+    return rows.map(([subject, first, second]) => {
+      const reports = this.#reports.get(subject) ?? new Map();
+      this.#reports.set(subject, reports);
+      reports.set(from, { rates: [first, second], at: now });
+      return this.#sum(subject, now);
     });
   }
 
   /** Drops reports that are out of date. */
   expire(now: number): void {
-    for (const [customer, reports] of this.#reports) {
+    for (const [subject, reports] of this.#reports) {
       for (const [host, report] of reports) {
         if (now - report.at > reportLifetime) reports.delete(host);
       }
-      if (reports.size === 0) this.#reports.delete(customer);
+      if (reports.size === 0) this.#reports.delete(subject);
     }
   }
 
-  /** Customers with a current report. */
+  /** Subjects with a current report. */
   get size(): number {
     return this.#reports.size;
   }
 
-  #sum(customer: CustomerId, now: number): DemandRow {
-    let requests = 0;
-    let tokens = 0;
-    for (const report of this.#reports.get(customer)?.values() ?? []) {
-      if (now - report.at > reportLifetime) continue;
-      requests += report.requestsPerSecond;
-      tokens += report.tokensPerSecond;
+  #sum(subject: DemandSubject, now: number): DemandRow {
+    let first = 0;
+    let second = 0;
+    for (const { rates, at } of this.#reports.get(subject)?.values() ?? []) {
+      if (now - at > reportLifetime) continue;
+      first += rates[0];
+      second += rates[1];
     }
-    return [customer, requests, tokens];
+    return [subject, first, second];
   }
 }
--- a/packages/rhubarbstage-membership/src/host_logs.ts
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -7,7 +7,7 @@
 
 import { pack } from "msgpackr";
 import type { HostId, Incarnation } from "rhubarbstage";
-import { deltaByteBudget, digestSliceLimit } from "./constants.ts";
+import { deltaByteBudget, digestSliceLimit, loadLimit } from "./constants.ts";
 import {
   type HostLog,
   type LogEntry,
@@ -63,37 +63,33 @@
 }
 
 /**
- * Digest for one message: all hosts, or the own one, the most recently heard
- * ones and a rotating slice when there are too many.
+ * Digest for one message: the registrars and a rotating slice of the other
+ * hosts.
  */
 export function buildDigest(
   state: MembershipState,
   now: number,
 ): DigestEntry[] {
-  const logs = [...state.logs.values()].filter((log) =>
-    log.heartbeatAt !== -Infinity || log.host === state.self.host
-  );
-  const chosen = logs.length <= digestSliceLimit
-    ? logs
-    : chooseSlice(state, logs);
+  const chosen: HostLog[] = [ownLog(state)];
+  const others: HostLog[] = [];
+  for (const log of state.logs.values()) {
+    if (log.host === state.self.host || log.heartbeatAt === -Infinity) continue;
+    if (state.registrars.has(log.host)) chosen.push(log);
+    else others.push(log);
+  }
+  chosen.push(...takeSlice(state, others));
   return chosen.map((log) => toDigestEntry(state, log, now));
 }
 
-function chooseSlice(
+function takeSlice(
   state: MembershipState,
-  logs: readonly HostLog[],
-): HostLog[] {
-  const recentCount = digestSliceLimit / 2;
-  const recent = [...logs]
-    .sort((left, right) => right.heartbeatAt - left.heartbeatAt)
-    .slice(0, recentCount);
-  const chosen = new Set<HostLog>([ownLog(state), ...recent]);
-  while (chosen.size < digestSliceLimit) {
-    state.sliceStart = (state.sliceStart + 1) % logs.length;
-    const log = logs[state.sliceStart];
-    if (log !== undefined) chosen.add(log);
-  }
-  return [...chosen];
+  others: readonly HostLog[],
+): readonly HostLog[] {
+  if (others.length <= digestSliceLimit) return others;
+  const start = state.sliceStart % others.length;
+  state.sliceStart = start + digestSliceLimit;
+  const slice = others.slice(start, start + digestSliceLimit);
+  return [...slice, ...others.slice(0, digestSliceLimit - slice.length)];
 }
 
 /** What a received digest entry asks of the receiver. */
@@ -122,7 +118,7 @@
   };
 }
 
-/** Collects deltas and loads up to the byte budget of one message. */
+/** Collects deltas and loads up to the limits of one message. */
 export class DeltaBuilder {
   readonly deltas: Delta[] = [];
   readonly loads: SharedLoad[] = [];
@@ -151,10 +147,9 @@
     });
   }
 
-  /** Adds a load when it still fits. */
+  /** Adds a load unless the message has as many as it may. */
   addLoad(load: SharedLoad): boolean {
-    this.#left -= digestEntrySize;
-    if (this.#left <= 0) return false;
+    if (this.loads.length >= loadLimit) return false;
     this.loads.push(load);
     return true;
   }
--- a/packages/rhubarbstage-membership/src/link.ts
+++ b/packages/rhubarbstage-membership/src/link.ts
@@ -19,8 +19,14 @@
     options: { signal: AbortSignal },
   ): Promise<unknown>;
 
-  /** Registers the handler of a message by name. */
-  abstract handle(
+  /** Registers the handler of messages without an answer. */
+  abstract onMessage(
+    name: string,
+    handler: (from: HostId, body: unknown) => void,
+  ): void;
+
+  /** Registers the handler of requests; its result is the answer. */
+  abstract onRequest(
     name: string,
     handler: (from: HostId, body: unknown) => unknown,
   ): void;
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -7,25 +7,32 @@
 import {
   type BackendServerId,
   type Clock,
-  type CustomerId,
   every,
   type HostId,
   type Incarnation,
+  type Revision,
   SystemClock,
 } from "rhubarbstage";
 import { gossipInterval } from "./constants.ts";
 import {
-  type CustomerDemand,
   DemandAggregate,
+  type DemandRates,
   type DemandRow,
+  type DemandSubject,
   pickAggregator,
 } from "./demand_exchange.ts";
 import type { MembershipLink } from "./link.ts";
 import { MembershipReducer } from "./membership_reducer.ts";
-import { findHost, isAlive, type MembershipState } from "./state.ts";
+import {
+  evidenceAt,
+  findHost,
+  type HostLog,
+  isAlive,
+  type MembershipState,
+} from "./state.ts";
 import { listNeighbours } from "./neighbours.ts";
+import { decodeMessage, encodeMessage, type WireMessage } from "./wire.ts";
 import type {
-  GossipMessage,
   HostRecord,
   MembershipEffect,
   MembershipEvent,
@@ -67,7 +74,29 @@
   hostGone?(host: HostId): void;
   marksHeard?(marks: readonly SharedMark[]): void;
   cacheChanged?(change: CacheChange): void;
-  demandHeard?(total: ReadonlyMap<CustomerId, CustomerDemand>): void;
+  /** Demand of the own subjects over all hosts. */
+  demandHeard?(total: ReadonlyMap<DemandSubject, DemandRates>): void;
+}
+
+/** A backend server as this host knows it. */
+export interface ServerView {
+  readonly record: ServerRecord;
+  readonly load?: ServerLoad;
+  /** Whether it may get new work. */
+  readonly usable: boolean;
+  /** Host that vouches for it. */
+  readonly owner: HostId;
+  /** Age of the newest evidence, in milliseconds. */
+  readonly evidenceAge: number;
+}
+
+/** A host as this host knows it. */
+export interface HostView {
+  readonly record: HostRecord;
+  readonly incarnation: Incarnation;
+  readonly alive: boolean;
+  /** Revision in force there, as far as gossip tells. */
+  readonly revision?: Revision;
 }
 
 /** Options of a {@linkcode Membership}. */
@@ -83,7 +112,7 @@
     options: { signal: AbortSignal },
   ) => Promise<ServerCheck>;
   /** Own demand of the last interval. */
-  readonly demand: () => ReadonlyMap<CustomerId, CustomerDemand>;
+  readonly demand: () => ReadonlyMap<DemandSubject, DemandRates>;
   /** Ends all timers. */
   readonly signal: AbortSignal;
   readonly clock?: Clock;
@@ -146,13 +175,40 @@
   }
 
   /** Known servers, for operators. */
-  listServers(): readonly {
-    record: ServerRecord;
-    load?: ServerLoad;
-    usable: boolean;
-    owner: HostId;
-  }[] {
-    return [...this.#state.servers.values()];
+  listServers(): readonly ServerView[] {
+    const now = this.#now();
+    return [...this.#state.servers.values()].map((server) => ({
+      record: server.record,
+      load: server.load,
+      usable: server.usable,
+      owner: server.owner,
+      evidenceAge: now - evidenceAt(this.#state, server),
+    }));
+  }
+
+  /** All hosts that gossip tells of, for operators. */
+  listKnownHosts(): readonly HostView[] {
+    const now = this.#now();
+    const views: HostView[] = [];
+    for (const log of this.#state.logs.values()) {
+      const record = findHost(this.#state, log.host);
+      if (record === undefined) continue;
+      const alive = isAlive(this.#state, log, now);
+      const { incarnation } = log;
+      const revision = readRevision(log);
+      views.push({ record, incarnation, alive, revision });
+    }
+    return views;
+  }
+
+  /** Tells other hosts which revision is in force here. */
+  publishRevision(revision: Revision): void {
+    this.#dispatch({ type: "revision_changed", now: this.#now(), revision });
+  }
+
+  /** Newest process of a host that gossip told of. */
+  newestIncarnation(host: HostId): Incarnation | undefined {
+    return this.#state.logs.get(host)?.incarnation;
   }
 
   /** Hosts that are alive, this one included. */
@@ -168,34 +224,29 @@
     return records;
   }
 
-  /** Whether a process of a host is known to be gone for good. */
-  isProcessGone(host: HostId, incarnation: Incarnation): boolean {
-    const log = this.#state.logs.get(host);
-    return log !== undefined && log.incarnation > incarnation;
-  }
-
   #now(): number {
     return this.#clock.monotonicMilliseconds();
   }
 
   #registerHandlers(): void {
     const { link } = this.#options;
-    link.handle("gossip", (from, body) => {
-      const message = body as GossipMessage;
+    link.onMessage("gossip", (from, body) => {
+      const message = decodeMessage(body as WireMessage);
       this.#dispatch({ type: "received", now: this.#now(), from, message });
     });
-    link.handle("renew", (_from, body) => {
+    link.onRequest("renew", (_from, body) => {
       const { record, load } = body as {
         record: ServerRecord;
         load?: ServerLoad;
       };
-      this.#dispatch({ type: "announced", now: this.#now(), record, load });
+      const now = this.#now();
+      this.#dispatch({ type: "announced", now, record, load, forwarded: true });
       return true;
     });
-    link.handle("cache", (_from, body) => {
+    link.onMessage("cache", (_from, body) => {
       this.#options.listener.cacheChanged?.(body as CacheChange);
     });
-    link.handle("demand", (from, body) => {
+    link.onRequest("demand", (from, body) => {
       return this.#aggregate.report(from, body as DemandRow[], this.#now());
     });
   }
@@ -210,7 +261,7 @@
     const { link, listener } = this.#options;
     switch (effect.type) {
       case "send":
-        link.send(effect.to, "gossip", effect.message);
+        link.send(effect.to, "gossip", encodeMessage(effect.message));
         break;
       case "forward":
         void this.#forward(effect);
@@ -271,11 +322,11 @@
     const now = this.#now();
     this.#aggregate.expire(now);
     const byHost = this.#groupDemand();
-    const total = new Map<CustomerId, CustomerDemand>();
+    const total = new Map<DemandSubject, DemandRates>();
     const reports = [...byHost].map(async ([host, rows]) => {
       for (const row of await this.#sendDemand(host, rows)) {
-        const [customer, requestsPerSecond, tokensPerSecond] = row;
-        total.set(customer, { requestsPerSecond, tokensPerSecond });
+        const [subject, first, second] = row;
+        total.set(subject, [first, second]);
       }
     });
     await Promise.all(reports);
@@ -289,11 +340,11 @@
     const aggregators = (replicas.length > 0 ? replicas : hosts)
       .map((record) => record.host);
     const byHost = new Map<HostId, DemandRow[]>();
-    for (const [customer, demand] of this.#options.demand()) {
-      const host = pickAggregator(customer, aggregators);
+    for (const [subject, [first, second]] of this.#options.demand()) {
+      const host = pickAggregator(subject, aggregators);
       if (host === undefined) continue;
       const rows = byHost.get(host) ?? [];
-      rows.push([customer, demand.requestsPerSecond, demand.tokensPerSecond]);
+      rows.push([subject, first, second]);
       byHost.set(host, rows);
     }
     return byHost;
@@ -316,8 +367,8 @@
       // Without the aggregator, assumes that all hosts see the same demand. This
       // keeps the sum of the hosts' parts at the limit when demand is even.
       const count = this.listHosts().length;
-      return rows.map(([customer, requests, tokens]) =>
-        [customer, requests * count, tokens * count] as const
+      return rows.map(([subject, first, second]) =>
+        [subject, first * count, second * count] as const
       );
     }
   }
@@ -329,3 +380,8 @@
     ]);
   }
 }
+
+function readRevision(log: HostLog): Revision | undefined {
+  const value = log.entries.get("revision")?.value;
+  return value?.type === "revision" ? value.revision : undefined;
+}
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -9,6 +9,7 @@
 import {
   deletionMemory,
   departureMemory,
+  loadLifetime,
   probeAge,
   probesPerRound,
   quarantineMarkLimit,
@@ -24,7 +25,9 @@
   toWant,
   writeEntry,
 } from "./host_logs.ts";
-import { hashText, pickGossipTargets } from "./neighbours.ts";
+import { hashText } from "./hash.ts";
+import { pickGossipTargets } from "./neighbours.ts";
+import { chooseRegistrars, pickRegistrar } from "./registrars.ts";
 import {
   evidenceAt,
   type HostLog,
@@ -88,6 +91,8 @@
       departures: new Map(),
       seeds,
       random: new SeededRandom(seed),
+      registrarsByRegion: new Map([[self.region, [self.host]]]),
+      registrars: new Set([self.host]),
       sliceStart: 0,
     };
     ownLog(state).alive = true;
@@ -116,6 +121,11 @@
       case "marks_published":
         publishMarks(state, event.marks, event.now);
         break;
+      case "revision_changed": {
+        const { revision, now } = event;
+        writeEntry(state, "revision", { type: "revision", revision }, now);
+        break;
+      }
       case "tick":
         tick(state, event.now, effects);
         break;
@@ -130,6 +140,7 @@
     now: number;
     record: ServerRecord;
     load?: ServerLoad;
+    forwarded?: boolean;
     takeOver?: boolean;
   },
   effects: Effects,
@@ -139,10 +150,12 @@
   const record = orderAnnouncement(state, event);
   if (isOutdated(state, record)) return;
   const unchanged = known !== undefined && !isNewer(record, known.record);
-  if (unchanged && known.owner !== state.self.host) {
+  const keeper = keeperOf(state, record, unchanged ? known : undefined);
+  if (keeper !== state.self.host && !event.forwarded && !event.takeOver) {
     // Renewals stay with one owner, so that a balancer in front of the hosts
     // does not turn each renewal into a change that gossip has to spread.
-    effects.push({ type: "forward", to: known.owner, record, load });
+    const forwarded = event.record;
+    effects.push({ type: "forward", to: keeper, record: forwarded, load });
     return;
   }
   if (!unchanged) {
@@ -159,13 +172,30 @@
   refreshServer(state, server, { now, changed: true }, effects);
 }
 
+/** The host that has to own a record: its owner, or else its registrar. */
+function keeperOf(
+  state: MembershipState,
+  record: ServerRecord,
+  known: KnownServer | undefined,
+): HostId {
+  if (known === undefined) return pickRegistrar(state, record);
+  const { owner } = known;
+  if (owner === state.self.host || state.registrars.has(owner)) return owner;
+  return pickRegistrar(state, record);
+}
+
 /**
  * Gives an announced record its takeover number: that of the known record, or
  * the next one when the owner is gone or the record had expired.
  */
 function orderAnnouncement(
   state: MembershipState,
-  event: { now: number; record: ServerRecord; takeOver?: boolean },
+  event: {
+    now: number;
+    record: ServerRecord;
+    forwarded?: boolean;
+    takeOver?: boolean;
+  },
 ): ServerRecord {
   const { record, now } = event;
   const known = state.servers.get(record.id);
@@ -173,7 +203,9 @@
     const owner = state.logs.get(known.owner);
     const ownerAlive = owner !== undefined && isAlive(state, owner, now);
     const takeover = known.record.takeover;
-    const next = event.takeOver === true || !ownerAlive;
+    const own = known.owner === state.self.host;
+    const passedOn = event.forwarded === true || event.takeOver === true;
+    const next = !own && (passedOn || !ownerAlive);
     return { ...record, takeover: next ? takeover + 1 : takeover };
   }
   const departure = state.departures.get(record.id);
@@ -418,6 +450,8 @@
     case "marks":
       effects.push({ type: "marks_heard", marks: value.marks });
       break;
+    case "revision":
+      break;
     case "server_gone":
       depart(state, { ...value, now }, effects);
       break;
@@ -474,6 +508,8 @@
   const log = ownLog(state);
   log.heartbeat += 1;
   log.heartbeatAt = now;
+  state.registrarsByRegion = chooseRegistrars(state, now);
+  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
   expireServers(state, now, effects);
   refreshHosts(state, now, effects);
   forget(state, now);
@@ -490,7 +526,7 @@
 ): GossipMessage {
   const builder = new DeltaBuilder();
   const recent = [...state.servers.values()]
-    .filter((server) => server.load !== undefined)
+    .filter(({ loadAt }) => now - loadAt <= loadLifetime)
     .sort((left, right) => right.loadAt - left.loadAt);
   for (const server of recent) {
     if (server.load === undefined) continue;
@@ -513,7 +549,7 @@
 ): void {
   for (const server of [...state.servers.values()]) {
     const owned = server.owner === state.self.host;
-    if (owned && now - server.renewedAt > renewTimeout) {
+    if (owned && now - evidenceAt(state, server) > renewTimeout) {
       const { id, incarnation, sequence, takeover } = server.record;
       const departure = { id, incarnation, sequence, takeover, left: false };
       writeEntry(
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -6,14 +6,20 @@
  */
 
 export * as membershipConstants from "./constants.ts";
-export type { CustomerDemand, DemandRow } from "./demand_exchange.ts";
+export type {
+  DemandRates,
+  DemandRow,
+  DemandSubject,
+} from "./demand_exchange.ts";
 export { DemandAggregate, pickAggregator } from "./demand_exchange.ts";
 export { MembershipLink } from "./link.ts";
 export type {
   CacheChange,
+  HostView,
   MembershipListener,
   MembershipOptions,
   ServerCheck,
+  ServerView,
 } from "./membership.ts";
 export { Membership } from "./membership.ts";
 export type { MembershipReducerOptions } from "./membership_reducer.ts";
@@ -29,3 +35,5 @@
   ServerRecord,
   SharedMark,
 } from "./types.ts";
+export type { WireMessage } from "./wire.ts";
+export { decodeMessage, encodeMessage } from "./wire.ts";
--- a/packages/rhubarbstage-membership/src/neighbours.ts
+++ b/packages/rhubarbstage-membership/src/neighbours.ts
@@ -10,18 +10,10 @@
   neighbourCount,
   regionalNeighbourCount,
 } from "./constants.ts";
+import { hashText } from "./hash.ts";
 import { findHost, isAlive, type MembershipState } from "./state.ts";
 import type { HostRecord } from "./types.ts";
 
-/** FNV-1a hash of a string, 32 bits. */
-export function hashText(text: string): number {
-  let hash = 0x811c9dc5;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
-  }
-  return hash >>> 0;
-}
-
 function isCandidate(
   state: MembershipState,
   host: HostId,
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/registrars.ts
@@ -0,0 +1,62 @@
+/**
+ * The hosts that own the records of backend servers.
+ *
+ * @module
+ */
+
+import type { BackendServerId, HostId, Region } from "rhubarbstage";
+import { registrarsPerRegion, registrarTimeout } from "./constants.ts";
+import { hashText } from "./hash.ts";
+import { findHost, type HostLog, type MembershipState } from "./state.ts";
+
+function isRecent(state: MembershipState, log: HostLog, now: number): boolean {
+  if (log.host === state.self.host) return true;
+  return now - log.heartbeatAt <= registrarTimeout;
+}
+
+/** Chooses the hosts with the smallest hashes in each region. */
+export function chooseRegistrars(
+  state: MembershipState,
+  now: number,
+): Map<Region, HostId[]> {
+  const byRegion = new Map<Region, { host: HostId; rank: number }[]>();
+  for (const log of state.logs.values()) {
+    const record = findHost(state, log.host);
+    if (record === undefined) continue;
+    // Hosts that are not registrars are heard of too rarely to be judged by
+    // the time limit of registrars.
+    const considered = state.registrars.has(log.host)
+      ? isRecent(state, log, now)
+      : log.alive;
+    if (!considered) continue;
+    const ranked = byRegion.get(record.region) ?? [];
+    ranked.push({ host: log.host, rank: hashText(log.host) });
+    byRegion.set(record.region, ranked);
+  }
+  const chosen = new Map<Region, HostId[]>();
+  for (const [region, ranked] of byRegion) {
+    ranked.sort((left, right) => left.rank - right.rank);
+    const hosts = ranked.slice(0, registrarsPerRegion).map(({ host }) => host);
+    chosen.set(region, hosts);
+  }
+  return chosen;
+}
+
+/** The registrar of a server: in its region, or in any when that has none. */
+export function pickRegistrar(
+  state: MembershipState,
+  server: { readonly id: BackendServerId; readonly region: Region },
+): HostId {
+  const regional = state.registrarsByRegion.get(server.region);
+  const candidates = regional ?? [...state.registrars];
+  let best = state.self.host;
+  let bestRank = -1;
+  for (const host of candidates) {
+    const rank = hashText(`${host}\n${server.id}`);
+    if (rank > bestRank) {
+      best = host;
+      bestRank = rank;
+    }
+  }
+  return best;
+}
--- a/packages/rhubarbstage-membership/src/state.ts
+++ b/packages/rhubarbstage-membership/src/state.ts
@@ -4,9 +4,14 @@
  * @module
  */
 
-import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
+import type {
+  BackendServerId,
+  HostId,
+  Incarnation,
+  Region,
+} from "rhubarbstage";
 import { SeededRandom } from "rhubarbstage";
-import { evidenceLimit, hostTimeout } from "./constants.ts";
+import { evidenceLimit, hostTimeout, registrarTimeout } from "./constants.ts";
 import type {
   DigestEntry,
   HostRecord,
@@ -71,6 +76,10 @@
   /** Hosts that gossip starts from before it has heard of others. */
   readonly seeds: readonly HostRecord[];
   readonly random: SeededRandom;
+  /** Hosts that own server records, by region; chosen anew at each tick. */
+  registrarsByRegion: ReadonlyMap<Region, readonly HostId[]>;
+  /** All registrars. */
+  registrars: ReadonlySet<HostId>;
   /** Position of the rotating digest slice. */
   sliceStart: number;
 }
@@ -120,7 +129,9 @@
   now: number,
 ): boolean {
   if (log.host === state.self.host) return true;
-  return now - log.heartbeatAt <= hostTimeout;
+  const registrar = state.registrars.has(log.host);
+  const timeout = registrar ? registrarTimeout : hostTimeout;
+  return now - log.heartbeatAt <= timeout;
 }
 
 /** Record of a host, from its log or the seeds. */
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -12,6 +12,7 @@
   Incarnation,
   ModelName,
   Region,
+  Revision,
   ServiceName,
 } from "rhubarbstage";
 
@@ -88,7 +89,8 @@
     /** Whether the server left in good order. */
     readonly left: boolean;
   }
-  | { readonly type: "marks"; readonly marks: readonly SharedMark[] };
+  | { readonly type: "marks"; readonly marks: readonly SharedMark[] }
+  | { readonly type: "revision"; readonly revision: Revision };
 
 /** State of one host's log as a sender has it. */
 export interface DigestEntry {
@@ -144,7 +146,9 @@
     readonly now: number;
     readonly record: ServerRecord;
     readonly load?: ServerLoad;
-    /** Set when the owner of the record could not be reached. */
+    /** Whether another host passed it on, so that it is not passed on again. */
+    readonly forwarded?: boolean;
+    /** Set when the host it belongs to could not be reached. */
     readonly takeOver?: boolean;
   }
   | {
@@ -173,6 +177,11 @@
     readonly now: number;
     readonly marks: readonly SharedMark[];
   }
+  | {
+    readonly type: "revision_changed";
+    readonly now: number;
+    readonly revision: Revision;
+  }
   | { readonly type: "tick"; readonly now: number };
 
 /** What has to be done. */
@@ -184,7 +193,7 @@
   }
   | {
     readonly type: "forward";
-    /** Owner of the record, to which the renewal belongs. */
+    /** Owner of the record, or the registrar that has to own it. */
     readonly to: HostId;
     readonly record: ServerRecord;
     readonly load?: ServerLoad;
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -16,6 +16,7 @@
   rhubarbstage: "packages/rhubarbstage-cli/src/main.ts",
   quickstart: "packages/rhubarbstage-bench/src/quickstart.ts",
   bench: "packages/rhubarbstage-bench/src/main.ts",
+  capacity: "packages/rhubarbstage-bench/src/capacity_main.ts",
   fake_engine: "packages/rhubarbstage-test-support/src/fake_engine_main.ts",
   fake_service: "packages/rhubarbstage-test-support/src/fake_service_main.ts",
   fault_proxy: "packages/rhubarbstage-test-support/src/fault_proxy_main.ts",
