Ask several hosts for their timelines

Cause: a timeline of live hosts depended on one host that reaches all others, which a partition takes away.

--- a/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
@@ -316,6 +316,16 @@
     );
     expect(stderr).toContain("crete-3");
     expect(host?.calls.at(-1)?.url).toContain("request=r1");
+    const [, url = ""] = target;
+    const stopped = new FakeOperatorHost({});
+    const lost = await stopped.start();
+    await stopped.stop();
+    const several = await run(["timeline", ...target, "--url", lost]);
+    expect(several.code).toBe(exitCodes.ok);
+    expect(several.stdout).toContain("request_finished");
+    expect(several.stderr).toContain(lost);
+    expect(host?.calls.at(-1)?.url).toContain("scope=host");
+    expect(several.stderr).not.toContain(url);
   });
 
   // Guards against a wrong option value that is silently dropped.
--- a/packages/rhubarbstage-cli/src/context.ts
+++ b/packages/rhubarbstage-cli/src/context.ts
@@ -9,7 +9,7 @@
 import { RhubarbstageError } from "rhubarbstage";
 import { NoAnswerError, UsageError } from "./errors.ts";
 import { type KeptEdit, KeptEdits, keptEditsFolder } from "./kept_edits.ts";
-import { createClient, type OperatorClient } from "./operator_client.ts";
+import { OperatorClient, readClientOptions } from "./operator_client.ts";
 import type { Options } from "./options.ts";
 import { Output, type OutputOptions } from "./output.ts";
 
@@ -28,7 +28,9 @@
   context: Context,
   run: (client: OperatorClient) => Promise<Result>,
 ): Promise<Result> {
-  const client = await createClient(context.options, context.env);
+  const client = new OperatorClient(
+    await readClientOptions(context.options, context.env),
+  );
   try {
     return await run(client);
   } finally {
--- a/packages/rhubarbstage-cli/src/operator_client.ts
+++ b/packages/rhubarbstage-cli/src/operator_client.ts
@@ -211,14 +211,14 @@
 }
 
 /**
- * Creates a client from `--url`, `--settings`, `--token-file` and
+ * Reads the options of a client from `--url`, `--settings`, `--token-file` and
  * `--authority`, or from the environment variables `RHUBARBSTAGE_URL` and
  * `RHUBARBSTAGE_TOKEN_FILE`.
  */
-export async function createClient(
+export async function readClientOptions(
   options: Options,
   env: Readonly<Record<string, string | undefined>>,
-): Promise<OperatorClient> {
+): Promise<OperatorClientOptions> {
   const file = options.text("settings");
   const settings = file === undefined
     ? undefined
@@ -232,12 +232,12 @@
   const tokens = tokenFile === undefined ? [] : await loadTokens(tokenFile);
   const authorityFile = options.text("authority") ?? settings?.tls?.authority;
   const timeout = options.count("timeout");
-  return new OperatorClient({
+  return {
     urls: named.length > 0 ? named : fallback,
     ...(tokens[0] === undefined ? {} : { token: tokens[0].value }),
     ...(authorityFile === undefined
       ? {}
       : { authority: await readFile(authorityFile, "utf8") }),
     ...(timeout === undefined ? {} : { timeout }),
-  });
+  };
 }
--- a/packages/rhubarbstage-cli/src/timeline_command.ts
+++ b/packages/rhubarbstage-cli/src/timeline_command.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import { operatorPaths, type TimelineAnswer } from "@rhubarbstage/settings";
+import {
+  operatorPaths,
+  type TimelineAnswer,
+  type TimelineScope,
+} from "@rhubarbstage/settings";
 import {
   formatFields,
   formatTimestamp,
@@ -13,8 +17,18 @@
   type TimelineEvent,
   type TimelineFilter,
 } from "@rhubarbstage/telemetry";
-import type { BackendServerId, RequestId, Revision } from "rhubarbstage";
-import { type Context, withClient } from "./context.ts";
+import type {
+  BackendServerId,
+  HostId,
+  RequestId,
+  Revision,
+} from "rhubarbstage";
+import type { Context } from "./context.ts";
+import {
+  OperatorClient,
+  type OperatorClientOptions,
+  readClientOptions,
+} from "./operator_client.ts";
 import type { Options } from "./options.ts";
 
 function readFilter(options: Options): TimelineFilter {
@@ -34,16 +48,52 @@
   };
 }
 
+async function askHost(
+  clientOptions: OperatorClientOptions,
+  query: TimelineFilter & { readonly scope: TimelineScope },
+): Promise<TimelineAnswer> {
+  const client = new OperatorClient(clientOptions);
+  try {
+    return await client.get<TimelineAnswer>(operatorPaths.timeline, {
+      ...query,
+    });
+  } finally {
+    await client.close();
+  }
+}
+
+/**
+ * Asks one host for the events of all, or each of several hosts for its own
+ * when `--url` is repeated.
+ */
 async function askHosts(
   context: Context,
   filter: TimelineFilter,
 ): Promise<TimelineAnswer> {
-  const scope = context.options.flag("host-only") ? "host" : "all";
-  return await withClient(
-    context,
-    (client) =>
-      client.get<TimelineAnswer>(operatorPaths.timeline, { ...filter, scope }),
+  const { options, env } = context;
+  const clientOptions = await readClientOptions(options, env);
+  const { urls } = clientOptions;
+  const isOwn = options.flag("host-only") || urls.length > 1;
+  const scope: TimelineScope = isOwn ? "host" : "all";
+  if (urls.length === 1) {
+    return await askHost(clientOptions, { ...filter, scope });
+  }
+  const results = await Promise.allSettled(
+    urls.map((url) =>
+      askHost({ ...clientOptions, urls: [url] }, { ...filter, scope })
+    ),
+  );
+  const answers = results.flatMap((result) =>
+    result.status === "fulfilled" ? [result.value] : []
   );
+  const failures = results.flatMap((result, index) =>
+    result.status === "rejected" ? [{ index, reason: result.reason }] : []
+  );
+  if (answers.length === 0) throw failures[0]?.reason;
+  return {
+    events: answers.flatMap(({ events }) => events),
+    missing_hosts: failures.map(({ index }) => urls[index] as HostId),
+  };
 }
 
 function formatEvent(event: TimelineEvent): string {
