--- /dev/null
+++ b/packages/rhubarbstage-control/__tests__/unit/flaky_group.ts
@@ -0,0 +1,118 @@
+/**
+ * A replicated group in memory that loses, delays and repeats commands.
+ *
+ * @module
+ */
+
+import { type GroupName, RhubarbstageError, SeededRandom } from "rhubarbstage";
+import {
+  type GroupDefinition,
+  InMemoryGroup,
+  ReplicatedGroup,
+} from "@rhubarbstage/replica";
+import {
+  type ControlCommand,
+  controlQueries,
+  type ControlResult,
+  type ControlState,
+  ControlStateMachine,
+  type JournalCommand,
+  journalQueries,
+  type JournalResult,
+  type JournalState,
+  JournalStateMachine,
+} from "../../src/mod.ts";
+
+/** Share of the calls that are disturbed, and the seed of the choice. */
+export interface Flakiness {
+  readonly seed: number;
+  /** Between 0 and 1. */
+  readonly rate: number;
+}
+
+type Fault = "lost" | "answer_lost" | "late" | "repeated";
+
+const faults: readonly Fault[] = ["lost", "answer_lost", "late", "repeated"];
+
+export class FlakyGroup<State, Command, Result>
+  extends ReplicatedGroup<Command, Result> {
+  readonly inner: InMemoryGroup<State, Command, Result>;
+  #random: SeededRandom;
+  #rate: number;
+  #late: Command[] = [];
+
+  constructor(
+    definition: GroupDefinition<State, Command, Result>,
+    options: Flakiness,
+  ) {
+    super();
+    const name = "test" as GroupName;
+    this.inner = new InMemoryGroup(definition, { name });
+    this.#random = new SeededRandom(options.seed);
+    this.#rate = options.rate;
+  }
+
+  override async propose(command: Command): Promise<Result> {
+    await this.#wander();
+    await this.#applyLate();
+    const fault = this.#random.next() < this.#rate
+      ? this.#random.pick(faults)
+      : undefined;
+    if (fault === "late" || fault === "repeated") this.#late.push(command);
+    if (fault === "lost" || fault === "late") throw unanswered();
+    const result = await this.inner.propose(command);
+    await this.#wander();
+    if (fault === "answer_lost") throw unanswered();
+    return result;
+  }
+
+  override async query<Answer>(
+    name: string,
+    argument: unknown,
+  ): Promise<Answer> {
+    await this.#wander();
+    const answer = await this.inner.query<Answer>(name, argument);
+    await this.#wander();
+    if (this.#random.next() < this.#rate) throw unanswered();
+    return answer;
+  }
+
+  /** Applies the commands that are still on their way. */
+  async settleAll(): Promise<void> {
+    while (this.#late.length > 0) {
+      await this.inner.propose(this.#late.shift() as Command);
+    }
+  }
+
+  async #applyLate(): Promise<void> {
+    if (this.#late.length === 0 || this.#random.next() < 0.5) return;
+    const place = this.#random.integer(this.#late.length);
+    const [command] = this.#late.splice(place, 1);
+    await this.inner.propose(command as Command);
+  }
+
+  async #wander(): Promise<void> {
+    const turns = this.#random.integer(4);
+    for (let turn = 0; turn < turns; turn += 1) {
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+}
+
+function unanswered(): RhubarbstageError {
+  return new RhubarbstageError("no_quorum", { outcome: "may_have_run" });
+}
+
+export function flakyControlGroup(
+  options: Flakiness = { seed: 1, rate: 0 },
+): FlakyGroup<ControlState, ControlCommand, ControlResult> {
+  const stateMachine = new ControlStateMachine();
+  return new FlakyGroup({ stateMachine, queries: controlQueries }, options);
+}
+
+export function flakyJournalGroup(
+  options: Flakiness = { seed: 1, rate: 0 },
+): FlakyGroup<JournalState, JournalCommand, JournalResult> {
+  const stateMachine = new JournalStateMachine();
+  return new FlakyGroup({ stateMachine, queries: journalQueries }, options);
+}
--- a/packages/rhubarbstage-control/src/constants.ts
+++ b/packages/rhubarbstage-control/src/constants.ts
@@ -87,8 +87,11 @@
  */
 export const releaseRetention = hour;
 
-/** Ended attempts remembered for one released claim. */
-export const endedAttemptLimit = 16;
+/**
+ * Ended and refused attempts remembered for one key. A copy of an older claim
+ * command that arrives late leaves an open claim that nobody sends.
+ */
+export const endedAttemptLimit = 32;
 
 /** Claims and tombstones of one journal group. */
 export const claimLimit = 1_000_000;
--- a/packages/rhubarbstage-control/src/journal_state_machine.ts
+++ b/packages/rhubarbstage-control/src/journal_state_machine.ts
@@ -95,10 +95,12 @@
       putRecord(state, [key, { type: "open", ...open }]);
       return { type: "granted" };
     }
-    if (record.bodyHash !== bodyHash) return { type: "reused" };
-    if (record.type === "open" && record.attempt === attempt) {
-      return { type: "granted" };
-    }
+    const own = record.attempt === attempt;
+    const reused = record.bodyHash !== bodyHash;
+    if (own && !reused && record.type === "open") return { type: "granted" };
+    // A copy of a refused command that arrives late must not be granted.
+    if (!own) endAttempt(state, key, attempt);
+    if (reused) return { type: "reused" };
     return { type: "held", claim: viewOf(record) };
   }
 
@@ -117,12 +119,8 @@
       putRecord(state, [key, { type: "released", at, ended }]);
       return;
     }
-    if (record.attempt !== attempt) {
-      if (record.ended.includes(attempt)) return;
-      putRecord(state, [key, { ...record, ended }]);
-      return;
-    }
-    if (record.type === "open" || record.type === "unknown") {
+    if (record.attempt !== attempt) endAttempt(state, key, attempt);
+    else if (record.type === "open" || record.type === "unknown") {
       putRecord(state, [key, { type: "released", at, ended }]);
     }
   }
@@ -151,6 +149,19 @@
   return Math.max(state.time, command.now);
 }
 
+/** Remembers that an attempt must not claim a key that another one holds. */
+function endAttempt(
+  state: JournalState,
+  key: ClaimKey,
+  attempt: AttemptId,
+): void {
+  const record = state.claims.get(key);
+  if (record?.type !== "open" && record?.type !== "unknown") return;
+  if (record.ended.includes(attempt)) return;
+  const ended = [...record.ended, attempt].slice(-endedAttemptLimit);
+  state.claims.set(key, { ...record, ended });
+}
+
 function ownRecord(
   state: JournalState,
   command: { readonly key: ClaimKey; readonly attempt: AttemptId },
--- a/packages/rhubarbstage-test-support/src/mod.ts
+++ b/packages/rhubarbstage-test-support/src/mod.ts
@@ -24,6 +24,8 @@
   FakeServiceSwitches,
 } from "./fake_service_types.ts";
 export { fakeServiceDefaults } from "./fake_service_types.ts";
+export type { RecordedCall, SequentialModel } from "./linearizability.ts";
+export { CallRecorder, isLinearizable } from "./linearizability.ts";
 export type { DriverEvent, ProgramStart } from "./process_driver.ts";
 export {
   DrivenProcess,
