--- /dev/null
+++ b/packages/rhubarbstage-service/__tests__/unit/claim_runner_test.ts
@@ -0,0 +1,341 @@
+import {
+  type BackendServerId,
+  type CustomerId,
+  type HostId,
+  type Incarnation,
+  RhubarbstageError,
+  type ServiceName,
+} from "rhubarbstage";
+import { InMemoryGroup } from "@rhubarbstage/replica";
+import {
+  ClaimJournal,
+  claimKeyOf,
+  groupNumberOf,
+  type JournalCommand,
+  journalQueries,
+  type JournalResult,
+  JournalStateMachine,
+} from "@rhubarbstage/control";
+import {
+  FakeService,
+  type FakeServiceOptions,
+  FaultProxy,
+} from "@rhubarbstage/test-support";
+import {
+  type ClaimedCall,
+  ClaimRunner,
+  type ClaimRunnerOptions,
+} from "../../src/mod.ts";
+
+const customer = "padana" as CustomerId;
+const service = "top-ups" as ServiceName;
+const closing: (() => Promise<void>)[] = [];
+
+afterEach(async () => {
+  await Promise.all(closing.splice(0).map((close) => close()));
+});
+
+async function setUp(options: Partial<FakeServiceOptions> = {}) {
+  const fake = new FakeService(options);
+  const address = await fake.listen();
+  closing.push(() => fake.close());
+  const groups = Array.from(
+    { length: 2 },
+    () =>
+      new InMemoryGroup({
+        stateMachine: new JournalStateMachine(),
+        queries: journalQueries,
+      }),
+  );
+  const target = { backendServer: "service-1" as BackendServerId, address };
+  const runnerOf = (
+    host: string,
+    runnerOptions: Partial<ClaimRunnerOptions> = {},
+    incarnation = 1,
+  ) => {
+    const claimer = {
+      host: host as HostId,
+      incarnation: incarnation as Incarnation,
+    };
+    const journal = new ClaimJournal({ groups, claimer });
+    const runner = new ClaimRunner({ journal, claimer, ...runnerOptions });
+    closing.push(() => runner.idle());
+    return runner;
+  };
+  const call = (
+    key: string | undefined,
+    callOptions: Partial<ClaimedCall> & { body?: string; wait?: number } = {},
+  ): ClaimedCall => ({
+    customer,
+    service,
+    idempotencyKey: key,
+    request: {
+      method: "POST",
+      path: "/top-ups",
+      headers: { "idempotency-key": key ?? "", "content-type": "text/plain" },
+      body: new TextEncoder().encode(callOptions.body ?? "5 tokens"),
+    },
+    deadlineAt: performance.now() + (callOptions.wait ?? 2_000),
+    acquireTarget: () => Promise.resolve(target),
+    ...callOptions,
+  });
+  const stateOf = (key: string) => {
+    const subject = { customer, service, idempotencyKey: key };
+    const claimKey = claimKeyOf(subject);
+    const group = groups[groupNumberOf(claimKey, groups.length)];
+    if (group === undefined) throw new Error("No such group");
+    return journalQueries.claim(group.state, { key: claimKey }).type;
+  };
+  return { fake, groups, target, runnerOf, call, stateOf };
+}
+
+async function refusalOf(run: Promise<unknown>): Promise<RhubarbstageError> {
+  const result = await run.catch((error) => error);
+  if (result instanceof RhubarbstageError) return result;
+  throw new Error(`Not refused: ${JSON.stringify(result)}`);
+}
+
+describe("ClaimRunner", () => {
+  // Guards against a second charge when a caller resends after a lost answer.
+  test("repeats the kept answer to a resend on another host", async () => {
+    const { fake, runnerOf, call } = await setUp();
+    const first = await runnerOf("h1").run(call("k"));
+    const again = await runnerOf("h2").run(call("k"));
+    expect(first).toMatchObject({ outcome: "ran", replayed: false });
+    expect(again).toMatchObject({ outcome: "ran", replayed: true });
+    expect(Buffer.from(again.body)).toEqual(Buffer.from(first.body));
+    expect(fake.records.counts).toEqual({ k: 1 });
+  });
+
+  // Guards against a second charge when many hosts get one key at once.
+  test("runs simultaneous resends once and answers all", async () => {
+    const { fake, runnerOf, call } = await setUp({ delayAfter: 100 });
+    const runs = Array.from(
+      { length: 8 },
+      (_, host) => runnerOf(`h${host}`).run(call("k")),
+    );
+    const answers = await Promise.all(runs);
+    expect(fake.records.counts).toEqual({ k: 1 });
+    expect(answers.filter(({ replayed }) => !replayed)).toHaveLength(1);
+  });
+
+  // Guards against calls whose resends cannot be recognised.
+  test("refuses a missing key and a key with another body", async () => {
+    const { fake, runnerOf, call } = await setUp();
+    const runner = runnerOf("h1");
+    const missing = await refusalOf(runner.run(call(undefined)));
+    expect(missing.kind).toBe("idempotency_key_missing");
+    await runner.run(call("k"));
+    const reused = await refusalOf(runner.run(call("k", { body: "9" })));
+    expect(reused.kind).toBe("idempotency_key_reused");
+    expect(fake.records.counts).toEqual({ k: 1 });
+  });
+
+  // Guards against "not run" of a request whose bytes were written, and a free
+  // key after it.
+  test("says may_have_run when the connection breaks", async () => {
+    for (const fault of ["closeBefore", "closeAfter", "breakAnswer"]) {
+      const { fake, runnerOf, call, stateOf } = await setUp({ [fault]: 1 });
+      const runner = runnerOf("h1");
+      const broken = await refusalOf(runner.run(call("k")));
+      expect(broken).toMatchObject({
+        kind: "backend_failed",
+        outcome: "may_have_run",
+      });
+      await runner.idle();
+      expect(stateOf("k")).toBe("unknown");
+      const resend = await refusalOf(runnerOf("h2").run(call("k")));
+      expect(resend.kind).toBe("outcome_unknown");
+      expect(fake.records.executions.length).toBeLessThanOrEqual(1);
+    }
+  });
+
+  // Guards against a key that stays taken although nothing ran.
+  test("releases the key when nothing ran", async () => {
+    const { fake, runnerOf, call, stateOf, target } = await setUp({
+      refuse: 1,
+    });
+    const runner = runnerOf("h1");
+    const refused = await runner.run(call("k"));
+    expect(refused).toMatchObject({ status: 503, outcome: "not_run" });
+    expect(stateOf("k")).toBe("free");
+    const unreachable = { ...target, address: "http://127.0.0.1:1" };
+    const acquireTarget = () => Promise.resolve(unreachable);
+    const failed = await refusalOf(runner.run(call("k", { acquireTarget })));
+    expect(failed).toMatchObject({
+      kind: "backend_unreachable",
+      outcome: "not_run",
+    });
+    const overloaded = await refusalOf(runner.run(call("k", {
+      acquireTarget: () => Promise.reject(new RhubarbstageError("overloaded")),
+    })));
+    expect(overloaded).toMatchObject({
+      kind: "overloaded",
+      outcome: "not_run",
+    });
+    expect(fake.records.counts).toEqual({});
+    await runner.run(call("k"));
+    expect(fake.records.counts).toEqual({ k: 1 });
+  });
+
+  // Guards against a client library that resends on a second connection, or
+  // sends on a connection that the service has closed.
+  test("uses a new connection for each call and only that one", async () => {
+    const { fake, runnerOf, call } = await setUp({ closeKeptAlive: true });
+    const runner = runnerOf("h1");
+    for (const key of ["k1", "k2", "k3"]) await runner.run(call(key));
+    fake.switches.closeBefore = 1;
+    await refusalOf(runner.run(call("k4")));
+    expect(fake.records.connections).toBe(4);
+    expect(fake.records.arrived).toBe(4);
+  });
+
+  // Guards against a second run while the first is on its way through a silent
+  // partition, and against an answer that is lost although it came.
+  test("keeps the claim while a partition holds the request", async () => {
+    const { fake, runnerOf, call, stateOf, target } = await setUp();
+    const port = new URL(target.address).port;
+    const link = { name: "service", target: `127.0.0.1:${port}` };
+    const proxy = new FaultProxy({ seed: 1, links: [link] });
+    const ports = await proxy.listen();
+    closing.push(() => proxy.close());
+    proxy.link("service").change({ forward: { loss: "hold" } });
+    const address = `http://127.0.0.1:${ports.get("service")}`;
+    const acquireTarget = () => Promise.resolve({ ...target, address });
+    const runner = runnerOf("h1");
+    const options = { acquireTarget, wait: 100 };
+    const first = await refusalOf(runner.run(call("k", options)));
+    expect(first).toMatchObject({
+      kind: "deadline_exceeded",
+      outcome: "may_have_run",
+    });
+    const resend = runnerOf("h2").run(call("k", { wait: 100 }));
+    expect(await refusalOf(resend)).toMatchObject({
+      kind: "claim_in_progress",
+      outcome: "may_have_run",
+    });
+    expect(fake.records.counts).toEqual({});
+    proxy.link("service").heal();
+    const late = await runnerOf("h2").run(call("k"));
+    expect(late.replayed).toBe(true);
+    expect(fake.records.counts).toEqual({ k: 1 });
+    expect(stateOf("k")).toBe("settled");
+  });
+
+  // Guards against a claim that blocks its key for ever after its claimer was
+  // replaced, and against a second run by the replacement.
+  test("makes the claim of a replaced process unknown", async () => {
+    const { fake, runnerOf, call } = await setUp({ delayAfter: 400 });
+    const first = runnerOf("h1").run(call("k"));
+    while (fake.records.executions.length === 0) {
+      await new Promise((resolve) => setTimeout(resolve, 5));
+    }
+    const newest = () => 2 as Incarnation;
+    const other = runnerOf("h2", { newestIncarnation: newest });
+    const refusal = await refusalOf(other.run(call("k")));
+    expect(refusal).toMatchObject({
+      kind: "outcome_unknown",
+      outcome: "may_have_run",
+    });
+    const restarted = runnerOf("h1", {}, 2);
+    const again = await refusalOf(restarted.run(call("k")));
+    expect(again.kind).toBe("outcome_unknown");
+    expect((await first).outcome).toBe("ran");
+    expect(fake.records.counts).toEqual({ k: 1 });
+  });
+
+  // Guards against a claim made by a lost command that nobody ends, and a false
+  // "not run".
+  test("withdraws a claim whose commit it did not learn", async () => {
+    const { fake, groups, runnerOf, call, stateOf } = await setUp();
+    const late: (() => void)[] = [];
+    for (const group of groups) {
+      const propose = group.propose.bind(group);
+      group.propose = (command: JournalCommand) => {
+        if (command.type !== "claim") return propose(command);
+        late.push(() => void propose(command));
+        return Promise.reject<JournalResult>(
+          new RhubarbstageError("no_quorum", { outcome: "may_have_run" }),
+        );
+      };
+    }
+    const runner = runnerOf("h1");
+    const refusal = await refusalOf(runner.run(call("k", { wait: 100 })));
+    expect(refusal).toMatchObject({ kind: "no_quorum", outcome: "not_run" });
+    await runner.idle();
+    for (const commit of late) commit();
+    await new Promise((resolve) => setImmediate(resolve));
+    expect(stateOf("k")).toBe("free");
+    expect(fake.records.counts).toEqual({});
+  });
+
+  // Guards against an answer withheld from its caller, and a claim that stays
+  // open, because the journal has no quorum when the service answers.
+  test("answers the caller and settles when the quorum returns", async () => {
+    const { groups, runnerOf, call, stateOf, target } = await setUp();
+    const runner = runnerOf("h1");
+    const answer = await runner.run(call("k", {
+      acquireTarget: () => {
+        for (const group of groups) group.stopLeading();
+        return Promise.resolve(target);
+      },
+    }));
+    expect(answer.outcome).toBe("ran");
+    expect(stateOf("k")).toBe("open");
+    for (const group of groups) group.startLeading();
+    await runner.idle();
+    expect(stateOf("k")).toBe("settled");
+  });
+
+  // Guards against a paused process that sends long after its grant, or
+  // without a confirmed configuration.
+  test("checks again before the first byte", async () => {
+    const { fake, runnerOf, call, target, stateOf } = await setUp();
+    let isolated = false;
+    const runner = runnerOf("h1", {
+      isolated: () => isolated,
+      sendWindow: 20,
+    });
+    const slow = () =>
+      new Promise<typeof target>((resolve) =>
+        setTimeout(() => resolve(target), 50)
+      );
+    const late = runner.run(call("k", { acquireTarget: slow }));
+    expect((await refusalOf(late)).outcome).toBe("not_run");
+    const cut = runner.run(call("k", {
+      acquireTarget: () => {
+        isolated = true;
+        return Promise.resolve(target);
+      },
+    }));
+    const refused = { kind: "no_quorum", outcome: "not_run" };
+    expect(await refusalOf(cut)).toMatchObject(refused);
+    expect(await refusalOf(runner.run(call("k")))).toMatchObject(refused);
+    expect(fake.records.counts).toEqual({});
+    expect(stateOf("k")).toBe("free");
+  });
+
+  // Guards against a large answer that is cut for its caller or kept whole.
+  test("keeps no body above the limit and none is cut", async () => {
+    const padding = 70_000;
+    const { fake, runnerOf, call } = await setUp({ padding });
+    const first = await runnerOf("h1").run(call("k"));
+    expect(first.body.byteLength).toBeGreaterThan(padding);
+    const resend = await refusalOf(runnerOf("h2").run(call("k")));
+    expect(resend).toMatchObject({ kind: "answer_expired", outcome: "ran" });
+    expect(fake.records.counts).toEqual({ k: 1 });
+  });
+
+  // Guards against a call that is cancelled half-way because its caller left.
+  test("finishes a call whose caller left", async () => {
+    const { fake, runnerOf, call, stateOf } = await setUp({ delayBefore: 50 });
+    const caller = new AbortController();
+    const runner = runnerOf("h1");
+    const running = runner.run(call("k", { signal: caller.signal }));
+    setTimeout(() => caller.abort(), 20);
+    expect((await refusalOf(running)).outcome).toBe("may_have_run");
+    await runner.idle();
+    expect(stateOf("k")).toBe("settled");
+    expect(fake.records.counts).toEqual({ k: 1 });
+  });
+});
--- a/packages/rhubarbstage-service/src/single_send.ts
+++ b/packages/rhubarbstage-service/src/single_send.ts
@@ -95,6 +95,7 @@
       reject(error);
     });
     socket.once("connect", () => {
+      clearTimeout(timer);
       clearTimeout(timer);
       socket.removeAllListeners("error");
       socket.on("error", () => {});
@@ -110,14 +111,16 @@
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
-    connect: (_options, callback) => {
-      if (used || socket.destroyed) {
-        callback(new Error("The connection was lost"), null);
-        return;
-      }
-      used = true;
-      callback(null, socket);
-    },
+    // `undici` does not send anything when it is called back synchronously.
+    connect: (_options, callback) =>
+      queueMicrotask(() => {
+        if (used || socket.destroyed) {
+          callback(new Error("The connection was lost"), null);
+          return;
+        }
+        used = true;
+        callback(null, socket);
+      }),
   });
 }
 
