--- a/packages/rhubarbstage-test-support/src/mod.ts
+++ b/packages/rhubarbstage-test-support/src/mod.ts
@@ -4,6 +4,24 @@
  * @module
  */
 
+export { FakeEngine } from "./fake_engine.ts";
+export type { FakeCrash } from "./fake_engine.ts";
+export type {
+  FakeEngineOptions,
+  FakeEngineRecords,
+  FakeEngineRole,
+  FakeEngineSwitches,
+  FakeGenerationRecord,
+  FakeOrderRecord,
+  FakeRoleSpeed,
+} from "./fake_engine_types.ts";
+export { fakeEngineDefaults } from "./fake_engine_types.ts";
+export {
+  fakeChatPrompt,
+  fakeText,
+  fakeToken,
+  fakeTokenCount,
+} from "./fake_engine_text.ts";
 export { FaultProxy } from "./fault_proxy.ts";
 export type { FaultLink } from "./fault_link.ts";
 export type {
