Add the replicated log as a pure reducer

Cause: configuration, orders and claims need one order that survives crashes, partitions and paused leaders. Promises to other replicas leave only after the writes before them are durable.

--- a/packages/rhubarbstage-consensus/src/mod.ts
+++ b/packages/rhubarbstage-consensus/src/mod.ts
@@ -4,4 +4,32 @@
  * @module
  */
 
-export {};
+export type {
+  Append,
+  AppendAnswer,
+  ConsensusEffect,
+  ConsensusEvent,
+  ConsensusOptions,
+  DurableState,
+  Entry,
+  Message,
+  MessageBody,
+  Position,
+  RejectReason,
+  Role,
+  Seat,
+  SeatChange,
+  Seats,
+  Snapshot,
+  SnapshotHead,
+  SnapshotMessage,
+  TimeoutNow,
+  VoteAnswer,
+  VoteRequest,
+} from "./types.ts";
+export { Consensus } from "./consensus.ts";
+export type { ConsensusState, Progress } from "./state.ts";
+export { currentSeats, hasCommittedInTerm } from "./state.ts";
+export { durableIndexOf } from "./replication.ts";
+export { allSeats, isLearner, isVoter, noSeats, quorumOf } from "./seats.ts";
+export { bootstrapPosition } from "./constants.ts";
--- /dev/null
+++ b/packages/rhubarbstage-consensus/src/turn.ts
@@ -0,0 +1,165 @@
+/**
+ * One event in progress: changes of the state and the effects they cause.
+ *
+ * @module
+ */
+
+import type { ReplicaId } from "rhubarbstage";
+import type { ConsensusState } from "./state.ts";
+import { seatsAt } from "./state.ts";
+import type {
+  ConsensusEffect,
+  Entry,
+  Message,
+  MessageBody,
+  Position,
+  Snapshot,
+} from "./types.ts";
+
+/** Collects what one event changes and has to be done. */
+export class Turn {
+  readonly state: ConsensusState;
+  readonly #effects: ConsensusEffect[] = [];
+  readonly #promises: Message[] = [];
+  #isTermChanged = false;
+  #firstChangedIndex: number | undefined;
+
+  constructor(state: ConsensusState) {
+    this.state = state;
+  }
+
+  add(effect: ConsensusEffect): void {
+    this.#effects.push(effect);
+  }
+
+  /**
+   * Sends a message that promises something to its receiver, such as a vote or
+   * an accepted entry. It leaves once everything before it is durable.
+   */
+  promise(to: ReplicaId, body: MessageBody): void {
+    this.#promises.push({ ...body, from: this.state.self, to });
+  }
+
+  /** Sends a message that promises nothing, at once. */
+  send(to: ReplicaId, body: MessageBody): void {
+    const message = { ...body, from: this.state.self, to };
+    this.add({ kind: "send", message });
+  }
+
+  setTerm(term: number, vote: ReplicaId | undefined): void {
+    this.state.term = term;
+    this.state.vote = vote;
+    this.#isTermChanged = true;
+  }
+
+  append(entries: readonly Entry[]): void {
+    const first = entries[0];
+    if (first === undefined) return;
+    const { log, seatsHistory } = this.state;
+    log.append(entries);
+    this.#firstChangedIndex ??= first.index;
+    for (const entry of entries) {
+      if (entry.kind !== "seats") continue;
+      seatsHistory.push({ index: entry.index, seats: entry.seats });
+    }
+  }
+
+  /** Removes the entries from an index on, which another leader replaces. */
+  truncate(from: number): void {
+    const { state } = this;
+    if (from <= state.commitIndex) {
+      throw new Error(
+        `Entry ${from} is committed up to ${state.commitIndex} and cannot be ` +
+          `replaced`,
+      );
+    }
+    state.log.truncate(from);
+    state.seatsHistory = state.seatsHistory.filter((item) => item.index < from);
+    lowerDurableIndex(state, from - 1);
+  }
+
+  /** Applies entries up to an index. */
+  commit(index: number): void {
+    const { state } = this;
+    if (index <= state.commitIndex) return;
+    const entries = state.log.range(state.appliedIndex + 1, index);
+    state.commitIndex = index;
+    state.appliedIndex = index;
+    this.add({ kind: "apply", entries });
+  }
+
+  /** Replaces log and state by a snapshot. */
+  install(snapshot: Snapshot): void {
+    const { state } = this;
+    const { index, term, seats } = snapshot;
+    this.#persist();
+    state.log.reset({ index, term });
+    state.commitIndex = index;
+    state.appliedIndex = index;
+    state.snapshot = { index, term };
+    state.seatsHistory = [{ index, seats }];
+    lowerDurableIndex(state, 0);
+    state.lastToken += 1;
+    const token = state.lastToken;
+    state.pendingPersists.push({ token, lastIndex: index });
+    this.add({ kind: "install_snapshot", token, snapshot });
+  }
+
+  /** Effects of the event. */
+  finish(): readonly ConsensusEffect[] {
+    this.#persist();
+    // A snapshot must not reach the disk before the entries that it covers.
+    this.#saveSnapshotWhenDue();
+    const { state } = this;
+    for (const message of this.#promises) {
+      if (state.durableToken === state.lastToken) {
+        this.add({ kind: "send", message });
+      } else {
+        state.heldMessages.push({ token: state.lastToken, message });
+      }
+    }
+    return this.#effects;
+  }
+
+  #persist(): void {
+    const { state } = this;
+    const first = this.#firstChangedIndex;
+    if (!this.#isTermChanged && first === undefined) return;
+    state.lastToken += 1;
+    const token = state.lastToken;
+    if (this.#isTermChanged) state.termToken = token;
+    const { last } = state.log;
+    state.pendingPersists.push({ token, lastIndex: last.index });
+    this.add({
+      kind: "persist",
+      token,
+      term: state.term,
+      vote: state.vote,
+      entries: first === undefined ? [] : state.log.range(first, last.index),
+    });
+    this.#isTermChanged = false;
+    this.#firstChangedIndex = undefined;
+  }
+
+  #saveSnapshotWhenDue(): void {
+    const { state } = this;
+    const behind = state.appliedIndex - state.snapshot.index;
+    if (state.isSavingSnapshot || behind < state.snapshotEntries) return;
+    state.isSavingSnapshot = true;
+    const position: Position = {
+      index: state.appliedIndex,
+      term: state.log.term(state.appliedIndex) as number,
+    };
+    const seats = seatsAt(state, state.appliedIndex);
+    this.add({ kind: "save_snapshot", head: { ...position, seats } });
+  }
+}
+
+/** What was written at or past a truncation no longer counts as durable. */
+function lowerDurableIndex(state: ConsensusState, index: number): void {
+  state.durableIndex = Math.min(state.durableIndex, index);
+  state.pendingPersists = state.pendingPersists.map((pending) => ({
+    token: pending.token,
+    lastIndex: Math.min(pending.lastIndex, index),
+  }));
+}
