--- /dev/null
+++ b/packages/rhubarbstage-storage/src/data_folder.ts
@@ -0,0 +1,160 @@
+/**
+ * The one folder of durable state and its identity.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { mkdir, open, readdir, readFile, rm } from "node:fs/promises";
+import { dirname, join, resolve } from "node:path";
+import process from "node:process";
+import type { GroupName, ReplicaId } from "rhubarbstage";
+import {
+  formatVersion,
+  groupsFolder,
+  identityFile,
+  lockFile,
+} from "./constants.ts";
+import { DurableLog } from "./durable_log.ts";
+import { CorruptionError, FolderInUseError } from "./errors.ts";
+import { readRecordFile, syncFolder, writeRecordFile } from "./files.ts";
+import type { DataFolderOptions, Identity, IdentityChange } from "./types.ts";
+
+/** An open data folder; at most one process has it open. */
+export class DataFolder {
+  readonly path: string;
+  #identity: Identity;
+  readonly #logs: DurableLog[] = [];
+
+  private constructor(path: string, identity: Identity) {
+    this.path = path;
+    this.#identity = identity;
+  }
+
+  /**
+   * Opens a folder, or creates it with a new random replica id. Throws
+   * `FolderInUseError` and `CorruptionError`.
+   */
+  static async open(
+    path: string,
+    options: DataFolderOptions,
+  ): Promise<DataFolder> {
+    const folder = resolve(path);
+    await mkdir(join(folder, groupsFolder), { recursive: true });
+    await syncFolder(folder);
+    await syncFolder(dirname(folder));
+    await lock(folder);
+    try {
+      const identity = await loadIdentity(folder, options);
+      return new DataFolder(folder, identity);
+    } catch (thrown) {
+      await rm(join(folder, lockFile), { force: true });
+      throw thrown;
+    }
+  }
+
+  get identity(): Identity {
+    return this.#identity;
+  }
+
+  /** Changes the identity durably. */
+  async changeIdentity(change: IdentityChange): Promise<void> {
+    const identity = { ...this.#identity, ...change };
+    await writeIdentity(this.path, identity);
+    this.#identity = identity;
+  }
+
+  /** Opens the log of a group, or creates an empty one. */
+  async openLog(group: GroupName): Promise<DurableLog> {
+    const log = await DurableLog.open({
+      folder: join(this.path, groupsFolder, group),
+      group,
+      replica: this.#identity.replica,
+    });
+    this.#logs.push(log);
+    return log;
+  }
+
+  /** Finishes pending writes and gives the folder free. */
+  async close(): Promise<void> {
+    for (const log of this.#logs) await log.close();
+    await rm(join(this.path, lockFile), { force: true });
+  }
+}
+
+async function loadIdentity(
+  folder: string,
+  options: DataFolderOptions,
+): Promise<Identity> {
+  const value = await readRecordFile(join(folder, identityFile));
+  if (value !== undefined) return checkIdentity(value, options);
+  const groups = await readdir(join(folder, groupsFolder));
+  if (groups.length > 0) {
+    throw new CorruptionError(identityFile, {
+      offset: 0,
+      detail: "the file is missing, but the folder holds logs",
+    });
+  }
+  const identity: Identity = {
+    replica: randomUUID() as ReplicaId,
+    host: options.host,
+    grant: undefined,
+    isBootstrapped: false,
+  };
+  await writeIdentity(folder, identity);
+  return identity;
+}
+
+function checkIdentity(value: unknown, options: DataFolderOptions): Identity {
+  const stored = value as Identity & { version: number };
+  if (stored.version !== formatVersion) {
+    throw new Error(`Data folder has format version ${stored.version}`);
+  }
+  if (stored.host !== options.host) {
+    throw new Error(
+      `Data folder belongs to host "${stored.host}", not "${options.host}"`,
+    );
+  }
+  const { replica, host, isBootstrapped } = stored;
+  return { replica, host, grant: stored.grant ?? undefined, isBootstrapped };
+}
+
+function writeIdentity(folder: string, identity: Identity): Promise<void> {
+  const value = { version: formatVersion, ...identity };
+  return writeRecordFile(join(folder, identityFile), value);
+}
+
+/** Two processes on one folder would break every promise that it keeps. */
+async function lock(folder: string): Promise<void> {
+  const file = join(folder, lockFile);
+  const own = await describeProcess(process.pid);
+  for (let attempt = 0; attempt < 2; attempt += 1) {
+    try {
+      const handle = await open(file, "wx");
+      await handle.writeFile(own);
+      await handle.close();
+      return;
+    } catch (thrown) {
+      if ((thrown as { code?: string }).code !== "EEXIST") throw thrown;
+    }
+    const holder = await readFile(file, "utf8");
+    const pid = Number.parseInt(holder, 10);
+    if (pid > 0 && holder === await describeProcess(pid)) {
+      throw new FolderInUseError(folder, { process: pid });
+    }
+    await rm(file, { force: true });
+  }
+  throw new Error(`Data folder "${folder}" cannot be locked`);
+}
+
+/** Process id and start time, because ids are used again. */
+async function describeProcess(pid: number): Promise<string> {
+  try {
+    const fields = await readFile(`/proc/${pid}/stat`, "utf8");
+    // The start time is field 22; the name in field 2 may contain blanks.
+    const startTime = fields.slice(fields.lastIndexOf(")") + 2).split(" ")[19];
+    return `${pid} ${startTime}`;
+  } catch {
+    return `${pid} gone`;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-storage/src/durable_log.ts
@@ -0,0 +1,384 @@
+/**
+ * The log and the snapshot of one group.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { mkdir, open, rm } from "node:fs/promises";
+import type { FileHandle } from "node:fs/promises";
+import { dirname, join } from "node:path";
+import type { ReplicaId } from "rhubarbstage";
+import {
+  formatVersion,
+  logFile,
+  snapshotFile,
+  temporaryEnding,
+} from "./constants.ts";
+import { CorruptionError } from "./errors.ts";
+import {
+  readIfExists,
+  readRecordFile,
+  replaceFile,
+  syncFolder,
+  writeRecordFile,
+} from "./files.ts";
+import { decodeRecords, encodeRecord } from "./records.ts";
+import type {
+  DurableLogOptions,
+  HardState,
+  LoadedLog,
+  LogPosition,
+  LogRecord,
+  SnapshotRecord,
+} from "./types.ts";
+
+/** First element of an encoded record. */
+const recordKinds = { header: 0, hardState: 1, entry: 2 } as const;
+
+type Encoded =
+  | [
+    kind: 0,
+    version: number,
+    group: string,
+    replica: string,
+    index: number,
+    term: number,
+  ]
+  | [kind: 1, term: number, vote: string | null]
+  | [kind: 2, index: number, term: number, kind: number, data: Uint8Array];
+
+interface Append {
+  readonly hardState: HardState;
+  readonly records: readonly LogRecord[];
+}
+
+/** Writes wait in one queue, so that they reach the disk in order. */
+interface Waiting {
+  readonly append?: Append;
+  readonly run?: () => Promise<void>;
+  readonly resolve: () => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** A log whose writes are durable when their promises resolve. */
+export class DurableLog {
+  readonly #options: DurableLogOptions;
+  readonly #file: string;
+  #loaded: LoadedLog | undefined;
+  #handle: FileHandle;
+  #bytes: number;
+  #hardState: HardState;
+  #base: LogPosition;
+  /** Encoded records behind the base, by index; kept for compaction. */
+  #tail: { position: LogPosition; bytes: Buffer }[] = [];
+  #queue: Waiting[] = [];
+  #isWriting = false;
+  #failure: unknown;
+  #syncs = 0;
+
+  private constructor(
+    options: DurableLogOptions,
+    opened: { loaded: LoadedLog; handle: FileHandle; bytes: number },
+  ) {
+    this.#options = options;
+    this.#file = join(options.folder, logFile);
+    this.#loaded = opened.loaded;
+    this.#handle = opened.handle;
+    this.#bytes = opened.bytes;
+    this.#hardState = opened.loaded.hardState;
+    this.#base = opened.loaded.base;
+    for (const record of opened.loaded.records) this.#remember(record);
+  }
+
+  /**
+   * Opens the log of a group. A torn tail is cut off; any other damage throws
+   * `CorruptionError`.
+   */
+  static async open(options: DurableLogOptions): Promise<DurableLog> {
+    const { folder } = options;
+    await mkdir(folder, { recursive: true });
+    await syncFolder(dirname(folder));
+    await rm(join(folder, logFile + temporaryEnding), { force: true });
+    await rm(join(folder, snapshotFile + temporaryEnding), { force: true });
+    const snapshot = await readRecordFile(join(folder, snapshotFile)) as
+      | SnapshotRecord
+      | undefined;
+    const file = join(folder, logFile);
+    if (await readIfExists(file) === undefined) {
+      if (snapshot !== undefined) {
+        throw new CorruptionError(logFile, {
+          offset: 0,
+          detail: "the file is missing, but there is a snapshot",
+        });
+      }
+      const base = { index: 0, term: 0 };
+      await replaceFile(file, [encodeHeader(options, base)]);
+    }
+    const bytes = await readIfExists(file) as Buffer;
+    const decoded = decodeRecords(`${options.group}/${logFile}`, bytes);
+    const handle = await open(file, "r+");
+    if (decoded.completeBytes < bytes.length) {
+      await handle.truncate(decoded.completeBytes);
+      await handle.sync();
+    }
+    const loaded = load(options, {
+      values: decoded.values as Encoded[],
+      snapshot,
+      tornBytes: bytes.length - decoded.completeBytes,
+    });
+    const log = new DurableLog(options, {
+      loaded,
+      handle,
+      bytes: decoded.completeBytes,
+    });
+    if (loaded.base.index === snapshot?.index) await log.#rewrite();
+    return log;
+  }
+
+  /** What was on disk; can be taken once, so that it does not stay in memory. */
+  takeLoaded(): LoadedLog {
+    const loaded = this.#loaded;
+    if (loaded === undefined) throw new Error("The loaded log was taken");
+    this.#loaded = undefined;
+    return loaded;
+  }
+
+  /** Size of the log file in bytes. */
+  get bytes(): number {
+    return this.#bytes;
+  }
+
+  /** Number of times the log file was synced. */
+  get syncs(): number {
+    return this.#syncs;
+  }
+
+  /**
+   * Appends records; they replace everything from the first one's index on.
+   * Appends that wait together share one write and one sync.
+   */
+  append(
+    hardState: HardState,
+    records: readonly LogRecord[],
+  ): Promise<void> {
+    return this.#enqueue({ append: { hardState, records } });
+  }
+
+  /** Saves a snapshot and drops records up to `compactTo`. */
+  saveSnapshot(
+    snapshot: SnapshotRecord,
+    options: { compactTo: number },
+  ): Promise<void> {
+    return this.#enqueue({
+      run: async () => {
+        await this.#writeSnapshot(snapshot);
+        const kept = this.#tail.findIndex(({ position }) =>
+          position.index > options.compactTo
+        );
+        const dropped = kept < 0 ? this.#tail.length : kept;
+        if (dropped === 0) return;
+        this.#base = this.#tail[dropped - 1]?.position as LogPosition;
+        this.#tail = this.#tail.slice(dropped);
+        await this.#rewrite();
+      },
+    });
+  }
+
+  /** Replaces everything by a snapshot that another replica sent. */
+  installSnapshot(snapshot: SnapshotRecord): Promise<void> {
+    return this.#enqueue({
+      run: async () => {
+        await this.#writeSnapshot(snapshot);
+        this.#base = { index: snapshot.index, term: snapshot.term };
+        this.#tail = [];
+        await this.#rewrite();
+      },
+    });
+  }
+
+  /** The newest saved snapshot. */
+  async readSnapshot(): Promise<SnapshotRecord | undefined> {
+    const file = join(this.#options.folder, snapshotFile);
+    return await readRecordFile(file) as SnapshotRecord | undefined;
+  }
+
+  /** Finishes pending writes. */
+  async close(): Promise<void> {
+    await this.#enqueue({ run: () => Promise.resolve() }).catch(() => {});
+    await this.#handle.close();
+  }
+
+  #enqueue(work: Pick<Waiting, "append" | "run">): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.#queue.push({ ...work, resolve, reject });
+      if (!this.#isWriting) void this.#write();
+    });
+  }
+
+  async #write(): Promise<void> {
+    this.#isWriting = true;
+    while (this.#queue.length > 0) {
+      const batch = this.#takeBatch();
+      try {
+        // A failed sync may have dropped pages, so that nothing later counts.
+        if (this.#failure !== undefined) throw this.#failure;
+        const run = batch[0]?.run;
+        if (run === undefined) await this.#appendBatch(batch);
+        else await run();
+        for (const waiting of batch) waiting.resolve();
+      } catch (thrown) {
+        this.#failure = thrown;
+        for (const waiting of batch) waiting.reject(thrown);
+      }
+    }
+    this.#isWriting = false;
+  }
+
+  /** One operation, or all appends before the next operation. */
+  #takeBatch(): Waiting[] {
+    const next = this.#queue.findIndex((waiting) => waiting.run !== undefined);
+    const count = next === 0 ? 1 : next < 0 ? this.#queue.length : next;
+    return this.#queue.splice(0, count);
+  }
+
+  async #appendBatch(batch: readonly Waiting[]): Promise<void> {
+    const chunks: Buffer[] = [];
+    for (const { append } of batch) {
+      const { hardState, records } = append as Append;
+      if (
+        hardState.term !== this.#hardState.term ||
+        hardState.vote !== this.#hardState.vote
+      ) {
+        this.#hardState = hardState;
+        chunks.push(encodeHardState(hardState));
+      }
+      for (const record of records) chunks.push(this.#remember(record));
+    }
+    const bytes = Buffer.concat(chunks);
+    await this.#writeAll(bytes);
+    await this.#handle.datasync();
+    this.#syncs += 1;
+  }
+
+  async #writeAll(bytes: Buffer): Promise<void> {
+    let written = 0;
+    while (written < bytes.length) {
+      const left = bytes.length - written;
+      const step = await this.#handle.write(bytes, written, left, this.#bytes);
+      written += step.bytesWritten;
+      this.#bytes += step.bytesWritten;
+    }
+  }
+
+  #remember(record: LogRecord): Buffer {
+    const { index, term, kind, data } = record;
+    const fields: Encoded = [recordKinds.entry, index, term, kind, data];
+    const bytes = encodeRecord(fields);
+    const position = { index, term };
+    this.#tail.length = Math.max(0, index - this.#base.index - 1);
+    this.#tail.push({ position, bytes });
+    return bytes;
+  }
+
+  #writeSnapshot(snapshot: SnapshotRecord): Promise<void> {
+    const file = join(this.#options.folder, snapshotFile);
+    return writeRecordFile(file, snapshot);
+  }
+
+  /** Writes the log anew from its base. */
+  async #rewrite(): Promise<void> {
+    const chunks = [
+      encodeHeader(this.#options, this.#base),
+      encodeHardState(this.#hardState),
+      ...this.#tail.map((item) => item.bytes),
+    ];
+    await replaceFile(this.#file, [Buffer.concat(chunks)]);
+    await this.#handle.close();
+    this.#handle = await open(this.#file, "r+");
+    this.#bytes = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+  }
+}
+
+function encodeHeader(options: DurableLogOptions, base: LogPosition): Buffer {
+  const fields: Encoded = [
+    recordKinds.header,
+    formatVersion,
+    options.group,
+    options.replica,
+    base.index,
+    base.term,
+  ];
+  return encodeRecord(fields);
+}
+
+function encodeHardState(hardState: HardState): Buffer {
+  const fields: Encoded = [
+    recordKinds.hardState,
+    hardState.term,
+    hardState.vote ?? null,
+  ];
+  return encodeRecord(fields);
+}
+
+/** Replays the records of a log file. */
+function load(
+  options: DurableLogOptions,
+  found: {
+    values: readonly Encoded[];
+    snapshot: SnapshotRecord | undefined;
+    tornBytes: number;
+  },
+): LoadedLog {
+  const { snapshot, tornBytes } = found;
+  const fail = (detail: string) =>
+    new CorruptionError(`${options.group}/${logFile}`, { offset: 0, detail });
+  const header = found.values[0];
+  if (header === undefined || header[0] !== recordKinds.header) {
+    throw fail("the header is missing");
+  }
+  if (header[1] !== formatVersion) throw fail("the version is unknown");
+  if (header[2] !== options.group || header[3] !== options.replica) {
+    throw fail("the log belongs to another group or replica");
+  }
+  const base = { index: header[4], term: header[5] };
+  let hardState: HardState = { term: 0, vote: undefined };
+  const records: LogRecord[] = [];
+  for (const value of found.values.slice(1)) {
+    if (value[0] === recordKinds.hardState) {
+      const vote = value[2] ?? undefined;
+      hardState = { term: value[1], vote: vote as ReplicaId | undefined };
+    } else if (value[0] === recordKinds.entry) {
+      const [, index, term, kind, data] = value;
+      const offset = index - base.index - 1;
+      if (offset < 0 || offset > records.length) {
+        throw fail(`entry ${index} does not follow the one before it`);
+      }
+      records.length = offset;
+      records.push({ index, term, kind, data });
+    }
+  }
+  return joinSnapshot({ hardState, snapshot, base, records, tornBytes }, fail);
+}
+
+/**
+ * Keeps records that continue the snapshot. After a crash between the snapshot
+ * of another replica and the new log, the old log does not continue it.
+ */
+function joinSnapshot(
+  loaded: LoadedLog,
+  fail: (detail: string) => CorruptionError,
+): LoadedLog {
+  const { snapshot, base, records } = loaded;
+  if (snapshot === undefined) {
+    if (base.index > 0) throw fail("the snapshot is missing");
+    return loaded;
+  }
+  if (base.index > snapshot.index) throw fail("the snapshot is too old");
+  const joint = base.index === snapshot.index
+    ? base
+    : records[snapshot.index - base.index - 1];
+  if (joint?.term === snapshot.term) return loaded;
+  const { index, term } = snapshot;
+  return { ...loaded, base: { index, term }, records: [] };
+}
--- /dev/null
+++ b/packages/rhubarbstage-storage/src/files.ts
@@ -0,0 +1,74 @@
+/**
+ * File operations that are durable when they return.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import { open, readFile, rename } from "node:fs/promises";
+import { basename, dirname } from "node:path";
+import { temporaryEnding } from "./constants.ts";
+import { CorruptionError } from "./errors.ts";
+import { decodeRecords, encodeRecord } from "./records.ts";
+
+/** Makes the names in a folder durable. */
+export async function syncFolder(folder: string): Promise<void> {
+  const handle = await open(folder, "r");
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
+/**
+ * Replaces a file as a whole: temporary file, sync, rename, directory sync. A
+ * crash leaves either the old or the new content.
+ */
+export async function replaceFile(
+  file: string,
+  chunks: readonly Buffer[],
+): Promise<void> {
+  const temporary = file + temporaryEnding;
+  const handle = await open(temporary, "w");
+  try {
+    for (const chunk of chunks) await handle.writeFile(chunk);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+  await rename(temporary, file);
+  await syncFolder(dirname(file));
+}
+
+/** Content of a file, or undefined when it does not exist. */
+export async function readIfExists(file: string): Promise<Buffer | undefined> {
+  try {
+    return await readFile(file);
+  } catch (thrown) {
+    if ((thrown as { code?: string }).code === "ENOENT") return undefined;
+    throw thrown;
+  }
+}
+
+/** Replaces a file by one record. */
+export function writeRecordFile(file: string, value: unknown): Promise<void> {
+  return replaceFile(file, [encodeRecord(value)]);
+}
+
+/**
+ * Value of a file of {@linkcode writeRecordFile}. Such a file is never torn,
+ * so that any damage throws `CorruptionError`.
+ */
+export async function readRecordFile(file: string): Promise<unknown> {
+  const bytes = await readIfExists(file);
+  if (bytes === undefined) return undefined;
+  const { values, completeBytes } = decodeRecords(basename(file), bytes);
+  if (values.length !== 1 || completeBytes !== bytes.length) {
+    throw new CorruptionError(basename(file), {
+      offset: completeBytes,
+      detail: "the file is incomplete",
+    });
+  }
+  return values[0];
+}
--- a/packages/rhubarbstage-storage/src/mod.ts
+++ b/packages/rhubarbstage-storage/src/mod.ts
@@ -4,4 +4,18 @@
  * @module
  */
 
-export {};
+export type {
+  DataFolderOptions,
+  DurableLogOptions,
+  Grant,
+  HardState,
+  Identity,
+  IdentityChange,
+  LoadedLog,
+  LogPosition,
+  LogRecord,
+  SnapshotRecord,
+} from "./types.ts";
+export { CorruptionError, FolderInUseError } from "./errors.ts";
+export { DataFolder } from "./data_folder.ts";
+export { DurableLog } from "./durable_log.ts";
--- /dev/null
+++ b/packages/rhubarbstage-storage/src/records.ts
@@ -0,0 +1,75 @@
+/**
+ * Framing of records: length, checksums, payload and end mark.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { crc32 } from "node:zlib";
+import { Packr } from "msgpackr";
+import { maxRecordBytes, recordEnd, recordHeaderBytes } from "./constants.ts";
+import { CorruptionError } from "./errors.ts";
+
+const packr = new Packr({ useRecords: false });
+
+/** Frames one value. */
+export function encodeRecord(value: unknown): Buffer {
+  const payload = packr.pack(value);
+  const record = Buffer.allocUnsafe(recordHeaderBytes + payload.length + 1);
+  record.writeUInt32LE(payload.length, 0);
+  record.writeUInt32LE(crc32(record.subarray(0, 4)), 4);
+  record.writeUInt32LE(crc32(payload), 8);
+  payload.copy(record, recordHeaderBytes);
+  record[record.length - 1] = recordEnd;
+  return record;
+}
+
+/** Records of a file and where the complete ones end. */
+export interface DecodedRecords {
+  readonly values: readonly unknown[];
+  /** Bytes of complete records; what follows was torn by a crash. */
+  readonly completeBytes: number;
+}
+
+/**
+ * Reads records up to the end of a file. A record is torn when the file ends
+ * before it does or ends in zero bytes; any other damage throws
+ * `CorruptionError`, because synced data may be lost.
+ */
+export function decodeRecords(file: string, bytes: Buffer): DecodedRecords {
+  const values: unknown[] = [];
+  let offset = 0;
+  while (offset < bytes.length) {
+    const damage = findDamage(bytes, offset);
+    if (damage === "torn") break;
+    if (damage !== undefined) {
+      if (bytes.at(-1) === 0) break;
+      throw new CorruptionError(file, { offset, detail: damage });
+    }
+    const start = offset + recordHeaderBytes;
+    const end = start + bytes.readUInt32LE(offset);
+    values.push(packr.unpack(bytes.subarray(start, end)));
+    offset = end + 1;
+  }
+  return { values, completeBytes: offset };
+}
+
+function findDamage(bytes: Buffer, offset: number): string | undefined {
+  if (bytes.length - offset < recordHeaderBytes) return "torn";
+  const length = bytes.readUInt32LE(offset);
+  const lengthChecksum = crc32(bytes.subarray(offset, offset + 4));
+  if (bytes.readUInt32LE(offset + 4) !== lengthChecksum) {
+    return "the checksum of the length does not match";
+  }
+  if (length > maxRecordBytes) return `the length ${length} is too large`;
+  const start = offset + recordHeaderBytes;
+  if (start + length + 1 > bytes.length) return "torn";
+  if (
+    bytes.readUInt32LE(offset + 8) !==
+      crc32(bytes.subarray(start, start + length))
+  ) {
+    return "the checksum of the payload does not match";
+  }
+  if (bytes[start + length] !== recordEnd) return "the end mark is missing";
+  return undefined;
+}
