Add authenticated links between hosts

Cause: hosts exchange consensus messages, calls, gossip and confirmations. Change: one WebSocket link for each pair of hosts that talk, opened when needed and again after a jittered back-off. Both ends prove the shared token by an HMAC over both nonces, names and roles, compared in constant time; optional certificates of both ends. Bounded queue, heartbeat, counters by name, requests with timeout, abort and remote errors. Conclusion: packages can register their messages and requests by name.

--- /dev/null
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -0,0 +1,232 @@
+import { connect, createServer, type Server, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { delay, RhubarbstageError } from "rhubarbstage";
+import type { HostId } from "rhubarbstage";
+import { WebSocket } from "ws";
+import {
+  messageType,
+  PeerTransport,
+  type PeerTransportOptions,
+  requestType,
+  TransportError,
+} from "../../src/mod.ts";
+
+const token = "a token shared by all hosts";
+const first = "first" as HostId;
+const second = "second" as HostId;
+const note = messageType<unknown>("note");
+const echo = requestType<unknown, unknown>("echo");
+const open: PeerTransport[] = [];
+
+async function listen(
+  host: HostId,
+  options: Partial<PeerTransportOptions> = {},
+): Promise<PeerTransport> {
+  const transport = await PeerTransport.listen({
+    host,
+    address: "127.0.0.1",
+    port: 0,
+    token,
+    heartbeatInterval: 50,
+    handshakeTimeout: 500,
+    minBackoff: 20,
+    maxBackoff: 60,
+    ...options,
+  });
+  open.push(transport);
+  return transport;
+}
+
+async function until(condition: () => boolean): Promise<void> {
+  for (let round = 0; round < 400 && !condition(); round += 1) await delay(10);
+  expect(condition()).toBe(true);
+}
+
+afterEach(async () => {
+  for (const transport of open.splice(0)) await transport.close();
+});
+
+describe("PeerTransport", () => {
+  // Guards against lost or mixed-up answers, and against a second connection
+  // for the other direction.
+  test("carries requests and messages both ways on one link", async () => {
+    const left = await listen(first);
+    const right = await listen(second);
+    left.setAddress(second, right.address);
+    right.setAddress(first, left.address);
+    const notes: unknown[] = [];
+    left.onMessage(note, (body) => notes.push(body));
+    right.onRequest(echo, async (body) => {
+      await delay(Number(body) % 7);
+      if (body === 5) throw new RhubarbstageError("order_conflict");
+      return body;
+    });
+    left.onRequest(echo, (body) => body);
+    const bodies = Array.from({ length: 50 }, (_, number) => number);
+    const answers = await Promise.all(
+      bodies.map((body) =>
+        left.request(echo, { to: second, body }).catch((error) => error.kind)
+      ),
+    );
+    expect(answers).toEqual(
+      bodies.map((body) => body === 5 ? "order_conflict" : body),
+    );
+    await Promise.all([
+      left.request(echo, { to: second, body: 1 }),
+      right.request(echo, { to: first, body: new Map([["a", 1]]) }),
+    ]);
+    right.send(note, { to: first, body: "hello" });
+    await until(() => notes.length === 1);
+    expect(left.peers().length).toBe(1);
+    expect(right.peers().length).toBe(1);
+    const sent = left.counters().byName.get("echo");
+    const received = right.counters().byName.get("echo");
+    expect(received?.receivedBytes).toBe(sent?.sentBytes);
+    expect(left.counters().handlerErrors).toBe(0);
+  });
+
+  // Guards against two links that each end keeps for one direction.
+  test("ends up with one link when both ends dial at once", async () => {
+    const left = await listen(first);
+    const right = await listen(second);
+    left.setAddress(second, right.address);
+    right.setAddress(first, left.address);
+    left.onRequest(echo, (body) => body);
+    right.onRequest(echo, (body) => body);
+    await Promise.allSettled([
+      left.request(echo, { to: second, body: 1 }),
+      right.request(echo, { to: first, body: 1 }),
+    ]);
+    await delay(50);
+    expect(await left.request(echo, { to: second, body: 2 })).toBe(2);
+    expect(await right.request(echo, { to: first, body: 3 })).toBe(3);
+    expect(left.peers().length).toBe(1);
+  });
+
+  // Guards against a host without the token on either end, against another
+  // host that answers at a known address, and against malformed hellos.
+  test("refuses hosts that do not prove the token or the name", async () => {
+    const right = await listen(second);
+    const stranger = await listen(first, { token: "another token, as long" });
+    stranger.setAddress(second, right.address);
+    const refused = stranger.request(echo, { to: second, body: 1 });
+    await expect(refused).rejects.toThrow(TransportError);
+    const left = await listen(first);
+    const third = "third" as HostId;
+    left.setAddress(third, right.address);
+    await expect(left.request(echo, { to: third, body: 1 })).rejects.toThrow(
+      TransportError,
+    );
+    const { port } = right.address;
+    for (const hello of ["x", "{}", "null", "[1]", "x".repeat(5_000)]) {
+      const socket = new WebSocket(`ws://127.0.0.1:${port}/`);
+      socket.on("error", () => {});
+      await new Promise((resolve) => socket.on("open", resolve));
+      socket.send(hello);
+      await new Promise((resolve) => socket.on("close", resolve));
+    }
+    expect(right.peers()).toEqual([]);
+    expect(right.counters().rejectedConnections).toBeGreaterThanOrEqual(6);
+  });
+
+  // Guards against a silent link that is taken for a live one, a link that does
+  // not come back by itself, and the token in what the listener sends (what the
+  // dialling end sends is masked).
+  test("notices a silent link and reconnects", async () => {
+    const right = await listen(second);
+    right.onRequest(echo, (body) => body);
+    const { server, sockets, seen } = await tap(right.address.port);
+    const left = await listen(first);
+    const { port } = server.address() as AddressInfo;
+    left.setAddress(second, { address: "127.0.0.1", port });
+    await left.request(echo, { to: second, body: 1 });
+    expect(seen().includes(token)).toBe(false);
+    for (const socket of sockets) socket.pause();
+    const pending = left.request(echo, { to: second, body: 2 });
+    await expect(pending).rejects.toMatchObject({ failure: "link_closed" });
+    const deadline = performance.now() + 3_000;
+    let answer: unknown;
+    while (answer !== 3 && performance.now() < deadline) {
+      answer = await left.request(echo, { to: second, body: 3, timeout: 500 })
+        .catch(() => delay(20));
+    }
+    expect(answer).toBe(3);
+    await left.close();
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+
+  // Guards against memory that grows without bound behind a slow peer.
+  test("bounds the queue of a link", async () => {
+    const right = await listen(second);
+    right.onRequest(echo, (body) => body);
+    const { server, sockets } = await tap(right.address.port);
+    const left = await listen(first, {
+      queueBytes: 100_000,
+      heartbeatInterval: 5_000,
+    });
+    const { port } = server.address() as AddressInfo;
+    left.setAddress(second, { address: "127.0.0.1", port });
+    await left.request(echo, { to: second, body: 1 });
+    for (const socket of sockets) socket.pause();
+    const body = "x".repeat(10_000);
+    let accepted = 0;
+    for (let count = 0; count < 5_000; count += 1) {
+      accepted += left.send(note, { to: second, body }) ? 1 : 0;
+      if (count % 100 === 0) await delay(0);
+    }
+    expect(accepted).toBeLessThan(4_000);
+    expect(left.counters().droppedMessages).toBe(5_000 - accepted);
+    server.close();
+    for (const socket of sockets) socket.destroy();
+  });
+
+  // Guards against a wait that outlives its caller.
+  test("ends requests on timeout and abort, also at the handler", async () => {
+    const left = await listen(first);
+    const right = await listen(second);
+    left.setAddress(second, right.address);
+    let aborted = 0;
+    right.onRequest(echo, (_body, { signal }) => {
+      signal.addEventListener("abort", () => aborted += 1);
+      return new Promise(() => {});
+    });
+    const late = left.request(echo, { to: second, body: 1, timeout: 60 });
+    await expect(late).rejects.toMatchObject({
+      failure: "timeout",
+      maybeDelivered: true,
+    });
+    const controller = new AbortController();
+    const { signal } = controller;
+    const ended = left.request(echo, { to: second, body: 1, signal });
+    setTimeout(() => controller.abort(new Error("caller left")), 20);
+    await expect(ended).rejects.toThrow("caller left");
+    await until(() => aborted === 2);
+  });
+});
+
+/** A relay that keeps what it saw; its sockets can be paused. */
+async function tap(port: number): Promise<{
+  server: Server;
+  sockets: Socket[];
+  seen: () => string;
+}> {
+  const sockets: Socket[] = [];
+  const chunks: string[] = [];
+  const server = createServer((near) => {
+    const far = connect(port, "127.0.0.1");
+    sockets.push(near, far);
+    for (const socket of [near, far]) {
+      socket.on("error", () => {});
+      socket.on("data", (data) => chunks.push(data.toString("latin1")));
+    }
+    near.pipe(far);
+    far.pipe(near);
+    near.on("close", () => far.destroy());
+    far.on("close", () => near.destroy());
+  });
+  await new Promise<void>((resolve) =>
+    server.listen(0, "127.0.0.1", () => resolve())
+  );
+  return { server, sockets, seen: () => chunks.join("") };
+}
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/authentication.ts
@@ -0,0 +1,83 @@
+/**
+ * Mutual proof that both ends of a link know the shared token.
+ *
+ * The dialling host sends its name and a nonce, the listening host answers with
+ * its own, then the dialling host proves itself first. A proof is an HMAC over
+ * both names, incarnations and nonces and the role of the prover, so that it
+ * can be neither replayed nor reflected.
+ *
+ * @module
+ */
+
+import { createHmac, randomBytes, timingSafeEqual } from "node:crypto";
+import type { HostId, Incarnation } from "rhubarbstage";
+import { maxHandshakeBytes, nonceBytes } from "./constants.ts";
+import type { Peer } from "./types.ts";
+
+/** Name and nonce of one end. */
+export interface Hello {
+  readonly host: HostId;
+  readonly incarnation: Incarnation;
+  /** Random bytes in hexadecimal. */
+  readonly nonce: string;
+}
+
+/** Which end proves that it knows the token. */
+export type Role = "dialler" | "listener";
+
+/** Both ends of a handshake. */
+export interface Ends {
+  readonly dialler: Hello;
+  readonly listener: Hello;
+}
+
+export function createHello(peer: Peer): Hello {
+  const { host, incarnation } = peer;
+  return { host, incarnation, nonce: randomBytes(nonceBytes).toString("hex") };
+}
+
+/** Proof of one end, in hexadecimal. */
+export function prove(
+  token: string,
+  options: { role: Role; ends: Ends },
+): string {
+  const { dialler, listener } = options.ends;
+  const text = JSON.stringify([
+    "rhubarbstage link",
+    options.role,
+    [dialler.host, dialler.incarnation, dialler.nonce],
+    [listener.host, listener.incarnation, listener.nonce],
+  ]);
+  return createHmac("sha256", token).update(text).digest("hex");
+}
+
+/** Whether two proofs are equal, in constant time. */
+export function isSameProof(actual: string, expected: string): boolean {
+  const left = new TextEncoder().encode(actual);
+  const right = new TextEncoder().encode(expected);
+  return left.length === right.length && timingSafeEqual(left, right);
+}
+
+/** Reads a hello from untrusted bytes; undefined when it is malformed. */
+export function parseHello(bytes: Uint8Array): Hello | undefined {
+  const value = parseJson(bytes) as Partial<Hello> | undefined;
+  const isHello = typeof value?.host === "string" && value.host !== "" &&
+    Number.isSafeInteger(value.incarnation) &&
+    typeof value.nonce === "string" && value.nonce.length === 2 * nonceBytes;
+  return isHello ? value as Hello : undefined;
+}
+
+/** Reads a proof from untrusted bytes; undefined when it is malformed. */
+export function parseProof(bytes: Uint8Array): string | undefined {
+  const value = parseJson(bytes) as { proof?: unknown } | undefined;
+  return typeof value?.proof === "string" ? value.proof : undefined;
+}
+
+function parseJson(bytes: Uint8Array): unknown {
+  if (bytes.length > maxHandshakeBytes) return undefined;
+  try {
+    return JSON.parse(new TextDecoder().decode(bytes)) ?? undefined;
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/link.ts
@@ -0,0 +1,217 @@
+/**
+ * One authenticated connection to a peer.
+ *
+ * @module
+ */
+
+import type { Buffer } from "node:buffer";
+import { WebSocket } from "ws";
+import { decode, encode } from "./codec.ts";
+import { missedHeartbeats } from "./constants.ts";
+import { TransportError } from "./errors.ts";
+import type { Frame } from "./frames.ts";
+import { frameKinds } from "./frames.ts";
+import type { HandlerTable } from "./handler_table.ts";
+import { fromRemoteError, toRemoteError } from "./handler_table.ts";
+import type { Traffic } from "./traffic.ts";
+import { frameBytes } from "./traffic.ts";
+import type { Peer } from "./types.ts";
+
+/** What a link needs besides its socket. */
+export interface LinkOptions {
+  readonly peer: Peer;
+  /** Whether the own host opened the connection. */
+  readonly isDialled: boolean;
+  readonly handlers: HandlerTable;
+  readonly traffic: Traffic;
+  readonly queueBytes: number;
+  readonly heartbeatInterval: number;
+  /** Frames that arrived before the link was created. */
+  readonly early: readonly Buffer[];
+  readonly onClose: (link: Link, reason: string) => void;
+}
+
+interface Waiting {
+  readonly resolve: (answer: unknown) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+/** Sends and receives the frames of one connection. */
+export class Link {
+  readonly peer: Peer;
+  readonly isDialled: boolean;
+  /** Monotonic time of the start in milliseconds. */
+  readonly startedAt = performance.now();
+  readonly #socket: WebSocket;
+  readonly #options: LinkOptions;
+  readonly #waiting = new Map<number, Waiting>();
+  readonly #answering = new Map<number, AbortController>();
+  readonly #timer: ReturnType<typeof setInterval>;
+  #lastId = 0;
+  #silentHeartbeats = 0;
+  #isOpen = true;
+  #closeReason = "closed by peer";
+
+  constructor(socket: WebSocket, options: LinkOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    this.peer = options.peer;
+    this.isDialled = options.isDialled;
+    socket.on("message", (data) => this.#receive(data as Buffer));
+    socket.on("ping", () => this.#hear());
+    socket.on("pong", () => this.#hear());
+    socket.on("error", (error) => this.#closeReason = error.message);
+    socket.on("close", () => this.#end());
+    this.#timer = setInterval(() => this.#beat(), options.heartbeatInterval);
+  }
+
+  /** Takes frames from the peer; call once the link is registered. */
+  start(): void {
+    for (const data of this.#options.early) this.#receive(data);
+    this.#socket.resume();
+  }
+
+  /** Queues a one-way message; false when the queue is full. */
+  send(name: string, body: unknown): boolean {
+    return this.#write([frameKinds.message, name, body]);
+  }
+
+  /** Sends a request; the answer arrives until the signal is aborted. */
+  request(
+    name: string,
+    options: { body: unknown; signal: AbortSignal },
+  ): Promise<unknown> {
+    const { body, signal } = options;
+    this.#lastId += 1;
+    const id = this.#lastId;
+    const peer = this.peer.host;
+    return new Promise((resolve, reject) => {
+      const end = () => {
+        this.#waiting.delete(id);
+        signal.removeEventListener("abort", onAbort);
+      };
+      const onAbort = () => {
+        end();
+        this.#write([frameKinds.cancel, name, null, id]);
+        reject(signal.reason);
+      };
+      if (!this.#write([frameKinds.request, name, body, id])) {
+        const failure = this.#isOpen ? "queue_full" : "link_closed";
+        reject(new TransportError(failure, { peer, maybeDelivered: false }));
+        return;
+      }
+      signal.addEventListener("abort", onAbort, { once: true });
+      this.#waiting.set(id, {
+        resolve: (answer) => {
+          end();
+          resolve(answer);
+        },
+        reject: (error) => {
+          end();
+          reject(error);
+        },
+      });
+    });
+  }
+
+  /** Closes the connection at once, without waiting for the peer. */
+  close(reason: string): void {
+    this.#closeReason = reason;
+    this.#socket.terminate();
+    this.#end();
+  }
+
+  #hear(): void {
+    this.#silentHeartbeats = 0;
+  }
+
+  #beat(): void {
+    this.#silentHeartbeats += 1;
+    if (this.#silentHeartbeats > missedHeartbeats) {
+      this.close("no heartbeat");
+      return;
+    }
+    // Any frame of the peer is a sign of life; a ping asks for one when idle.
+    if (this.#silentHeartbeats > 1) {
+      this.#options.traffic.sent("heartbeat", frameBytes(0, this.isDialled));
+      this.#socket.ping();
+    }
+  }
+
+  #write(frame: Frame): boolean {
+    const { traffic, queueBytes } = this.#options;
+    const bytes = encode(frame);
+    const queued = this.#socket.bufferedAmount + bytes.length;
+    if (!this.#isOpen || queued > queueBytes) {
+      traffic.dropped += 1;
+      return false;
+    }
+    traffic.sent(frame[1], frameBytes(bytes.length, this.isDialled));
+    this.#socket.send(bytes);
+    return true;
+  }
+
+  #receive(data: Buffer): void {
+    if (!this.#isOpen) return;
+    this.#hear();
+    let frame: Frame;
+    try {
+      frame = decode(data) as Frame;
+    } catch {
+      this.close("malformed frame");
+      return;
+    }
+    const bytes = frameBytes(data.length, !this.isDialled);
+    this.#options.traffic.received(frame[1], bytes);
+    this.#handle(frame);
+  }
+
+  #handle(frame: Frame): void {
+    switch (frame[0]) {
+      case frameKinds.message: {
+        const [, name, body] = frame;
+        const sender = this.peer;
+        return this.#options.handlers.deliver({ name, body, sender });
+      }
+      case frameKinds.request:
+        return void this.#answer(frame);
+      case frameKinds.answer:
+        return this.#waiting.get(frame[3])?.resolve(frame[2]);
+      case frameKinds.error:
+        return this.#waiting.get(frame[3])?.reject(fromRemoteError(frame[2]));
+      case frameKinds.cancel:
+        return this.#answering.get(frame[3])?.abort();
+    }
+  }
+
+  async #answer(frame: Extract<Frame, [1, ...unknown[]]>): Promise<void> {
+    const [, name, body, id] = frame;
+    const controller = new AbortController();
+    this.#answering.set(id, controller);
+    try {
+      const { signal } = controller;
+      const context = { sender: this.peer, signal };
+      const { handlers } = this.#options;
+      const answer = await handlers.answer({ name, body }, context);
+      this.#write([frameKinds.answer, name, answer, id]);
+    } catch (thrown) {
+      this.#write([frameKinds.error, name, toRemoteError(thrown), id]);
+    } finally {
+      this.#answering.delete(id);
+    }
+  }
+
+  #end(): void {
+    if (!this.#isOpen) return;
+    this.#isOpen = false;
+    clearInterval(this.#timer);
+    const peer = this.peer.host;
+    const error = new TransportError("link_closed", {
+      peer,
+      maybeDelivered: true,
+    });
+    for (const waiting of [...this.#waiting.values()]) waiting.reject(error);
+    for (const controller of this.#answering.values()) controller.abort();
+    this.#options.onClose(this, this.#closeReason);
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -0,0 +1,461 @@
+/**
+ * Transport over WebSocket connections between hosts.
+ *
+ * @module
+ */
+
+import { createServer as createHttpServer } from "node:http";
+import type { Server } from "node:http";
+import { createServer as createHttpsServer } from "node:https";
+import type { AddressInfo } from "node:net";
+import type { HostId, Incarnation } from "rhubarbstage";
+import { WebSocket, WebSocketServer } from "ws";
+import {
+  defaultHandshakeTimeout,
+  defaultHeartbeatInterval,
+  defaultMaxBackoff,
+  defaultMinBackoff,
+  defaultQueueBytes,
+  defaultRequestTimeout,
+  maxFrameBytes,
+  maxUnauthenticatedConnections,
+  minTokenLength,
+} from "./constants.ts";
+import { TransportError } from "./errors.ts";
+import type { TransportFailure } from "./errors.ts";
+import { HandlerTable } from "./handler_table.ts";
+import { dialHandshake, listenHandshake } from "./handshake.ts";
+import type { Authenticated, HandshakeOptions } from "./handshake.ts";
+import { Link } from "./link.ts";
+import { Traffic } from "./traffic.ts";
+import { Transport } from "./transport.ts";
+import type {
+  LinkChange,
+  MessageHandler,
+  MessageOptions,
+  MessageType,
+  Peer,
+  PeerAddress,
+  RequestHandler,
+  RequestOptions,
+  RequestType,
+  TransportCounters,
+} from "./types.ts";
+
+/** Certificates of a host, in PEM format. Both ends are verified. */
+export interface TransportCertificates {
+  readonly key: string;
+  /** Certificate of the own host; it names the own IP address. */
+  readonly certificate: string;
+  /** Certificate of the authority that signed those of all hosts. */
+  readonly authority: string;
+}
+
+/** Options of `PeerTransport.listen`. Times in milliseconds. */
+export interface PeerTransportOptions {
+  readonly host: HostId;
+  /** Start of the process; defaults to now. */
+  readonly incarnation?: Incarnation;
+  /** IP address to listen on. */
+  readonly address: string;
+  /** Port to listen on; 0 lets the system choose. */
+  readonly port: number;
+  /** Secret that all hosts share, at least 16 characters. Never sent. */
+  readonly token: string;
+  /** Where other hosts listen; more can follow with `setAddress`. */
+  readonly peers?: ReadonlyMap<HostId, PeerAddress>;
+  readonly certificates?: TransportCertificates;
+  /** Most bytes that wait on one link; defaults to 32 MiB. */
+  readonly queueBytes?: number;
+  /** Defaults to 2,000; a link without three answers is closed. */
+  readonly heartbeatInterval?: number;
+  /** Longest time for connection and authentication; defaults to 3,000. */
+  readonly handshakeTimeout?: number;
+  /** Shortest wait before another try to connect; defaults to 100. */
+  readonly minBackoff?: number;
+  /** Longest wait before another try to connect; defaults to 5,000. */
+  readonly maxBackoff?: number;
+}
+
+/** Tries to connect to one host. */
+interface Dial {
+  /** Settles once the try in progress ends; undefined between tries. */
+  attempt: Promise<void> | undefined;
+  failures: number;
+  /** Monotonic time before which there is no other try. */
+  nextAt: number;
+}
+
+/**
+ * One link for each pair of hosts that talk. A link is opened when it is first
+ * needed, and again when it is needed after a jittered back-off.
+ */
+export class PeerTransport extends Transport {
+  override readonly host: HostId;
+  override readonly incarnation: Incarnation;
+  readonly #options: PeerTransportOptions;
+  readonly #server: Server;
+  readonly #sockets: WebSocketServer;
+  readonly #handlers = new HandlerTable();
+  readonly #traffic = new Traffic();
+  readonly #addresses: Map<HostId, PeerAddress>;
+  readonly #links = new Map<HostId, Link>();
+  readonly #dials = new Map<HostId, Dial>();
+  readonly #listeners = new Set<(change: LinkChange) => void>();
+  readonly #closing = new AbortController();
+  #unauthenticated = 0;
+
+  private constructor(options: PeerTransportOptions) {
+    super();
+    if (options.token.length < minTokenLength) {
+      throw new Error(
+        `The shared token needs at least ${minTokenLength} characters`,
+      );
+    }
+    this.#options = options;
+    this.host = options.host;
+    this.incarnation = options.incarnation ?? Date.now() as Incarnation;
+    this.#addresses = new Map(options.peers);
+    this.#server = createServer(options.certificates);
+    this.#sockets = new WebSocketServer({
+      server: this.#server,
+      perMessageDeflate: false,
+      maxPayload: maxFrameBytes,
+    });
+    this.#sockets.on("connection", (socket) => void this.#accept(socket));
+    this.#sockets.on("error", () => {});
+  }
+
+  /** Starts to listen. Throws when the address is in use. */
+  static async listen(options: PeerTransportOptions): Promise<PeerTransport> {
+    const transport = new PeerTransport(options);
+    const server = transport.#server;
+    await new Promise<void>((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(options.port, options.address, () => {
+        server.off("error", reject);
+        resolve();
+      });
+    });
+    return transport;
+  }
+
+  /** Where this transport listens. */
+  get address(): PeerAddress {
+    const { address, port } = this.#server.address() as AddressInfo;
+    return { address, port };
+  }
+
+  override send<Body>(
+    type: MessageType<Body>,
+    options: MessageOptions<Body>,
+  ): boolean {
+    const link = this.#links.get(options.to);
+    if (link !== undefined) return link.send(type.name, options.body);
+    void this.#connect(options.to)?.catch(() => {});
+    this.#traffic.dropped += 1;
+    return false;
+  }
+
+  override async request<Body, Answer>(
+    type: RequestType<Body, Answer>,
+    options: RequestOptions<Body>,
+  ): Promise<Answer> {
+    const { to, body, signal } = options;
+    signal?.throwIfAborted();
+    const limit = new AbortController();
+    const onAbort = () => limit.abort();
+    const timeout = options.timeout ?? defaultRequestTimeout;
+    const timer = setTimeout(onAbort, timeout);
+    signal?.addEventListener("abort", onAbort, { once: true });
+    let link: Link | undefined;
+    try {
+      link = this.#links.get(to) ?? await this.#open(to, limit.signal);
+      const answer = await link.request(type.name, {
+        body,
+        signal: limit.signal,
+      });
+      return answer as Answer;
+    } catch (thrown) {
+      if (signal?.aborted) throw signal.reason;
+      if (!limit.signal.aborted) throw thrown;
+      const maybeDelivered = link !== undefined;
+      throw new TransportError("timeout", { peer: to, maybeDelivered });
+    } finally {
+      clearTimeout(timer);
+      signal?.removeEventListener("abort", onAbort);
+    }
+  }
+
+  override onMessage<Body>(
+    type: MessageType<Body>,
+    handler: MessageHandler<Body>,
+  ): void {
+    this.#handlers.addMessage(type.name, handler as MessageHandler<never>);
+  }
+
+  override onRequest<Body, Answer>(
+    type: RequestType<Body, Answer>,
+    handler: RequestHandler<Body, Answer>,
+  ): void {
+    this.#handlers.addRequest(
+      type.name,
+      handler as RequestHandler<never, unknown>,
+    );
+  }
+
+  override setAddress(host: HostId, address: PeerAddress): void {
+    const known = this.#addresses.get(host);
+    if (known?.address === address.address && known.port === address.port) {
+      return;
+    }
+    this.#addresses.set(host, address);
+    this.#dials.delete(host);
+  }
+
+  override removeAddress(host: HostId): void {
+    this.#addresses.delete(host);
+    this.#dials.delete(host);
+    this.#links.get(host)?.close("address removed");
+  }
+
+  override peers(): readonly Peer[] {
+    return [...this.#links.values()].map((link) => link.peer);
+  }
+
+  override onLink(
+    listener: (change: LinkChange) => void,
+    options: { signal?: AbortSignal } = {},
+  ): void {
+    if (options.signal?.aborted) return;
+    this.#listeners.add(listener);
+    options.signal?.addEventListener(
+      "abort",
+      () => this.#listeners.delete(listener),
+      { once: true },
+    );
+  }
+
+  override counters(): TransportCounters {
+    return this.#traffic.read(this.#handlers.errors);
+  }
+
+  override async close(): Promise<void> {
+    this.#closing.abort(new Error("The transport is closed"));
+    for (const link of [...this.#links.values()]) link.close("closed");
+    for (const socket of this.#sockets.clients) socket.terminate();
+    this.#sockets.close();
+    if (!this.#server.listening) return;
+    await new Promise((resolve) => this.#server.close(resolve));
+  }
+
+  /** Waits for a link, or throws when there cannot be one now. */
+  async #open(to: HostId, signal: AbortSignal): Promise<Link> {
+    const fail = (failure: TransportFailure, cause?: unknown) =>
+      new TransportError(failure, { peer: to, maybeDelivered: false, cause });
+    if (this.#closing.signal.aborted) throw fail("closed");
+    const attempt = this.#connect(to);
+    if (attempt === undefined) throw fail("unreachable");
+    const ended = new Promise<never>((_, reject) => {
+      signal.addEventListener("abort", () => reject(signal.reason), {
+        once: true,
+      });
+    });
+    try {
+      await Promise.race([attempt, ended]);
+    } catch (thrown) {
+      throw fail("unreachable", thrown);
+    }
+    const link = this.#links.get(to);
+    if (link === undefined) throw fail("unreachable");
+    return link;
+  }
+
+  /** The try to connect in progress or a new one; none during back-off. */
+  #connect(to: HostId): Promise<void> | undefined {
+    const address = this.#addresses.get(to);
+    if (address === undefined || this.#closing.signal.aborted) return undefined;
+    const dial = this.#dials.get(to) ??
+      { attempt: undefined, failures: 0, nextAt: 0 };
+    this.#dials.set(to, dial);
+    if (dial.attempt !== undefined) return dial.attempt;
+    if (performance.now() < dial.nextAt) return undefined;
+    dial.attempt = this.#dial(to, address).then(
+      () => {
+        dial.failures = 0;
+      },
+      (thrown) => {
+        dial.nextAt = performance.now() + this.#backoff(dial.failures);
+        dial.failures += 1;
+        throw thrown;
+      },
+    ).finally(() => {
+      dial.attempt = undefined;
+    });
+    return dial.attempt;
+  }
+
+  /** Doubles with each failure; the jitter spreads hosts that failed together. */
+  #backoff(failures: number): number {
+    const { minBackoff = defaultMinBackoff, maxBackoff = defaultMaxBackoff } =
+      this.#options;
+    const longest = Math.min(maxBackoff, minBackoff * 2 ** failures);
+    return longest * (0.5 + Math.random() / 2);
+  }
+
+  async #dial(to: HostId, target: PeerAddress): Promise<void> {
+    const { certificates } = this.#options;
+    const scheme = certificates === undefined ? "ws" : "wss";
+    const name = target.address.includes(":")
+      ? `[${target.address}]`
+      : target.address;
+    const socket = new WebSocket(`${scheme}://${name}:${target.port}/`, {
+      perMessageDeflate: false,
+      maxPayload: maxFrameBytes,
+      ...(certificates === undefined ? {} : {
+        key: certificates.key,
+        cert: certificates.certificate,
+        ca: certificates.authority,
+      }),
+    });
+    await this.#authenticate(socket, {
+      isDialled: true,
+      handshake: async (options) => {
+        await opened(socket, options.signal);
+        return await dialHandshake(socket, { ...options, to });
+      },
+    });
+  }
+
+  async #accept(socket: WebSocket): Promise<void> {
+    if (this.#unauthenticated >= maxUnauthenticatedConnections) {
+      this.#traffic.rejected += 1;
+      socket.on("error", () => {});
+      socket.terminate();
+      return;
+    }
+    this.#unauthenticated += 1;
+    try {
+      await this.#authenticate(socket, {
+        isDialled: false,
+        handshake: (options) => listenHandshake(socket, options),
+      });
+    } catch {
+      this.#traffic.rejected += 1;
+    } finally {
+      this.#unauthenticated -= 1;
+    }
+  }
+
+  /** Runs a handshake within its time and turns the socket into a link. */
+  async #authenticate(
+    socket: WebSocket,
+    from: {
+      isDialled: boolean;
+      handshake: (options: HandshakeOptions) => Promise<Authenticated>;
+    },
+  ): Promise<void> {
+    const { isDialled, handshake } = from;
+    const { token, handshakeTimeout = defaultHandshakeTimeout } = this.#options;
+    const limit = new AbortController();
+    const timer = setTimeout(
+      () => limit.abort(new Error("The handshake takes too long")),
+      handshakeTimeout,
+    );
+    const onClosing = () => limit.abort(this.#closing.signal.reason);
+    this.#closing.signal.addEventListener("abort", onClosing, { once: true });
+    const ignoreError = () => {};
+    socket.on("error", ignoreError);
+    try {
+      const { host, incarnation } = this;
+      const self = { host, incarnation };
+      const signal = limit.signal;
+      const authenticated = await handshake({ token, self, signal });
+      this.#closing.signal.throwIfAborted();
+      this.#register(socket, { ...authenticated, isDialled });
+    } catch (thrown) {
+      socket.terminate();
+      throw thrown;
+    } finally {
+      clearTimeout(timer);
+      this.#closing.signal.removeEventListener("abort", onClosing);
+    }
+  }
+
+  #register(
+    socket: WebSocket,
+    authenticated: Authenticated & { isDialled: boolean },
+  ): void {
+    const { peer } = authenticated;
+    const {
+      queueBytes = defaultQueueBytes,
+      heartbeatInterval = defaultHeartbeatInterval,
+    } = this.#options;
+    const link = new Link(socket, {
+      ...authenticated,
+      handlers: this.#handlers,
+      traffic: this.#traffic,
+      queueBytes,
+      heartbeatInterval,
+      onClose: (closed, reason) => this.#forget(closed, reason),
+    });
+    const known = this.#links.get(peer.host);
+    if (known !== undefined && this.#isPreferred(known, link)) {
+      link.close("duplicate");
+      return;
+    }
+    this.#links.set(peer.host, link);
+    known?.close("replaced");
+    this.#emit({ kind: "up", peer, reason: "" });
+    link.start();
+  }
+
+  /**
+   * Whether a known link stays when another to the same host opens. When both
+   * hosts dial at once, both keep the link of the smaller host id. An older
+   * link is replaced, because its other end may have lost it.
+   */
+  #isPreferred(known: Link, other: Link): boolean {
+    if (known.peer.incarnation !== other.peer.incarnation) {
+      return known.peer.incarnation > other.peer.incarnation;
+    }
+    const { handshakeTimeout = defaultHandshakeTimeout } = this.#options;
+    const age = other.startedAt - known.startedAt;
+    if (known.isDialled === other.isDialled || age > handshakeTimeout) {
+      return false;
+    }
+    return known.isDialled === (this.host < known.peer.host);
+  }
+
+  #forget(link: Link, reason: string): void {
+    const { peer } = link;
+    if (this.#links.get(peer.host) !== link) return;
+    this.#links.delete(peer.host);
+    this.#emit({ kind: "down", peer, reason });
+  }
+
+  #emit(change: LinkChange): void {
+    for (const listener of [...this.#listeners]) listener(change);
+  }
+}
+
+function createServer(certificates?: TransportCertificates): Server {
+  if (certificates === undefined) return createHttpServer();
+  return createHttpsServer({
+    key: certificates.key,
+    cert: certificates.certificate,
+    ca: certificates.authority,
+    requestCert: true,
+    rejectUnauthorized: true,
+  });
+}
+
+function opened(socket: WebSocket, signal: AbortSignal): Promise<void> {
+  return new Promise((resolve, reject) => {
+    socket.once("open", resolve);
+    socket.once("error", reject);
+    signal.addEventListener("abort", () => reject(signal.reason), {
+      once: true,
+    });
+  });
+}
--- /dev/null
+++ b/packages/rhubarbstage-transport/src/traffic.ts
@@ -0,0 +1,72 @@
+/**
+ * Counters of bytes and messages.
+ *
+ * @module
+ */
+
+import { frameHeaderBytes, frameMaskBytes } from "./constants.ts";
+import type { NameCounters, TransportCounters } from "./types.ts";
+
+type Mutable<Counters> = { -readonly [Key in keyof Counters]: Counters[Key] };
+
+function zeroCounters(): Mutable<NameCounters> {
+  return {
+    sentBytes: 0,
+    sentMessages: 0,
+    receivedBytes: 0,
+    receivedMessages: 0,
+  };
+}
+
+/** Bytes of a WebSocket frame with its header. */
+export function frameBytes(payload: number, isMasked: boolean): number {
+  const header = payload < 126
+    ? frameHeaderBytes.short
+    : payload < 65_536
+    ? frameHeaderBytes.medium
+    : frameHeaderBytes.long;
+  return payload + header + (isMasked ? frameMaskBytes : 0);
+}
+
+/** Totals of one transport. */
+export class Traffic {
+  readonly #total = zeroCounters();
+  readonly #byName = new Map<string, Mutable<NameCounters>>();
+  dropped = 0;
+  rejected = 0;
+
+  sent(name: string, bytes: number): void {
+    for (const counters of [this.#total, this.#named(name)]) {
+      counters.sentBytes += bytes;
+      counters.sentMessages += 1;
+    }
+  }
+
+  received(name: string, bytes: number): void {
+    for (const counters of [this.#total, this.#named(name)]) {
+      counters.receivedBytes += bytes;
+      counters.receivedMessages += 1;
+    }
+  }
+
+  read(handlerErrors: number): TransportCounters {
+    return {
+      ...this.#total,
+      droppedMessages: this.dropped,
+      rejectedConnections: this.rejected,
+      handlerErrors,
+      byName: new Map(
+        [...this.#byName].map(([name, counters]) => [name, { ...counters }]),
+      ),
+    };
+  }
+
+  #named(name: string): Mutable<NameCounters> {
+    let counters = this.#byName.get(name);
+    if (counters === undefined) {
+      counters = zeroCounters();
+      this.#byName.set(name, counters);
+    }
+    return counters;
+  }
+}
