Add the replica: groups over one data folder and transport

Cause: control and journals need replicated state on the hosts with a disk and calls to it from all hosts. Change: Replica runs several groups; each applies its commands, joins calls that arrive in one turn of the event loop to one write, and answers reads after a quorum round. Calls find the leader from any host. A leader that was paused counts the ticks that it missed and steps down.

--- a/packages/rhubarbstage-consensus/src/consensus.ts
+++ b/packages/rhubarbstage-consensus/src/consensus.ts
@@ -99,6 +99,8 @@
     case "persisted":
       return takePersisted(turn, event.token);
     case "snapshot_saved":
+      turn.state.snapshotEntries = event.nextEntries ??
+        turn.state.snapshotEntries;
       return compact(turn.state, event.head);
     case "snapshot_sent":
       return endSnapshot(turn.state, event);
--- a/packages/rhubarbstage-consensus/src/mod.ts
+++ b/packages/rhubarbstage-consensus/src/mod.ts
@@ -32,4 +32,4 @@
 export { currentSeats, hasCommittedInTerm } from "./state.ts";
 export { durableIndexOf } from "./replication.ts";
 export { allSeats, isLearner, isVoter, noSeats, quorumOf } from "./seats.ts";
-export { bootstrapPosition } from "./constants.ts";
+export { bootstrapPosition, defaultSnapshotEntries } from "./constants.ts";
--- a/packages/rhubarbstage-consensus/src/state.ts
+++ b/packages/rhubarbstage-consensus/src/state.ts
@@ -69,7 +69,7 @@
   readonly self: ReplicaId;
   readonly heartbeatTicks: number;
   readonly electionTicks: number;
-  readonly snapshotEntries: number;
+  snapshotEntries: number;
   readonly retainedEntries: number;
   readonly random: SeededRandom;
   role: Role;
--- a/packages/rhubarbstage-consensus/src/types.ts
+++ b/packages/rhubarbstage-consensus/src/types.ts
@@ -136,7 +136,12 @@
   /** The effect with this token, and all earlier ones, are on disk. */
   | { readonly kind: "persisted"; readonly token: number }
   /** The snapshot of an earlier `save_snapshot` is on disk. */
-  | { readonly kind: "snapshot_saved"; readonly head: SnapshotHead }
+  | {
+    readonly kind: "snapshot_saved";
+    readonly head: SnapshotHead;
+    /** Applied entries until the next snapshot; unchanged by default. */
+    readonly nextEntries?: number;
+  }
   /** A `send_snapshot` has ended, with or without success. */
   | {
     readonly kind: "snapshot_sent";
--- /dev/null
+++ b/packages/rhubarbstage-replica/src/bootstrap.ts
@@ -0,0 +1,139 @@
+/**
+ * Forming a system once, with the consent of every host.
+ *
+ * @module
+ */
+
+import { RhubarbstageError } from "rhubarbstage";
+import type { HostId, ReplicaId } from "rhubarbstage";
+import type { Seat } from "@rhubarbstage/consensus";
+import type { DataFolder, Grant } from "@rhubarbstage/storage";
+import { requestType, TransportError } from "@rhubarbstage/transport";
+import type { Transport } from "@rhubarbstage/transport";
+import { defaultCallTimeout } from "./constants.ts";
+import type { BootstrapOptions } from "./options.ts";
+
+/** Steps of a bootstrap on one host. */
+export type BootstrapStep =
+  | { readonly kind: "grant"; readonly grant: Grant }
+  | {
+    readonly kind: "commit";
+    readonly grant: Grant;
+    readonly seats: readonly Seat[];
+  };
+
+/** The request that carries a step; answers with the replica id. */
+export const bootstrapRequest = requestType<BootstrapStep, ReplicaId>(
+  "bootstrap",
+);
+
+/** What a host does for a bootstrap. */
+export interface BootstrapHost {
+  readonly folder: DataFolder;
+  /** Whether the host holds no entry of any group. */
+  readonly isEmpty: () => boolean;
+  /** Writes the first entry of every group. */
+  readonly write: (seats: readonly Seat[]) => Promise<void>;
+}
+
+/** Answers the steps of a bootstrap, one at a time. */
+export class BootstrapGranter {
+  readonly #host: BootstrapHost;
+  #last: Promise<unknown> = Promise.resolve();
+
+  constructor(host: BootstrapHost) {
+    this.#host = host;
+  }
+
+  /** Throws `forbidden` when this host has consented to another bootstrap. */
+  take(step: BootstrapStep): Promise<ReplicaId> {
+    const run = () =>
+      step.kind === "grant" ? this.#grant(step.grant) : this.#commit(step);
+    const answer = this.#last.then(run, run);
+    this.#last = answer.catch(() => {});
+    return answer;
+  }
+
+  async #grant(grant: Grant): Promise<ReplicaId> {
+    const { folder, isEmpty } = this.#host;
+    const { identity } = folder;
+    if (identity.grant !== undefined) {
+      if (identity.grant.bootstrap === grant.bootstrap) return identity.replica;
+      throw refuse(`Host "${identity.host}" has granted another bootstrap`);
+    }
+    if (!isEmpty()) {
+      throw refuse(`Host "${identity.host}" belongs to a system already`);
+    }
+    if (!grant.hosts.includes(identity.host)) {
+      throw refuse(`Host "${identity.host}" is not among the hosts`);
+    }
+    await folder.changeIdentity({ grant });
+    return identity.replica;
+  }
+
+  async #commit(
+    step: Extract<BootstrapStep, { kind: "commit" }>,
+  ): Promise<ReplicaId> {
+    const { folder, write } = this.#host;
+    const { identity } = folder;
+    const { replica, host } = identity;
+    if (identity.grant?.bootstrap !== step.grant.bootstrap) {
+      throw refuse(`Host "${host}" has not granted this bootstrap`);
+    }
+    if (!step.seats.some((seat) => seat.replica === replica)) {
+      throw refuse(`Host "${host}" has another replica id than it granted`);
+    }
+    if (identity.isBootstrapped) return replica;
+    await write(step.seats);
+    await folder.changeIdentity({ isBootstrapped: true });
+    return replica;
+  }
+}
+
+/**
+ * Collects the grants of all hosts, then commits. It can be repeated on the
+ * same host until it succeeds. Hosts are asked in the same order by everybody,
+ * so that of two bootstraps at once one gets no grant at all.
+ */
+export async function runBootstrap(
+  options: BootstrapOptions & {
+    transport: Transport;
+    replica: ReplicaId;
+    local: BootstrapGranter;
+  },
+): Promise<readonly Seat[]> {
+  const { transport, local } = options;
+  const hosts = [...new Set(options.hosts)].sort();
+  if (!hosts.includes(transport.host)) {
+    throw refuse("The own host is not among the hosts");
+  }
+  // The id follows from the request, so that a repeat after a crash finds the
+  // grants that were given to the first try.
+  const bootstrap = `${options.replica} ${hosts.join(" ")}`;
+  const grant: Grant = { bootstrap, hosts };
+  const call = async (host: HostId, step: BootstrapStep) => {
+    options.signal?.throwIfAborted();
+    if (host === transport.host) return await local.take(step);
+    const timeout = options.timeout ?? defaultCallTimeout;
+    const request = { to: host, body: step, timeout };
+    return await transport.request(bootstrapRequest, request).catch(
+      (thrown) => {
+        if (!(thrown instanceof TransportError)) throw thrown;
+        throw new RhubarbstageError("no_quorum", {
+          message: `Host "${host}" does not answer`,
+          cause: thrown,
+        });
+      },
+    );
+  };
+  const seats: Seat[] = [];
+  for (const host of hosts) {
+    seats.push({ host, replica: await call(host, { kind: "grant", grant }) });
+  }
+  for (const host of hosts) await call(host, { kind: "commit", grant, seats });
+  return seats;
+}
+
+function refuse(message: string): RhubarbstageError {
+  return new RhubarbstageError("forbidden", { message });
+}
--- a/packages/rhubarbstage-replica/src/forward.ts
+++ b/packages/rhubarbstage-replica/src/forward.ts
@@ -1,27 +1,32 @@
 /**
- * Commands and queries that travel to the leader of a group.
+ * Calls that travel to the leader of a group.
  *
  * @module
  */
 
 import type { GroupName, HostId } from "rhubarbstage";
+import type { RejectReason, SeatChange } from "@rhubarbstage/consensus";
 import { requestType } from "@rhubarbstage/transport";
+import type { GroupStatus } from "./types.ts";
 
-/** A call to a group on another host. */
+/** A call to the leader of a group. */
 export type ForwardedCall =
-  | {
-    readonly kind: "propose";
-    readonly group: GroupName;
-    /** Encoded command. */
-    readonly command: Uint8Array;
-  }
-  | {
-    readonly kind: "query";
-    readonly group: GroupName;
-    readonly name: string;
-    /** Encoded argument. */
-    readonly argument: Uint8Array;
-  };
+  & { readonly group: GroupName }
+  & (
+    | {
+      readonly kind: "propose";
+      /** Encoded command. */
+      readonly command: Uint8Array;
+    }
+    | {
+      readonly kind: "query";
+      readonly name: string;
+      /** Encoded argument. */
+      readonly argument: Uint8Array;
+    }
+    | { readonly kind: "status" }
+    | { readonly kind: "change_seats"; readonly change: SeatChange }
+  );
 
 /** Answer to a forwarded call. */
 export type ForwardedAnswer =
@@ -29,6 +34,12 @@
   /** The call had no effect; `leader` is null when no leader is known. */
   | { readonly kind: "not_leader"; readonly leader: HostId | null };
 
+/** Value of a `change_seats` call. */
+export type SeatChangeAnswer = "committed" | RejectReason;
+
+/** Value of a `status` call: the leader's view after a quorum round. */
+export type StatusAnswer = GroupStatus;
+
 /** The request that carries a call to a replica. */
 export const forwardRequest = requestType<ForwardedCall, ForwardedAnswer>(
   "forward",
--- a/packages/rhubarbstage-replica/src/mod.ts
+++ b/packages/rhubarbstage-replica/src/mod.ts
@@ -14,6 +14,7 @@
   GroupStatus,
   Leadership,
   Query,
+  ReplicaStatus,
   SeatStatus,
 } from "./types.ts";
 export { GroupSeat } from "./group_seat.ts";
@@ -21,6 +22,7 @@
 export { InMemoryGroup } from "./in_memory_group.ts";
 export type { GroupClientOptions } from "./group_client.ts";
 export { GroupClient } from "./group_client.ts";
+export type { LeaderCallerOptions } from "./leader_caller.ts";
 export type { ForwardedAnswer, ForwardedCall } from "./forward.ts";
 export { forwardRequest } from "./forward.ts";
 export type {
@@ -28,3 +30,4 @@
   RepairOptions,
   ReplicaOptions,
 } from "./options.ts";
+export { Replica } from "./replica.ts";
--- /dev/null
+++ b/packages/rhubarbstage-replica/src/pending_calls.ts
@@ -0,0 +1,231 @@
+/**
+ * Calls of one group that wait for commit, apply or a quorum round.
+ *
+ * @module
+ */
+
+import { RhubarbstageError } from "rhubarbstage";
+import type { Position } from "@rhubarbstage/consensus";
+import { defaultCallTimeout } from "./constants.ts";
+import type { ForwardedAnswer } from "./forward.ts";
+import type { GroupCallOptions } from "./replicated_group.ts";
+
+interface Call<Answer> {
+  readonly resolve: (answer: Answer) => void;
+  readonly reject: (error: unknown) => void;
+}
+
+interface Proposal extends Call<ForwardedAnswer> {
+  readonly command: Uint8Array;
+  /** Set once the caller left; the command may still be committed. */
+  isAbandoned: boolean;
+}
+
+/** A proposal that is in the log at a known position. */
+interface Appended extends Call<ForwardedAnswer> {
+  readonly term: number;
+}
+
+/** Joins effects of the reducer to the callers that wait for them. */
+export class PendingCalls {
+  #lastToken = 0;
+  #queue: Proposal[] = [];
+  readonly #batches = new Map<number, readonly Proposal[]>();
+  readonly #appended = new Map<number, Appended>();
+  /** Reads by token. */
+  readonly #reads = new Map<number, Call<unknown>>();
+  /** Seat changes by token, until they are in the log. */
+  readonly #changes = new Map<number, Call<ForwardedAnswer>>();
+
+  /** Next token of an event. */
+  token(): number {
+    this.#lastToken += 1;
+    return this.#lastToken;
+  }
+
+  /** Number of proposals that wait. */
+  get proposals(): number {
+    return this.#queue.length + this.#appended.size;
+  }
+
+  /** Waits for the term that confirms a read; undefined when refused. */
+  waitForRead(
+    token: number,
+    signal: AbortSignal,
+  ): Promise<{ term: number } | undefined> {
+    return addCall(this.#reads as Map<number, Call<never>>, { token, signal });
+  }
+
+  /** Waits until a seat change is committed or refused. */
+  waitForChange(token: number, signal: AbortSignal): Promise<ForwardedAnswer> {
+    return addCall(this.#changes as Map<number, Call<never>>, {
+      token,
+      signal,
+    });
+  }
+
+  isRead(token: number): boolean {
+    return this.#reads.has(token);
+  }
+
+  /** Answers a read. */
+  settle(token: number, answer: unknown): void {
+    this.#reads.get(token)?.resolve(answer);
+    this.#reads.delete(token);
+  }
+
+  /** Queues a command for the next batch. */
+  addProposal(
+    command: Uint8Array,
+    signal: AbortSignal,
+  ): Promise<ForwardedAnswer> {
+    return new Promise((resolve, reject) => {
+      const onAbort = () => {
+        proposal.isAbandoned = true;
+        reject(signal.reason);
+      };
+      const end = () => signal.removeEventListener("abort", onAbort);
+      const proposal: Proposal = {
+        command,
+        isAbandoned: signal.aborted,
+        resolve: (answer) => {
+          end();
+          resolve(answer);
+        },
+        reject: (error) => {
+          end();
+          reject(error);
+        },
+      };
+      if (signal.aborted) return reject(signal.reason);
+      signal.addEventListener("abort", onAbort, { once: true });
+      this.#queue.push(proposal);
+    });
+  }
+
+  /** The waiting commands as one batch; undefined when there are none. */
+  takeProposals():
+    | { token: number; commands: readonly Uint8Array[] }
+    | undefined {
+    const batch = this.#queue.filter((proposal) => !proposal.isAbandoned);
+    this.#queue = [];
+    if (batch.length === 0) return undefined;
+    const token = this.token();
+    this.#batches.set(token, batch);
+    return { token, commands: batch.map((proposal) => proposal.command) };
+  }
+
+  /** A batch, or a seat change, is in the log from a position on. */
+  appended(token: number, first: Position): void {
+    const batch = this.#batches.get(token) ?? this.#takeChange(token);
+    this.#batches.delete(token);
+    batch.forEach(({ resolve, reject }, offset) => {
+      const { term } = first;
+      this.#appended.set(first.index + offset, { term, resolve, reject });
+    });
+  }
+
+  /** A batch, or a seat change, did not enter the log. */
+  rejected(token: number, answer: ForwardedAnswer): void {
+    const batch = this.#batches.get(token) ?? this.#takeChange(token);
+    this.#batches.delete(token);
+    for (const call of batch) call.resolve(answer);
+  }
+
+  /** An entry is applied; whoever proposed another one there has lost. */
+  applied(entry: Position, answer: () => ForwardedAnswer): void {
+    const call = this.#appended.get(entry.index);
+    if (call === undefined) return;
+    this.#appended.delete(entry.index);
+    if (call.term !== entry.term) {
+      return call.reject(new RhubarbstageError("no_quorum"));
+    }
+    try {
+      call.resolve(answer());
+    } catch (thrown) {
+      call.reject(thrown);
+    }
+  }
+
+  /** A snapshot hides what became of the entries up to an index. */
+  restored(index: number): void {
+    for (const [position, call] of [...this.#appended]) {
+      if (position > index) continue;
+      this.#appended.delete(position);
+      call.reject(
+        new RhubarbstageError("no_quorum", { outcome: "may_have_run" }),
+      );
+    }
+  }
+
+  /** Rejects everything that waits. */
+  fail(error: RhubarbstageError): void {
+    const calls = [
+      ...this.#queue,
+      ...[...this.#batches.values()].flat(),
+      ...this.#appended.values(),
+      ...this.#reads.values(),
+      ...this.#changes.values(),
+    ];
+    this.#queue = [];
+    this.#batches.clear();
+    this.#appended.clear();
+    this.#reads.clear();
+    this.#changes.clear();
+    for (const call of calls) call.reject(error);
+  }
+
+  /** Runs a wait that ends with `no_quorum` after the time of its options. */
+  async withTimeout<Answer>(
+    options: GroupCallOptions,
+    run: (signal: AbortSignal) => Promise<Answer>,
+  ): Promise<Answer> {
+    options.signal?.throwIfAborted();
+    const limit = new AbortController();
+    const timer = setTimeout(
+      () => limit.abort(new RhubarbstageError("no_quorum")),
+      options.timeout ?? defaultCallTimeout,
+    );
+    const onAbort = () => limit.abort(options.signal?.reason);
+    options.signal?.addEventListener("abort", onAbort, { once: true });
+    try {
+      return await run(limit.signal);
+    } finally {
+      clearTimeout(timer);
+      options.signal?.removeEventListener("abort", onAbort);
+    }
+  }
+
+  #takeChange(token: number): readonly Call<ForwardedAnswer>[] {
+    const call = this.#changes.get(token);
+    this.#changes.delete(token);
+    return call === undefined ? [] : [call];
+  }
+}
+
+/** Adds a call that ends when it is settled or its signal is aborted. */
+function addCall<Answer>(
+  calls: Map<number, Call<Answer>>,
+  options: { token: number; signal: AbortSignal },
+): Promise<Answer> {
+  const { token, signal } = options;
+  return new Promise<Answer>((resolve, reject) => {
+    if (signal.aborted) return reject(signal.reason);
+    const onAbort = () => {
+      calls.delete(token);
+      reject(signal.reason);
+    };
+    signal.addEventListener("abort", onAbort, { once: true });
+    const end = () => signal.removeEventListener("abort", onAbort);
+    calls.set(token, {
+      resolve: (answer) => {
+        end();
+        resolve(answer);
+      },
+      reject: (error) => {
+        end();
+        reject(error);
+      },
+    });
+  });
+}
--- /dev/null
+++ b/packages/rhubarbstage-replica/src/repair.ts
@@ -0,0 +1,121 @@
+/**
+ * Giving the seat of a lost replica to another one.
+ *
+ * @module
+ */
+
+import { delay, RhubarbstageError } from "rhubarbstage";
+import type { GroupName, HostId, ReplicaId } from "rhubarbstage";
+import type { SeatChange } from "@rhubarbstage/consensus";
+import { requestType, TransportError } from "@rhubarbstage/transport";
+import type { Transport } from "@rhubarbstage/transport";
+import { defaultRepairTimeout, repairPollInterval } from "./constants.ts";
+import type { LeaderCaller } from "./leader_caller.ts";
+import type { RepairOptions } from "./options.ts";
+import type { GroupStatus } from "./types.ts";
+
+/** Asks a host for its replica id. */
+export const identityRequest = requestType<null, ReplicaId>("repair");
+
+/** One group under repair. */
+interface GroupRepair {
+  readonly group: GroupName;
+  readonly caller: LeaderCaller;
+  readonly lost: ReplicaId;
+  readonly taker: { readonly replica: ReplicaId; readonly host: HostId };
+}
+
+/**
+ * Repairs the groups one after the other. Each step reads the leader's view, so
+ * that an interrupted repair continues where it was.
+ */
+export async function runRepair(
+  options: RepairOptions & {
+    transport: Transport;
+    callers: ReadonlyMap<GroupName, LeaderCaller>;
+    /** Replica id of the own host. */
+    replica: ReplicaId;
+  },
+): Promise<void> {
+  const timeout = options.timeout ?? defaultRepairTimeout;
+  const deadline = performance.now() + timeout;
+  const { transport, replacement: host, lost } = options;
+  const replica = host === transport.host
+    ? options.replica
+    : await askIdentity(options);
+  if (replica === lost) {
+    throw new RhubarbstageError("invalid_request", {
+      message: "The replacement is the lost replica itself",
+    });
+  }
+  for (const [group, caller] of options.callers) {
+    const taker = { replica, host };
+    const repair = { group, caller, lost, taker };
+    await repairGroup(repair, { deadline, signal: options.signal });
+  }
+}
+
+async function askIdentity(
+  options: RepairOptions & { transport: Transport },
+): Promise<ReplicaId> {
+  const { transport, replacement } = options;
+  try {
+    const request = { to: replacement, body: null };
+    return await transport.request(identityRequest, request);
+  } catch (thrown) {
+    if (!(thrown instanceof TransportError)) throw thrown;
+    throw new RhubarbstageError("no_quorum", {
+      message: `Host "${replacement}" does not answer`,
+      cause: thrown,
+    });
+  }
+}
+
+async function repairGroup(
+  repair: GroupRepair,
+  limit: { deadline: number; signal: AbortSignal | undefined },
+): Promise<void> {
+  const { group, caller } = repair;
+  let target: number | undefined;
+  while (performance.now() < limit.deadline) {
+    limit.signal?.throwIfAborted();
+    const value = await caller.call({ kind: "status", group });
+    const status = value as GroupStatus;
+    const change = nextChange(status, repair);
+    if (change !== undefined) {
+      target = undefined;
+      await caller.call({ kind: "change_seats", group, change });
+    } else {
+      // What was committed when the seats were complete must be everywhere.
+      target ??= status.commitIndex;
+      if (isCovered(status, target)) return;
+    }
+    await delay(repairPollInterval);
+  }
+  throw new RhubarbstageError("no_quorum", {
+    message: `The repair of group "${group}" is not finished; repeat it`,
+    outcome: "may_have_run",
+  });
+}
+
+/** The step that the seats lack; undefined when they are as wanted. */
+function nextChange(
+  status: GroupStatus,
+  repair: GroupRepair,
+): SeatChange | undefined {
+  const { lost, taker } = repair;
+  const seat = status.seats.find((item) => item.replica === taker.replica);
+  if (seat === undefined) return { kind: "add_learner", seat: taker };
+  if (seat.role === "learner") {
+    return { kind: "promote", replica: taker.replica };
+  }
+  const isSeated = status.seats.some((item) => item.replica === lost);
+  return isSeated ? { kind: "remove", replica: lost } : undefined;
+}
+
+/** Whether every voter has everything up to an index on its disk. */
+function isCovered(status: GroupStatus, index: number): boolean {
+  return status.seats.every((seat) =>
+    seat.role === "learner" || (seat.durableIndex ?? 0) >= index
+  );
+}
--- /dev/null
+++ b/packages/rhubarbstage-replica/src/replica.ts
@@ -0,0 +1,321 @@
+/**
+ * All groups of one host with a data folder.
+ *
+ * @module
+ */
+
+import { randomInt } from "node:crypto";
+import { delay, RhubarbstageError } from "rhubarbstage";
+import type { GroupName, HostId, ReplicaId } from "rhubarbstage";
+import type { Message, Seat } from "@rhubarbstage/consensus";
+import { DataFolder } from "@rhubarbstage/storage";
+import {
+  BootstrapGranter,
+  bootstrapRequest,
+  runBootstrap,
+} from "./bootstrap.ts";
+import { consensusMessage, fromWire } from "./codec.ts";
+import type { ConsensusBatch } from "./codec.ts";
+import { defaultTickInterval, transferTimeout } from "./constants.ts";
+import { forwardRequest } from "./forward.ts";
+import type { ForwardedAnswer, ForwardedCall } from "./forward.ts";
+import type { GroupSeat } from "./group_seat.ts";
+import { LeaderCaller } from "./leader_caller.ts";
+import { LocalGroup } from "./local_group.ts";
+import type {
+  BootstrapOptions,
+  RepairOptions,
+  ReplicaOptions,
+} from "./options.ts";
+import { Outbox } from "./outbox.ts";
+import { identityRequest, runRepair } from "./repair.ts";
+import type { GroupCallOptions } from "./replicated_group.ts";
+import {
+  sendSnapshot,
+  SnapshotAssembly,
+  snapshotRequest,
+} from "./snapshot_transfer.ts";
+import type { SnapshotPiece } from "./snapshot_transfer.ts";
+import type { Leadership, ReplicaStatus } from "./types.ts";
+
+type AnyLocalGroup = LocalGroup<unknown, unknown, unknown>;
+
+/** Runs several replicated groups over one data folder and one transport. */
+export class Replica {
+  readonly #options: ReplicaOptions;
+  readonly #folder: DataFolder;
+  readonly #groups = new Map<GroupName, AnyLocalGroup>();
+  readonly #outbox: Outbox;
+  readonly #assembly = new SnapshotAssembly();
+  readonly #granter: BootstrapGranter;
+  /** Hosts of replicas that wrote but are in no seats known here. */
+  readonly #senders = new Map<ReplicaId, HostId>();
+  readonly #failures = new Map<GroupName, Error>();
+  #timer: ReturnType<typeof setInterval> | undefined;
+  #lastTick = performance.now();
+
+  private constructor(options: ReplicaOptions, folder: DataFolder) {
+    this.#options = options;
+    this.#folder = folder;
+    this.#outbox = new Outbox(options.transport, this.id);
+    this.#granter = new BootstrapGranter({
+      folder,
+      isEmpty: () => [...this.#groups.values()].every((group) => group.isEmpty),
+      write: (seats) => this.#writeSeats(seats),
+    });
+  }
+
+  /**
+   * Opens the data folder, restores every group and takes part in them. Throws
+   * `CorruptionError` when files are damaged and `FolderInUseError` when
+   * another process has the folder open; nothing is served then.
+   */
+  static async open(options: ReplicaOptions): Promise<Replica> {
+    const { host } = options.transport;
+    const folder = await DataFolder.open(options.dataFolder, { host });
+    try {
+      const replica = new Replica(options, folder);
+      for (const name of options.groups.keys()) await replica.#openGroup(name);
+      replica.#start();
+      return replica;
+    } catch (thrown) {
+      await folder.close();
+      throw thrown;
+    }
+  }
+
+  /** Random id that was drawn when the data folder was created. */
+  get id(): ReplicaId {
+    return this.#folder.identity.replica;
+  }
+
+  /** A group by name. Throws for a name that is not in the options. */
+  group<State, Command, Result>(
+    name: GroupName,
+  ): GroupSeat<State, Command, Result> {
+    return this.#group(name) as unknown as GroupSeat<State, Command, Result>;
+  }
+
+  /** Who leads a group, as far as this replica knows. */
+  leadership(name: GroupName): Leadership {
+    return this.#group(name).leadership();
+  }
+
+  /** Calls back on each change of a group's leadership, until aborted. */
+  onLeadership(
+    name: GroupName,
+    listener: (leadership: Leadership) => void,
+    options: { signal?: AbortSignal } = {},
+  ): void {
+    this.#group(name).onLeadership(listener, options);
+  }
+
+  /**
+   * Confirms through a quorum round that this replica leads, and returns the
+   * term. Call it again after any wait before acting as the leader. Throws
+   * `no_quorum`.
+   */
+  confirmLeadership(
+    name: GroupName,
+    options: GroupCallOptions = {},
+  ): Promise<number> {
+    return this.#group(name).confirmLeadership(options);
+  }
+
+  /**
+   * Forms a system with a seat for every listed host. Each host consents once
+   * in its life; the call can be repeated on this host until it succeeds.
+   * Throws `forbidden` when a host has consented to another bootstrap, and
+   * `no_quorum` when one does not answer.
+   */
+  async bootstrap(options: BootstrapOptions): Promise<readonly Seat[]> {
+    const { transport } = this.#options;
+    const local = this.#granter;
+    return await runBootstrap({
+      ...options,
+      transport,
+      replica: this.id,
+      local,
+    });
+  }
+
+  /**
+   * Gives the seats of a lost replica to the replica of another host: learn,
+   * catch up, replace. Resolves once every seat has on its disk what was
+   * committed when the seats were complete, so that losing another host then
+   * loses nothing. Throws `no_quorum`; it can be repeated.
+   */
+  async repair(options: RepairOptions): Promise<void> {
+    const { transport } = this.#options;
+    const callers = new Map(
+      [...this.#groups].map(([name, group]) => [
+        name,
+        new LeaderCaller({
+          transport,
+          hosts: () => this.#hosts(group),
+          local: (call, signal) => group.answer(call, signal),
+        }),
+      ]),
+    );
+    await runRepair({ ...options, transport, callers, replica: this.id });
+  }
+
+  /** What an operator sees of this replica. */
+  status(): ReplicaStatus {
+    const { identity } = this.#folder;
+    return {
+      replica: identity.replica,
+      host: identity.host,
+      isBootstrapped: identity.isBootstrapped,
+      groups: [...this.#groups.values()].map((group) => group.status()),
+      failures: [...this.#failures].map(([group, { message }]) => ({
+        group,
+        message,
+      })),
+    };
+  }
+
+  /** Hands leadership on, finishes pending writes and gives the folder free. */
+  async close(): Promise<void> {
+    await this.#handOver();
+    clearInterval(this.#timer);
+    for (const group of this.#groups.values()) group.stop();
+    await this.#folder.close();
+  }
+
+  async #openGroup(name: GroupName): Promise<void> {
+    const { groups, transport, seed = randomInt(2 ** 31) } = this.#options;
+    const { heartbeatTicks, electionTicks, snapshotEntries } = this.#options;
+    const definition = groups.get(name);
+    if (definition === undefined) return;
+    const group: AnyLocalGroup = new LocalGroup({
+      name,
+      self: this.id,
+      definition,
+      log: await this.#folder.openLog(name),
+      transport,
+      seed: seed + this.#groups.size,
+      ...(heartbeatTicks === undefined ? {} : { heartbeatTicks }),
+      ...(electionTicks === undefined ? {} : { electionTicks }),
+      ...(snapshotEntries === undefined ? {} : { snapshotEntries }),
+      send: (message) => this.#send(group, message),
+      sendSnapshot: async ({ to, term, snapshot }) => {
+        const host = this.#hostOf(group, to);
+        if (host === undefined) return false;
+        const from = this.id;
+        const transfer = { group: name, from, to, host, term, snapshot };
+        return await sendSnapshot(transport, transfer);
+      },
+      onFailure: (error) => this.#fail(name, error),
+    });
+    this.#groups.set(name, group);
+  }
+
+  #start(): void {
+    const { transport, tickInterval = defaultTickInterval } = this.#options;
+    transport.onMessage(
+      consensusMessage,
+      (batch, sender) => this.#receive(batch, sender.host),
+    );
+    transport.onRequest(
+      forwardRequest,
+      (call, { signal }) => this.#answer(call, signal),
+    );
+    transport.onRequest(
+      snapshotRequest,
+      (piece, { sender }) => this.#takePiece(piece, sender.host),
+    );
+    transport.onRequest(bootstrapRequest, (step) => this.#granter.take(step));
+    transport.onRequest(identityRequest, () => this.id);
+    this.#timer = setInterval(() => this.#tick(tickInterval), tickInterval);
+  }
+
+  /** A process that was paused counts the ticks that it missed. */
+  #tick(interval: number): void {
+    const now = performance.now();
+    const count = Math.max(1, Math.round((now - this.#lastTick) / interval));
+    this.#lastTick = now;
+    for (const group of this.#groups.values()) group.tick(count);
+  }
+
+  #receive(batch: ConsensusBatch, host: HostId): void {
+    const [from, to, messages] = batch;
+    if (to !== this.id) return;
+    this.#senders.set(from, host);
+    for (const wire of messages) {
+      const group = this.#groups.get(wire[0] as GroupName);
+      group?.step({ kind: "message", message: fromWire(wire, { from, to }) });
+    }
+  }
+
+  async #answer(
+    call: ForwardedCall,
+    signal: AbortSignal,
+  ): Promise<ForwardedAnswer> {
+    return await this.#group(call.group).answer(call, signal);
+  }
+
+  #takePiece(piece: SnapshotPiece, host: HostId): boolean {
+    const { group, from, to } = piece;
+    if (to !== this.id) return false;
+    this.#senders.set(from, host);
+    const message = this.#assembly.add(piece);
+    if (typeof message === "boolean") return message;
+    this.#group(group).step({
+      kind: "message",
+      message: { ...message, from, to },
+    });
+    return true;
+  }
+
+  #send(group: AnyLocalGroup, message: Message): void {
+    const host = this.#hostOf(group, message.to);
+    if (host === undefined) return;
+    this.#outbox.add(message, { group: group.name, host });
+  }
+
+  #hostOf(group: AnyLocalGroup, replica: ReplicaId): HostId | undefined {
+    return group.hostOf(replica) ?? this.#senders.get(replica);
+  }
+
+  #hosts(group: AnyLocalGroup): readonly HostId[] {
+    const { leader } = group.leadership();
+    const hosts = group.status().seats
+      .filter((seat) => seat.role === "voter")
+      .map((seat) => seat.host);
+    return leader === undefined ? hosts : [leader, ...hosts];
+  }
+
+  async #writeSeats(seats: readonly Seat[]): Promise<void> {
+    for (const group of this.#groups.values()) {
+      await group.bootstrap({ voters: seats, learners: [] });
+    }
+  }
+
+  async #handOver(): Promise<void> {
+    const leading = () =>
+      [...this.#groups.values()].filter((group) => group.leadership().isLeader);
+    for (const group of leading()) group.transfer();
+    const deadline = performance.now() + transferTimeout;
+    while (leading().length > 0 && performance.now() < deadline) {
+      const others = leading().some((group) =>
+        group.status().seats.some((seat) => seat.replica !== this.id)
+      );
+      if (!others) return;
+      await delay(10);
+    }
+  }
+
+  #fail(group: GroupName, error: Error): void {
+    this.#failures.set(group, error);
+    this.#options.onFailure?.({ group, error });
+  }
+
+  #group(name: GroupName): AnyLocalGroup {
+    const group = this.#groups.get(name);
+    if (group !== undefined) return group;
+    throw new RhubarbstageError("not_found", {
+      message: `Group "${name}" does not exist on this host`,
+    });
+  }
+}
--- /dev/null
+++ b/packages/rhubarbstage-replica/src/snapshot_transfer.ts
@@ -0,0 +1,110 @@
+/**
+ * Snapshots that travel from a leader to a replica in pieces.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { randomUUID } from "node:crypto";
+import type { GroupName, HostId, ReplicaId } from "rhubarbstage";
+import type { Seats, SnapshotMessage } from "@rhubarbstage/consensus";
+import type { SnapshotRecord } from "@rhubarbstage/storage";
+import { requestType, TransportError } from "@rhubarbstage/transport";
+import type { Transport } from "@rhubarbstage/transport";
+import { snapshotPieceBytes } from "./constants.ts";
+
+/** One piece of a snapshot. */
+export interface SnapshotPiece {
+  readonly group: GroupName;
+  readonly from: ReplicaId;
+  readonly to: ReplicaId;
+  /** Id of the transfer; a new one discards the pieces of an older one. */
+  readonly transfer: string;
+  readonly term: number;
+  readonly index: number;
+  readonly snapshotTerm: number;
+  readonly seats: Seats;
+  readonly offset: number;
+  readonly totalBytes: number;
+  readonly data: Uint8Array;
+}
+
+/** The request that carries a piece; false when the receiver wants no more. */
+export const snapshotRequest = requestType<SnapshotPiece, boolean>("snapshot");
+
+/** A snapshot on its way to another replica. */
+export interface SnapshotTransfer {
+  readonly group: GroupName;
+  readonly from: ReplicaId;
+  readonly to: ReplicaId;
+  readonly host: HostId;
+  readonly term: number;
+  readonly snapshot: SnapshotRecord;
+}
+
+/** Sends a snapshot; false when it did not arrive as a whole. */
+export async function sendSnapshot(
+  transport: Transport,
+  transfer: SnapshotTransfer,
+): Promise<boolean> {
+  const { group, from, to, host, term, snapshot } = transfer;
+  const { data } = snapshot;
+  const id = randomUUID();
+  for (
+    let offset = 0;
+    offset === 0 || offset < data.length;
+    offset += snapshotPieceBytes
+  ) {
+    const body: SnapshotPiece = {
+      group,
+      from,
+      to,
+      transfer: id,
+      term,
+      index: snapshot.index,
+      snapshotTerm: snapshot.term,
+      seats: snapshot.seats as Seats,
+      offset,
+      totalBytes: data.length,
+      data: data.subarray(offset, offset + snapshotPieceBytes),
+    };
+    try {
+      const request = { to: host, body };
+      if (!await transport.request(snapshotRequest, request)) return false;
+    } catch (thrown) {
+      if (thrown instanceof TransportError) return false;
+      throw thrown;
+    }
+  }
+  return true;
+}
+
+/** Joins the pieces of one transfer for each group. */
+export class SnapshotAssembly {
+  readonly #parts = new Map<
+    GroupName,
+    { transfer: string; data: Uint8Array[]; bytes: number }
+  >();
+
+  /**
+   * Takes a piece. Returns the message once it is complete, true while pieces
+   * are missing, and false when this one does not follow the one before it.
+   */
+  add(piece: SnapshotPiece): SnapshotMessage | boolean {
+    const { group, transfer, offset } = piece;
+    let parts = this.#parts.get(group);
+    if (offset === 0) {
+      parts = { transfer, data: [], bytes: 0 };
+      this.#parts.set(group, parts);
+    }
+    if (parts?.transfer !== transfer || parts.bytes !== offset) return false;
+    parts.data.push(piece.data);
+    parts.bytes += piece.data.length;
+    if (parts.bytes < piece.totalBytes) return true;
+    this.#parts.delete(group);
+    const { index, snapshotTerm, seats, term } = piece;
+    const data = Buffer.concat(parts.data);
+    const snapshot = { index, term: snapshotTerm, seats, data };
+    return { kind: "snapshot", term, snapshot };
+  }
+}
--- a/packages/rhubarbstage-replica/src/types.ts
+++ b/packages/rhubarbstage-replica/src/types.ts
@@ -65,3 +65,16 @@
   readonly logBytes: number;
   readonly seats: readonly SeatStatus[];
 }
+
+/** One replica as its operator sees it. */
+export interface ReplicaStatus {
+  readonly replica: ReplicaId;
+  readonly host: HostId;
+  readonly isBootstrapped: boolean;
+  readonly groups: readonly GroupStatus[];
+  /** Groups that stopped after an error, with its message. */
+  readonly failures: readonly {
+    readonly group: GroupName;
+    readonly message: string;
+  }[];
+}
