Compose a host and serve requests through three processes

Cause: the packages existed side by side; no process connected them. Change: package rhubarbstage-host with start, membership, policy, claims, orders, operator interface and graceful shutdown; the gateway takes the typed operator interface of rhubarbstage-settings; serve runs a host.

--- a/packages/rhubarbstage-bench/src/relay_servers.ts
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -203,16 +203,22 @@
   }
 }
 
+function refuse(): never {
+  throw new RhubarbstageError("not_found");
+}
+
 class NoOperators extends OperatorActions {
-  override tree = () => Promise.resolve({});
-  override edit = () => Promise.resolve({});
-  override history = () => Promise.resolve([]);
-  override status = () => Promise.resolve({});
-  override backends = () => Promise.resolve([]);
-  override drains = () => Promise.resolve([]);
-  override drain = () => Promise.resolve({});
-  override undrain = () => Promise.resolve({});
-  override timeline = () => Promise.resolve([]);
+  override tree = refuse;
+  override effective = refuse;
+  override edit = refuse;
+  override history = refuse;
+  override status = refuse;
+  override backends = refuse;
+  override drain = refuse;
+  override timeline = refuse;
+  override bootstrap = refuse;
+  override repair = refuse;
+  override endOrder = refuse;
 }
 
 class NoListener extends PolicyListener {
--- a/packages/rhubarbstage-cli/src/serve_command.ts
+++ b/packages/rhubarbstage-cli/src/serve_command.ts
@@ -4,9 +4,9 @@
  * @module
  */
 
+import { runHost } from "@rhubarbstage/host";
 import { loadProcessSettings } from "@rhubarbstage/settings";
 import type { Context } from "./context.ts";
-import { runHost } from "./host.ts";
 
 /**
  * Runs a host until SIGTERM or SIGINT. A second signal does not interrupt
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -48,7 +48,6 @@
   type ServiceQuery,
   type ServiceRouting,
   SettingsSource,
-  type TreeEdit,
 } from "@rhubarbstage/gateway";
 
 export const apiKey = "key-of-padana";
@@ -137,17 +136,26 @@
   }
 }
 
+/** Repeats what it was asked, so that tests see what arrived. */
+function echo(...values: unknown[]): never {
+  return Object.assign({}, ...values) as never;
+}
+
 class EchoOperators extends OperatorActions {
-  override tree = () => Promise.resolve({ revision: 7 });
-  override edit = (edit: TreeEdit, operator: string) =>
-    Promise.resolve({ ...edit, operator });
-  override history = (filter: unknown) => Promise.resolve(filter);
-  override status = () => Promise.resolve({});
-  override backends = () => Promise.resolve([]);
-  override drains = () => Promise.resolve([]);
-  override drain = (action: unknown) => Promise.resolve(action);
-  override undrain = (action: unknown) => Promise.resolve(action);
-  override timeline = (filter: unknown) => Promise.resolve(filter);
+  override tree = () => Promise.resolve(echo({ revision: 7 }));
+  override effective = (path: unknown) => echo(path);
+  override edit = (edit: unknown, operator: string) =>
+    Promise.resolve(echo(edit, { operator }));
+  override history = (limit: number) => Promise.resolve(echo({ limit }));
+  override status = () => echo({});
+  override backends = () => Promise.resolve(echo({ backends: [] }));
+  override drain = (request: unknown, operator: string) =>
+    Promise.resolve(echo(request, { operator }));
+  override timeline = (filter: unknown, scope: string) =>
+    Promise.resolve(echo(filter, { scope }));
+  override bootstrap = (request: unknown) => Promise.resolve(echo(request));
+  override repair = (request: unknown) => Promise.resolve(echo(request));
+  override endOrder = (request: unknown) => Promise.resolve(echo(request));
 }
 
 class RecordingTelemetry extends GatewayTelemetry {
--- a/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
@@ -112,7 +112,7 @@
 
   // Guards against operator rights for callers.
   test("unauthenticated for operators and backend servers", async () => {
-    for (const path of ["/operator/edits", "/backends/announce"]) {
+    for (const path of ["/operator/tree/edits", "/backends/announce"]) {
       const answer = await harness.post(path, {});
       await expectRefusal(answer, { status: 401, type: "unauthenticated" });
     }
--- a/packages/rhubarbstage-gateway/__tests__/integration/other_endpoints_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/other_endpoints_test.ts
@@ -126,14 +126,23 @@
       });
       return await answer.json();
     };
-    const edit = { editId: "e1", expectedRevision: 7, operations: [] };
-    const sent = { method: "POST", body: JSON.stringify(edit) };
+    const post = (path: string, body: unknown) =>
+      call(path, { method: "POST", body: JSON.stringify(body) });
+    const operations = [{ path: "share", set: 2 }];
+    const edit = { edit_id: "e1", expected_revision: 7, operations };
+    const drain = { edit_id: "e2", server: "engine-1", drained: true };
     expect(await call("tree")).toEqual({ revision: 7 });
-    expect(await call("edits", sent)).toEqual({ ...edit, operator: "ada" });
-    expect(await call("drains/engine-1", { method: "PUT", body: "{}" }))
-      .toEqual({ server: "engine-1", operator: "ada" });
-    expect(await call("timeline?request=r1&limit=5"))
-      .toEqual({ request: "r1", limit: 5 });
+    expect(await post("tree/edits", edit)).toEqual({
+      ...edit,
+      operator: "ada",
+    });
+    expect(await post("drains", drain)).toEqual({ ...drain, operator: "ada" });
+    expect(await post("drains", { ...drain, drained: "yes" }))
+      .toMatchObject({
+        error: { type: "invalid_request", outcome: "not_run" },
+      });
+    expect(await call("timeline?request=r1&limit=5&scope=host"))
+      .toEqual({ request: "r1", limit: 5, scope: "host" });
     expect(await call("timeline?limit=x"))
       .toMatchObject({ error: { type: "invalid_request" } });
   });
--- a/packages/rhubarbstage-gateway/src/caller_request.ts
+++ b/packages/rhubarbstage-gateway/src/caller_request.ts
@@ -10,6 +10,7 @@
   type RequestId,
   type Revision,
   RhubarbstageError,
+  type ServiceName,
 } from "rhubarbstage";
 import type { GatewayContext } from "./context.ts";
 import { CallerGone, toCallerError } from "./errors.ts";
@@ -32,6 +33,8 @@
   readonly arrivedAt: number;
   /** Revision of the settings, once they are read. */
   revision: Revision;
+  /** Service of the request, once the settings are read. */
+  service?: ServiceName;
   /** Sends an error after the answer has started. */
   failStarted?: (error: RhubarbstageError) => void;
 }
@@ -73,6 +76,7 @@
       route,
       customer: call.customer,
       revision: call.revision,
+      service: call.service,
       result,
       duration: context.dispatcher.clock.monotonicMilliseconds() -
         call.arrivedAt,
--- a/packages/rhubarbstage-gateway/src/completions_controller.ts
+++ b/packages/rhubarbstage-gateway/src/completions_controller.ts
@@ -102,6 +102,7 @@
     });
     if (!settings) throw new RhubarbstageError("unknown_model");
     call.revision = settings.revision;
+    call.service = settings.service;
     checkIsolation(settings);
     const work = readWork({
       request: call.id,
--- a/packages/rhubarbstage-gateway/src/generation_run.ts
+++ b/packages/rhubarbstage-gateway/src/generation_run.ts
@@ -173,10 +173,10 @@
   }
 
   #reportFirstToken(attempt: Attempt): void {
-    const { request, arrivedAt } = this.work;
+    const { request, service, arrivedAt } = this.work;
     if (!this.#hasFirstToken) {
       this.#hasFirstToken = true;
-      this.dispatcher.telemetry.firstToken(this.#now() - arrivedAt);
+      this.dispatcher.telemetry.firstToken(service, this.#now() - arrivedAt);
     }
     this.dispatcher.notify({
       type: "first_token",
@@ -199,7 +199,7 @@
     const mean = (now - progress.reportedAt) / count;
     progress.tokens = 0;
     progress.reportedAt = now;
-    this.dispatcher.telemetry.betweenTokens(mean, count);
+    this.dispatcher.telemetry.betweenTokens(this.work.service, mean, count);
     this.dispatcher.notify({
       type: "tokens",
       request: this.work.request,
--- a/packages/rhubarbstage-gateway/src/mod.ts
+++ b/packages/rhubarbstage-gateway/src/mod.ts
@@ -7,20 +7,17 @@
 
 export type {
   AnnouncementAnswer,
-  DrainAction,
   EffectiveServiceSettings,
   EffectiveSettings,
   EventFields,
   MetricsText,
   ModelQuery,
-  RecordFilter,
   RequestRecord,
   SendService,
   ServiceAnswer,
   ServiceAttempt,
   ServiceCall,
   ServiceQuery,
-  TreeEdit,
 } from "./ports.ts";
 export {
   BackendServers,
--- a/packages/rhubarbstage-gateway/src/operator_controller.ts
+++ b/packages/rhubarbstage-gateway/src/operator_controller.ts
@@ -4,20 +4,39 @@
  * @module
  */
 
-import { Controller, Delete, Get, Inject, Post, Req } from "@nestjs/common";
-import { HttpCode, Put } from "@nestjs/common";
+import { Controller, Get, HttpCode, Inject, Post, Req } from "@nestjs/common";
 import type { FastifyRequest } from "fastify";
-import { type BackendServerId, RhubarbstageError } from "rhubarbstage";
+import {
+  type CustomerId,
+  type Region,
+  RhubarbstageError,
+  type ServiceName,
+  type WorkKind,
+} from "rhubarbstage";
+import {
+  operatorPaths,
+  type TimelineScope,
+  type WorkPath,
+} from "@rhubarbstage/settings";
+import type { TimelineFilter } from "@rhubarbstage/telemetry";
 import type { GatewayContext } from "./context.ts";
-import type { DrainAction, RecordFilter, TreeEdit } from "./ports.ts";
-import { readJson } from "./request_reader.ts";
+import {
+  bootstrapRequest,
+  drainRequest,
+  editRequest,
+  orderEndRequest,
+  readOperatorBody,
+  repairRequest,
+} from "./operator_requests.ts";
 import { contextToken } from "./tokens.ts";
 
 const defaultRecordLimit = 100;
 const largestRecordLimit = 10_000;
 
-/** Serves `/operator/...`. */
-@Controller("operator")
+type Query = Readonly<Record<string, string | undefined>>;
+
+/** Serves the paths of the operator interface. */
+@Controller()
 export class OperatorController {
   #context: GatewayContext;
 
@@ -25,88 +44,127 @@
     this.#context = context;
   }
 
-  @Get("tree")
+  @Get(operatorPaths.tree)
   tree() {
     return this.#context.operators.tree();
   }
 
-  @Post("edits")
+  @Get(operatorPaths.effective)
+  effective(@Req() request: FastifyRequest) {
+    return this.#context.operators.effective(readWorkPath(request));
+  }
+
+  @Post(operatorPaths.edits)
   @HttpCode(200)
   edit(@Req() request: FastifyRequest) {
-    const operator = this.#context.access.operatorOf(request);
-    return this.#context.operators.edit(readEdit(request), operator);
+    const body = readOperatorBody(request, editRequest);
+    return this.#context.operators.edit(body, this.#operatorOf(request));
   }
 
-  @Get("history")
+  @Get(operatorPaths.history)
   history(@Req() request: FastifyRequest) {
-    return this.#context.operators.history(readFilter(request));
+    const { limit } = request.query as Query;
+    return this.#context.operators.history(readLimit(limit));
   }
 
-  @Get("status")
+  @Get(operatorPaths.status)
   status() {
     return this.#context.operators.status();
   }
 
-  @Get("backends")
+  @Get(operatorPaths.backends)
   backends() {
     return this.#context.operators.backends();
   }
 
-  @Get("drains")
-  drains() {
-    return this.#context.operators.drains();
-  }
-
-  @Put("drains/:server")
+  @Post(operatorPaths.drains)
+  @HttpCode(200)
   drain(@Req() request: FastifyRequest) {
-    return this.#context.operators.drain(this.#readDrain(request));
+    const body = readOperatorBody(request, drainRequest);
+    return this.#context.operators.drain(body, this.#operatorOf(request));
   }
 
-  @Delete("drains/:server")
-  undrain(@Req() request: FastifyRequest) {
-    return this.#context.operators.undrain(this.#readDrain(request));
-  }
-
-  @Get("timeline")
+  @Get(operatorPaths.timeline)
   timeline(@Req() request: FastifyRequest) {
-    return this.#context.operators.timeline(readFilter(request));
+    const { scope } = request.query as Query;
+    return this.#context.operators.timeline(
+      readFilter(request),
+      readScope(scope),
+    );
   }
 
-  #readDrain(request: FastifyRequest): DrainAction {
-    const { server } = request.params as { server: string };
-    return {
-      server: server as BackendServerId,
-      operator: this.#context.access.operatorOf(request),
-    };
+  @Post(operatorPaths.bootstrap)
+  @HttpCode(200)
+  bootstrap(@Req() request: FastifyRequest) {
+    const body = readOperatorBody(request, bootstrapRequest);
+    return this.#context.operators.bootstrap(body, this.#operatorOf(request));
   }
-}
 
-function readEdit(request: FastifyRequest): TreeEdit {
-  const body = readJson(request.headers, request.body);
-  const { editId, expectedRevision, operations } = body;
-  if (typeof editId !== "string" || editId === "") {
-    throw invalid('The field "editId" must be a string');
+  @Post(operatorPaths.repairs)
+  @HttpCode(200)
+  repair(@Req() request: FastifyRequest) {
+    return this.#context.operators.repair(
+      readOperatorBody(request, repairRequest),
+    );
   }
-  if (!Number.isSafeInteger(expectedRevision)) {
-    throw invalid('The field "expectedRevision" must be a whole number');
+
+  @Post(operatorPaths.orderEnds)
+  @HttpCode(200)
+  endOrder(@Req() request: FastifyRequest) {
+    return this.#context.operators.endOrder(
+      readOperatorBody(request, orderEndRequest),
+    );
   }
-  if (!Array.isArray(operations)) {
-    throw invalid('The field "operations" must be a list');
+
+  #operatorOf(request: FastifyRequest): string {
+    return this.#context.access.operatorOf(request);
   }
-  return { editId, expectedRevision: expectedRevision as number, operations };
 }
 
-function readFilter(request: FastifyRequest): RecordFilter {
-  const query = request.query as Record<string, string | undefined>;
-  const limit = readNumber("limit", query.limit) ?? defaultRecordLimit;
+function readWorkPath(request: FastifyRequest): WorkPath {
+  const { region, service, customer, kind } = request.query as Query;
   return {
-    request: query.request,
-    backendServer: query.backend_server,
-    revision: readNumber("revision", query.revision),
-    limit: Math.min(limit, largestRecordLimit),
+    region: (region ?? "*") as Region,
+    service: (service ?? "*") as ServiceName,
+    customer: (customer ?? "*") as CustomerId,
+    kind: (kind ?? "*") as WorkKind,
   };
 }
 
+function readFilter(request: FastifyRequest): TimelineFilter {
+  const query = request.query as Query;
+  return {
+    ...(query.request === undefined ? {} : { request: query.request }),
+    ...(query.server === undefined ? {} : { server: query.server }),
+    ...readNumbers(query, ["revision", "from", "to"]),
+    limit: readLimit(query.limit),
+  } as TimelineFilter;
+}
+
+function readScope(scope: string | undefined): TimelineScope {
+  if (scope === undefined || scope === "all" || scope === "host") {
+    return scope ?? "all";
+  }
+  throw invalid('The parameter "scope" must be "host" or "all"');
+}
+
+function readLimit(value: string | undefined): number {
+  const limit = readNumber("limit", value) ?? defaultRecordLimit;
+  return Math.min(limit, largestRecordLimit);
+}
+
+function readNumbers(
+  query: Query,
+  names: readonly string[],
+): Record<string, number> {
+  const numbers: Record<string, number> = {};
+  for (const name of names) {
+    const number = readNumber(name, query[name]);
+    if (number !== undefined) numbers[name] = number;
+  }
+  return numbers;
+}
+
 function readNumber(
   name: string,
   value: string | undefined,
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -17,6 +17,27 @@
   QuarantineMark,
   WorkSettings,
 } from "@rhubarbstage/policy";
+import type {
+  BackendsAnswer,
+  BootstrapAnswer,
+  BootstrapRequest,
+  DrainAnswer,
+  DrainRequest,
+  EditAnswer,
+  EditRequest,
+  EffectiveAnswer,
+  HistoryAnswer,
+  OrderEndAnswer,
+  OrderEndRequest,
+  RepairAnswer,
+  RepairRequest,
+  StatusAnswer,
+  TimelineAnswer,
+  TimelineScope,
+  TreeAnswer,
+  WorkPath,
+} from "@rhubarbstage/settings";
+import type { TimelineFilter } from "@rhubarbstage/telemetry";
 import type {
   AttemptId,
   BackendServerId,
@@ -170,45 +191,37 @@
   abstract addressOf(server: BackendServerId): EngineAddress | undefined;
 }
 
-/** Edit of the tree as an operator sends it. */
-export interface TreeEdit {
-  readonly editId: string;
-  readonly expectedRevision: number;
-  readonly operations: readonly unknown[];
-}
-
-/** Part of the history or the time line. */
-export interface RecordFilter {
-  readonly request?: string;
-  readonly backendServer?: string;
-  readonly revision?: number;
-  /** Largest number of records. */
-  readonly limit: number;
-}
-
-/** Drain or undrain of a backend server. */
-export interface DrainAction {
-  readonly server: BackendServerId;
-  readonly operator: string;
-}
-
-/** What operators read and do. Answers are JSON values. */
+/**
+ * What operators read and do; paths and shapes are those of the operator
+ * interface in `@rhubarbstage/settings`. All methods throw errors of the closed
+ * list.
+ */
 export abstract class OperatorActions {
-  abstract tree(): Promise<unknown>;
-  abstract edit(edit: TreeEdit, operator: string): Promise<unknown>;
-  abstract history(filter: RecordFilter): Promise<unknown>;
-  abstract status(): Promise<unknown>;
-  abstract backends(): Promise<unknown>;
-  abstract drains(): Promise<unknown>;
-  abstract drain(action: DrainAction): Promise<unknown>;
-  abstract undrain(action: DrainAction): Promise<unknown>;
-  abstract timeline(filter: RecordFilter): Promise<unknown>;
+  abstract tree(): Promise<TreeAnswer>;
+  abstract effective(path: WorkPath): EffectiveAnswer;
+  abstract edit(request: EditRequest, operator: string): Promise<EditAnswer>;
+  abstract history(limit: number): Promise<HistoryAnswer>;
+  abstract status(): StatusAnswer;
+  abstract backends(): Promise<BackendsAnswer>;
+  abstract drain(request: DrainRequest, operator: string): Promise<DrainAnswer>;
+  abstract timeline(
+    filter: TimelineFilter,
+    scope: TimelineScope,
+  ): Promise<TimelineAnswer>;
+  abstract bootstrap(
+    request: BootstrapRequest,
+    operator: string,
+  ): Promise<BootstrapAnswer>;
+  abstract repair(request: RepairRequest): Promise<RepairAnswer>;
+  abstract endOrder(request: OrderEndRequest): Promise<OrderEndAnswer>;
 }
 
 /** One request that has ended. */
 export interface RequestRecord {
   readonly request: RequestId;
   readonly route: "chat" | "text" | "service";
+  /** Absent when the request was refused before its service was known. */
+  readonly service?: ServiceName;
   readonly customer: CustomerId;
   readonly revision: Revision;
   /** Error kind, or `ok`, or `caller_gone`. */
@@ -233,9 +246,13 @@
   abstract note(event: string, fields: EventFields): void;
   abstract requestEnded(record: RequestRecord): void;
   /** Time from arrival to the first token, in milliseconds. */
-  abstract firstToken(milliseconds: number): void;
+  abstract firstToken(service: ServiceName, milliseconds: number): void;
   /** Mean time between tokens over `tokens` tokens, in milliseconds. */
-  abstract betweenTokens(milliseconds: number, tokens: number): void;
+  abstract betweenTokens(
+    service: ServiceName,
+    milliseconds: number,
+    tokens: number,
+  ): void;
   abstract metrics(): Promise<MetricsText>;
 }
 
@@ -251,6 +268,7 @@
 export abstract class PolicyListener {
   abstract setRole(server: BackendServerId, role: EngineRole): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
+  /** Demand that this host sees, for exchange with other hosts. */
   abstract publishDemand(
     own: ReadonlyMap<CustomerId, Demand>,
     ownModels: ReadonlyMap<ModelName, ModelDemand>,
--- a/packages/rhubarbstage-gateway/src/services_controller.ts
+++ b/packages/rhubarbstage-gateway/src/services_controller.ts
@@ -75,6 +75,7 @@
     });
     if (!settings) throw new RhubarbstageError("unknown_service");
     call.revision = settings.revision;
+    call.service = settings.service;
     const serviceCall = this.#read(call, { service, path, settings });
     const routing = new DispatcherRouting(this.#context, {
       call: serviceCall,
--- a/packages/rhubarbstage-host/src/engine_orders.ts
+++ b/packages/rhubarbstage-host/src/engine_orders.ts
@@ -16,8 +16,8 @@
 } from "@rhubarbstage/control";
 import {
   EngineError,
-  type OrderConnection as EngineConnection,
   openOrderConnection,
+  type OrderConnection as EngineConnection,
 } from "@rhubarbstage/engine";
 
 /** Opens order connections over the engines' HTTP interface. */
@@ -35,7 +35,7 @@
   ): Promise<OrderConnection> {
     const address = {
       id: target.backendServer,
-      url: `http://${target.address}`,
+      url: target.address,
     };
     try {
       const connection = await openOrderConnection(address, {
--- a/packages/rhubarbstage-host/src/host_operator_actions.ts
+++ b/packages/rhubarbstage-host/src/host_operator_actions.ts
@@ -4,11 +4,7 @@
  * @module
  */
 
-import {
-  type HostId,
-  type Revision,
-  RhubarbstageError,
-} from "rhubarbstage";
+import { type HostId, type Revision, RhubarbstageError } from "rhubarbstage";
 import {
   type Confirmation,
   type ControlGroup,
--- a/packages/rhubarbstage-host/src/host_service_calls.ts
+++ b/packages/rhubarbstage-host/src/host_service_calls.ts
@@ -6,10 +6,10 @@
  */
 
 import {
-  ServiceCalls,
   type ServiceAnswer as GatewayAnswer,
   type ServiceAttempt,
   type ServiceCall,
+  ServiceCalls,
   type ServiceRouting,
 } from "@rhubarbstage/gateway";
 import type {
@@ -83,7 +83,9 @@
           routed = routing.run((attempt) => {
             attempts += 1;
             const target = targetOf(attempt);
-            if (attempts > 1) return this.#claim(call, async () => target);
+            if (attempts > 1) {
+              return this.#claim(call, () => Promise.resolve(target));
+            }
             resolve(target);
             return first;
           });
@@ -116,7 +118,7 @@
 
 function targetOf(attempt: ServiceAttempt): ServiceTarget {
   const { id, url } = attempt.server;
-  return { backendServer: id, address: new URL(url).host };
+  return { backendServer: id, address: url };
 }
 
 function requestOf(call: ServiceCall): ServiceRequest {
--- a/packages/rhubarbstage-host/src/host_settings_source.ts
+++ b/packages/rhubarbstage-host/src/host_settings_source.ts
@@ -54,14 +54,13 @@
     const service = tree.service(region, query.service);
     if (service === undefined || service.type !== "plain") return undefined;
     const { method, path } = query;
-    const route = findRoute(service.routes, { method, path });
+    const route = findRoute(service, { method, path });
     const effective = this.#effective({
       customer: query.customer,
       service: service.service,
-      kind: query.kind ?? route?.kind ?? defaultKind,
+      kind: query.kind ?? route.kind,
     });
-    // A call that no route describes must not run twice.
-    return { ...effective, repeatable: route?.repeatable ?? false };
+    return { ...effective, repeatable: route.repeatable };
   }
 
   #effective(work: {
--- a/packages/rhubarbstage-host/src/host_status.ts
+++ b/packages/rhubarbstage-host/src/host_status.ts
@@ -6,7 +6,11 @@
 
 import type { Incarnation } from "rhubarbstage";
 import type { OrderIntent } from "@rhubarbstage/control";
-import type { HostRecord, Membership, ServerView } from "@rhubarbstage/membership";
+import type {
+  HostRecord,
+  Membership,
+  ServerView,
+} from "@rhubarbstage/membership";
 import type {
   BackendStatus,
   Endpoint,
@@ -65,7 +69,7 @@
         : {}),
       running_requests: openRequests(),
       queued_requests: 0,
-      bootstrapped: settings.ready,
+      bootstrapped: seats.isBootstrapped,
       ...(seats.replicaId === undefined ? {} : { replica: seats.replicaId }),
       groups: this.groups(),
       hosts: this.#hosts(),
@@ -146,4 +150,3 @@
   const { hostname, port } = new URL(record.httpAddress);
   return { address: hostname, port: Number(port) };
 }
-
--- a/packages/rhubarbstage-host/src/host_telemetry.ts
+++ b/packages/rhubarbstage-host/src/host_telemetry.ts
@@ -14,6 +14,9 @@
 import type { Metrics } from "@rhubarbstage/telemetry";
 import type { HostEvents } from "./host_events.ts";
 
+/** Label of requests that were refused before their service was known. */
+const unknownService = "unknown" as ServiceName;
+
 /** Options of {@linkcode HostTelemetry}. */
 export interface HostTelemetryOptions {
   readonly metrics: Metrics;
@@ -37,7 +40,8 @@
 
   override requestEnded(record: RequestRecord): void {
     const { metrics, events } = this.#options;
-    const { result, attempts, duration, customer, service } = record;
+    const { result, attempts, duration, customer } = record;
+    const service = record.service ?? unknownService;
     const failed = result !== "ok" && result !== "caller_gone";
     metrics.requestEnded({
       service,
--- a/packages/rhubarbstage-host/src/order_desk.ts
+++ b/packages/rhubarbstage-host/src/order_desk.ts
@@ -115,8 +115,7 @@
   #targetOf(server: BackendServerId): EngineTarget | undefined {
     const record = this.#options.backends.recordOf(server);
     if (record === undefined) return undefined;
-    const { host: address } = new URL(record.address);
-    return { backendServer: server, address };
+    return { backendServer: server, address: record.address };
   }
 
   #note(report: OrderReport): void {
--- a/packages/rhubarbstage-host/src/seat_operations.ts
+++ b/packages/rhubarbstage-host/src/seat_operations.ts
@@ -95,9 +95,14 @@
     return this.#replica?.id;
   }
 
+  /** Whether this host has consented to a system; true without a data folder. */
+  get isBootstrapped(): boolean {
+    return this.#replica?.status().isBootstrapped ?? true;
+  }
+
   /** State of the groups on this host. */
   status(): readonly GroupStatus[] {
-    return this.#replica?.status() ?? [];
+    return this.#replica?.status().groups ?? [];
   }
 
   /** Forms the system once. See the operator interface for errors. */
@@ -105,8 +110,14 @@
     hosts: readonly HostId[],
   ): Promise<Omit<BootstrapAnswer, "revision">> {
     const replica = this.#requireReplica();
-    const result = await replica.bootstrap({ hosts });
-    return { ...result, cluster: this.#options.process.cluster };
+    const replayed = replica.status().isBootstrapped;
+    const seats = await replica.bootstrap({ hosts });
+    const { cluster } = this.#options.process;
+    return {
+      cluster,
+      seats: seats.map(({ host, replica }) => ({ host, replica })),
+      replayed,
+    };
   }
 
   /** Moves the seats of a lost replica; true when they had been moved. */
@@ -115,7 +126,7 @@
   ): Promise<boolean> {
     const replica = this.#requireReplica();
     const { lost, replacement } = request;
-    const seat = replica.status()
+    const seat = replica.status().groups
       .flatMap((group) => group.seats)
       .find(({ host }) => host === lost);
     if (seat === undefined) return true;
--- a/packages/rhubarbstage-host/src/serving.ts
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -30,6 +30,7 @@
   readonly backends: BackendRegistry;
   readonly dispatcher: Dispatcher;
   readonly membership: Membership;
+  readonly journal: ClaimJournal;
   readonly claims: ClaimRunner;
   readonly repeatable: RepeatableClient;
   readonly engines: EngineClient;
@@ -74,11 +75,16 @@
   });
   listener.membership = membership;
   backends.connect({ membership, dispatcher });
-  const claims = createClaimRunner(foundation, replication, membership);
+  const journal = new ClaimJournal({
+    groups: replication.seats.journals,
+    claimer: senderOf(foundation),
+  });
+  const claims = createClaimRunner(foundation, journal, membership);
   return {
     backends,
     dispatcher,
     membership,
+    journal,
     claims,
     repeatable: new RepeatableClient(),
     engines,
@@ -113,14 +119,13 @@
 
 function createClaimRunner(
   foundation: Foundation,
-  replication: Replication,
+  journal: ClaimJournal,
   membership: Membership,
 ): ClaimRunner {
   const { clock, events, settings } = foundation;
-  const claimer = senderOf(foundation);
   return new ClaimRunner({
-    journal: new ClaimJournal({ groups: replication.seats.journals, claimer }),
-    claimer,
+    journal,
+    claimer: senderOf(foundation),
     clock,
     isolated: () => settings.isolated,
     newestIncarnation: (host) => membership.newestIncarnation(host),
--- a/packages/rhubarbstage-host/src/settings_in_force.ts
+++ b/packages/rhubarbstage-host/src/settings_in_force.ts
@@ -5,10 +5,7 @@
  */
 
 import { type Region, type Revision, RhubarbstageError } from "rhubarbstage";
-import type {
-  Configuration,
-  ConfigurationClient,
-} from "@rhubarbstage/control";
+import type { Configuration, ConfigurationClient } from "@rhubarbstage/control";
 import { SettingsTree, type TreeDocument } from "@rhubarbstage/settings";
 
 /** Keeps the look-up structure of the newest configuration. */
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -95,6 +95,7 @@
   readonly #controlCpu: Counter;
   readonly #controlBytes: Counter<"direction">;
   readonly #timelineDropped: Gauge;
+  #counted = { sentBytes: 0, receivedBytes: 0 };
 
   constructor() {
     this.#requests = this.#counter(
@@ -246,6 +247,19 @@
     this.#controlBytes.inc({ direction }, bytes);
   }
 
+  /** Totals of bytes on links between hosts since the start. */
+  controlTotals(totals: {
+    readonly sentBytes: number;
+    readonly receivedBytes: number;
+  }): void {
+    this.controlBytes("sent", totals.sentBytes - this.#counted.sentBytes);
+    this.controlBytes(
+      "received",
+      totals.receivedBytes - this.#counted.receivedBytes,
+    );
+    this.#counted = totals;
+  }
+
   /** Control work took this many milliseconds of processor time. */
   controlCpu(milliseconds: number): void {
     this.#controlCpu.inc(milliseconds / 1_000);
