--- a/packages/rhubarbstage-gateway/__tests__/unit/dispatcher_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/unit/dispatcher_test.ts
@@ -213,6 +213,25 @@
     await expect(result).rejects.toMatchObject({ kind: "stream_interrupted" });
   });
 
+  // Guards against an untrue "not run" after an attempt that was started.
+  test.each([
+    ["cancelled", "may_have_run"],
+    ["refused by the engine", "not_run"],
+  ])("tells the outcome after an attempt was %s", async (how, outcome) => {
+    const result = generate(dispatch("a"));
+    const refusal: PolicyEffect = {
+      type: "refuse",
+      request,
+      kind: "overloaded",
+      outcome: "not_run",
+    };
+    if (how !== "cancelled") {
+      await engines.give("a", new EngineError("overloaded", { written: true }));
+    }
+    act(refusal);
+    await expect(result).rejects.toMatchObject({ kind: "overloaded", outcome });
+  });
+
   // Guards against an unknown server that leaves its request hanging.
   test("reports a server without an address as not run", () => {
     void generate(dispatch("a", "unknown"));
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -48,6 +48,8 @@
   attempts = 0;
   protected dispatcher: Dispatcher;
   #live = new Map<AttemptId, Attempt>();
+  /** Whether a backend server may have run some of the request. */
+  #mayHaveRun = false;
   #settle!: {
     resolve: (result: Result) => void;
     reject: (error: Error) => void;
@@ -81,13 +83,14 @@
     const attempt = this.#live.get(id);
     if (!attempt) return;
     this.#live.delete(id);
+    this.#mayHaveRun = true;
     this.onAttemptEnd(attempt);
     attempt.controller.abort(new Error("The attempt was cancelled"));
   }
 
   refuse(error: RhubarbstageError): void {
     this.stop();
-    this.#settle.reject(error);
+    this.#settle.reject(this.#withTrueOutcome(error));
   }
 
   abandon(): void {
@@ -127,6 +130,17 @@
     return [...this.#live.values()];
   }
 
+  /** A refusal must not say `not_run` after an attempt that may have run. */
+  #withTrueOutcome(error: RhubarbstageError): RhubarbstageError {
+    if (error.outcome !== "not_run" || !this.#mayHaveRun) return error;
+    const { kind, message, retryAfterSeconds } = error;
+    return new RhubarbstageError(kind, {
+      message,
+      outcome: "may_have_run",
+      retryAfterSeconds,
+    });
+  }
+
   async #follow(attempt: Attempt): Promise<void> {
     try {
       const result = await this.run(attempt);
@@ -138,7 +152,9 @@
       if (!this.isLive(attempt)) return;
       this.#live.delete(attempt.id);
       this.onAttemptEnd(attempt);
-      this.#reportFailure(attempt.id, toRhubarbstageError(thrown));
+      const error = toRhubarbstageError(thrown);
+      if (error.outcome !== "not_run") this.#mayHaveRun = true;
+      this.#reportFailure(attempt.id, error);
     }
   }
 
