Answer with a status until the first token

Cause: the role of a chat was sent as soon as an engine accepted it, so a request whose engines all failed before the first token got status 200 and an error event, and load balancers and clients took it for a success.

Change: parts before the first token wait for it. The time to the first token is unchanged, because it was never sent with the role.

--- a/packages/rhubarbstage-gateway/__tests__/integration/completions_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/completions_test.ts
@@ -63,6 +63,20 @@
     expect(text.choices[0]?.text).toBe(fakeText("Once", 7));
   });
 
+  // Guards against errors that clients cannot tell apart.
+  test("raises the client's errors", async () => {
+    const stranger = new OpenAI({
+      apiKey: "unknown",
+      baseURL: `${harness.url}/v1`,
+      maxRetries: 0,
+    });
+    const request = { model: "big", messages };
+    await expect(stranger.chat.completions.create(request)).rejects
+      .toBeInstanceOf(OpenAI.AuthenticationError);
+    await expect(client.chat.completions.create(request)).rejects
+      .toMatchObject({ status: 404, type: "unknown_model" });
+  });
+
   // Guards against models that clients cannot list.
   test("lists models", async () => {
     const models = await client.models.list();
--- a/packages/rhubarbstage-gateway/__tests__/integration/resume_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/resume_test.ts
@@ -94,6 +94,22 @@
     });
   });
 
+  // Guards against a status of success for an answer without a token.
+  test("refuses with a status before the first token", async () => {
+    await Promise.all(
+      [first, second].map((engine) =>
+        engine.switch({ crashOnPrompt: "poison" })
+      ),
+    );
+    const answer = await harness.post("/v1/chat/completions", {
+      model: "small",
+      messages: [{ role: "user", content: "poison" }],
+      stream: true,
+    });
+    expect(answer.status).toBe(502);
+    expect(answer.headers.get("rhubarbstage-outcome")).toBe("may_have_run");
+  });
+
   // Guards against a lost answer when an engine dies in the middle.
   test("survives an engine that is killed", async () => {
     await first.switch({ slowdown: 20 });
--- a/packages/rhubarbstage-gateway/src/sinks.ts
+++ b/packages/rhubarbstage-gateway/src/sinks.ts
@@ -37,6 +37,11 @@
   #response: ServerResponse;
   #options: StreamSinkOptions;
   #drained: Promise<void> | undefined;
+  /**
+   * Parts before the first token. They wait for it, so that an attempt that
+   * fails earlier is still answered with the status of its error.
+   */
+  #held = "";
 
   constructor(response: ServerResponse, options: StreamSinkOptions) {
     super();
@@ -54,7 +59,10 @@
       return this.#write(event.bytes);
     }
     if (event.type === "usage" && !this.#options.includeUsage) return undefined;
-    return this.#write(`data: ${event.data}\n\n`);
+    const text = `data: ${event.data}\n\n`;
+    if (this.#response.headersSent) return this.#write(text);
+    this.#held += text;
+    return undefined;
   }
 
   override finish(): void {
@@ -75,6 +83,8 @@
       "cache-control": "no-cache",
       "x-accel-buffering": "no",
     });
+    if (this.#held !== "") this.#response.write(this.#held);
+    this.#held = "";
   }
 
   #write(text: string | Buffer): Promise<void> | undefined {
