Align the operator interface with the gateway and the replicas

Cause: the gateway serves edits, history and drains under other paths and with camelCase fields; a repair by host name, sent again, could take the new seat away; hosts need not compute effective settings for the command.

--- a/packages/rhubarbstage-cli/__tests__/unit/fake_operator_host.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/fake_operator_host.ts
@@ -12,6 +12,7 @@
   readonly method: string;
   readonly url: string;
   readonly authorization: string | undefined;
+  readonly editId: string | undefined;
   readonly body: unknown;
 }
 
@@ -30,6 +31,7 @@
     method: message.method ?? "",
     url: message.url ?? "",
     authorization: message.headers.authorization,
+    editId: message.headers["idempotency-key"] as string | undefined,
     body: text === "" ? undefined : JSON.parse(text),
   };
 }
--- a/packages/rhubarbstage-cli/src/timeline_command.ts
+++ b/packages/rhubarbstage-cli/src/timeline_command.ts
@@ -54,8 +54,10 @@
 ): Promise<TimelineAnswer> {
   const client = new OperatorClient(clientOptions);
   try {
+    const { server, ...rest } = query;
     return await client.get<TimelineAnswer>(operatorPaths.timeline, {
-      ...query,
+      ...rest,
+      backend_server: server,
     });
   } finally {
     await client.close();
@@ -92,7 +94,7 @@
   if (answers.length === 0) throw failures[0]?.reason;
   return {
     events: answers.flatMap(({ events }) => events),
-    missing_hosts: failures.map(({ index }) => urls[index] as HostId),
+    missingHosts: failures.map(({ index }) => urls[index] as HostId),
   };
 }
 
@@ -120,9 +122,9 @@
     files.map((file) => readTimelineFile(file, filter)),
   );
   const events = mergeTimelines([...sources, live?.events ?? []], filter);
-  const missing = live?.missing_hosts ?? [];
+  const missing = live?.missingHosts ?? [];
   if (options.flag("json")) {
-    return output.json({ events, missing_hosts: missing });
+    return output.json({ events, missingHosts: missing });
   }
   for (const event of events) output.line(formatEvent(event));
   if (missing.length > 0) {
--- a/packages/rhubarbstage-settings/src/operator_api.ts
+++ b/packages/rhubarbstage-settings/src/operator_api.ts
@@ -1,7 +1,8 @@
 /**
  * The operator interface of a host: paths and JSON shapes that the gateway and
  * the command line share. Each request carries `authorization: Bearer TOKEN`
- * with an operator token. Errors have the body of all errors of the system.
+ * with an operator token; each change also carries its edit id in the header
+ * `idempotency-key`. Errors have the body of all errors of the system.
  *
  * @module
  */
@@ -22,35 +23,30 @@
   ServiceName,
   Timestamp,
 } from "rhubarbstage";
-import type {
-  Endpoint,
-  ExplainedSetting,
-  TreeDocument,
-  TreeOperation,
-} from "./types.ts";
+import type { Endpoint, TreeDocument, TreeOperation } from "./types.ts";
 
-/** Paths of the operator interface. `{server}` and `{host}` are ids. */
+/** Paths of the operator interface. */
 export const operatorPaths = {
   /** `GET`: {@linkcode TreeAnswer}. */
   tree: "/operator/tree",
-  /**
-   * `GET` with the query `region`, `service`, `customer` and `kind`:
-   * {@linkcode EffectiveAnswer}.
-   */
-  effective: "/operator/tree/effective",
   /** `POST` {@linkcode EditRequest}: {@linkcode EditAnswer}. */
-  edits: "/operator/tree/edits",
+  edits: "/operator/edits",
   /** `GET` with the query `limit`: {@linkcode HistoryAnswer}. */
-  history: "/operator/tree/history",
+  history: "/operator/history",
   /** `GET`: {@linkcode StatusAnswer}. */
   status: "/operator/status",
   /** `GET`: {@linkcode BackendsAnswer}. */
   backends: "/operator/backends",
-  /** `POST` {@linkcode DrainRequest}: {@linkcode DrainAnswer}. */
+  /**
+   * `GET`: {@linkcode DrainsAnswer}. `PUT` and `DELETE` on
+   * `/operator/drains/{server}`: {@linkcode DrainAnswer}. The edit id is in the
+   * header `idempotency-key`.
+   */
   drains: "/operator/drains",
   /**
-   * `GET` with the query `request`, `server`, `revision`, `from`, `to`,
-   * `limit` and `scope`: {@linkcode TimelineAnswer}.
+   * `GET` with the query `request`, `backend_server`, `revision`, `from`, `to`
+   * (milliseconds since the Unix epoch), `limit` and `scope`:
+   * {@linkcode TimelineAnswer}.
    */
   timeline: "/operator/timeline",
   /** `POST` {@linkcode BootstrapRequest}: {@linkcode BootstrapAnswer}. */
@@ -58,7 +54,7 @@
   /** `POST` {@linkcode RepairRequest}: {@linkcode RepairAnswer}. */
   repairs: "/operator/repairs",
   /** `POST` {@linkcode OrderEndRequest}: {@linkcode OrderEndAnswer}. */
-  orderEnds: "/operator/orders/ends",
+  orderEnds: "/operator/order_ends",
 } as const;
 
 /** The tree in force after a quorum read. */
@@ -67,17 +63,11 @@
   readonly tree: TreeDocument;
 }
 
-/** Settings in force on the answering host. */
-export interface EffectiveAnswer {
-  readonly revision: Revision;
-  readonly settings: readonly ExplainedSetting[];
-}
-
 /** A change of the tree. */
 export interface EditRequest {
   /** The same for each resend of one edit. */
-  readonly edit_id: EditId;
-  readonly expected_revision: Revision;
+  readonly editId: EditId;
+  readonly expectedRevision: Revision;
   readonly operations: readonly TreeOperation[];
 }
 
@@ -87,16 +77,13 @@
  * `no_quorum` (503, `may_have_run`: send again under the same edit id).
  */
 export interface EditAnswer {
-  readonly edit_id: EditId;
   readonly revision: Revision;
-  /** Whether an earlier send of this edit took effect. */
-  readonly replayed: boolean;
 }
 
 /** One accepted change. */
 export interface HistoryEntry {
   readonly revision: Revision;
-  readonly edit_id: EditId;
+  readonly editId: EditId;
   /** Name of the operator's token; empty when the token file gives none. */
   readonly operator: string;
   /** Milliseconds since the Unix epoch on the host that took the edit. */
@@ -115,8 +102,8 @@
   readonly host: HostId;
   readonly replica: ReplicaId;
   readonly voter: boolean;
-  /** Highest log index that is durable there, as far as the leader knows. */
-  readonly durable_index: number;
+  /** Highest log index that is durable there; known on the leader only. */
+  readonly durableIndex?: number;
 }
 
 /** One replicated group as the answering host knows it. */
@@ -124,7 +111,7 @@
   readonly group: GroupName;
   readonly term: number;
   readonly leader?: HostId;
-  readonly commit_index: number;
+  readonly commitIndex: number;
   readonly seats: readonly SeatStatus[];
 }
 
@@ -132,7 +119,7 @@
 export interface HostStatus {
   readonly host: HostId;
   readonly region: Region;
-  readonly availability_zone: AvailabilityZone;
+  readonly availabilityZone: AvailabilityZone;
   readonly incarnation: Incarnation;
   readonly alive: boolean;
   /** Revision in force there; absent when it is not known. */
@@ -148,17 +135,17 @@
   readonly cluster: string;
   readonly version: string;
   readonly region: Region;
-  readonly availability_zone: AvailabilityZone;
+  readonly availabilityZone: AvailabilityZone;
   readonly incarnation: Incarnation;
   readonly ready: boolean;
-  readonly shutting_down: boolean;
+  readonly shuttingDown: boolean;
   readonly isolated: boolean;
   /** Absent before the first confirmation. */
   readonly revision?: Revision;
   /** Milliseconds; absent before the first confirmation. */
-  readonly confirmation_age_ms?: number;
-  readonly running_requests: number;
-  readonly queued_requests: number;
+  readonly confirmationAge?: number;
+  readonly runningRequests: number;
+  readonly queuedRequests: number;
   /** Whether the system was bootstrapped, as far as the host knows. */
   readonly bootstrapped: boolean;
   /** Present on hosts with a data folder. */
@@ -169,9 +156,9 @@
 
 /** An order to a backend server that has not ended. */
 export interface OpenOrder {
-  readonly order_id: OrderId;
+  readonly orderId: OrderId;
   readonly kind: string;
-  readonly fencing_number: number;
+  readonly fencingNumber: number;
 }
 
 /** One backend server as the answering host knows it. */
@@ -180,16 +167,16 @@
   readonly incarnation: Incarnation;
   readonly address: string;
   readonly region: Region;
-  readonly availability_zone: AvailabilityZone;
+  readonly availabilityZone: AvailabilityZone;
   readonly models: readonly ModelName[];
   readonly services: readonly ServiceName[];
   readonly role: string;
   readonly state: "ready" | "drained" | "leaving" | "stale";
-  readonly honours_fencing: boolean;
+  readonly honoursFencing: boolean;
   /** Age of the newest evidence, in milliseconds. */
-  readonly evidence_age_ms: number;
-  readonly running_requests: number;
-  readonly queued_requests: number;
+  readonly evidenceAge: number;
+  readonly runningRequests: number;
+  readonly queuedRequests: number;
   readonly order?: OpenOrder;
 }
 
@@ -198,19 +185,24 @@
   readonly backends: readonly BackendStatus[];
 }
 
-/** Starts or ends a drain. Idempotent by `edit_id`. */
-export interface DrainRequest {
-  readonly edit_id: EditId;
+/** A backend server that an operator took out of service. */
+export interface DrainEntry {
   readonly server: BackendServerId;
-  readonly drained: boolean;
+  /** Name of the operator's token; empty when the token file gives none. */
+  readonly operator: string;
+  /** Milliseconds since the Unix epoch. */
+  readonly at: number;
 }
 
-/** The drain is committed; requests that run on the server finish. */
+/** Drains in force, sorted by server. */
+export interface DrainsAnswer {
+  readonly drains: readonly DrainEntry[];
+}
+
+/** The drain or its end is committed; what runs on the server finishes. */
 export interface DrainAnswer {
-  readonly edit_id: EditId;
   readonly server: BackendServerId;
   readonly drained: boolean;
-  readonly replayed: boolean;
 }
 
 /** Which hosts a timeline query covers; defaults to `all`. */
@@ -233,7 +225,7 @@
 export interface TimelineAnswer {
   readonly events: readonly TimelineAnswerEvent[];
   /** Hosts that did not answer; their events are missing. */
-  readonly missing_hosts: readonly HostId[];
+  readonly missingHosts: readonly HostId[];
 }
 
 /**
@@ -244,7 +236,7 @@
  * host cannot be reached (nothing is formed; send again).
  */
 export interface BootstrapRequest {
-  readonly edit_id: EditId;
+  readonly editId: EditId;
   /** Hosts with a data folder; all must grant. */
   readonly hosts: readonly HostId[];
   /** Tree of revision 1. */
@@ -259,38 +251,34 @@
     readonly host: HostId;
     readonly replica: ReplicaId;
   }[];
-  readonly replayed: boolean;
 }
 
-/** Moves the seats of a lost replica to the new one of a host. */
+/**
+ * Moves the seats of a lost replica to the replica of a host. It names the
+ * replica, not its host, so that a resend never takes the new seat away.
+ */
 export interface RepairRequest {
-  readonly edit_id: EditId;
-  /** Host whose old seat is lost. */
-  readonly lost: HostId;
-  /** Host that takes the seat; the same host when it came back empty. */
+  readonly editId: EditId;
+  /** Replica whose seats are given away. */
+  readonly lost: ReplicaId;
+  /** Host that takes the seats; the same host when it came back empty. */
   readonly replacement: HostId;
 }
 
 /** Every group has its new seat and all seats are caught up. */
 export interface RepairAnswer {
-  readonly edit_id: EditId;
   readonly groups: readonly GroupStatus[];
-  readonly replayed: boolean;
 }
 
-/** An operator states how an order to an engine ended. */
+/** An operator states that an order can have no further effect. */
 export interface OrderEndRequest {
-  readonly edit_id: EditId;
-  readonly order_id: OrderId;
-  /** Whether the engine carried the order out. */
-  readonly carried_out: boolean;
+  readonly editId: EditId;
+  readonly orderId: OrderId;
 }
 
 /** The order has ended. */
 export interface OrderEndAnswer {
-  readonly edit_id: EditId;
-  readonly order_id: OrderId;
-  readonly replayed: boolean;
+  readonly orderId: OrderId;
 }
 
 /** Body of every error answer. */
