--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -41,6 +41,8 @@
     expectedFirstToken: route.expectedFirstToken,
     resumeFrom: record.delivered,
     suspect,
+    queued: state.table.used(prefill ?? entry) >=
+      (prefill ?? entry).server.capacity,
     pendingPrefill: route.expectedFirstToken - entry.pendingPrefill,
     countedLong: record.long,
     firstTokenAt: undefined,
@@ -141,7 +143,14 @@
   if (record.work.model !== undefined) {
     const tokens = attempt.uncachedTokens + promptOverhead;
     const expected = estimates.prefillTime(tokens, now);
-    slow.observe((prefill ?? entry).server.id, elapsed / expected, now);
+    // Time in the queue of a full engine says nothing about its speed.
+    if (!attempt.queued) {
+      const sample = {
+        kind: "first_token",
+        ratio: elapsed / expected,
+      } as const;
+      slow.observe((prefill ?? entry).server.id, sample, now);
+    }
     estimates.learnFirstToken(tokens, elapsed, now);
   }
   return cancelOthers(state, attempt, now);
@@ -164,7 +173,8 @@
     elapsed >= speedWindowTime;
   if (!due || elapsed <= 0) return effects;
   const expected = record.pool.estimates.decodeTime(attempt.windowTokens, now);
-  record.pool.slow.observe(entry.server.id, elapsed / expected, now);
+  const sample = { kind: "between_tokens", ratio: elapsed / expected } as const;
+  record.pool.slow.observe(entry.server.id, sample, now);
   record.pool.estimates.learnTokens(attempt.windowTokens, elapsed, now);
   attempt.windowTokens = 0;
   attempt.windowAt = now;
@@ -191,11 +201,13 @@
   state.requests.delete(work.request);
   if (work.model === undefined) {
     const expected = Math.max(1, record.estimate.runTime);
-    pool.slow.observe(entry.server.id, runTime / expected, now);
+    const sample = { kind: "call", ratio: runTime / expected } as const;
+    pool.slow.observe(entry.server.id, sample, now);
   }
   const outputTokens = Math.max(result.outputTokens, attempt.tokens);
   if (attempt.resumeFrom === 0) {
-    pool.estimates.learnRun(work, { outputTokens, runTime }, now);
+    const { estimate } = record;
+    pool.estimates.learnRun(work, { outputTokens, runTime, estimate }, now);
   }
   const used = result.promptTokens + outputTokens;
   state.limits.settle(work.customer, used - record.chargedTokens);
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -7,6 +7,7 @@
 import { avoidedServers, cancelAttempt, startAttempt } from "./attempts.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
+  addServed,
   type FleetState,
   type Lane,
   type PoolState,
@@ -165,10 +166,13 @@
   record.lane = undefined;
   record.byFloor = byFloor;
   if (record.tries === 0) {
+    pool.waits.add(now - record.queuedAt, record.predictedWait, now);
     state.retries.earn(item.work.customer, item.work.settings.retryRatio);
     state.extraRuns.earn(state.settings.hedgeRatio);
   }
   record.tries += 1;
+  const { priority } = item.work.settings;
+  addServed(pool, { priority, cost: item.cost }, now);
   effects.push(startAttempt(state, record, route, now));
   return effects;
 }
@@ -249,16 +253,19 @@
   const { pool } = record.pool;
   const view = routingView(state, record.pool, now);
   let best: ServerEntry | undefined;
+  let bestUsed = Infinity;
   const owned = state.table.ownedMembers(pool)
     .sample(sampledForOvercommit, state.random);
   for (const entry of owned) {
     const { capacity, role } = entry.server;
     const extra = Math.ceil(capacity * state.settings.priorityOvercommit);
-    const used = entry.own + entry.others;
+    const used = state.table.used(entry);
     if (role === "prefill" || entry.own >= capacity + extra) continue;
     if (used >= capacity + extra || !suits(view, demand, entry)) continue;
     if (record.pool.slow.weight(entry.server.id) < 0.5) continue;
-    if (best === undefined || used < best.own + best.others) best = entry;
+    if (used >= bestUsed) continue;
+    best = entry;
+    bestUsed = used;
   }
   if (best === undefined) return undefined;
   return directRoute(state, record, { entry: best, now });
