--- a/packages/rhubarbstage-gateway/src/operator_controller.ts
+++ b/packages/rhubarbstage-gateway/src/operator_controller.ts
@@ -7,20 +7,7 @@
 import { Controller, Delete, Get, Inject, Post, Req } from "@nestjs/common";
 import { HttpCode, Put } from "@nestjs/common";
 import type { FastifyRequest } from "fastify";
-import {
-  type BootstrapRequest,
-  checkTree,
-  type OrderEndRequest,
-  type RepairRequest,
-} from "@rhubarbstage/settings";
-import {
-  type BackendServerId,
-  type EditId,
-  type HostId,
-  type OrderId,
-  type ReplicaId,
-  RhubarbstageError,
-} from "rhubarbstage";
+import { type BackendServerId, RhubarbstageError } from "rhubarbstage";
 import type { GatewayContext } from "./context.ts";
 import type { DrainAction, RecordFilter, TreeEdit } from "./ports.ts";
 import { readJson } from "./request_reader.ts";
@@ -85,51 +72,21 @@
     return this.#context.operators.timeline(readFilter(request));
   }
 
-  @Post("bootstrap")
-  @HttpCode(200)
-  bootstrap(@Req() request: FastifyRequest) {
-    const operator = this.#context.access.operatorOf(request);
-    return this.#context.operators.bootstrap(readBootstrap(request), operator);
-  }
-
-  @Post("repairs")
-  @HttpCode(200)
-  repair(@Req() request: FastifyRequest) {
-    const operator = this.#context.access.operatorOf(request);
-    return this.#context.operators.repair(readRepair(request), operator);
-  }
-
-  @Post("order_ends")
-  @HttpCode(200)
-  endOrder(@Req() request: FastifyRequest) {
-    const operator = this.#context.access.operatorOf(request);
-    return this.#context.operators.endOrder(readOrderEnd(request), operator);
-  }
-
   #readDrain(request: FastifyRequest): DrainAction {
     const { server } = request.params as { server: string };
-    const key = request.headers["idempotency-key"];
     return {
       server: server as BackendServerId,
       operator: this.#context.access.operatorOf(request),
-      editId: (typeof key === "string" ? key : request.id) as EditId,
     };
   }
 }
 
-function readText(
-  body: Readonly<Record<string, unknown>>,
-  name: string,
-): string {
-  const value = body[name];
-  if (typeof value === "string" && value !== "") return value;
-  throw invalid(`The field "${name}" must be a string`);
-}
-
 function readEdit(request: FastifyRequest): TreeEdit {
   const body = readJson(request.headers, request.body);
-  const { expectedRevision, operations } = body;
-  const editId = readText(body, "editId");
+  const { editId, expectedRevision, operations } = body;
+  if (typeof editId !== "string" || editId === "") {
+    throw invalid('The field "editId" must be a string');
+  }
   if (!Number.isSafeInteger(expectedRevision)) {
     throw invalid('The field "expectedRevision" must be a whole number');
   }
@@ -139,36 +96,6 @@
   return { editId, expectedRevision: expectedRevision as number, operations };
 }
 
-function readBootstrap(request: FastifyRequest): BootstrapRequest {
-  const body = readJson(request.headers, request.body);
-  const { hosts } = body;
-  const isList = Array.isArray(hosts) && hosts.length > 0 &&
-    hosts.every((host) => typeof host === "string");
-  if (!isList) throw invalid('The field "hosts" must be a list of names');
-  return {
-    editId: readText(body, "editId") as EditId,
-    hosts: hosts as HostId[],
-    tree: checkTree(body.tree),
-  };
-}
-
-function readRepair(request: FastifyRequest): RepairRequest {
-  const body = readJson(request.headers, request.body);
-  return {
-    editId: readText(body, "editId") as EditId,
-    lost: readText(body, "lost") as ReplicaId,
-    replacement: readText(body, "replacement") as HostId,
-  };
-}
-
-function readOrderEnd(request: FastifyRequest): OrderEndRequest {
-  const body = readJson(request.headers, request.body);
-  return {
-    editId: readText(body, "editId") as EditId,
-    orderId: readText(body, "orderId") as OrderId,
-  };
-}
-
 function readFilter(request: FastifyRequest): RecordFilter {
   const query = request.query as Record<string, string | undefined>;
   const limit = readNumber("limit", query.limit) ?? defaultRecordLimit;
@@ -176,9 +103,6 @@
     request: query.request,
     backendServer: query.backend_server,
     revision: readNumber("revision", query.revision),
-    from: readNumber("from", query.from),
-    to: readNumber("to", query.to),
-    scope: query.scope === "host" ? "host" : "all",
     limit: Math.min(limit, largestRecordLimit),
   };
 }
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -17,17 +17,10 @@
   QuarantineMark,
   WorkSettings,
 } from "@rhubarbstage/policy";
-import type {
-  BootstrapRequest,
-  OrderEndRequest,
-  RepairRequest,
-  TimelineScope,
-} from "@rhubarbstage/settings";
 import type {
   AttemptId,
   BackendServerId,
   CustomerId,
-  EditId,
   ErrorKind,
   ModelName,
   RequestId,
@@ -189,11 +182,6 @@
   readonly request?: string;
   readonly backendServer?: string;
   readonly revision?: number;
-  /** First and last wall time, in milliseconds since the Unix epoch. */
-  readonly from?: number;
-  readonly to?: number;
-  /** Whether other hosts are asked for their timelines too. */
-  readonly scope: TimelineScope;
   /** Largest number of records. */
   readonly limit: number;
 }
@@ -202,14 +190,9 @@
 export interface DrainAction {
   readonly server: BackendServerId;
   readonly operator: string;
-  /** Id of the change, kept over resends. */
-  readonly editId: EditId;
 }
 
-/**
- * What operators read and do. Answers are JSON values with the shapes of
- * `operator_api.ts` in the settings package.
- */
+/** What operators read and do. Answers are JSON values. */
 export abstract class OperatorActions {
   abstract tree(): Promise<unknown>;
   abstract edit(edit: TreeEdit, operator: string): Promise<unknown>;
@@ -220,15 +203,6 @@
   abstract drain(action: DrainAction): Promise<unknown>;
   abstract undrain(action: DrainAction): Promise<unknown>;
   abstract timeline(filter: RecordFilter): Promise<unknown>;
-  abstract bootstrap(
-    request: BootstrapRequest,
-    operator: string,
-  ): Promise<unknown>;
-  abstract repair(request: RepairRequest, operator: string): Promise<unknown>;
-  abstract endOrder(
-    request: OrderEndRequest,
-    operator: string,
-  ): Promise<unknown>;
 }
 
 /** One request that has ended. */
