--- a/packages/rhubarbstage-cli/__tests__/unit/fake_operator_host.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/fake_operator_host.ts
@@ -12,7 +12,6 @@
   readonly method: string;
   readonly url: string;
   readonly authorization: string | undefined;
-  readonly editId: string | undefined;
   readonly body: unknown;
 }
 
@@ -31,7 +30,6 @@
     method: message.method ?? "",
     url: message.url ?? "",
     authorization: message.headers.authorization,
-    editId: message.headers["idempotency-key"] as string | undefined,
     body: text === "" ? undefined : JSON.parse(text),
   };
 }
--- a/packages/rhubarbstage-cli/src/bootstrap_command.ts
+++ b/packages/rhubarbstage-cli/src/bootstrap_command.ts
@@ -12,9 +12,8 @@
   operatorPaths,
   type RepairAnswer,
   type RepairRequest,
-  type StatusAnswer,
 } from "@rhubarbstage/settings";
-import type { EditId, HostId, ReplicaId } from "rhubarbstage";
+import type { EditId, HostId } from "rhubarbstage";
 import { type Context, sendEdit, withClient } from "./context.ts";
 import { UsageError } from "./errors.ts";
 import type { Options } from "./options.ts";
@@ -39,15 +38,15 @@
   const { options, output } = context;
   const hosts = await listReplicas(options);
   const tree = await loadTree(options.required("tree"));
-  const make = (editId: EditId) => ({
-    method: "POST" as const,
-    path: operatorPaths.bootstrap,
-    body: { editId, hosts, tree } satisfies BootstrapRequest,
-  });
-  const change = { command: "bootstrap", make };
+  const makeBody = (editId: EditId) =>
+    ({ edit_id: editId, hosts, tree }) satisfies BootstrapRequest;
   const answer = await withClient(
     context,
-    (client) => sendEdit<BootstrapAnswer>(context, client, change),
+    (client) =>
+      sendEdit<BootstrapAnswer>(context, client, {
+        path: operatorPaths.bootstrap,
+        makeBody,
+      }),
   );
   if (options.flag("json")) return output.json(answer);
   output.line(`${answer.cluster} formed at revision ${answer.revision}`);
@@ -57,46 +56,29 @@
   );
 }
 
-/** Finds the replica whose seats a lost host holds. */
-function findReplica(status: StatusAnswer, lost: HostId): ReplicaId {
-  const replicas = new Set(
-    status.groups.flatMap(({ seats }) => seats)
-      .filter(({ host, voter }) => voter && host === lost)
-      .map(({ replica }) => replica),
-  );
-  const [replica] = replicas;
-  if (replica !== undefined && replicas.size === 1) return replica;
-  throw new UsageError(
-    replica === undefined
-      ? `${lost} has no seat`
-      : `${lost} has several replicas; name one of ${[...replicas].join(", ")}`,
-  );
-}
-
 /** Moves the seats of a lost replica. */
 export async function repair(context: Context): Promise<void> {
   const { options, output } = context;
-  const host = options.required("lost") as HostId;
-  const replacement = (options.text("replacement") ?? host) as HostId;
-  const named = options.text("replica") as ReplicaId | undefined;
-  const answer = await withClient(context, (client) => {
-    const make = async (editId: EditId) => {
-      const status = await client.get<StatusAnswer>(operatorPaths.status);
-      const lost = named ?? findReplica(status, host);
-      const body = { editId, lost, replacement } satisfies RepairRequest;
-      return { method: "POST" as const, path: operatorPaths.repairs, body };
-    };
-    const change = { command: `repair ${host}`, make };
-    return sendEdit<RepairAnswer>(context, client, change);
-  });
+  const lost = options.required("lost") as HostId;
+  const replacement = (options.text("replacement") ?? lost) as HostId;
+  const makeBody = (editId: EditId) =>
+    ({ edit_id: editId, lost, replacement }) satisfies RepairRequest;
+  const answer = await withClient(
+    context,
+    (client) =>
+      sendEdit<RepairAnswer>(context, client, {
+        path: operatorPaths.repairs,
+        makeBody,
+      }),
+  );
   if (options.flag("json")) return output.json(answer);
-  output.line(`${replacement} has the seats of ${host} in all groups`);
+  output.line(`${replacement} has the seats of ${lost} in all groups`);
   output.table(
     ["group", "leader", "commit index"],
     answer.groups.map((group) => [
       group.group,
       group.leader ?? "-",
-      String(group.commitIndex),
+      String(group.commit_index),
     ]),
   );
 }
--- a/packages/rhubarbstage-cli/src/context.ts
+++ b/packages/rhubarbstage-cli/src/context.ts
@@ -38,17 +38,10 @@
   }
 }
 
-/** A change before it has an edit id. */
-export interface Change {
-  /** Command that makes the change; a resend has to use the same. */
-  readonly command: string;
-  readonly make: (
-    editId: EditId,
-  ) => EditContent | Promise<EditContent>;
-}
-
-/** What a change sends beside its edit id. */
-export type EditContent = Pick<KeptEdit, "method" | "path" | "body">;
+/** Makes the body of a change from its edit id. */
+export type BodyMaker = (
+  editId: EditId,
+) => KeptEdit["body"] | Promise<KeptEdit["body"]>;
 
 function isAnswered(error: unknown): boolean {
   return error instanceof RhubarbstageError &&
@@ -57,16 +50,17 @@
 
 async function findOrMakeEdit(
   kept: KeptEdits,
-  options: { readonly change: Change; readonly editId: EditId | undefined },
+  change: { path: string; editId?: EditId; makeBody: BodyMaker },
 ): Promise<KeptEdit> {
-  const { change, editId = randomUUID() as EditId } = options;
-  const { command, make } = change;
-  const earlier = await kept.find(editId);
+  const { path, editId, makeBody } = change;
+  const earlier = editId === undefined ? undefined : await kept.find(editId);
   if (earlier === undefined) {
-    return { command, editId, ...await make(editId) };
+    return { path, body: await makeBody(editId ?? randomUUID() as EditId) };
   }
-  if (earlier.command === command) return earlier;
-  throw new UsageError(`Edit ${editId} belongs to "${earlier.command}"`);
+  if (earlier.path === path) return earlier;
+  throw new UsageError(
+    `Edit ${editId} belongs to another command (${earlier.path})`,
+  );
 }
 
 /**
@@ -77,26 +71,29 @@
 export async function sendEdit<Answer>(
   context: Context,
   client: OperatorClient,
-  change: Change,
+  change: { readonly path: string; readonly makeBody: BodyMaker },
 ): Promise<Answer> {
   const kept = new KeptEdits(keptEditsFolder(context.env));
-  const named = context.options.text("edit-id") as EditId | undefined;
-  const edit = await findOrMakeEdit(kept, { change, editId: named });
-  const { editId } = edit;
+  const editId = context.options.text("edit-id") as EditId | undefined;
+  const edit = await findOrMakeEdit(kept, {
+    ...change,
+    ...(editId === undefined ? {} : { editId }),
+  });
+  const id = edit.body.edit_id;
   await kept.save(edit);
-  context.output.note(`edit id ${editId}`);
+  context.output.note(`edit id ${id}`);
   try {
-    const answer = await client.send<Answer>(edit);
-    await kept.remove(editId);
+    const answer = await client.post<Answer>(edit.path, edit.body);
+    await kept.remove(id);
     return answer;
   } catch (error) {
     const isUnsent = error instanceof NoAnswerError && !error.mayHaveRun;
     if (isAnswered(error)) {
-      await kept.remove(editId);
+      await kept.remove(id);
     } else {
       const state = isUnsent ? "was not sent" : "may have taken effect";
       context.output.note(
-        `The edit ${state}; send it again with --edit-id ${editId}`,
+        `The edit ${state}; send it again with --edit-id ${id}`,
       );
     }
     throw error;
--- a/packages/rhubarbstage-cli/src/fleet_commands.ts
+++ b/packages/rhubarbstage-cli/src/fleet_commands.ts
@@ -7,6 +7,7 @@
 import {
   type BackendsAnswer,
   type DrainAnswer,
+  type DrainRequest,
   operatorPaths,
   type OrderEndAnswer,
   type OrderEndRequest,
@@ -14,10 +15,11 @@
 } from "@rhubarbstage/settings";
 import type { BackendServerId, EditId, OrderId } from "rhubarbstage";
 import { type Context, sendEdit, withClient } from "./context.ts";
+import { UsageError } from "./errors.ts";
 import type { Output } from "./output.ts";
 
 function printStatus(output: Output, status: StatusAnswer): void {
-  const state = status.shuttingDown
+  const state = status.shutting_down
     ? "shutting down"
     : status.isolated
     ? "isolated"
@@ -28,15 +30,15 @@
   output.line(
     `${status.host} (${status.cluster}, version ${status.version}): ` +
       `${output.tone(state, tone)}, revision ${status.revision ?? "-"} ` +
-      `confirmed ${status.confirmationAge ?? "-"} ms ago, ` +
-      `${status.runningRequests} running, ${status.queuedRequests} queued`,
+      `confirmed ${status.confirmation_age_ms ?? "-"} ms ago, ` +
+      `${status.running_requests} running, ${status.queued_requests} queued`,
   );
   output.table(
     ["host", "region", "availability zone", "alive", "revision", "replica"],
     status.hosts.map((host) => [
       host.host,
       host.region,
-      host.availabilityZone,
+      host.availability_zone,
       host.alive ? "yes" : output.tone("no", "bad"),
       String(host.revision ?? "-"),
       host.replica ? "yes" : "no",
@@ -48,7 +50,7 @@
       group.group,
       String(group.term),
       group.leader ?? output.tone("none", "bad"),
-      String(group.commitIndex),
+      String(group.commit_index),
       group.seats.map((seat) => `${seat.host}${seat.voter ? "" : " (learner)"}`)
         .join(", "),
     ]),
@@ -82,11 +84,11 @@
       server.region,
       [...server.models, ...server.services].join(", "),
       server.role,
-      String(server.runningRequests),
-      `${server.evidenceAge} ms ago`,
+      String(server.running_requests),
+      `${server.evidence_age_ms} ms ago`,
       server.order === undefined
         ? "-"
-        : `${server.order.kind} ${server.order.orderId}`,
+        : `${server.order.kind} ${server.order.order_id}`,
     ]),
   );
 }
@@ -99,36 +101,46 @@
   const { options, output } = context;
   const server = change.server as BackendServerId;
   const { drained } = change;
-  const make = () => ({
-    method: drained ? "PUT" as const : "DELETE" as const,
-    path: `${operatorPaths.drains}/${encodeURIComponent(server)}`,
-  });
-  const command = `${drained ? "drain" : "undrain"} ${server}`;
+  const makeBody = (editId: EditId) =>
+    ({ edit_id: editId, server, drained }) satisfies DrainRequest;
   const answer = await withClient(
     context,
-    (client) => sendEdit<DrainAnswer>(context, client, { command, make }),
+    (client) =>
+      sendEdit<DrainAnswer>(context, client, {
+        path: operatorPaths.drains,
+        makeBody,
+      }),
   );
   if (options.flag("json")) return output.json(answer);
   output.line(`${answer.server} is ${answer.drained ? "drained" : "in use"}`);
 }
 
-/** States that an order whose end is unknown can have no further effect. */
+/** States how an order ended whose engine cannot say so itself. */
 export async function endOrder(
   context: Context,
   order: string,
 ): Promise<void> {
   const { options, output } = context;
-  const orderId = order as OrderId;
-  const make = (editId: EditId) => ({
-    method: "POST" as const,
-    path: operatorPaths.orderEnds,
-    body: { editId, orderId } satisfies OrderEndRequest,
-  });
-  const command = `order end ${order}`;
+  const carriedOut = options.flag("carried-out");
+  if (carriedOut === options.flag("not-carried-out")) {
+    throw new UsageError(
+      "One of --carried-out and --not-carried-out is missing",
+    );
+  }
+  const makeBody = (editId: EditId) =>
+    ({
+      edit_id: editId,
+      order_id: order as OrderId,
+      carried_out: carriedOut,
+    }) satisfies OrderEndRequest;
   const answer = await withClient(
     context,
-    (client) => sendEdit<OrderEndAnswer>(context, client, { command, make }),
+    (client) =>
+      sendEdit<OrderEndAnswer>(context, client, {
+        path: operatorPaths.orderEnds,
+        makeBody,
+      }),
   );
   if (options.flag("json")) return output.json(answer);
-  output.line(`order ${answer.orderId} has ended`);
+  output.line(`order ${answer.order_id} has ended`);
 }
--- a/packages/rhubarbstage-cli/src/kept_edits.ts
+++ b/packages/rhubarbstage-cli/src/kept_edits.ts
@@ -13,12 +13,12 @@
 
 /** A request to the operator interface that changes something. */
 export interface KeptEdit {
-  /** Command that made the edit. */
-  readonly command: string;
-  readonly editId: EditId;
-  readonly method: "POST" | "PUT" | "DELETE";
   readonly path: string;
-  readonly body?: unknown;
+  readonly body:
+    & { readonly edit_id: EditId }
+    & Readonly<
+      Record<string, unknown>
+    >;
 }
 
 /** Folder of kept edits. */
@@ -41,7 +41,7 @@
   /** Keeps an edit before it is sent for the first time. */
   async save(edit: KeptEdit): Promise<void> {
     await mkdir(this.#folder, { recursive: true, mode: 0o700 });
-    const file = this.#fileOf(edit.editId);
+    const file = this.#fileOf(edit.body.edit_id);
     const temporary = `${file}.${process.pid}`;
     await writeFile(temporary, JSON.stringify(edit), { mode: 0o600 });
     await rename(temporary, file);
--- a/packages/rhubarbstage-cli/src/operator_client.ts
+++ b/packages/rhubarbstage-cli/src/operator_client.ts
@@ -7,12 +7,7 @@
 import { readFile } from "node:fs/promises";
 import type { ErrorBody, ProcessSettings } from "@rhubarbstage/settings";
 import { loadProcessSettings, loadTokens } from "@rhubarbstage/settings";
-import {
-  delay,
-  type EditId,
-  isErrorKind,
-  RhubarbstageError,
-} from "rhubarbstage";
+import { delay, isErrorKind, RhubarbstageError } from "rhubarbstage";
 import { Agent, type Dispatcher, request } from "undici";
 import {
   defaultAnswerTimeout,
@@ -21,7 +16,6 @@
   resendDelay,
 } from "./constants.ts";
 import { NoAnswerError } from "./errors.ts";
-import type { KeptEdit } from "./kept_edits.ts";
 import type { Options } from "./options.ts";
 
 /** Options of an {@linkcode OperatorClient}. */
@@ -39,10 +33,9 @@
 
 /** One request to the operator interface. */
 interface Call {
-  readonly method: "GET" | "POST" | "PUT" | "DELETE";
+  readonly method: "GET" | "POST";
   readonly path: string;
   readonly body?: unknown;
-  readonly editId?: EditId;
 }
 
 /** What one send of a request led to. */
@@ -124,11 +117,11 @@
   }
 
   /**
-   * Sends a change. A request whose answer is lost is sent again under the same
-   * edit id, also to other hosts.
+   * Sends a change. It must be idempotent by an id of its own, because a
+   * request whose answer is lost is sent again, also to other hosts.
    */
-  async send<Answer>(edit: KeptEdit): Promise<Answer> {
-    return await this.#call(edit);
+  async post<Answer>(path: string, body: unknown): Promise<Answer> {
+    return await this.#call({ method: "POST", path, body });
   }
 
   /** Closes all connections. */
@@ -160,7 +153,7 @@
     const reason = typeof last === "string" ? last : last.message;
     throw new NoAnswerError(
       `No answer from ${urls.join(", ")}: ${reason}`,
-      { mayHaveRun: mayHaveRun && call.method !== "GET" },
+      { mayHaveRun: mayHaveRun && call.method === "POST" },
     );
   }
 
@@ -173,9 +166,6 @@
         signal: AbortSignal.timeout(timeout),
         headers: {
           ...(token === undefined ? {} : { authorization: `Bearer ${token}` }),
-          ...(call.editId === undefined
-            ? {}
-            : { "idempotency-key": call.editId }),
           ...(call.body === undefined
             ? {}
             : { "content-type": "application/json" }),
--- a/packages/rhubarbstage-cli/src/program.ts
+++ b/packages/rhubarbstage-cli/src/program.ts
@@ -36,6 +36,8 @@
   "files",
   "dry-run",
   "host-only",
+  "carried-out",
+  "not-carried-out",
 ];
 
 /** Options that take a value; declared, so that "007" stays text. */
@@ -63,7 +65,6 @@
   "file",
   "lost",
   "replacement",
-  "replica",
 ];
 
 function toHandler(environment: Environment, action: Action): Handler {
@@ -128,7 +129,6 @@
   )
     .option("--lost", "Host whose data folder is lost")
     .option("--replacement", "Host that takes the seats; default is --lost")
-    .option("--replica", "Lost replica; default is the seat of --lost")
     .example("repair --settings host.yaml --lost veneto-1")
     .action(handle(repair));
 }
@@ -207,10 +207,12 @@
   addEditOptions(
     program.command(
       "order end <order>",
-      "State that an order to an engine has ended",
+      "State how an order to an engine ended",
     ),
   )
-    .example("order end order-17 --settings host.yaml")
+    .option("--carried-out", "The engine carried the order out")
+    .option("--not-carried-out", "The engine did not carry the order out")
+    .example("order end order-17 --not-carried-out --settings host.yaml")
     .action(handle((context, order) => endOrder(context, order ?? "")));
   addHostOptions(
     program.command("timeline", "Print events of all hosts in causal order"),
--- a/packages/rhubarbstage-cli/src/timeline_command.ts
+++ b/packages/rhubarbstage-cli/src/timeline_command.ts
@@ -54,10 +54,8 @@
 ): Promise<TimelineAnswer> {
   const client = new OperatorClient(clientOptions);
   try {
-    const { server, ...rest } = query;
     return await client.get<TimelineAnswer>(operatorPaths.timeline, {
-      ...rest,
-      backend_server: server,
+      ...query,
     });
   } finally {
     await client.close();
@@ -94,7 +92,7 @@
   if (answers.length === 0) throw failures[0]?.reason;
   return {
     events: answers.flatMap(({ events }) => events),
-    missingHosts: failures.map(({ index }) => urls[index] as HostId),
+    missing_hosts: failures.map(({ index }) => urls[index] as HostId),
   };
 }
 
@@ -122,9 +120,9 @@
     files.map((file) => readTimelineFile(file, filter)),
   );
   const events = mergeTimelines([...sources, live?.events ?? []], filter);
-  const missing = live?.missingHosts ?? [];
+  const missing = live?.missing_hosts ?? [];
   if (options.flag("json")) {
-    return output.json({ events, missingHosts: missing });
+    return output.json({ events, missing_hosts: missing });
   }
   for (const event of events) output.line(formatEvent(event));
   if (missing.length > 0) {
--- a/packages/rhubarbstage-cli/src/tree_commands.ts
+++ b/packages/rhubarbstage-cli/src/tree_commands.ts
@@ -9,29 +9,20 @@
   diffTrees,
   type EditAnswer,
   type EditRequest,
+  type EffectiveAnswer,
   formatTree,
   type HistoryAnswer,
   loadTree,
   operatorPaths,
   parseValue,
-  SettingsTree,
   toOperations,
   type TreeAnswer,
   type TreeDocument,
   type TreeOperation,
   valueAtPath,
-  type WorkPath,
 } from "@rhubarbstage/settings";
 import { createTwoFilesPatch } from "diff";
-import {
-  type CustomerId,
-  type EditId,
-  type Region,
-  type Revision,
-  RhubarbstageError,
-  type ServiceName,
-  type WorkKind,
-} from "rhubarbstage";
+import { type EditId, type Revision, RhubarbstageError } from "rhubarbstage";
 import { type Context, sendEdit, withClient } from "./context.ts";
 import { UsageError } from "./errors.ts";
 import type { OperatorClient } from "./operator_client.ts";
@@ -40,32 +31,21 @@
 
 const workPathRule = "--effective needs region/service/customer/kind";
 
-function readWorkPath(text: string): WorkPath {
-  const [region, service, customer, kind, ...rest] = text.split("/");
+async function showEffective(context: Context, path: string): Promise<void> {
+  const { options, output } = context;
+  const [region, service, customer, kind, ...rest] = path.split("/");
   if (!region || !service || !customer || rest.length > 0) {
-    throw new UsageError(`${workPathRule}, not "${text}"`);
-  }
-  return {
-    region: region as Region,
-    service: service as ServiceName,
-    customer: customer as CustomerId,
-    kind: (kind ?? "default") as WorkKind,
-  };
-}
-
-/** Explains the settings of one path of the tree in force. */
-function showEffective(
-  { options, output }: Context,
-  answer: TreeAnswer,
-  path: WorkPath,
-): void {
-  const settings = new SettingsTree(answer.tree).explain(path);
-  if (options.flag("json")) {
-    return output.json({ revision: answer.revision, settings });
+    throw new UsageError(`${workPathRule}, not "${path}"`);
   }
+  const query = { region, service, customer, kind: kind ?? "default" };
+  const answer = await withClient(
+    context,
+    (client) => client.get<EffectiveAnswer>(operatorPaths.effective, query),
+  );
+  if (options.flag("json")) return output.json(answer);
   output.table(
     ["setting", "value", "from"],
-    settings.map(({ name, value, from }) => [name, String(value), from]),
+    answer.settings.map(({ name, value, from }) => [name, String(value), from]),
   );
 }
 
@@ -73,14 +53,11 @@
 export async function getTree(context: Context): Promise<void> {
   const { options, output } = context;
   const effective = options.text("effective");
-  const workPath = effective === undefined
-    ? undefined
-    : readWorkPath(effective);
+  if (effective !== undefined) return await showEffective(context, effective);
   const answer = await withClient(
     context,
     (client) => client.get<TreeAnswer>(operatorPaths.tree),
   );
-  if (workPath !== undefined) return showEffective(context, answer, workPath);
   const path = options.text("path") ?? "";
   const value = valueAtPath(answer.tree, path);
   if (value === undefined) {
@@ -174,7 +151,7 @@
   context: Context,
   client: OperatorClient,
   change: { readonly file: string | undefined; readonly editId: EditId },
-): Promise<EditRequest> {
+): Promise<EditRequest & Record<string, unknown>> {
   const { options, output } = context;
   const { revision, tree } = await client.get<TreeAnswer>(operatorPaths.tree);
   const expected = options.count("expected-revision") as Revision | undefined;
@@ -189,8 +166,8 @@
     );
   }
   return {
-    editId: change.editId,
-    expectedRevision: expected ?? revision,
+    edit_id: change.editId,
+    expected_revision: expected ?? revision,
     operations,
   };
 }
@@ -209,17 +186,14 @@
         return await makeEdit(context, client, { file, editId });
       }
       return await sendEdit<EditAnswer>(context, client, {
-        command: "tree apply",
-        make: async (editId) => ({
-          method: "POST",
-          path: operatorPaths.edits,
-          body: await makeEdit(context, client, { file, editId }),
-        }),
+        path: operatorPaths.edits,
+        makeBody: (editId) => makeEdit(context, client, { file, editId }),
       });
     });
     if (isJson) return output.json(answer);
     if (!("revision" in answer)) return output.line("not sent (dry run)");
-    output.line(`revision ${answer.revision}`);
+    const replayed = answer.replayed ? " (an earlier send took effect)" : "";
+    output.line(`revision ${answer.revision}${replayed}`);
   } catch (error) {
     if (!(error instanceof NoChange)) throw error;
     if (isJson) return output.json({ changed: false });
@@ -248,7 +222,7 @@
       String(entry.revision),
       new Date(entry.at).toISOString(),
       entry.operator || "-",
-      entry.editId,
+      entry.edit_id,
       entry.operations.map(formatOperation).join("; "),
     ]),
   );
--- a/packages/rhubarbstage-settings/src/operator_api.ts
+++ b/packages/rhubarbstage-settings/src/operator_api.ts
@@ -1,8 +1,7 @@
 /**
  * The operator interface of a host: paths and JSON shapes that the gateway and
  * the command line share. Each request carries `authorization: Bearer TOKEN`
- * with an operator token; each change also carries its edit id in the header
- * `idempotency-key`. Errors have the body of all errors of the system.
+ * with an operator token. Errors have the body of all errors of the system.
  *
  * @module
  */
@@ -23,30 +22,35 @@
   ServiceName,
   Timestamp,
 } from "rhubarbstage";
-import type { Endpoint, TreeDocument, TreeOperation } from "./types.ts";
+import type {
+  Endpoint,
+  ExplainedSetting,
+  TreeDocument,
+  TreeOperation,
+} from "./types.ts";
 
-/** Paths of the operator interface. */
+/** Paths of the operator interface. `{server}` and `{host}` are ids. */
 export const operatorPaths = {
   /** `GET`: {@linkcode TreeAnswer}. */
   tree: "/operator/tree",
+  /**
+   * `GET` with the query `region`, `service`, `customer` and `kind`:
+   * {@linkcode EffectiveAnswer}.
+   */
+  effective: "/operator/tree/effective",
   /** `POST` {@linkcode EditRequest}: {@linkcode EditAnswer}. */
-  edits: "/operator/edits",
+  edits: "/operator/tree/edits",
   /** `GET` with the query `limit`: {@linkcode HistoryAnswer}. */
-  history: "/operator/history",
+  history: "/operator/tree/history",
   /** `GET`: {@linkcode StatusAnswer}. */
   status: "/operator/status",
   /** `GET`: {@linkcode BackendsAnswer}. */
   backends: "/operator/backends",
-  /**
-   * `GET`: {@linkcode DrainsAnswer}. `PUT` and `DELETE` on
-   * `/operator/drains/{server}`: {@linkcode DrainAnswer}. The edit id is in the
-   * header `idempotency-key`.
-   */
+  /** `POST` {@linkcode DrainRequest}: {@linkcode DrainAnswer}. */
   drains: "/operator/drains",
   /**
-   * `GET` with the query `request`, `backend_server`, `revision`, `from`, `to`
-   * (milliseconds since the Unix epoch), `limit` and `scope`:
-   * {@linkcode TimelineAnswer}.
+   * `GET` with the query `request`, `server`, `revision`, `from`, `to`,
+   * `limit` and `scope`: {@linkcode TimelineAnswer}.
    */
   timeline: "/operator/timeline",
   /** `POST` {@linkcode BootstrapRequest}: {@linkcode BootstrapAnswer}. */
@@ -54,7 +58,7 @@
   /** `POST` {@linkcode RepairRequest}: {@linkcode RepairAnswer}. */
   repairs: "/operator/repairs",
   /** `POST` {@linkcode OrderEndRequest}: {@linkcode OrderEndAnswer}. */
-  orderEnds: "/operator/order_ends",
+  orderEnds: "/operator/orders/ends",
 } as const;
 
 /** The tree in force after a quorum read. */
@@ -63,11 +67,17 @@
   readonly tree: TreeDocument;
 }
 
+/** Settings in force on the answering host. */
+export interface EffectiveAnswer {
+  readonly revision: Revision;
+  readonly settings: readonly ExplainedSetting[];
+}
+
 /** A change of the tree. */
 export interface EditRequest {
   /** The same for each resend of one edit. */
-  readonly editId: EditId;
-  readonly expectedRevision: Revision;
+  readonly edit_id: EditId;
+  readonly expected_revision: Revision;
   readonly operations: readonly TreeOperation[];
 }
 
@@ -77,13 +87,16 @@
  * `no_quorum` (503, `may_have_run`: send again under the same edit id).
  */
 export interface EditAnswer {
+  readonly edit_id: EditId;
   readonly revision: Revision;
+  /** Whether an earlier send of this edit took effect. */
+  readonly replayed: boolean;
 }
 
 /** One accepted change. */
 export interface HistoryEntry {
   readonly revision: Revision;
-  readonly editId: EditId;
+  readonly edit_id: EditId;
   /** Name of the operator's token; empty when the token file gives none. */
   readonly operator: string;
   /** Milliseconds since the Unix epoch on the host that took the edit. */
@@ -102,8 +115,8 @@
   readonly host: HostId;
   readonly replica: ReplicaId;
   readonly voter: boolean;
-  /** Highest log index that is durable there; known on the leader only. */
-  readonly durableIndex?: number;
+  /** Highest log index that is durable there, as far as the leader knows. */
+  readonly durable_index: number;
 }
 
 /** One replicated group as the answering host knows it. */
@@ -111,7 +124,7 @@
   readonly group: GroupName;
   readonly term: number;
   readonly leader?: HostId;
-  readonly commitIndex: number;
+  readonly commit_index: number;
   readonly seats: readonly SeatStatus[];
 }
 
@@ -119,7 +132,7 @@
 export interface HostStatus {
   readonly host: HostId;
   readonly region: Region;
-  readonly availabilityZone: AvailabilityZone;
+  readonly availability_zone: AvailabilityZone;
   readonly incarnation: Incarnation;
   readonly alive: boolean;
   /** Revision in force there; absent when it is not known. */
@@ -135,17 +148,17 @@
   readonly cluster: string;
   readonly version: string;
   readonly region: Region;
-  readonly availabilityZone: AvailabilityZone;
+  readonly availability_zone: AvailabilityZone;
   readonly incarnation: Incarnation;
   readonly ready: boolean;
-  readonly shuttingDown: boolean;
+  readonly shutting_down: boolean;
   readonly isolated: boolean;
   /** Absent before the first confirmation. */
   readonly revision?: Revision;
   /** Milliseconds; absent before the first confirmation. */
-  readonly confirmationAge?: number;
-  readonly runningRequests: number;
-  readonly queuedRequests: number;
+  readonly confirmation_age_ms?: number;
+  readonly running_requests: number;
+  readonly queued_requests: number;
   /** Whether the system was bootstrapped, as far as the host knows. */
   readonly bootstrapped: boolean;
   /** Present on hosts with a data folder. */
@@ -156,9 +169,9 @@
 
 /** An order to a backend server that has not ended. */
 export interface OpenOrder {
-  readonly orderId: OrderId;
+  readonly order_id: OrderId;
   readonly kind: string;
-  readonly fencingNumber: number;
+  readonly fencing_number: number;
 }
 
 /** One backend server as the answering host knows it. */
@@ -167,16 +180,16 @@
   readonly incarnation: Incarnation;
   readonly address: string;
   readonly region: Region;
-  readonly availabilityZone: AvailabilityZone;
+  readonly availability_zone: AvailabilityZone;
   readonly models: readonly ModelName[];
   readonly services: readonly ServiceName[];
   readonly role: string;
   readonly state: "ready" | "drained" | "leaving" | "stale";
-  readonly honoursFencing: boolean;
+  readonly honours_fencing: boolean;
   /** Age of the newest evidence, in milliseconds. */
-  readonly evidenceAge: number;
-  readonly runningRequests: number;
-  readonly queuedRequests: number;
+  readonly evidence_age_ms: number;
+  readonly running_requests: number;
+  readonly queued_requests: number;
   readonly order?: OpenOrder;
 }
 
@@ -185,24 +198,19 @@
   readonly backends: readonly BackendStatus[];
 }
 
-/** A backend server that an operator took out of service. */
-export interface DrainEntry {
+/** Starts or ends a drain. Idempotent by `edit_id`. */
+export interface DrainRequest {
+  readonly edit_id: EditId;
   readonly server: BackendServerId;
-  /** Name of the operator's token; empty when the token file gives none. */
-  readonly operator: string;
-  /** Milliseconds since the Unix epoch. */
-  readonly at: number;
-}
-
-/** Drains in force, sorted by server. */
-export interface DrainsAnswer {
-  readonly drains: readonly DrainEntry[];
+  readonly drained: boolean;
 }
 
-/** The drain or its end is committed; what runs on the server finishes. */
+/** The drain is committed; requests that run on the server finish. */
 export interface DrainAnswer {
+  readonly edit_id: EditId;
   readonly server: BackendServerId;
   readonly drained: boolean;
+  readonly replayed: boolean;
 }
 
 /** Which hosts a timeline query covers; defaults to `all`. */
@@ -225,7 +233,7 @@
 export interface TimelineAnswer {
   readonly events: readonly TimelineAnswerEvent[];
   /** Hosts that did not answer; their events are missing. */
-  readonly missingHosts: readonly HostId[];
+  readonly missing_hosts: readonly HostId[];
 }
 
 /**
@@ -236,7 +244,7 @@
  * host cannot be reached (nothing is formed; send again).
  */
 export interface BootstrapRequest {
-  readonly editId: EditId;
+  readonly edit_id: EditId;
   /** Hosts with a data folder; all must grant. */
   readonly hosts: readonly HostId[];
   /** Tree of revision 1. */
@@ -251,34 +259,38 @@
     readonly host: HostId;
     readonly replica: ReplicaId;
   }[];
+  readonly replayed: boolean;
 }
 
-/**
- * Moves the seats of a lost replica to the replica of a host. It names the
- * replica, not its host, so that a resend never takes the new seat away.
- */
+/** Moves the seats of a lost replica to the new one of a host. */
 export interface RepairRequest {
-  readonly editId: EditId;
-  /** Replica whose seats are given away. */
-  readonly lost: ReplicaId;
-  /** Host that takes the seats; the same host when it came back empty. */
+  readonly edit_id: EditId;
+  /** Host whose old seat is lost. */
+  readonly lost: HostId;
+  /** Host that takes the seat; the same host when it came back empty. */
   readonly replacement: HostId;
 }
 
 /** Every group has its new seat and all seats are caught up. */
 export interface RepairAnswer {
+  readonly edit_id: EditId;
   readonly groups: readonly GroupStatus[];
+  readonly replayed: boolean;
 }
 
-/** An operator states that an order can have no further effect. */
+/** An operator states how an order to an engine ended. */
 export interface OrderEndRequest {
-  readonly editId: EditId;
-  readonly orderId: OrderId;
+  readonly edit_id: EditId;
+  readonly order_id: OrderId;
+  /** Whether the engine carried the order out. */
+  readonly carried_out: boolean;
 }
 
 /** The order has ended. */
 export interface OrderEndAnswer {
-  readonly orderId: OrderId;
+  readonly edit_id: EditId;
+  readonly order_id: OrderId;
+  readonly replayed: boolean;
 }
 
 /** Body of every error answer. */
