--- a/packages/rhubarbstage-cli/__tests__/integration/binary_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/integration/binary_test.ts
@@ -1,5 +1,7 @@
-import { execFile } from "node:child_process";
-import { readdir } from "node:fs/promises";
+import { type ChildProcess, execFile, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, readdir, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { promisify } from "node:util";
 
@@ -15,7 +17,8 @@
 describe("the binary", () => {
   // Guards against a bundle that lacks a module or does not start alone.
   test("prints its version", async () => {
-    const { stdout } = await run(binary, ["version"], { env: {} });
+    const { stdout, stderr } = await run(binary, ["version"], { env: {} });
+    expect(stderr).toBe("");
     expect(stdout).toMatch(/^rhubarbstage \d+\.\d+\.\d+\n$/);
   });
 
@@ -44,4 +47,49 @@
       .toMatchObject({ code: 2 });
     await expect(run(binary, ["unknown"])).rejects.toMatchObject({ code: 1 });
   });
+
+  // Guards against a module of the host that the single file lacks, and against
+  // a stop that does not end with 0.
+  test("starts a host, which answers and stops on SIGTERM", async () => {
+    const folder = await mkdtemp(join(tmpdir(), "rhubarbstage-binary-"));
+    await writeFile(join(folder, "token"), "0123456789abcdef\n");
+    const settings = join(folder, "host.yaml");
+    await writeFile(settings, hostSettings);
+    const host = spawn(binary, ["serve", "--settings", settings]);
+    const exited = once(host, "exit");
+    try {
+      const origin = await readOrigin(host);
+      const answer = await fetch(`${origin}/healthz`);
+      expect(answer.status).toBe(200);
+      host.kill("SIGTERM");
+      expect(await exited).toEqual([0, null]);
+    } finally {
+      host.kill("SIGKILL");
+      await rm(folder, { recursive: true });
+    }
+  });
 });
+
+const hostSettings = `
+host: attica-1
+cluster: binary
+region: attica
+availability_zone: attica-a
+http: {listen: "127.0.0.1:0"}
+peer: {listen: "127.0.0.1:0"}
+data_folder: data
+token_files: {peer: token, operators: token, backend_servers: token}
+shutdown_notice_ms: 0
+journal_groups: 1
+`;
+
+/** Waits for the log line that names the origin of the host. */
+async function readOrigin(host: ChildProcess): Promise<string> {
+  let output = "";
+  for await (const chunk of host.stdout ?? []) {
+    output += chunk;
+    const origin = /event=host_started .*origin=(\S+)/.exec(output)?.[1];
+    if (origin !== undefined) return origin;
+  }
+  throw new Error(`The host ended early:\n${output}`);
+}
--- a/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
@@ -248,6 +248,34 @@
     expect(result.stderr).toContain(kind);
   });
 
+  // Guards against a resent repair that takes the seat from the host that was
+  // repaired, and against a repair of a host that never had a seat.
+  test("repair names the lost replica", async () => {
+    const seat = (host: string, replica: string) => ({
+      host,
+      replica,
+      voter: true,
+    });
+    const seats = [seat("crete-1", "old"), seat("attica-1", "other")];
+    const target = await startHost({
+      "GET /operator/status": () => ({
+        status: 200,
+        body: { groups: [{ seats }, { seats }] },
+      }),
+      "POST /operator/repairs": () => ({ status: 200, body: { groups: [] } }),
+    });
+    const { code } = await run(["repair", "--lost", "crete-1", ...target]);
+    expect(code).toBe(exitCodes.ok);
+    expect(host?.calls.at(-1)?.body).toEqual({
+      edit_id: expect.any(String),
+      lost: "crete-1",
+      replica: "old",
+      replacement: "crete-1",
+    });
+    const unknown = await run(["repair", "--lost", "crete-9", ...target]);
+    expect(unknown.code).toBe(exitCodes.usage);
+  });
+
   // Guards against a table on a pipe, which other programs cannot read, and
   // against colours there.
   test("print tables and colours on a terminal only", async () => {
@@ -337,7 +365,7 @@
         ["tree", "get", "--effective", "crete"],
         ["drain", "a", "b"],
         ["check"],
-        ["order", "end", "o1"],
+        ["repair"],
         ["timeline", "--file", join(folder, "missing")],
       ]
     ) {
--- a/packages/rhubarbstage-cli/src/bootstrap_command.ts
+++ b/packages/rhubarbstage-cli/src/bootstrap_command.ts
@@ -12,9 +12,11 @@
   operatorPaths,
   type RepairAnswer,
   type RepairRequest,
+  type StatusAnswer,
 } from "@rhubarbstage/settings";
-import type { EditId, HostId } from "rhubarbstage";
+import type { EditId, HostId, ReplicaId } from "rhubarbstage";
 import { type Context, sendEdit, withClient } from "./context.ts";
+import { seatAnswerTimeout } from "./constants.ts";
 import { UsageError } from "./errors.ts";
 import type { Options } from "./options.ts";
 
@@ -40,13 +42,11 @@
   const tree = await loadTree(options.required("tree"));
   const makeBody = (editId: EditId) =>
     ({ edit_id: editId, hosts, tree }) satisfies BootstrapRequest;
+  const change = { path: operatorPaths.bootstrap, makeBody };
   const answer = await withClient(
     context,
-    (client) =>
-      sendEdit<BootstrapAnswer>(context, client, {
-        path: operatorPaths.bootstrap,
-        makeBody,
-      }),
+    (client) => sendEdit<BootstrapAnswer>(context, client, change),
+    { timeout: seatAnswerTimeout },
   );
   if (options.flag("json")) return output.json(answer);
   output.line(`${answer.cluster} formed at revision ${answer.revision}`);
@@ -56,21 +56,37 @@
   );
 }
 
+/** Finds the replica whose seats a lost host holds. */
+function findReplica(status: StatusAnswer, lost: HostId): ReplicaId {
+  const replicas = new Set(
+    status.groups.flatMap(({ seats }) => seats)
+      .filter(({ host, voter }) => voter && host === lost)
+      .map(({ replica }) => replica),
+  );
+  const [replica] = replicas;
+  if (replica !== undefined && replicas.size === 1) return replica;
+  throw new UsageError(
+    replica === undefined
+      ? `${lost} has no seat that the asked host knows`
+      : `${lost} has several replicas; name one of ${[...replicas].join(", ")}`,
+  );
+}
+
 /** Moves the seats of a lost replica. */
 export async function repair(context: Context): Promise<void> {
   const { options, output } = context;
   const lost = options.required("lost") as HostId;
   const replacement = (options.text("replacement") ?? lost) as HostId;
-  const makeBody = (editId: EditId) =>
-    ({ edit_id: editId, lost, replacement }) satisfies RepairRequest;
-  const answer = await withClient(
-    context,
-    (client) =>
-      sendEdit<RepairAnswer>(context, client, {
-        path: operatorPaths.repairs,
-        makeBody,
-      }),
-  );
+  const named = options.text("replica") as ReplicaId | undefined;
+  const answer = await withClient(context, (client) => {
+    const makeBody = async (edit_id: EditId) => {
+      const status = await client.get<StatusAnswer>(operatorPaths.status);
+      const replica = named ?? findReplica(status, lost);
+      return { edit_id, lost, replica, replacement } satisfies RepairRequest;
+    };
+    const change = { path: operatorPaths.repairs, makeBody };
+    return sendEdit<RepairAnswer>(context, client, change);
+  }, { timeout: seatAnswerTimeout });
   if (options.flag("json")) return output.json(answer);
   output.line(`${replacement} has the seats of ${lost} in all groups`);
   output.table(
--- a/packages/rhubarbstage-cli/src/constants.ts
+++ b/packages/rhubarbstage-cli/src/constants.ts
@@ -30,6 +30,12 @@
 /** Longest wait for one answer, in milliseconds. */
 export const defaultAnswerTimeout = 10_000;
 
+/**
+ * Longest wait for the answer to a bootstrap or a repair, in milliseconds. A
+ * repair waits for up to 60 s until every seat is caught up.
+ */
+export const seatAnswerTimeout = 90_000;
+
 /** Sends of one request before the command gives up. */
 export const maxSends = 4;
 
--- a/packages/rhubarbstage-cli/src/context.ts
+++ b/packages/rhubarbstage-cli/src/context.ts
@@ -9,7 +9,11 @@
 import { RhubarbstageError } from "rhubarbstage";
 import { NoAnswerError, UsageError } from "./errors.ts";
 import { type KeptEdit, KeptEdits, keptEditsFolder } from "./kept_edits.ts";
-import { OperatorClient, readClientOptions } from "./operator_client.ts";
+import {
+  OperatorClient,
+  type OperatorClientOptions,
+  readClientOptions,
+} from "./operator_client.ts";
 import type { Options } from "./options.ts";
 import { Output, type OutputOptions } from "./output.ts";
 
@@ -27,10 +31,12 @@
 export async function withClient<Result>(
   context: Context,
   run: (client: OperatorClient) => Promise<Result>,
+  defaults: Pick<OperatorClientOptions, "timeout"> = {},
 ): Promise<Result> {
-  const client = new OperatorClient(
-    await readClientOptions(context.options, context.env),
-  );
+  const client = new OperatorClient({
+    ...defaults,
+    ...await readClientOptions(context.options, context.env),
+  });
   try {
     return await run(client);
   } finally {
--- a/packages/rhubarbstage-cli/src/fleet_commands.ts
+++ b/packages/rhubarbstage-cli/src/fleet_commands.ts
@@ -15,7 +15,6 @@
 } from "@rhubarbstage/settings";
 import type { BackendServerId, EditId, OrderId } from "rhubarbstage";
 import { type Context, sendEdit, withClient } from "./context.ts";
-import { UsageError } from "./errors.ts";
 import type { Output } from "./output.ts";
 
 function printStatus(output: Output, status: StatusAnswer): void {
@@ -115,24 +114,15 @@
   output.line(`${answer.server} is ${answer.drained ? "drained" : "in use"}`);
 }
 
-/** States how an order ended whose engine cannot say so itself. */
+/** States that an order whose end is unknown can have no further effect. */
 export async function endOrder(
   context: Context,
   order: string,
 ): Promise<void> {
   const { options, output } = context;
-  const carriedOut = options.flag("carried-out");
-  if (carriedOut === options.flag("not-carried-out")) {
-    throw new UsageError(
-      "One of --carried-out and --not-carried-out is missing",
-    );
-  }
-  const makeBody = (editId: EditId) =>
-    ({
-      edit_id: editId,
-      order_id: order as OrderId,
-      carried_out: carriedOut,
-    }) satisfies OrderEndRequest;
+  const order_id = order as OrderId;
+  const makeBody = (edit_id: EditId) =>
+    ({ edit_id, order_id }) satisfies OrderEndRequest;
   const answer = await withClient(
     context,
     (client) =>
--- a/packages/rhubarbstage-cli/src/program.ts
+++ b/packages/rhubarbstage-cli/src/program.ts
@@ -36,8 +36,6 @@
   "files",
   "dry-run",
   "host-only",
-  "carried-out",
-  "not-carried-out",
 ];
 
 /** Options that take a value; declared, so that "007" stays text. */
@@ -65,6 +63,7 @@
   "file",
   "lost",
   "replacement",
+  "replica",
 ];
 
 function toHandler(environment: Environment, action: Action): Handler {
@@ -129,6 +128,7 @@
   )
     .option("--lost", "Host whose data folder is lost")
     .option("--replacement", "Host that takes the seats; default is --lost")
+    .option("--replica", "Lost replica; default is the seat of --lost")
     .example("repair --settings host.yaml --lost veneto-1")
     .action(handle(repair));
 }
@@ -207,12 +207,10 @@
   addEditOptions(
     program.command(
       "order end <order>",
-      "State how an order to an engine ended",
+      "State that an order to an engine has ended",
     ),
   )
-    .option("--carried-out", "The engine carried the order out")
-    .option("--not-carried-out", "The engine did not carry the order out")
-    .example("order end order-17 --not-carried-out --settings host.yaml")
+    .example("order end order-17 --settings host.yaml")
     .action(handle((context, order) => endOrder(context, order ?? "")));
   addHostOptions(
     program.command("timeline", "Print events of all hosts in causal order"),
--- a/packages/rhubarbstage-cli/src/serve_command.ts
+++ b/packages/rhubarbstage-cli/src/serve_command.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { runHost } from "@rhubarbstage/host";
 import { loadProcessSettings } from "@rhubarbstage/settings";
 import type { Context } from "./context.ts";
 
@@ -14,6 +13,8 @@
  */
 export async function serve({ options }: Context): Promise<void> {
   const settings = await loadProcessSettings(options.required("settings"));
+  // Loaded late, because other commands start faster without the host.
+  const { runHost } = await import("@rhubarbstage/host");
   const controller = new AbortController();
   const stop = () => controller.abort();
   process.on("SIGTERM", stop);
--- a/packages/rhubarbstage-cli/src/tree_commands.ts
+++ b/packages/rhubarbstage-cli/src/tree_commands.ts
@@ -201,10 +201,16 @@
   }
 }
 
+/** Longest operation in the table of the history, in characters. */
+const maxOperationLength = 120;
+
 function formatOperation(operation: TreeOperation): string {
-  return "set" in operation
-    ? `${operation.path}=${JSON.stringify(operation.set)}`
-    : `-${operation.path}`;
+  const path = operation.path || "/";
+  const text = "set" in operation
+    ? `${path}=${JSON.stringify(operation.set)}`
+    : `-${path}`;
+  if (text.length <= maxOperationLength) return text;
+  return `${text.slice(0, maxOperationLength)}…`;
 }
 
 /** Prints accepted changes, newest first. */
--- a/packages/rhubarbstage-gateway/src/operator_requests.ts
+++ b/packages/rhubarbstage-gateway/src/operator_requests.ts
@@ -50,6 +50,7 @@
 export const repairRequest = z.strictObject({
   edit_id: id,
   lost: id,
+  replica: id.optional(),
   replacement: id,
 }) as unknown as z.ZodType<RepairRequest>;
 
@@ -57,7 +58,6 @@
 export const orderEndRequest = z.strictObject({
   edit_id: id,
   order_id: id,
-  carried_out: z.boolean(),
 }) as unknown as z.ZodType<OrderEndRequest>;
 
 /** Reads and checks a body. Throws `invalid_request`. */
--- a/packages/rhubarbstage-host/src/host_operator_actions.ts
+++ b/packages/rhubarbstage-host/src/host_operator_actions.ts
@@ -148,8 +148,8 @@
   }
 
   override async repair(request: RepairRequest): Promise<RepairAnswer> {
-    const { edit_id, lost, replacement } = request;
-    const replayed = await this.#options.seats.repair({ lost, replacement });
+    const { edit_id } = request;
+    const replayed = await this.#options.seats.repair(request);
     const groups = this.#options.status.groups();
     return { edit_id, groups, replayed };
   }
--- a/packages/rhubarbstage-host/src/seat_operations.ts
+++ b/packages/rhubarbstage-host/src/seat_operations.ts
@@ -30,7 +30,11 @@
   type GroupStatus,
   Replica,
 } from "@rhubarbstage/replica";
-import type { BootstrapAnswer, ProcessSettings } from "@rhubarbstage/settings";
+import type {
+  BootstrapAnswer,
+  ProcessSettings,
+  RepairRequest,
+} from "@rhubarbstage/settings";
 import type { Transport } from "@rhubarbstage/transport";
 
 const controlName = "control" as GroupName;
@@ -120,18 +124,27 @@
     };
   }
 
-  /** Moves the seats of a lost replica; true when they had been moved. */
-  async repair(
-    request: { readonly lost: HostId; readonly replacement: HostId },
-  ): Promise<boolean> {
+  /**
+   * Moves the seats of a lost replica; true when they had been moved. Throws
+   * `invalid_request` when the lost host has no seat.
+   */
+  async repair(request: RepairRequest): Promise<boolean> {
     const replica = this.#requireReplica();
     const { lost, replacement } = request;
-    const seat = replica.status().groups
-      .flatMap((group) => group.seats)
-      .find(({ host }) => host === lost);
-    if (seat === undefined) return true;
-    await replica.repair({ lost: seat.replica, replacement });
-    return false;
+    const seats = replica.status().groups.flatMap((group) => group.seats);
+    const seat = seats.find((seat) =>
+      request.replica === undefined
+        ? seat.host === lost
+        : seat.replica === request.replica
+    );
+    if (seat !== undefined) {
+      await replica.repair({ lost: seat.replica, replacement });
+      return false;
+    }
+    if (request.replica !== undefined) return true;
+    throw new RhubarbstageError("invalid_request", {
+      message: `Host "${lost}" has no seat`,
+    });
   }
 
   /** Closes the data folder. */
--- a/packages/rhubarbstage-settings/src/operator_api.ts
+++ b/packages/rhubarbstage-settings/src/operator_api.ts
@@ -247,7 +247,7 @@
   readonly edit_id: EditId;
   /** Hosts with a data folder; all must grant. */
   readonly hosts: readonly HostId[];
-  /** Tree of revision 1. */
+  /** First tree, which takes effect as an edit of the empty one. */
   readonly tree: TreeDocument;
 }
 
@@ -267,6 +267,11 @@
   readonly edit_id: EditId;
   /** Host whose old seat is lost. */
   readonly lost: HostId;
+  /**
+   * Lost replica. Keeps a resend from taking the new seat away when the host
+   * replaces itself; without it, the present seat of the host is meant.
+   */
+  readonly replica?: ReplicaId;
   /** Host that takes the seat; the same host when it came back empty. */
   readonly replacement: HostId;
 }
@@ -278,12 +283,10 @@
   readonly replayed: boolean;
 }
 
-/** An operator states how an order to an engine ended. */
+/** An operator states that an order can have no further effect. */
 export interface OrderEndRequest {
   readonly edit_id: EditId;
   readonly order_id: OrderId;
-  /** Whether the engine carried the order out. */
-  readonly carried_out: boolean;
 }
 
 /** The order has ended. */
--- a/scripts/build_binary.mjs
+++ b/scripts/build_binary.mjs
@@ -24,11 +24,20 @@
 /** Marker in Node.js executables that tells whether a blob was injected. */
 const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
+/**
+ * The `require` of an embedded script loads built-in modules only and warns
+ * about others, such as the optional peers of Nest; this one fails without.
+ */
+const prelude = 'require = require("node:module").createRequire(__filename);';
+
 function makeBlob() {
   const config = join(dist, "sea.json");
+  const main = join(dist, "sea.cjs");
+  const bundle = readFileSync(join(dist, "rhubarbstage.cjs"), "utf8");
+  writeFileSync(main, `${prelude}\n${bundle}`);
   const blob = join(dist, "sea.blob");
   const settings = {
-    main: join(dist, "rhubarbstage.cjs"),
+    main,
     output: blob,
     disableExperimentalSEAWarning: true,
     useCodeCache: true,
@@ -42,6 +51,7 @@
   if (run.status !== 0) throw new Error("Node.js made no blob");
   const content = readFileSync(blob);
   rmSync(config);
+  rmSync(main);
   rmSync(blob);
   return content;
 }
