Spread news and first deltas ahead of other gossip

Cause: at 128 hosts a leave reported to a host that is no registrar reached all hosts only after 7.5 s, because its log came up in the rotating slice; and a fresh host took minutes to learn 1,800 servers within the byte budget. Change: logs that changed within 4 s are in each digest; a host that has nothing of a log gets up to 64 KiB of it at once; neighbours and registrars are chosen every 2 s instead of in each round.

--- a/packages/rhubarbstage-bench/src/capacity_figure.ts
+++ b/packages/rhubarbstage-bench/src/capacity_figure.ts
@@ -75,14 +75,22 @@
     `${figure.size}: ${measured}`,
     `${formatNumber(line.intercept)} + ${formatNumber(line.slope)}·x`,
     `${Math.round(line.residual * 100)}%`,
-    `${figure.target}: ${
-      formatNumber(extrapolate(line, figure.target))
-    } (extrapolated)`,
+    formatTarget(figure, line),
     figure.limit === undefined ? "" : formatNumber(figure.limit),
   ];
   return `| ${cells.join(" | ")} |`;
 }
 
+function formatTarget(figure: Figure, line: Line): string {
+  const { points, target } = figure;
+  const measured = points.find(({ x }) => x === target);
+  if (measured !== undefined) {
+    return `${target}: ${formatNumber(measured.y)} (measured)`;
+  }
+  const value = extrapolate(line, target);
+  return `${target}: ${formatNumber(value)} (extrapolated)`;
+}
+
 /** Head of the report's table. */
 export const figureTableHead = [
   "| figure | measured | line | residual | at the target | limit |",
--- a/packages/rhubarbstage-bench/src/capacity_gossip.ts
+++ b/packages/rhubarbstage-bench/src/capacity_gossip.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import { pack, unpack } from "msgpackr";
 import type {
   AvailabilityZone,
   BackendServerId,
@@ -24,6 +23,7 @@
   type ServerRecord,
   type WireMessage,
 } from "@rhubarbstage/membership";
+import { decode, encode } from "@rhubarbstage/transport";
 import type { Figure } from "./capacity_figure.ts";
 import { measureMemory } from "./capacity_memory.ts";
 
@@ -36,7 +36,7 @@
 const frameOverhead = 60;
 /** Virtual time of one measurement, in milliseconds. */
 const measuredTime = 20_000;
-const warmUpTime = 10_000;
+const warmUpTime = 40_000;
 
 interface Member {
   readonly host: HostId;
@@ -47,7 +47,7 @@
 interface Mail {
   readonly to: HostId;
   readonly from: HostId;
-  readonly bytes: Buffer;
+  readonly bytes: Uint8Array;
   /** Whether it is a renewal that belongs to another host. */
   readonly renewal: boolean;
 }
@@ -176,7 +176,7 @@
       const body = renewal
         ? { record: effect.record, load: effect.load }
         : encodeMessage(effect.message);
-      const bytes = pack(body);
+      const bytes = encode(body);
       this.bytes += bytes.length + frameOverhead;
       this.messages += 1;
       mail.push({ to: effect.to, from: member.host, bytes, renewal });
@@ -188,12 +188,12 @@
     const member = this.#byHost.get(mail.to);
     if (member === undefined) return [];
     if (mail.renewal) {
-      const { record, load } = unpack(mail.bytes) as Renewal;
+      const { record, load } = decode(mail.bytes) as Renewal;
       const now = this.#now;
       const event = { type: "announced", now, record, load } as const;
       return this.#dispatch(member, { ...event, forwarded: true });
     }
-    const message = decodeMessage(unpack(mail.bytes) as WireMessage);
+    const message = decodeMessage(decode(mail.bytes) as WireMessage);
     const { from } = mail;
     return this.#dispatch(member, {
       type: "received",
@@ -282,9 +282,13 @@
   ];
 }
 
-/** Figures of membership against hosts, and against servers. */
-export function measureGossip(): Figure[] {
-  const byHosts = [8, 32, 128].map((hosts) =>
+/**
+ * Figures of membership against hosts, and against servers. The full
+ * measurement adds the size of two years, which takes some minutes.
+ */
+export function measureGossip(options: { full: boolean }): Figure[] {
+  const hostCounts = options.full ? [8, 32, 128, 650] : [8, 32, 128];
+  const byHosts = hostCounts.map((hosts) =>
     measureFleet(hosts, Math.round(hosts * serversPerHost))
   );
   const byServers = [13, 130, 1_800].map((servers) =>
--- a/packages/rhubarbstage-bench/src/capacity_main.ts
+++ b/packages/rhubarbstage-bench/src/capacity_main.ts
@@ -1,17 +1,20 @@
 /**
  * Measures what control costs at growing sizes and prints the figures of
- * docs/CAPACITY.md. Run it by `npm run bench:capacity`.
+ * docs/CAPACITY.md. Run it by `npm run bench:capacity`, with `-- --full` for
+ * the sizes that take minutes.
  *
  * @module
  */
 
+import process from "node:process";
 import { figureTableHead, formatFigure } from "./capacity_figure.ts";
 import { measureGossip } from "./capacity_gossip.ts";
 
 function main(): void {
+  const full = process.argv.includes("--full");
   for (const line of figureTableHead) console.log(line);
   for (const measure of [measureGossip]) {
-    for (const figure of measure()) console.log(formatFigure(figure));
+    for (const figure of measure({ full })) console.log(formatFigure(figure));
   }
 }
 
--- a/packages/rhubarbstage-membership/src/constants.ts
+++ b/packages/rhubarbstage-membership/src/constants.ts
@@ -20,8 +20,19 @@
 export const registrarsPerRegion = 8;
 /** Digest entries of other hosts in one message; more are sent in slices. */
 export const digestSliceLimit = 24;
+/** Digest entries of hosts whose log changed a short time ago. */
+export const changedLogLimit = 16;
+/** Time for which a change is news that goes into each digest, in ms. */
+export const newsLifetime = 4_000;
+/** Time between two choices of neighbours and registrars, in milliseconds. */
+export const choiceInterval = 2_000;
 /** Bytes of deltas in one message, before framing. */
-export const deltaByteBudget = 2_048;
+export const deltaByteBudget = 4_096;
+/**
+ * Bytes of deltas in an answer to a host that has nothing of a log, so that a
+ * restarted host knows all servers after a few messages.
+ */
+export const firstDeltaByteBudget = 65_536;
 /** Loads in one message, newest first. */
 export const loadLimit = 16;
 /** Loads older than this are not passed on, in milliseconds. */
--- a/packages/rhubarbstage-membership/src/host_logs.ts
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -7,7 +7,15 @@
 
 import { pack } from "msgpackr";
 import type { HostId, Incarnation } from "rhubarbstage";
-import { deltaByteBudget, digestSliceLimit, loadLimit } from "./constants.ts";
+import {
+  changedLogLimit,
+  deltaByteBudget,
+  digestSliceLimit,
+  firstDeltaByteBudget,
+  loadLimit,
+  newsLifetime,
+} from "./constants.ts";
+import { hashText } from "./hash.ts";
 import {
   type HostLog,
   type LogEntry,
@@ -34,6 +42,8 @@
     heartbeatAt: -Infinity,
     version: 0,
     entries: new Map(),
+    changedAt: -Infinity,
+    rank: hashText(host),
     alive: false,
   };
 }
@@ -45,6 +55,11 @@
   return log;
 }
 
+/** Encoded size of an entry in bytes, for the byte budget. */
+export function entrySize(key: string, value: LogValue): number {
+  return pack(value).length + key.length;
+}
+
 /** Writes an entry of the own log under the next version. */
 export function writeEntry(
   state: MembershipState,
@@ -54,17 +69,23 @@
 ): void {
   const log = ownLog(state);
   log.version += 1;
+  if (isNews(value)) log.changedAt = now;
   log.entries.set(key, {
     version: log.version,
     value,
-    size: pack(value).length + key.length,
+    size: entrySize(key, value),
     storedAt: now,
   });
 }
 
+/** Whether other hosts have to hear of an entry soon. */
+export function isNews(value: LogValue): boolean {
+  return value.type !== "revision";
+}
+
 /**
- * Digest for one message: the registrars and a rotating slice of the other
- * hosts.
+ * Digest for one message: the registrars, the hosts with news and a rotating
+ * slice of the others.
  */
 export function buildDigest(
   state: MembershipState,
@@ -72,9 +93,13 @@
 ): DigestEntry[] {
   const chosen: HostLog[] = [ownLog(state)];
   const others: HostLog[] = [];
+  let newsCount = 0;
   for (const log of state.logs.values()) {
     if (log.host === state.self.host || log.heartbeatAt === -Infinity) continue;
-    if (state.registrars.has(log.host)) chosen.push(log);
+    const news = now - log.changedAt <= newsLifetime &&
+      newsCount < changedLogLimit;
+    if (news) newsCount += 1;
+    if (news || state.registrars.has(log.host)) chosen.push(log);
     else others.push(log);
   }
   chosen.push(...takeSlice(state, others));
@@ -123,6 +148,7 @@
   readonly deltas: Delta[] = [];
   readonly loads: SharedLoad[] = [];
   #left = deltaByteBudget;
+  #firstLeft = firstDeltaByteBudget;
 
   /** Adds what a want asks for, as far as the budget reaches. */
   addWanted(state: MembershipState, want: Want, now: number): void {
@@ -134,7 +160,7 @@
     const missing = [...log.entries]
       .filter(([, entry]) => entry.version > from)
       .sort(([, left], [, right]) => left.version - right.version);
-    const fitting = this.#takeFitting(missing);
+    const fitting = this.#takeFitting(missing, from === 0);
     this.deltas.push({
       digest: toDigestEntry(state, log, now),
       from,
@@ -156,14 +182,18 @@
 
   #takeFitting(
     missing: readonly [string, LogEntry][],
+    isFirst: boolean,
   ): [string, LogEntry][] {
     const fitting: [string, LogEntry][] = [];
     for (const pair of missing) {
+      const { size } = pair[1];
+      const left = isFirst ? this.#firstLeft : this.#left;
       // One entry always passes, so that an entry larger than the rest of the
       // budget cannot block the log for ever.
-      const first = fitting.length === 0 && this.deltas.length === 0;
-      if (pair[1].size > this.#left && !first) break;
-      this.#left -= pair[1].size;
+      const alone = fitting.length === 0 && this.deltas.length === 0;
+      if (size > left && !alone) break;
+      if (isFirst) this.#firstLeft -= size;
+      else this.#left -= size;
       fitting.push(pair);
     }
     return fitting;
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -30,7 +30,6 @@
   isAlive,
   type MembershipState,
 } from "./state.ts";
-import { listNeighbours } from "./neighbours.ts";
 import { decodeMessage, encodeMessage, type WireMessage } from "./wire.ts";
 import type {
   HostRecord,
@@ -164,7 +163,7 @@
   /** Takes cache events and passes them on to the neighbours. */
   changeCache(change: CacheChange): void {
     this.#options.listener.cacheChanged?.(change);
-    for (const { host } of listNeighbours(this.#state, this.#now())) {
+    for (const host of this.#state.neighbours) {
       this.#options.link.send(host, "cache", change);
     }
   }
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -7,6 +7,7 @@
 import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
 import { Reducer, SeededRandom } from "rhubarbstage";
 import {
+  choiceInterval,
   deletionMemory,
   departureMemory,
   loadLifetime,
@@ -21,12 +22,14 @@
   compareDigest,
   createLog,
   DeltaBuilder,
+  entrySize,
+  isNews,
   ownLog,
   toWant,
   writeEntry,
 } from "./host_logs.ts";
 import { hashText } from "./hash.ts";
-import { pickGossipTargets } from "./neighbours.ts";
+import { listNeighbours, pickGossipTargets } from "./neighbours.ts";
 import { chooseRegistrars, pickRegistrar } from "./registrars.ts";
 import {
   evidenceAt,
@@ -93,6 +96,8 @@
       random: new SeededRandom(seed),
       registrarsByRegion: new Map([[self.region, [self.host]]]),
       registrars: new Set([self.host]),
+      neighbours: [],
+      chosenAt: -Infinity,
       sliceStart: 0,
     };
     ownLog(state).alive = true;
@@ -413,8 +418,10 @@
   if (delta.from > log.version) return;
   for (const { key, version, value } of delta.entries) {
     if (version <= log.version) continue;
-    log.entries.set(key, { version, value, size: 0, storedAt: now });
+    const size = entrySize(key, value);
+    log.entries.set(key, { version, value, size, storedAt: now });
     log.version = version;
+    if (isNews(value)) log.changedAt = now;
     applyValue(state, { host: digest.host, value, now }, effects);
   }
   if (!delta.complete) return;
@@ -508,10 +515,9 @@
   const log = ownLog(state);
   log.heartbeat += 1;
   log.heartbeatAt = now;
-  state.registrarsByRegion = chooseRegistrars(state, now);
-  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
   expireServers(state, now, effects);
   refreshHosts(state, now, effects);
+  chooseHosts(state, now);
   forget(state, now);
   startChecks(state, now, effects);
   const message = buildRoundMessage(state, now);
@@ -520,6 +526,16 @@
   }
 }
 
+/** Choices look at all hosts, so they are not made in each round. */
+function chooseHosts(state: MembershipState, now: number): void {
+  const settled = now - state.chosenAt < choiceInterval;
+  if (settled && state.neighbours.length > 0) return;
+  state.chosenAt = now;
+  state.registrarsByRegion = chooseRegistrars(state, now);
+  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
+  state.neighbours = listNeighbours(state, now).map(({ host }) => host);
+}
+
 function buildRoundMessage(
   state: MembershipState,
   now: number,
--- a/packages/rhubarbstage-membership/src/neighbours.ts
+++ b/packages/rhubarbstage-membership/src/neighbours.ts
@@ -71,7 +71,7 @@
   state: MembershipState,
   now: number,
 ): HostId[] {
-  const pool = listNeighbours(state, now).map((record) => record.host);
+  const pool = [...state.neighbours];
   const targets: HostId[] = [];
   while (targets.length < gossipFanout && pool.length > 0) {
     const index = state.random.integer(pool.length);
--- a/packages/rhubarbstage-membership/src/registrars.ts
+++ b/packages/rhubarbstage-membership/src/registrars.ts
@@ -19,7 +19,7 @@
   state: MembershipState,
   now: number,
 ): Map<Region, HostId[]> {
-  const byRegion = new Map<Region, { host: HostId; rank: number }[]>();
+  const byRegion = new Map<Region, HostLog[]>();
   for (const log of state.logs.values()) {
     const record = findHost(state, log.host);
     if (record === undefined) continue;
@@ -30,7 +30,7 @@
       : log.alive;
     if (!considered) continue;
     const ranked = byRegion.get(record.region) ?? [];
-    ranked.push({ host: log.host, rank: hashText(log.host) });
+    ranked.push(log);
     byRegion.set(record.region, ranked);
   }
   const chosen = new Map<Region, HostId[]>();
--- a/packages/rhubarbstage-membership/src/state.ts
+++ b/packages/rhubarbstage-membership/src/state.ts
@@ -39,6 +39,10 @@
   /** All entries up to this version are known or superseded. */
   version: number;
   readonly entries: Map<string, LogEntry>;
+  /** Time of the last change that other hosts have to hear of soon. */
+  changedAt: number;
+  /** Hash of the host's name, by which registrars are chosen. */
+  readonly rank: number;
   /** Whether the host counts as alive. */
   alive: boolean;
 }
@@ -76,10 +80,14 @@
   /** Hosts that gossip starts from before it has heard of others. */
   readonly seeds: readonly HostRecord[];
   readonly random: SeededRandom;
-  /** Hosts that own server records, by region; chosen anew at each tick. */
+  /** Hosts that own server records, by region. */
   registrarsByRegion: ReadonlyMap<Region, readonly HostId[]>;
   /** All registrars. */
   registrars: ReadonlySet<HostId>;
+  /** Hosts that this host gossips with. */
+  neighbours: readonly HostId[];
+  /** Time of the last choice of neighbours and registrars. */
+  chosenAt: number;
   /** Position of the rotating digest slice. */
   sliceStart: number;
 }
