--- a/packages/rhubarbstage-control/__tests__/unit/orders_test.ts
+++ b/packages/rhubarbstage-control/__tests__/unit/orders_test.ts
@@ -277,7 +277,7 @@
       "not_sent" as const,
       "refused" as const,
     ),
-    incarnation: fc.constantFrom(1, 1, 1, 2, 3),
+    age: fc.constantFrom(0, 0, 0, 0, 0, 0, 1, -1),
     honours: fc.constantFrom(true, false, false),
   }),
   { maxLength: 30 },
@@ -295,15 +295,19 @@
         const live = new Map<string, { host: string; incarnation: number }>();
         let newest = 0;
         for (const [index, step] of history.entries()) {
-          const { id, host, incarnation, ending } = step;
-          const answer = machine.apply(state, commandOf(step), index + 1);
-          if (step.type === "intend" || step.type === "observe") {
-            newest = Math.max(newest, incarnation);
+          const { id, host } = step;
+          const incarnation = Math.max(1, newest + step.age);
+          const command = commandOf({ ...step, incarnation });
+          const answer = machine.apply(state, command, index + 1);
+          const result = answer.type === "intend" ? answer.result : undefined;
+          const fresh = result?.type === "accepted" &&
+            result.intent.fencingNumber === index + 1;
+          if (fresh) {
+            expect(incarnation).toBeGreaterThanOrEqual(newest);
+            live.set(id, { host, incarnation });
           }
-          if (answer.type === "intend" && answer.result.type === "accepted") {
-            const { intent } = answer.result;
-            const fresh = intent.fencingNumber === index + 1;
-            if (fresh) live.set(id, { host, incarnation });
+          if (fresh || result?.type === "conflict" || step.type === "observe") {
+            newest = Math.max(newest, incarnation);
           }
           if (step.type === "end" && live.get(id)?.host === host) {
             live.delete(id);
@@ -314,10 +318,7 @@
           const ignoring = [...live.keys()].filter((other) =>
             state.orders.get(other as OrderId)?.honoursFencing === false
           );
-          expect({ ignoring: ignoring.length <= 1, ending }).toEqual({
-            ignoring: true,
-            ending,
-          });
+          expect(ignoring.length).toBeLessThanOrEqual(1);
         }
       }),
       { seed: 13, numRuns: 1_000 },
--- a/packages/rhubarbstage-service/src/repeatable_client.ts
+++ b/packages/rhubarbstage-service/src/repeatable_client.ts
@@ -8,6 +8,7 @@
 import { Agent } from "undici";
 import { connectTimeout } from "./constants.ts";
 import { passedHeaders } from "./headers.ts";
+import { originOf } from "./single_send.ts";
 import type {
   RepeatableCallOptions,
   ServiceRequest,
@@ -38,7 +39,7 @@
   ): Promise<StreamedAnswer> {
     try {
       const response = await this.#agent.request({
-        origin: target.address,
+        origin: originOf(target.address),
         method: request.method,
         path: request.path,
         headers: passedHeaders(request.headers),
--- a/packages/rhubarbstage-service/src/single_send.ts
+++ b/packages/rhubarbstage-service/src/single_send.ts
@@ -42,6 +42,13 @@
   readonly mayWrite: () => boolean;
 }
 
+/** Base address of an instance that is named by URL or by host and port. */
+export function originOf(address: string): string {
+  return address.includes("://")
+    ? new URL(address).origin
+    : `http://${address}`;
+}
+
 /** Host and port of a base address such as `http://10.0.0.7:9000`. */
 export function parseAddress(
   address: string,
@@ -85,7 +92,10 @@
 
 function openSocket(address: string): Promise<Socket> {
   return new Promise((resolve, reject) => {
-    const socket = connect({ ...parseAddress(address), noDelay: true });
+    const socket = connect({
+      ...parseAddress(originOf(address)),
+      noDelay: true,
+    });
     const timer = setTimeout(
       () => socket.destroy(new Error("The connection took too long")),
       connectTimeout,
@@ -107,7 +117,7 @@
 /** A client that can only use the given connection and never opens another. */
 function clientOf(address: string, socket: Socket): Client {
   let used = false;
-  return new Client(address, {
+  return new Client(originOf(address), {
     pipelining: 1,
     headersTimeout: 0,
     bodyTimeout: 0,
--- a/packages/rhubarbstage-service/src/types.ts
+++ b/packages/rhubarbstage-service/src/types.ts
@@ -18,7 +18,7 @@
 /** Where an instance of a plain service is reached. */
 export interface ServiceTarget {
   readonly backendServer: BackendServerId;
-  /** Base address, for example `http://10.0.0.7:9000`. */
+  /** Base address or host and port, for example `10.0.0.7:9000`. */
   readonly address: string;
 }
 
