--- a/packages/rhubarbstage-bench/src/experiments.ts
+++ b/packages/rhubarbstage-bench/src/experiments.ts
@@ -5,7 +5,12 @@
  */
 
 import type { EngineRole, FleetSettings } from "@rhubarbstage/policy";
-import { type Deployment, runFleet, type RunResult } from "./fleet_run.ts";
+import {
+  type Deployment,
+  type EngineSample,
+  runFleet,
+  type RunResult,
+} from "./fleet_run.ts";
 import {
   arrivedWithin,
   completionRate,
@@ -204,6 +209,17 @@
       value: refused.filter((record) => record.untrue).length,
       ...ifFleet({ atMost: 0 }),
     },
+    ...["bulk-a", "bulk-b", "bought", "floor"].flatMap((name) =>
+      latencyFigures(`${policy}: ${name}`, ofStream(records, name))
+    ),
+    {
+      name: `${policy}: idle slots`,
+      value: meanSample(result, crestWindow, ({ idle }) => idle),
+    },
+    {
+      name: `${policy}: queued in engines`,
+      value: meanSample(result, crestWindow, ({ queued }) => queued),
+    },
     { name: `${policy}: refused part`, value: refused.length / records.length },
     {
       name: `${policy}: failed part`,
@@ -212,11 +228,40 @@
   ];
 }
 
+function meanSample(
+  result: RunResult,
+  [from, to]: readonly [number, number],
+  value: (sample: EngineSample) => number,
+): number {
+  const samples = result.samples
+    .filter(({ second }) => second >= from && second < to);
+  return samples.reduce((sum, sample) => sum + value(sample), 0) /
+    samples.length;
+}
+
+function latencyFigures(
+  name: string,
+  records: readonly RequestRecord[],
+): Figure[] {
+  const served = records.filter((record) => record.end === "finished");
+  const waits = served.map((record) => record.queueWait);
+  return [50, 99].flatMap((percent) => [
+    {
+      name: `${name} first token p${percent}, ms`,
+      value: percentile(firstTokens(served), percent),
+    },
+    {
+      name: `${name} wait on the host p${percent}, ms`,
+      value: percentile(waits, percent),
+    },
+  ]);
+}
+
 /** A hundredth of the requests is 20 times as long. */
 export const stragglers: Experiment = {
   name: "stragglers",
   async run(seed) {
-    const rate = padana.engines * ratePerEngine * 0.55;
+    const rate = padana.engines * ratePerEngine * 0.7;
     const run = async (policy: PolicyName, part: number) => {
       const streams = [stream("work", {
         rate: [[0, rate]],
