End orders as the engine reports them

Cause: engines refuse a repeated fencing number as stale, so that a new leader who finishes an order whose answer was lost recorded it as refused although it had taken effect; engines that ignore numbers stayed blocked until a restart. Change: a status may name the last order of the engine's process. Recovery ends an order by that report and writes it again only where it was never taken. Answers and reports of the engine end an order whoever passes them on; not_sent still needs the sender's own word. Conclusion: a lost answer blocks no engine that reports its orders.

--- a/packages/rhubarbstage-control/__tests__/unit/orders_test.ts
+++ b/packages/rhubarbstage-control/__tests__/unit/orders_test.ts
@@ -1,6 +1,7 @@
 import fc from "fast-check";
 import {
   type BackendServerId,
+  type FencingNumber,
   type HostId,
   type Incarnation,
   ManualClock,
@@ -40,6 +41,8 @@
   fencingNumbers: number[] = [];
   highest = 0;
   loseAnswers = false;
+  /** Whether the status names the last order. */
+  reports = false;
   /** Runs before a connection writes, as a pause of the sender would. */
   beforeWrite: (intent: OrderIntent) => Promise<void> = async () => {};
 
@@ -75,11 +78,13 @@
 
   override status(): Promise<EngineStatus> {
     const incarnation = this.#incarnation as Incarnation;
-    const { honoursFencing } = this.#engine;
+    const { honoursFencing, reports, highest } = this.#engine;
+    const fencingNumber = highest as FencingNumber;
     return Promise.resolve({
       backendServer: engineId,
       incarnation,
       honoursFencing,
+      ...reports ? { lastOrder: { fencingNumber, state: "done" } } : {},
     });
   }
 
@@ -220,6 +225,22 @@
     expect(await next.openOrders()).toEqual([]);
   });
 
+  // Guards against an engine that stays blocked, or gets an order twice, after
+  // only the answer to its order was lost.
+  test("believes the report of an engine that took the order", async () => {
+    for (const honoursFencing of [true, false]) {
+      const { engine, old, next } = setUp(honoursFencing);
+      engine.loseAnswers = true;
+      engine.reports = true;
+      await old.execute(orderOf("first"), target);
+      const [ended] = await next.recover(() => target);
+      expect(ended?.ending).toBe("confirmed");
+      await next.idle();
+      expect(await next.openOrders()).toEqual([]);
+      expect(engine.applied).toEqual(["first"]);
+    }
+  });
+
   // Guards against an engine that stays blocked after it crashed in the middle
   // of a change.
   test("ends the order of an engine that restarted", async () => {
@@ -309,9 +330,9 @@
           if (fresh || result?.type === "conflict" || step.type === "observe") {
             newest = Math.max(newest, incarnation);
           }
-          if (step.type === "end" && live.get(id)?.host === host) {
-            live.delete(id);
-          }
+          const stated = live.get(id)?.host === host ||
+            step.ending !== "not_sent";
+          if (step.type === "end" && stated) live.delete(id);
           for (const [other, order] of live) {
             if (order.incarnation < newest) live.delete(other);
           }
--- a/packages/rhubarbstage-control/src/order_executor.ts
+++ b/packages/rhubarbstage-control/src/order_executor.ts
@@ -274,6 +274,8 @@
         await this.observe(status, options);
         return { intent, ending: "new_incarnation" };
       }
+      const reported = this.#endAsReported(intent, status);
+      if (reported !== undefined) return reported;
       if (!intent.honoursFencing || !status.honoursFencing) {
         return { intent, message: "The engine ignores fencing numbers" };
       }
@@ -287,6 +289,21 @@
     }
   }
 
+  /** The order is written once, so that an engine that took it is done. */
+  #endAsReported(
+    intent: OrderIntent,
+    status: EngineStatus,
+  ): OrderReport | undefined {
+    const { lastOrder } = status;
+    if (lastOrder?.fencingNumber !== intent.fencingNumber) return undefined;
+    if (lastOrder.state === "running") {
+      return { intent, message: "The engine carries the order out" };
+    }
+    const ending = lastOrder.state === "done" ? "confirmed" : "refused";
+    this.#state(intent.orderId, ending);
+    return { intent, ending };
+  }
+
   async #takeOver(
     intent: OrderIntent,
     options: CallOptions,
--- a/packages/rhubarbstage-control/src/orders.ts
+++ b/packages/rhubarbstage-control/src/orders.ts
@@ -121,13 +121,11 @@
 
 /**
  * `not_sent` needs the word of the only process that could have written the
- * order; answers of an engine that ignores numbers reach only the sender.
+ * order. The engine's own answer or report ends an order whoever passes it on.
  */
 function mayState(intent: OrderIntent, command: EndCommand): boolean {
-  if (command.ending === "operator") return true;
-  const own = isSameSender(intent.sender, command.sender);
-  if (command.ending === "not_sent") return own && !intent.takenOver;
-  return own || intent.honoursFencing;
+  if (command.ending !== "not_sent") return true;
+  return isSameSender(intent.sender, command.sender) && !intent.takenOver;
 }
 
 function endIntent(
--- a/packages/rhubarbstage-control/src/types.ts
+++ b/packages/rhubarbstage-control/src/types.ts
@@ -279,6 +279,11 @@
   readonly backendServer: BackendServerId;
   readonly incarnation: Incarnation;
   readonly honoursFencing: boolean;
+  /** Last order that the engine's process took, if it reports one. */
+  readonly lastOrder?: {
+    readonly fencingNumber: FencingNumber;
+    readonly state: "running" | "done" | "failed";
+  };
 }
 
 /** What became of an order that was to be written. */
