--- a/packages/rhubarbstage-settings/src/yaml_source.ts
+++ b/packages/rhubarbstage-settings/src/yaml_source.ts
@@ -95,5 +95,5 @@
 
 /** Formats a tree or a part of it as YAML with sorted keys. */
 export function formatTree(value: unknown): string {
-  return stringify(value, { sortMapEntries: true });
+  return stringify(value, { sortMapEntries: true, lineWidth: 0 });
 }
