Feed the queue, control time and status metrics

Cause: queue depth, running requests and the processor time of control were documented and always read 0 or were absent; the status said that no request waits; each host warned of a listener leak at its start.

Change: the dispatcher counts requests by service, links measure the time in which they handle or encode messages, and the host samples both. The signal that ends a host's parts takes any number of listeners.

Conclusion: every metric of docs/operators.md has a source.

--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -17,6 +17,7 @@
   every,
   type RequestId,
   RhubarbstageError,
+  type ServiceName,
   SystemClock,
 } from "rhubarbstage";
 import { tickInterval } from "./constants.ts";
@@ -43,6 +44,15 @@
   readonly clock?: Clock;
 }
 
+/** Requests of one service. */
+export interface RequestCounts {
+  /** Requests without a running attempt. */
+  readonly waiting: number;
+  readonly running: number;
+}
+
+const noRequests: RequestCounts = { waiting: 0, running: 0 };
+
 /** Options of one request. */
 export interface DispatchOptions {
   /** Aborted when the caller closes its connection. */
@@ -77,6 +87,19 @@
     return [...this.#runs.keys()];
   }
 
+  /** Requests of each service that wait and that run. */
+  countRequests(): Map<ServiceName, RequestCounts> {
+    const counts = new Map<ServiceName, RequestCounts>();
+    for (const { work, isRunning } of this.#runs.values()) {
+      const { waiting, running } = counts.get(work.service) ?? noRequests;
+      counts.set(work.service, {
+        waiting: waiting + (isRunning ? 0 : 1),
+        running: running + (isRunning ? 1 : 0),
+      });
+    }
+    return counts;
+  }
+
   /** Sends ticks to the policy until the signal is aborted. */
   start(options: { readonly signal: AbortSignal }): void {
     every(tickInterval, () => this.notify({ type: "tick" }), options);
--- a/packages/rhubarbstage-gateway/src/mod.ts
+++ b/packages/rhubarbstage-gateway/src/mod.ts
@@ -31,7 +31,11 @@
   SettingsSource,
 } from "./ports.ts";
 export type { Generation, GenerationResult, PolicyNews } from "./types.ts";
-export type { DispatcherOptions, DispatchOptions } from "./dispatcher.ts";
+export type {
+  DispatcherOptions,
+  DispatchOptions,
+  RequestCounts,
+} from "./dispatcher.ts";
 export { Dispatcher } from "./dispatcher.ts";
 export { GenerationSink } from "./sinks.ts";
 export { CallerGone, errorBody, errorHeaders } from "./errors.ts";
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -30,6 +30,8 @@
   readonly work: Work;
   /** Number of attempts so far. */
   readonly attempts: number;
+  /** Whether an attempt runs; the request waits otherwise. */
+  readonly isRunning: boolean;
   /** Starts an attempt on a server. */
   dispatch(effect: DispatchEffect): void;
   /** Ends an attempt; nothing that it still yields is used. */
@@ -122,6 +124,10 @@
     return this.#live.has(attempt.id);
   }
 
+  get isRunning(): boolean {
+    return this.#live.size > 0;
+  }
+
   /** Attempts that may still contribute to the answer. */
   protected get live(): readonly Attempt[] {
     return [...this.#live.values()];
--- a/packages/rhubarbstage-host/src/foundation.ts
+++ b/packages/rhubarbstage-host/src/foundation.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { setMaxListeners } from "node:events";
 import { type Clock, type Incarnation, SystemClock } from "rhubarbstage";
 import {
   loadTokens,
@@ -67,7 +68,7 @@
     metrics: new Metrics(),
     settings,
     lifecycle: new Lifecycle(settings),
-    stopped: new AbortController(),
+    stopped: createStopController(),
   };
 }
 
@@ -79,3 +80,11 @@
     backendServers: await loadTokens(backendServers),
   };
 }
+
+/** Ends everything that a host runs when it stops. */
+function createStopController(): AbortController {
+  const controller = new AbortController();
+  // Each part of a host adds a listener; more than 10 are no leak here.
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
--- a/packages/rhubarbstage-host/src/host.ts
+++ b/packages/rhubarbstage-host/src/host.ts
@@ -123,7 +123,7 @@
     seats: replication.seats,
     membership,
     backends,
-    openRequests: () => gateway.openRequests.length,
+    countRequests: () => dispatcher.countRequests(),
   });
   const timeline = new TimelineQueries({
     host: process.host,
--- a/packages/rhubarbstage-host/src/host_status.ts
+++ b/packages/rhubarbstage-host/src/host_status.ts
@@ -4,8 +4,9 @@
  * @module
  */
 
-import type { Incarnation } from "rhubarbstage";
+import type { Incarnation, ServiceName } from "rhubarbstage";
 import type { OrderIntent } from "@rhubarbstage/control";
+import type { RequestCounts } from "@rhubarbstage/gateway";
 import type {
   HostRecord,
   Membership,
@@ -35,8 +36,8 @@
   readonly membership: Membership;
   readonly backends: BackendRegistry;
   readonly seats: SeatOperations;
-  /** Requests of callers that wait or run. */
-  readonly openRequests: () => number;
+  /** Requests of callers by service. */
+  readonly countRequests: () => ReadonlyMap<ServiceName, RequestCounts>;
 }
 
 /** Builds the answers of the operator interface about state. */
@@ -50,7 +51,8 @@
   /** State of this host. */
   report(): StatusAnswer {
     const { process, incarnation, version, settings } = this.#options;
-    const { lifecycle, seats, openRequests } = this.#options;
+    const { lifecycle, seats, countRequests } = this.#options;
+    const requests = [...countRequests().values()];
     return {
       host: process.host,
       cluster: process.cluster,
@@ -67,8 +69,8 @@
           confirmation_age_ms: Math.round(settings.confirmationAge),
         }
         : {}),
-      running_requests: openRequests(),
-      queued_requests: 0,
+      running_requests: sum(requests.map(({ running }) => running)),
+      queued_requests: sum(requests.map(({ waiting }) => waiting)),
       bootstrapped: seats.isBootstrapped,
       ...(seats.replicaId === undefined ? {} : { replica: seats.replicaId }),
       groups: this.groups(),
@@ -146,6 +148,10 @@
   }
 }
 
+function sum(numbers: readonly number[]): number {
+  return numbers.reduce((total, number) => total + number, 0);
+}
+
 function parseEndpoint(record: HostRecord): Endpoint {
   const { hostname, port } = new URL(record.httpAddress);
   return { address: hostname, port: Number(port) };
--- a/packages/rhubarbstage-host/src/metrics_sample.ts
+++ b/packages/rhubarbstage-host/src/metrics_sample.ts
@@ -28,8 +28,8 @@
     metrics.configuration(settings.revision, settings.confirmationAge);
   }
   metrics.timelineDropped(timeline.dropped);
-  const { sentBytes, receivedBytes } = replication.transport.counters();
-  metrics.controlTotals({ sentBytes, receivedBytes });
+  metrics.controlTotals(replication.transport.counters());
+  metrics.queues(serving.dispatcher.countRequests());
   const counts = countServers(serving);
   for (const state of states) {
     metrics.backendServers(state, counts.get(state) ?? 0);
--- a/packages/rhubarbstage-telemetry/__tests__/unit/metrics_test.ts
+++ b/packages/rhubarbstage-telemetry/__tests__/unit/metrics_test.ts
@@ -12,10 +12,10 @@
     metrics.retried(chat);
     metrics.firstToken(chat, 100);
     metrics.betweenTokens(chat, 20);
-    metrics.queue(chat, { waiting: 3, running: 2 });
+    metrics.queues(new Map([[chat, { waiting: 3, running: 2 }]]));
     metrics.configuration(7 as Revision, 1_500);
-    metrics.controlBytes("sent", 10);
-    metrics.controlCpu(250);
+    metrics.controlTotals({ sentBytes: 4, receivedBytes: 1, busyTime: 150 });
+    metrics.controlTotals({ sentBytes: 10, receivedBytes: 2, busyTime: 250 });
     const text = await metrics.render();
     for (
       const line of [
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -68,8 +68,13 @@
   readonly duration: number;
 }
 
-/** Which way control traffic went. */
-export type Direction = "sent" | "received";
+/** Control traffic since the start of the process. */
+export interface ControlTotals {
+  readonly sentBytes: number;
+  readonly receivedBytes: number;
+  /** Time in which messages were handled or encoded, in milliseconds. */
+  readonly busyTime: number;
+}
 
 /** Backend servers as a host sees them. */
 export type BackendServerState = "ready" | "drained" | "leaving" | "stale";
@@ -95,7 +100,7 @@
   readonly #controlCpu: Counter;
   readonly #controlBytes: Counter<"direction">;
   readonly #timelineDropped: Gauge;
-  #counted = { sentBytes: 0, receivedBytes: 0 };
+  #counted: ControlTotals = { sentBytes: 0, receivedBytes: 0, busyTime: 0 };
 
   constructor() {
     this.#requests = this.#counter(
@@ -159,7 +164,7 @@
     );
     this.#controlCpu = this.#counter(
       "control_cpu_seconds_total",
-      "Processor time of gossip, confirmation and replication",
+      "Time in which messages between hosts were handled or encoded",
     );
     this.#controlBytes = this.#counter(
       "control_bytes_total",
@@ -216,14 +221,20 @@
     this.#betweenTokens.observe(labels, milliseconds / 1_000);
   }
 
-  /** Requests of a service that wait and that run. */
-  queue(
-    service: ServiceName,
-    counts: { readonly waiting: number; readonly running: number },
+  /** Requests of each service that wait and that run; others have none. */
+  queues(
+    counts: ReadonlyMap<
+      ServiceName,
+      { readonly waiting: number; readonly running: number }
+    >,
   ): void {
-    const labels = { service: this.#services.limit(service) };
-    this.#queueDepth.set(labels, counts.waiting);
-    this.#running.set(labels, counts.running);
+    this.#queueDepth.reset();
+    this.#running.reset();
+    for (const [name, { waiting, running }] of counts) {
+      const labels = { service: this.#services.limit(name) };
+      this.#queueDepth.inc(labels, waiting);
+      this.#running.inc(labels, running);
+    }
   }
 
   /** The revision in force and the age of its confirmation in milliseconds. */
@@ -242,37 +253,20 @@
     this.#roleChanges.inc();
   }
 
-  /** Bytes went over a link between hosts. */
-  controlBytes(direction: Direction, bytes: number): void {
-    this.#controlBytes.inc({ direction }, bytes);
-  }
-
-  /** Totals of bytes on links between hosts since the start. */
-  controlTotals(totals: {
-    readonly sentBytes: number;
-    readonly receivedBytes: number;
-  }): void {
-    this.controlBytes("sent", totals.sentBytes - this.#counted.sentBytes);
-    this.controlBytes(
-      "received",
-      totals.receivedBytes - this.#counted.receivedBytes,
+  /** Totals of the links between hosts since the start. */
+  controlTotals(totals: ControlTotals): void {
+    const last = this.#counted;
+    const { sentBytes, receivedBytes, busyTime } = totals;
+    this.#controlBytes.inc(
+      { direction: "sent" },
+      sentBytes - last.sentBytes,
     );
-    this.#counted = totals;
-  }
-
-  /** Control work took this many milliseconds of processor time. */
-  controlCpu(milliseconds: number): void {
-    this.#controlCpu.inc(milliseconds / 1_000);
-  }
-
-  /** Runs control work and counts its time. */
-  measureControl<Result>(run: () => Result): Result {
-    const start = performance.now();
-    try {
-      return run();
-    } finally {
-      this.controlCpu(performance.now() - start);
-    }
+    this.#controlBytes.inc(
+      { direction: "received" },
+      receivedBytes - last.receivedBytes,
+    );
+    this.#controlCpu.inc((busyTime - last.busyTime) / 1_000);
+    this.#counted = { sentBytes, receivedBytes, busyTime };
   }
 
   /** Events that the timeline file lacks. */
--- a/packages/rhubarbstage-telemetry/src/mod.ts
+++ b/packages/rhubarbstage-telemetry/src/mod.ts
@@ -15,7 +15,11 @@
 export { formatFields } from "./key_value.ts";
 export type { LoggerOptions } from "./logger.ts";
 export { createLogger, createNullLogger, Logger } from "./logger.ts";
-export type { BackendServerState, Direction, RequestEnd } from "./metrics.ts";
+export type {
+  BackendServerState,
+  ControlTotals,
+  RequestEnd,
+} from "./metrics.ts";
 export { Metrics } from "./metrics.ts";
 export type { EventDetails, TimelineOptions } from "./timeline.ts";
 export {
--- a/packages/rhubarbstage-transport/src/link.ts
+++ b/packages/rhubarbstage-transport/src/link.ts
@@ -57,7 +57,10 @@
     this.#options = options;
     this.peer = options.peer;
     this.isDialled = options.isDialled;
-    socket.on("message", (data) => this.#receive(data as Buffer));
+    const { traffic } = options;
+    socket.on("message", (data) => {
+      traffic.measure(() => this.#receive(data as Buffer));
+    });
     socket.on("ping", () => this.#hear());
     socket.on("pong", () => this.#hear());
     socket.on("error", (error) => this.#closeReason = error.message);
@@ -139,6 +142,10 @@
   }
 
   #write(frame: Frame): boolean {
+    return this.#options.traffic.measure(() => this.#encode(frame));
+  }
+
+  #encode(frame: Frame): boolean {
     const { traffic, queueBytes } = this.#options;
     const bytes = encode(frame);
     const queued = this.#socket.bufferedAmount + bytes.length;
--- a/packages/rhubarbstage-transport/src/local_transport.ts
+++ b/packages/rhubarbstage-transport/src/local_transport.ts
@@ -182,6 +182,7 @@
       droppedMessages: this.#droppedMessages,
       rejectedConnections: 0,
       handlerErrors: this.#handlers.errors,
+      busyTime: 0,
       byName: new Map(),
     };
   }
--- a/packages/rhubarbstage-transport/src/traffic.ts
+++ b/packages/rhubarbstage-transport/src/traffic.ts
@@ -34,6 +34,20 @@
   readonly #byName = new Map<string, Mutable<NameCounters>>();
   dropped = 0;
   rejected = 0;
+  #busyTime = 0;
+  #busySince: number | undefined;
+
+  /** Counts the time of `run`; work inside other counted work counts once. */
+  measure<Result>(run: () => Result): Result {
+    if (this.#busySince !== undefined) return run();
+    this.#busySince = performance.now();
+    try {
+      return run();
+    } finally {
+      this.#busyTime += performance.now() - this.#busySince;
+      this.#busySince = undefined;
+    }
+  }
 
   sent(name: string, bytes: number): void {
     for (const counters of [this.#total, this.#named(name)]) {
@@ -55,6 +69,7 @@
       droppedMessages: this.dropped,
       rejectedConnections: this.rejected,
       handlerErrors,
+      busyTime: this.#busyTime,
       byName: new Map(
         [...this.#byName].map(([name, counters]) => [name, { ...counters }]),
       ),
--- a/packages/rhubarbstage-transport/src/types.ts
+++ b/packages/rhubarbstage-transport/src/types.ts
@@ -88,6 +88,8 @@
   readonly rejectedConnections: number;
   /** Errors thrown by message handlers. */
   readonly handlerErrors: number;
+  /** Time in which messages were handled or encoded, in milliseconds. */
+  readonly busyTime: number;
   /** Bytes and messages by message or request name, both directions. */
   readonly byName: ReadonlyMap<string, NameCounters>;
 }
