Carry hybrid logical time on links between hosts

Cause: no message carried a timestamp, so that the merged timeline ordered events of several hosts by wall clocks alone and could show an effect before its cause.

Change: each frame ends with the sender's time and the receiver's clock follows it, up to a lead of 60 s; the host gives its timeline's clock to the transport. A test has clocks 40 s apart and one an hour off.

Conclusion: the timeline is causal across hosts within the bound.

--- a/packages/rhubarbstage-host/src/links.ts
+++ b/packages/rhubarbstage-host/src/links.ts
@@ -29,6 +29,7 @@
     port,
     token: token.value,
     peers: listPeers(process),
+    clock: foundation.timeline.clock,
     certificates: await readCertificates(process.tls),
   });
   transport.onLink(({ kind, peer, reason }) => {
--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -1,7 +1,13 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
-import { delay, RhubarbstageError } from "rhubarbstage";
-import type { HostId } from "rhubarbstage";
+import {
+  compareTimestamps,
+  delay,
+  HybridLogicalClock,
+  ManualClock,
+  RhubarbstageError,
+} from "rhubarbstage";
+import type { HostId, Timestamp } from "rhubarbstage";
 import { WebSocket } from "ws";
 import {
   messageType,
@@ -85,6 +91,34 @@
     expect(left.counters().handlerErrors).toBe(0);
   });
 
+  // Guards against a timeline that lists an effect on one host before its cause
+  // on another whose clock is ahead, and against one wrong clock that moves the
+  // clocks of all hosts.
+  test("lets clocks follow the ones of senders up to a bound", async () => {
+    const makeClock = (lead: number) =>
+      new HybridLogicalClock(new ManualClock(Date.now() + lead));
+    const ahead = makeClock(20_000);
+    const behind = makeClock(-20_000);
+    const wrong = makeClock(3_600_000);
+    const left = await listen(first, { clock: ahead });
+    const right = await listen(second, { clock: behind });
+    const stray = await listen("third" as HostId, { clock: wrong });
+    left.setAddress(second, right.address);
+    stray.setAddress(second, right.address);
+    const seen: Timestamp[] = [];
+    right.onRequest(echo, (body) => {
+      seen.push(behind.next());
+      return body;
+    });
+    const cause = ahead.next();
+    await left.request(echo, { to: second, body: 1 });
+    expect(compareTimestamps(cause, seen[0] as Timestamp)).toBeLessThan(0);
+    expect(compareTimestamps(seen[0] as Timestamp, ahead.next()))
+      .toBeLessThan(0);
+    expect(await stray.request(echo, { to: second, body: 2 })).toBe(2);
+    expect(seen[1]?.wall).toBe(cause.wall);
+  });
+
   // Guards against two links that each end keeps for one direction.
   test("ends up with one link when both ends dial at once", async () => {
     const left = await listen(first);
--- a/packages/rhubarbstage-transport/src/constants.ts
+++ b/packages/rhubarbstage-transport/src/constants.ts
@@ -25,6 +25,12 @@
 /** Longest wait before a failed connection is tried again, in ms. */
 export const defaultMaxBackoff = 5_000;
 
+/**
+ * Lead of a peer's clock, in milliseconds, up to which the own hybrid clock
+ * follows it. One host with a wrong date must not move the clocks of all.
+ */
+export const maxClockLead = 60_000;
+
 /** Largest frame in bytes. Snapshots are sent in smaller pieces. */
 export const maxFrameBytes = 16_777_216;
 
--- a/packages/rhubarbstage-transport/src/frames.ts
+++ b/packages/rhubarbstage-transport/src/frames.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { Timestamp } from "rhubarbstage";
 import type { RemoteError } from "./handler_table.ts";
 
 /** First element of a frame. */
@@ -22,3 +23,23 @@
   | [kind: 2, name: string, answer: unknown, id: number]
   | [kind: 3, name: string, error: RemoteError, id: number]
   | [kind: 4, name: string, nothing: null, id: number];
+
+/** Time of sending behind the other elements: wall time and counter. */
+type Stamp = readonly [wall: number, counter: number];
+
+/** The frame with the time of sending. */
+export function stampFrame(frame: Frame, time: Timestamp): unknown[] {
+  return [...frame, [time.wall, time.counter]];
+}
+
+/** Reads the time of sending; undefined when the sender gave none. */
+export function readStamp(frame: Frame): Timestamp | undefined {
+  const elements: readonly unknown[] = frame;
+  const stamp = elements[frame[0] === frameKinds.message ? 3 : 4];
+  if (!Array.isArray(stamp)) return undefined;
+  const [wall, counter] = stamp as unknown as Stamp;
+  if (!Number.isSafeInteger(wall) || !Number.isSafeInteger(counter)) {
+    return undefined;
+  }
+  return { wall, counter };
+}
--- a/packages/rhubarbstage-transport/src/link.ts
+++ b/packages/rhubarbstage-transport/src/link.ts
@@ -5,12 +5,13 @@
  */
 
 import type { Buffer } from "node:buffer";
+import type { HybridLogicalClock } from "rhubarbstage";
 import { WebSocket } from "ws";
 import { decode, encode } from "./codec.ts";
-import { missedHeartbeats } from "./constants.ts";
+import { maxClockLead, missedHeartbeats } from "./constants.ts";
 import { TransportError } from "./errors.ts";
 import type { Frame } from "./frames.ts";
-import { frameKinds } from "./frames.ts";
+import { frameKinds, readStamp, stampFrame } from "./frames.ts";
 import type { HandlerTable } from "./handler_table.ts";
 import { fromRemoteError, toRemoteError } from "./handler_table.ts";
 import type { Traffic } from "./traffic.ts";
@@ -24,6 +25,7 @@
   readonly isDialled: boolean;
   readonly handlers: HandlerTable;
   readonly traffic: Traffic;
+  readonly clock: HybridLogicalClock | undefined;
   readonly queueBytes: number;
   readonly heartbeatInterval: number;
   /** Frames that arrived before the link was created. */
@@ -146,8 +148,11 @@
   }
 
   #encode(frame: Frame): boolean {
-    const { traffic, queueBytes } = this.#options;
-    const bytes = encode(frame);
+    const { traffic, queueBytes, clock } = this.#options;
+    const stamped = clock === undefined
+      ? frame
+      : stampFrame(frame, clock.next());
+    const bytes = encode(stamped);
     const queued = this.#socket.bufferedAmount + bytes.length;
     if (!this.#isOpen || queued > queueBytes) {
       traffic.dropped += 1;
@@ -170,9 +175,17 @@
     }
     const bytes = frameBytes(data.length, !this.isDialled);
     this.#options.traffic.received(frame[1], bytes);
+    this.#observe(frame);
     this.#handle(frame);
   }
 
+  #observe(frame: Frame): void {
+    const { clock } = this.#options;
+    const time = readStamp(frame);
+    if (clock === undefined || time === undefined) return;
+    if (time.wall - Date.now() < maxClockLead) clock.observe(time);
+  }
+
   #handle(frame: Frame): void {
     switch (frame[0]) {
       case frameKinds.message: {
--- a/packages/rhubarbstage-transport/src/peer_transport.ts
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -8,7 +8,7 @@
 import type { Server } from "node:http";
 import { createServer as createHttpsServer } from "node:https";
 import type { AddressInfo } from "node:net";
-import type { HostId, Incarnation } from "rhubarbstage";
+import type { HostId, HybridLogicalClock, Incarnation } from "rhubarbstage";
 import { WebSocket, WebSocketServer } from "ws";
 import {
   defaultHandshakeTimeout,
@@ -75,6 +75,11 @@
   readonly minBackoff?: number;
   /** Longest wait before another try to connect; defaults to 5,000. */
   readonly maxBackoff?: number;
+  /**
+   * Clock that stamps sent frames and follows received ones, so that events of
+   * several hosts can be put in causal order. Frames carry no time without.
+   */
+  readonly clock?: HybridLogicalClock;
 }
 
 /** Tries to connect to one host. */
@@ -395,6 +400,7 @@
       ...authenticated,
       handlers: this.#handlers,
       traffic: this.#traffic,
+      clock: this.#options.clock,
       queueBytes,
       heartbeatInterval,
       onClose: (closed, reason) => this.#forget(closed, reason),
