Name the host that keeps a server's record and ignore bare sequence changes

Cause: servers count up their sequence with each renewal, so that each renewal was a change that gossip spread to all hosts. Change: a renewal with the same content keeps the known record; the answer to an announcement names the host that keeps the record (renew_at). Conclusion: steady renewals cost gossip nothing.

--- a/packages/rhubarbstage-gateway/src/backends_controller.ts
+++ b/packages/rhubarbstage-gateway/src/backends_controller.ts
@@ -29,7 +29,10 @@
   announce(@Req() request: FastifyRequest) {
     const announcement = parseAnnouncement(readBody(request));
     const answer = this.#context.backendServers.announce(announcement);
-    return { renew_after_ms: answer.renewAfter };
+    return {
+      renew_after_ms: answer.renewAfter,
+      ...(answer.renewAt === undefined ? {} : { renew_at: answer.renewAt }),
+    };
   }
 
   @Post("leave")
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -180,6 +180,8 @@
 export interface AnnouncementAnswer {
   /** Time until the next renewal, in milliseconds. */
   readonly renewAfter: number;
+  /** Origin of the host that the next renewals should be sent to. */
+  readonly renewAt?: string;
 }
 
 /** Takes announcements and knows where backend servers are reached. */
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -56,8 +56,11 @@
 
   override announce(announcement: Announcement): AnnouncementAnswer {
     const { load } = announcement;
-    this.#membership?.announce(toRecord(announcement), load);
-    return { renewAfter: membershipConstants.renewInterval };
+    const keeper = this.#membership?.announce(toRecord(announcement), load);
+    return {
+      renewAfter: membershipConstants.renewInterval,
+      renewAt: keeper?.httpAddress,
+    };
   }
 
   override leave(departure: Departure): void {
--- a/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -113,6 +113,26 @@
     expect(countUsable(network)).toBe(hostCount);
   });
 
+  // Guards against renewals that gossip has to spread because the server counts
+  // up its sequence each time.
+  test("treats a renewal with a new sequence as no change", () => {
+    const network = new Network(hostCount);
+    let sequence = 0;
+    const renew = (now: number) => {
+      if (now % 2_000 !== 0) return;
+      sequence += 1;
+      network.announce(0, makeServer("engine", { sequence }));
+    };
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renew);
+    const owner = network.ownerOf("engine");
+    const log = network.member(owner).state.logs.get(`host-${owner}` as HostId);
+    const before = log?.version;
+    network.run(20_000, renew);
+    expect(log?.version).toBe(before);
+    expect(countUsable(network)).toBe(hostCount);
+  });
+
   // Guards against losing a server together with the host that owned it.
   test("moves a server to another host when its owner dies", () => {
     const network = new Network(hostCount);
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -204,14 +204,14 @@
 ): ServerRecord {
   const { record, now } = event;
   const known = state.servers.get(record.id);
-  if (known !== undefined && isSameAnnouncement(known.record, record)) {
+  if (known !== undefined && hasSameContent(known.record, record)) {
     const owner = state.logs.get(known.owner);
     const ownerAlive = owner !== undefined && isAlive(state, owner, now);
-    const takeover = known.record.takeover;
     const own = known.owner === state.self.host;
     const passedOn = event.forwarded === true || event.takeOver === true;
     const next = !own && (passedOn || !ownerAlive);
-    return { ...record, takeover: next ? takeover + 1 : takeover };
+    const takeover = known.record.takeover + (next ? 1 : 0);
+    return { ...known.record, takeover };
   }
   const departure = state.departures.get(record.id);
   if (departure !== undefined && isSameAnnouncement(departure, record)) {
@@ -220,6 +220,19 @@
   return record;
 }
 
+/**
+ * Whether a record says nothing new. Servers may count up their sequence with
+ * each renewal, which must not become a change that gossip has to spread.
+ */
+function hasSameContent(left: ServerRecord, right: ServerRecord): boolean {
+  return contentOf(left) === contentOf(right);
+}
+
+function contentOf(record: ServerRecord): string {
+  const { sequence: _sequence, takeover: _takeover, ...content } = record;
+  return JSON.stringify(Object.entries(content).sort());
+}
+
 function isSameAnnouncement(
   left: { incarnation: Incarnation; sequence: number },
   right: { incarnation: Incarnation; sequence: number },
