--- a/packages/rhubarbstage-replica/src/local_group.ts
+++ b/packages/rhubarbstage-replica/src/local_group.ts
@@ -114,9 +114,9 @@
     return this.#consensus.appliedIndex;
   }
 
-  /** Whether the log holds nothing, not even seats. */
+  /** Whether the group holds nothing, not even a term or seats. */
   get isEmpty(): boolean {
-    return this.#consensus.log.last.index === 0;
+    return this.#consensus.log.last.index === 0 && this.#consensus.term === 0;
   }
 
   override propose(
@@ -236,7 +236,7 @@
 
   /** Writes the first entry of a bootstrapped group; does nothing twice. */
   async bootstrap(seats: Seats): Promise<void> {
-    if (!this.isEmpty) return;
+    if (this.#consensus.log.last.index > 0) return;
     const entry: Entry = { kind: "seats", ...bootstrapPosition, seats };
     const hardState = { term: bootstrapPosition.term, vote: undefined };
     await this.#log.append(hardState, [entryToRecord(entry)]);
--- a/packages/rhubarbstage-replica/src/replica.ts
+++ b/packages/rhubarbstage-replica/src/replica.ts
@@ -240,7 +240,7 @@
 
   #receive(batch: ConsensusBatch, host: HostId): void {
     const [from, to, messages] = batch;
-    if (to !== this.id) return;
+    if (to !== this.id || this.#awaitsBootstrap()) return;
     this.#senders.set(from, host);
     for (const wire of messages) {
       const group = this.#groups.get(wire[0] as GroupName);
@@ -248,6 +248,16 @@
     }
   }
 
+  /**
+   * Between grant and commit the groups take no messages: hosts that have
+   * committed elect leaders already, and a vote given now would be forgotten
+   * when the first entry is written.
+   */
+  #awaitsBootstrap(): boolean {
+    const { grant, isBootstrapped } = this.#folder.identity;
+    return grant !== undefined && !isBootstrapped;
+  }
+
   async #answer(
     call: ForwardedCall,
     signal: AbortSignal,
@@ -257,7 +267,7 @@
 
   #takePiece(piece: SnapshotPiece, host: HostId): boolean {
     const { group, from, to } = piece;
-    if (to !== this.id) return false;
+    if (to !== this.id || this.#awaitsBootstrap()) return false;
     this.#senders.set(from, host);
     const message = this.#assembly.add(piece);
     if (typeof message === "boolean") return message;
