--- /dev/null
+++ b/packages/rhubarbstage-cli/src/serve_command.ts
@@ -0,0 +1,28 @@
+/**
+ * `rhubarbstage serve`.
+ *
+ * @module
+ */
+
+import { loadProcessSettings } from "@rhubarbstage/settings";
+import type { Context } from "./context.ts";
+
+/**
+ * Runs a host until SIGTERM or SIGINT. A second signal does not interrupt
+ * requests that still run.
+ */
+export async function serve({ options }: Context): Promise<void> {
+  const settings = await loadProcessSettings(options.required("settings"));
+  // Loaded late, because other commands start faster without the host.
+  const { runHost } = await import("@rhubarbstage/host");
+  const controller = new AbortController();
+  const stop = () => controller.abort();
+  process.on("SIGTERM", stop);
+  process.on("SIGINT", stop);
+  try {
+    await runHost(settings, { signal: controller.signal });
+  } finally {
+    process.off("SIGTERM", stop);
+    process.off("SIGINT", stop);
+  }
+}
