Drain an engine before its role changes

Cause: a role change ends the streams of the engine; the order went out while streams ran, so a planned change could cut requests. Change: the leader orders a drain, waits until no request runs or waits on the engine (60 s at most), orders the role and puts the engine back; a new leader puts back engines that an earlier one left drained. Announcements carry the state, so that hosts send no new work to an engine that changes. Floors and the number of engines away come from the tree.

--- a/packages/rhubarbstage-bench/src/capacity_gossip.ts
+++ b/packages/rhubarbstage-bench/src/capacity_gossip.ts
@@ -79,6 +79,7 @@
     role: "mixed",
     capacity: 32,
     honoursFencing: true,
+    state: "serving",
     leaving: false,
     loaded: [],
   };
--- a/packages/rhubarbstage-engine/src/schema.ts
+++ b/packages/rhubarbstage-engine/src/schema.ts
@@ -64,6 +64,7 @@
     role: oneOf(fields, "role", roles, "mixed"),
     capacity: number(fields, "capacity"),
     fencing: oneOf(fields, "fencing", fencingModes, "ignored"),
+    state: oneOf(fields, "state", states, "serving"),
     leaving: fields.leaving === true,
     lastOrder: parseLastOrder(fields.last_order),
     load: fields.load === undefined
--- a/packages/rhubarbstage-engine/src/types.ts
+++ b/packages/rhubarbstage-engine/src/types.ts
@@ -174,6 +174,8 @@
   readonly role: EngineRole;
   readonly capacity: number;
   readonly fencing: FencingMode;
+  /** Servers that do not report a state are serving. */
+  readonly state: EngineStatus["state"];
   readonly leaving: boolean;
   readonly lastOrder?: ReportedOrder;
   readonly load?: EngineLoad;
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -88,6 +88,11 @@
     return this.#seen.get(server)?.record;
   }
 
+  /** Records of all servers that are known. */
+  records(): readonly ServerRecord[] {
+    return [...this.#seen.values()].map(({ record }) => record);
+  }
+
   /** Membership saw a server or a change of it. */
   see(seen: SeenServer): void {
     this.#seen.set(seen.record.id, seen);
@@ -141,7 +146,8 @@
         services,
         role,
         capacity,
-        acceptsNewWork: seen.usable && !this.isDrained(id),
+        acceptsNewWork: seen.usable && record.state === "serving" &&
+          !this.isDrained(id),
         load,
       },
     });
@@ -164,6 +170,7 @@
     role,
     capacity: announcement.capacity,
     honoursFencing: announcement.fencing === "checked",
+    state: announcement.state,
     leaving: announcement.leaving,
     loaded: announcement.adapters,
   };
--- /dev/null
+++ b/packages/rhubarbstage-host/src/fleet_settings.ts
@@ -0,0 +1,33 @@
+/**
+ * Fleet-wide settings of the policy, read from the tree.
+ *
+ * @module
+ */
+
+import type { Region } from "rhubarbstage";
+import type { FleetSettings } from "@rhubarbstage/policy";
+import type { PoolSettings, SettingsTree } from "@rhubarbstage/settings";
+
+/**
+ * Settings for the pools of a region. The policy has one setting for all
+ * pools, so the most careful value of them holds.
+ */
+export function fleetSettingsOf(
+  tree: SettingsTree,
+  region: Region,
+): Partial<FleetSettings> {
+  const pools: PoolSettings[] = tree.services(region)
+    .filter(({ type }) => type === "model")
+    .map(({ pool }) => pool);
+  if (pools.length === 0) return {};
+  return {
+    roleFloor: Math.max(
+      ...pools.map(({ prefillFloor, decodeFloor }) =>
+        Math.max(prefillFloor, decodeFloor)
+      ),
+    ),
+    rolesUnavailable: Math.min(
+      ...pools.map(({ maxEnginesAway }) => maxEnginesAway),
+    ),
+  };
+}
--- a/packages/rhubarbstage-host/src/host.ts
+++ b/packages/rhubarbstage-host/src/host.ts
@@ -10,6 +10,7 @@
 import type { ProcessSettings } from "@rhubarbstage/settings";
 import type { Foundation } from "./foundation.ts";
 import { openFoundation } from "./foundation.ts";
+import { fleetSettingsOf } from "./fleet_settings.ts";
 import { HostCredentials } from "./host_credentials.ts";
 import { HostOperatorActions } from "./host_operator_actions.ts";
 import { HostServiceCalls } from "./host_service_calls.ts";
@@ -167,9 +168,14 @@
 function startParts(parts: Omit<HostParts, "gateway">): void {
   const { foundation, replication, serving } = parts;
   const { signal } = foundation.stopped;
-  const { backends, claims: _claims, dispatcher, membership } = serving;
+  const { backends, dispatcher, membership } = serving;
   let published: Revision | undefined;
+  const { settings } = foundation;
   replication.onConfiguration = ({ revision }) => {
+    dispatcher.notify({
+      type: "settings_changed",
+      settings: fleetSettingsOf(settings.tree, settings.region),
+    });
     backends.refresh();
     if (revision !== published) membership.publishRevision(revision);
     published = revision;
--- a/packages/rhubarbstage-host/src/order_desk.ts
+++ b/packages/rhubarbstage-host/src/order_desk.ts
@@ -8,6 +8,7 @@
 import { randomUUID } from "node:crypto";
 import {
   type BackendServerId,
+  delay,
   every,
   type OrderId,
   toRhubarbstageError,
@@ -16,9 +17,10 @@
   EngineTarget,
   OrderExecutor,
   OrderIntent,
+  OrderKind,
   OrderReport,
 } from "@rhubarbstage/control";
-import type { ServerRecord } from "@rhubarbstage/membership";
+import type { ServerLoad, ServerRecord } from "@rhubarbstage/membership";
 import type { EngineRole } from "@rhubarbstage/policy";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { HostEvents } from "./host_events.ts";
@@ -26,6 +28,11 @@
 /** Time between two looks at open orders, in milliseconds. */
 const recoveryInterval = 5_000;
 
+/** Longest wait for the streams of a drained engine, in milliseconds. */
+const drainLimit = 60_000;
+/** Time between two looks at the load of a drained engine, in milliseconds. */
+const drainPollInterval = 100;
+
 /** Options of an {@linkcode OrderDesk}. */
 export interface OrderDeskOptions {
   readonly executor: OrderExecutor;
@@ -33,12 +40,18 @@
   readonly events: HostEvents;
   /** Whether this host leads the control group. */
   readonly leads: () => boolean;
+  /** Engines that may be out of service at once in the pool of a server. */
+  readonly maxEnginesAway: (record: ServerRecord) => number;
+  /** Reads the load of an engine. Throws when it cannot be reached. */
+  readonly readLoad: (target: EngineTarget) => Promise<ServerLoad>;
 }
 
 /** Gives orders on the host that leads the control group. */
 export class OrderDesk {
   #options: OrderDeskOptions;
   #recovering = false;
+  /** Engines that this host has taken out of service for a change. */
+  #changing = new Set<BackendServerId>();
   /** Incarnations that were reported to the control group. */
   #observed = new Map<BackendServerId, number>();
 
@@ -51,23 +64,22 @@
     every(recoveryInterval, () => void this.#recover(), options);
   }
 
-  /** Orders a role that the policy has decided. */
+  /**
+   * Changes a role that the policy has decided. A role change ends the streams
+   * of an engine, so the engine is drained first; when its streams last too
+   * long, it keeps its role.
+   */
   async setRole(server: BackendServerId, role: EngineRole): Promise<void> {
-    const target = this.#targetOf(server);
-    if (target === undefined) return;
-    const orderId = randomUUID() as OrderId;
-    const { executor, events } = this.#options;
+    if (this.#changing.has(server) || !this.#mayTakeAway(server)) return;
+    this.#changing.add(server);
     try {
-      const report = await executor.execute({
-        orderId,
-        backendServer: server,
-        kind: "set_role",
-        argument: role,
-      }, target);
-      this.#note(report);
-    } catch (thrown) {
-      const { kind } = toRhubarbstageError(thrown);
-      events.note("order_not_sent", { server, order: orderId, kind });
+      if (!await this.#order(server, "drain", "")) return;
+      if (await this.#becomesIdle(server)) {
+        await this.#order(server, "set_role", role);
+      }
+      await this.#order(server, "undrain", "");
+    } finally {
+      this.#changing.delete(server);
     }
   }
 
@@ -96,10 +108,63 @@
     return intent?.ending !== "operator";
   }
 
+  /** Whether one more engine may be out of service, by the tree. */
+  #mayTakeAway(server: BackendServerId): boolean {
+    const record = this.#options.backends.recordOf(server);
+    if (record === undefined) return false;
+    return this.#changing.size < this.#options.maxEnginesAway(record);
+  }
+
+  /** Gives one order; true when the engine confirmed it. */
+  async #order(
+    server: BackendServerId,
+    kind: OrderKind,
+    argument: string,
+  ): Promise<boolean> {
+    const target = this.#targetOf(server);
+    if (target === undefined) return false;
+    const orderId = randomUUID() as OrderId;
+    const order = { orderId, backendServer: server, kind, argument };
+    const { executor, events } = this.#options;
+    try {
+      const report = await executor.execute(order, target);
+      this.#note(report);
+      return report.ending === "confirmed";
+    } catch (thrown) {
+      const error = toRhubarbstageError(thrown).kind;
+      events.note("order_not_sent", { server, order: orderId, kind, error });
+      return false;
+    }
+  }
+
+  /** Waits until no request runs or waits on a drained engine. */
+  async #becomesIdle(server: BackendServerId): Promise<boolean> {
+    const target = this.#targetOf(server);
+    if (target === undefined) return false;
+    const endsAt = performance.now() + drainLimit;
+    while (performance.now() < endsAt && this.#options.leads()) {
+      const load = await this.#options.readLoad(target).catch(() => undefined);
+      if (load === undefined) return false;
+      if (load.runningRequests + load.queuedRequests === 0) return true;
+      await delay(drainPollInterval);
+    }
+    return false;
+  }
+
+  /** Puts engines back that an earlier leader drained and then left alone. */
+  async #undrainForgotten(): Promise<void> {
+    for (const record of this.#options.backends.records()) {
+      const forgotten = record.state === "draining" &&
+        !this.#changing.has(record.id);
+      if (forgotten) await this.#order(record.id, "undrain", "");
+    }
+  }
+
   async #recover(): Promise<void> {
     if (this.#recovering || !this.#options.leads()) return;
     this.#recovering = true;
     try {
+      await this.#undrainForgotten();
       const reports = await this.#options.executor.recover((intent) =>
         this.#targetOf(intent.backendServer)
       );
--- a/packages/rhubarbstage-host/src/serving.ts
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -25,6 +25,9 @@
 import { OrderDesk } from "./order_desk.ts";
 import type { Replication } from "./replication.ts";
 
+/** Time that an engine has to report its load, in milliseconds. */
+const loadTimeout = 2_000;
+
 /** Parts that serve requests. */
 export interface Serving {
   readonly backends: BackendRegistry;
@@ -53,7 +56,10 @@
     sample: options.sample,
   });
   const demand = new DemandReport({ host: process.host });
-  const orders = createOrderDesk(foundation, replication, backends);
+  const orders = createOrderDesk(foundation, replication, {
+    backends,
+    engines,
+  });
   const listener = new HostPolicyListener({ orders, demand, metrics });
   const dispatcher = new Dispatcher({
     policy: new FleetPolicy({
@@ -101,9 +107,10 @@
 function createOrderDesk(
   foundation: Foundation,
   replication: Replication,
-  backends: BackendRegistry,
+  parts: Pick<Serving, "backends" | "engines">,
 ): OrderDesk {
-  const { events, tokens } = foundation;
+  const { events, settings, tokens } = foundation;
+  const { backends, engines } = parts;
   const { seats } = replication;
   const leads = () => seats.controlSeat?.leadership().isLeader ?? false;
   const executor = new OrderExecutor({
@@ -114,7 +121,21 @@
     sender: senderOf(foundation),
     leads,
   });
-  return new OrderDesk({ executor, backends, events, leads });
+  return new OrderDesk({
+    executor,
+    backends,
+    events,
+    leads,
+    maxEnginesAway: ({ region, models: [model] }) => {
+      if (model === undefined || !settings.ready) return 0;
+      const service = settings.tree.serviceOfModel(region, model);
+      return service?.pool.maxEnginesAway ?? 0;
+    },
+    readLoad: async ({ backendServer: id, address: url }) => {
+      const signal = AbortSignal.timeout(loadTimeout);
+      return (await engines.status({ id, url }, { signal })).load;
+    },
+  });
 }
 
 function createClaimRunner(
--- a/packages/rhubarbstage-membership/__tests__/unit/network.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/network.ts
@@ -57,6 +57,7 @@
     role: "mixed",
     capacity: 8,
     honoursFencing: true,
+    state: "serving",
     leaving: false,
     loaded: [],
     ...changes,
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -40,6 +40,8 @@
   readonly capacity: number;
   /** Whether the server refuses orders with an old fencing number. */
   readonly honoursFencing: boolean;
+  /** Servers in any state but `serving` get no new work. */
+  readonly state: "serving" | "changing" | "draining" | "leaving";
   /** Whether the server takes no new work because it is going away. */
   readonly leaving: boolean;
   /** Adapters and versions that the server reports as loaded. */
--- a/packages/rhubarbstage-test-support/src/fake_engine.ts
+++ b/packages/rhubarbstage-test-support/src/fake_engine.ts
@@ -51,6 +51,8 @@
 /** Called when a prompt crashes the engine. */
 export type FakeCrash = () => void;
 
+type EngineState = "serving" | "changing" | "draining" | "leaving";
+
 /** A fake engine in this process. */
 export class FakeEngine implements FakeStreamOwner {
   readonly options: FakeEngineOptions;
@@ -65,7 +67,7 @@
   #models: string[];
   #adapters: string[] = [];
   #role: FakeEngineRole;
-  #state: "serving" | "changing" | "draining" | "leaving" = "serving";
+  #state: EngineState = "serving";
   #highestFencing = 0;
   #sequence = 0;
   #cacheSequence = 0;
@@ -339,8 +341,8 @@
 
   async #carryOut(record: FakeOrderRecord): Promise<void> {
     const { kind, argument } = record;
-    if (kind === "drain") this.#state = "draining";
-    if (kind === "undrain") this.#state = "serving";
+    if (kind === "drain") this.#enter("draining");
+    if (kind === "undrain") this.#enter("serving");
     if (kind === "set_role") {
       await this.#goAway(record, this.options.roleChangeTime);
       this.#role = argument as FakeEngineRole;
@@ -355,14 +357,20 @@
   /** Takes the engine out of service; running streams are lost. */
   async #goAway(record: FakeOrderRecord, time: number): Promise<void> {
     const before = this.#state === "changing" ? "serving" : this.#state;
-    this.#state = "changing";
+    this.#enter("changing");
     for (const stream of this.#streams) {
       record.interruptedStreams += 1;
       stream.stop("interrupted");
     }
     this.#cache.clear();
     await sleep(time);
-    this.#state = before;
+    this.#enter(before);
+  }
+
+  /** Changes the state and tells the entry hosts at once. */
+  #enter(state: EngineState): void {
+    this.#state = state;
+    this.#announce();
   }
 
   async #export(request: FastifyRequest): Promise<Json> {
