--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -7,6 +7,7 @@
 import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
 import { Reducer, SeededRandom } from "rhubarbstage";
 import {
+  choiceInterval,
   deletionMemory,
   departureMemory,
   loadLifetime,
@@ -21,12 +22,14 @@
   compareDigest,
   createLog,
   DeltaBuilder,
+  entrySize,
+  isNews,
   ownLog,
   toWant,
   writeEntry,
 } from "./host_logs.ts";
 import { hashText } from "./hash.ts";
-import { pickGossipTargets } from "./neighbours.ts";
+import { listNeighbours, pickGossipTargets } from "./neighbours.ts";
 import { chooseRegistrars, pickRegistrar } from "./registrars.ts";
 import {
   evidenceAt,
@@ -93,6 +96,8 @@
       random: new SeededRandom(seed),
       registrarsByRegion: new Map([[self.region, [self.host]]]),
       registrars: new Set([self.host]),
+      neighbours: [],
+      chosenAt: -Infinity,
       sliceStart: 0,
     };
     ownLog(state).alive = true;
@@ -199,14 +204,14 @@
 ): ServerRecord {
   const { record, now } = event;
   const known = state.servers.get(record.id);
-  if (known !== undefined && isSameAnnouncement(known.record, record)) {
+  if (known !== undefined && hasSameContent(known.record, record)) {
     const owner = state.logs.get(known.owner);
     const ownerAlive = owner !== undefined && isAlive(state, owner, now);
-    const takeover = known.record.takeover;
     const own = known.owner === state.self.host;
     const passedOn = event.forwarded === true || event.takeOver === true;
     const next = !own && (passedOn || !ownerAlive);
-    return { ...record, takeover: next ? takeover + 1 : takeover };
+    const takeover = known.record.takeover + (next ? 1 : 0);
+    return { ...known.record, takeover };
   }
   const departure = state.departures.get(record.id);
   if (departure !== undefined && isSameAnnouncement(departure, record)) {
@@ -215,6 +220,19 @@
   return record;
 }
 
+/**
+ * Whether a record says nothing new. Servers may count up their sequence with
+ * each renewal, which must not become a change that gossip has to spread.
+ */
+function hasSameContent(left: ServerRecord, right: ServerRecord): boolean {
+  return contentOf(left) === contentOf(right);
+}
+
+function contentOf(record: ServerRecord): string {
+  const { sequence: _sequence, takeover: _takeover, ...content } = record;
+  return JSON.stringify(Object.entries(content).sort());
+}
+
 function isSameAnnouncement(
   left: { incarnation: Incarnation; sequence: number },
   right: { incarnation: Incarnation; sequence: number },
@@ -413,8 +431,10 @@
   if (delta.from > log.version) return;
   for (const { key, version, value } of delta.entries) {
     if (version <= log.version) continue;
-    log.entries.set(key, { version, value, size: 0, storedAt: now });
+    const size = entrySize(key, value);
+    log.entries.set(key, { version, value, size, storedAt: now });
     log.version = version;
+    if (isNews(value)) log.changedAt = now;
     applyValue(state, { host: digest.host, value, now }, effects);
   }
   if (!delta.complete) return;
@@ -508,10 +528,9 @@
   const log = ownLog(state);
   log.heartbeat += 1;
   log.heartbeatAt = now;
-  state.registrarsByRegion = chooseRegistrars(state, now);
-  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
   expireServers(state, now, effects);
   refreshHosts(state, now, effects);
+  chooseHosts(state, now);
   forget(state, now);
   startChecks(state, now, effects);
   const message = buildRoundMessage(state, now);
@@ -520,6 +539,16 @@
   }
 }
 
+/** Choices look at all hosts, so they are not made in each round. */
+function chooseHosts(state: MembershipState, now: number): void {
+  const settled = now - state.chosenAt < choiceInterval;
+  if (settled && state.neighbours.length > 0) return;
+  state.chosenAt = now;
+  state.registrarsByRegion = chooseRegistrars(state, now);
+  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
+  state.neighbours = listNeighbours(state, now).map(({ host }) => host);
+}
+
 function buildRoundMessage(
   state: MembershipState,
   now: number,
