--- a/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/unit/command_test.ts
@@ -150,6 +150,16 @@
     expect(await readdir(join(folder, "state"))).toEqual([]);
   });
 
+  // Guards against an operator who looks for an edit that cannot have happened.
+  test("reports a refusal without a quorum as nothing changed", async () => {
+    const target = await startHost({
+      "POST /operator/tree/edits": () => errorAnswer(503, "no_quorum"),
+    });
+    const { code } = await run([...setPriority, ...target]);
+    expect(code).toBe(exitCodes.refused);
+    expect(await readdir(join(folder, "state"))).toEqual([]);
+  });
+
   // Guards against sending what is known to be wrong, or a dry run that edits.
   test("checks edits before it sends them and sends no dry run", async () => {
     const target = await startHost({});
@@ -172,6 +182,56 @@
   });
 });
 
+describe("bootstrap", () => {
+  // Guards against a system formed without one of its replicas, and against a
+  // host that is asked without the token of its settings.
+  test("names all replicas of the settings file", async () => {
+    host = new FakeOperatorHost({
+      "POST /operator/bootstrap": () => ({
+        status: 200,
+        body: {
+          cluster: "pinakas",
+          revision: 1,
+          seats: [{ host: "attica-1", replica: "r1" }],
+          replayed: false,
+        },
+      }),
+    });
+    const { port } = new URL(await host.start());
+    const place = "address: 10.0.0.1, port: 1, region: r, availability_zone: z";
+    const settings = join(folder, "host.yaml");
+    await writeFile(
+      settings,
+      `
+host: attica-1
+cluster: pinakas
+region: attica
+availability_zone: attica-a
+http: {listen: "127.0.0.1:${port}"}
+peer: {listen: "127.0.0.1:7400"}
+data_folder: data
+peers:
+  - {host: crete-1, ${place}, replica: true}
+  - {host: crete-2, ${place}}
+token_files: {peer: token, operators: token, backend_servers: token}
+`,
+    );
+    const file = join(folder, "tree.yaml");
+    await writeFile(file, "priority: 1\n");
+    const { code, stdout } = await run(
+      ["bootstrap", "--settings", settings, "--tree", file],
+    );
+    expect(code).toBe(exitCodes.ok);
+    expect(stdout).toContain("pinakas formed at revision 1\n");
+    const [call] = host.calls;
+    expect(call?.authorization).toBe(`Bearer ${token}`);
+    expect(call?.body).toMatchObject({
+      hosts: ["attica-1", "crete-1"],
+      tree: { priority: 1 },
+    });
+  });
+});
+
 describe("operator commands", () => {
   // Guards against scripts that cannot tell why a command failed.
   test.each([
@@ -188,6 +248,34 @@
     expect(result.stderr).toContain(kind);
   });
 
+  // Guards against a resent repair that takes the seat from the host that was
+  // repaired, and against a repair of a host that never had a seat.
+  test("repair names the lost replica", async () => {
+    const seat = (host: string, replica: string) => ({
+      host,
+      replica,
+      voter: true,
+    });
+    const seats = [seat("crete-1", "old"), seat("attica-1", "other")];
+    const target = await startHost({
+      "GET /operator/status": () => ({
+        status: 200,
+        body: { groups: [{ seats }, { seats }] },
+      }),
+      "POST /operator/repairs": () => ({ status: 200, body: { groups: [] } }),
+    });
+    const { code } = await run(["repair", "--lost", "crete-1", ...target]);
+    expect(code).toBe(exitCodes.ok);
+    expect(host?.calls.at(-1)?.body).toEqual({
+      edit_id: expect.any(String),
+      lost: "crete-1",
+      replica: "old",
+      replacement: "crete-1",
+    });
+    const unknown = await run(["repair", "--lost", "crete-9", ...target]);
+    expect(unknown.code).toBe(exitCodes.usage);
+  });
+
   // Guards against a table on a pipe, which other programs cannot read, and
   // against colours there.
   test("print tables and colours on a terminal only", async () => {
@@ -256,6 +344,16 @@
     );
     expect(stderr).toContain("crete-3");
     expect(host?.calls.at(-1)?.url).toContain("request=r1");
+    const [, url = ""] = target;
+    const stopped = new FakeOperatorHost({});
+    const lost = await stopped.start();
+    await stopped.stop();
+    const several = await run(["timeline", ...target, "--url", lost]);
+    expect(several.code).toBe(exitCodes.ok);
+    expect(several.stdout).toContain("request_finished");
+    expect(several.stderr).toContain(lost);
+    expect(host?.calls.at(-1)?.url).toContain("scope=host");
+    expect(several.stderr).not.toContain(url);
   });
 
   // Guards against a wrong option value that is silently dropped.
@@ -267,7 +365,8 @@
         ["tree", "get", "--effective", "crete"],
         ["drain", "a", "b"],
         ["check"],
-        ["order", "end", "o1"],
+        ["repair"],
+        ["timeline", "--file", join(folder, "missing")],
       ]
     ) {
       expect((await run(args)).code).toBe(exitCodes.usage);
--- a/packages/rhubarbstage-cli/src/operator_client.ts
+++ b/packages/rhubarbstage-cli/src/operator_client.ts
@@ -132,7 +132,7 @@
   async #call<Answer>(call: Call): Promise<Answer> {
     const { urls } = this.#options;
     let mayHaveRun = false;
-    let reason = "";
+    let last: RhubarbstageError | string = "";
     const sends = Math.max(maxSends, urls.length);
     for (let send = 0; send < sends; send += 1) {
       if (send >= urls.length) {
@@ -144,11 +144,13 @@
       if (result.type === "error" && isFinal(result.error, mayHaveRun)) {
         throw result.error;
       }
-      reason = result.type === "error" ? result.error.message : result.reason;
+      last = result.type === "error" ? result.error : result.reason;
       mayHaveRun ||= result.type === "lost"
         ? result.mayHaveRun
         : result.error.outcome !== "not_run";
     }
+    if (last instanceof RhubarbstageError && !mayHaveRun) throw last;
+    const reason = typeof last === "string" ? last : last.message;
     throw new NoAnswerError(
       `No answer from ${urls.join(", ")}: ${reason}`,
       { mayHaveRun: mayHaveRun && call.method === "POST" },
@@ -209,14 +211,14 @@
 }
 
 /**
- * Creates a client from `--url`, `--settings`, `--token-file` and
+ * Reads the options of a client from `--url`, `--settings`, `--token-file` and
  * `--authority`, or from the environment variables `RHUBARBSTAGE_URL` and
  * `RHUBARBSTAGE_TOKEN_FILE`.
  */
-export async function createClient(
+export async function readClientOptions(
   options: Options,
   env: Readonly<Record<string, string | undefined>>,
-): Promise<OperatorClient> {
+): Promise<OperatorClientOptions> {
   const file = options.text("settings");
   const settings = file === undefined
     ? undefined
@@ -230,12 +232,12 @@
   const tokens = tokenFile === undefined ? [] : await loadTokens(tokenFile);
   const authorityFile = options.text("authority") ?? settings?.tls?.authority;
   const timeout = options.count("timeout");
-  return new OperatorClient({
+  return {
     urls: named.length > 0 ? named : fallback,
     ...(tokens[0] === undefined ? {} : { token: tokens[0].value }),
     ...(authorityFile === undefined
       ? {}
       : { authority: await readFile(authorityFile, "utf8") }),
     ...(timeout === undefined ? {} : { timeout }),
-  });
+  };
 }
--- a/packages/rhubarbstage-cli/src/serve_command.ts
+++ b/packages/rhubarbstage-cli/src/serve_command.ts
@@ -6,7 +6,6 @@
 
 import { loadProcessSettings } from "@rhubarbstage/settings";
 import type { Context } from "./context.ts";
-import { runHost } from "./host.ts";
 
 /**
  * Runs a host until SIGTERM or SIGINT. A second signal does not interrupt
@@ -14,6 +13,8 @@
  */
 export async function serve({ options }: Context): Promise<void> {
   const settings = await loadProcessSettings(options.required("settings"));
+  // Loaded late, because other commands start faster without the host.
+  const { runHost } = await import("@rhubarbstage/host");
   const controller = new AbortController();
   const stop = () => controller.abort();
   process.on("SIGTERM", stop);
--- a/packages/rhubarbstage-membership/src/host_logs.ts
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -7,7 +7,15 @@
 
 import { pack } from "msgpackr";
 import type { HostId, Incarnation } from "rhubarbstage";
-import { deltaByteBudget, digestSliceLimit } from "./constants.ts";
+import {
+  changedLogLimit,
+  deltaByteBudget,
+  digestSliceLimit,
+  firstDeltaByteBudget,
+  loadLimit,
+  newsLifetime,
+} from "./constants.ts";
+import { hashText } from "./hash.ts";
 import {
   type HostLog,
   type LogEntry,
@@ -34,6 +42,8 @@
     heartbeatAt: -Infinity,
     version: 0,
     entries: new Map(),
+    changedAt: -Infinity,
+    rank: hashText(host),
     alive: false,
   };
 }
@@ -45,6 +55,11 @@
   return log;
 }
 
+/** Encoded size of an entry in bytes, for the byte budget. */
+export function entrySize(key: string, value: LogValue): number {
+  return pack(value).length + key.length;
+}
+
 /** Writes an entry of the own log under the next version. */
 export function writeEntry(
   state: MembershipState,
@@ -54,46 +69,52 @@
 ): void {
   const log = ownLog(state);
   log.version += 1;
+  if (isNews(value)) log.changedAt = now;
   log.entries.set(key, {
     version: log.version,
     value,
-    size: pack(value).length + key.length,
+    size: entrySize(key, value),
     storedAt: now,
   });
 }
 
+/** Whether other hosts have to hear of an entry soon. */
+export function isNews(value: LogValue): boolean {
+  return value.type !== "revision";
+}
+
 /**
- * Digest for one message: all hosts, or the own one, the most recently heard
- * ones and a rotating slice when there are too many.
+ * Digest for one message: the registrars, the hosts with news and a rotating
+ * slice of the others.
  */
 export function buildDigest(
   state: MembershipState,
   now: number,
 ): DigestEntry[] {
-  const logs = [...state.logs.values()].filter((log) =>
-    log.heartbeatAt !== -Infinity || log.host === state.self.host
-  );
-  const chosen = logs.length <= digestSliceLimit
-    ? logs
-    : chooseSlice(state, logs);
+  const chosen: HostLog[] = [ownLog(state)];
+  const others: HostLog[] = [];
+  let newsCount = 0;
+  for (const log of state.logs.values()) {
+    if (log.host === state.self.host || log.heartbeatAt === -Infinity) continue;
+    const news = now - log.changedAt <= newsLifetime &&
+      newsCount < changedLogLimit;
+    if (news) newsCount += 1;
+    if (news || state.registrars.has(log.host)) chosen.push(log);
+    else others.push(log);
+  }
+  chosen.push(...takeSlice(state, others));
   return chosen.map((log) => toDigestEntry(state, log, now));
 }
 
-function chooseSlice(
+function takeSlice(
   state: MembershipState,
-  logs: readonly HostLog[],
-): HostLog[] {
-  const recentCount = digestSliceLimit / 2;
-  const recent = [...logs]
-    .sort((left, right) => right.heartbeatAt - left.heartbeatAt)
-    .slice(0, recentCount);
-  const chosen = new Set<HostLog>([ownLog(state), ...recent]);
-  while (chosen.size < digestSliceLimit) {
-    state.sliceStart = (state.sliceStart + 1) % logs.length;
-    const log = logs[state.sliceStart];
-    if (log !== undefined) chosen.add(log);
-  }
-  return [...chosen];
+  others: readonly HostLog[],
+): readonly HostLog[] {
+  if (others.length <= digestSliceLimit) return others;
+  const start = state.sliceStart % others.length;
+  state.sliceStart = start + digestSliceLimit;
+  const slice = others.slice(start, start + digestSliceLimit);
+  return [...slice, ...others.slice(0, digestSliceLimit - slice.length)];
 }
 
 /** What a received digest entry asks of the receiver. */
@@ -122,11 +143,12 @@
   };
 }
 
-/** Collects deltas and loads up to the byte budget of one message. */
+/** Collects deltas and loads up to the limits of one message. */
 export class DeltaBuilder {
   readonly deltas: Delta[] = [];
   readonly loads: SharedLoad[] = [];
   #left = deltaByteBudget;
+  #firstLeft = firstDeltaByteBudget;
 
   /** Adds what a want asks for, as far as the budget reaches. */
   addWanted(state: MembershipState, want: Want, now: number): void {
@@ -138,7 +160,7 @@
     const missing = [...log.entries]
       .filter(([, entry]) => entry.version > from)
       .sort(([, left], [, right]) => left.version - right.version);
-    const fitting = this.#takeFitting(missing);
+    const fitting = this.#takeFitting(missing, from === 0);
     this.deltas.push({
       digest: toDigestEntry(state, log, now),
       from,
@@ -151,24 +173,27 @@
     });
   }
 
-  /** Adds a load when it still fits. */
+  /** Adds a load unless the message has as many as it may. */
   addLoad(load: SharedLoad): boolean {
-    this.#left -= digestEntrySize;
-    if (this.#left <= 0) return false;
+    if (this.loads.length >= loadLimit) return false;
     this.loads.push(load);
     return true;
   }
 
   #takeFitting(
     missing: readonly [string, LogEntry][],
+    isFirst: boolean,
   ): [string, LogEntry][] {
     const fitting: [string, LogEntry][] = [];
     for (const pair of missing) {
+      const { size } = pair[1];
+      const left = isFirst ? this.#firstLeft : this.#left;
       // One entry always passes, so that an entry larger than the rest of the
       // budget cannot block the log for ever.
-      const first = fitting.length === 0 && this.deltas.length === 0;
-      if (pair[1].size > this.#left && !first) break;
-      this.#left -= pair[1].size;
+      const alone = fitting.length === 0 && this.deltas.length === 0;
+      if (size > left && !alone) break;
+      if (isFirst) this.#firstLeft -= size;
+      else this.#left -= size;
       fitting.push(pair);
     }
     return fitting;
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -7,8 +7,10 @@
 import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
 import { Reducer, SeededRandom } from "rhubarbstage";
 import {
+  choiceInterval,
   deletionMemory,
   departureMemory,
+  loadLifetime,
   probeAge,
   probesPerRound,
   quarantineMarkLimit,
@@ -20,11 +22,15 @@
   compareDigest,
   createLog,
   DeltaBuilder,
+  entrySize,
+  isNews,
   ownLog,
   toWant,
   writeEntry,
 } from "./host_logs.ts";
-import { hashText, pickGossipTargets } from "./neighbours.ts";
+import { hashText } from "./hash.ts";
+import { listNeighbours, pickGossipTargets } from "./neighbours.ts";
+import { chooseRegistrars, pickRegistrar } from "./registrars.ts";
 import {
   evidenceAt,
   type HostLog,
@@ -88,6 +94,10 @@
       departures: new Map(),
       seeds,
       random: new SeededRandom(seed),
+      registrarsByRegion: new Map([[self.region, [self.host]]]),
+      registrars: new Set([self.host]),
+      neighbours: [],
+      chosenAt: -Infinity,
       sliceStart: 0,
     };
     ownLog(state).alive = true;
@@ -116,6 +126,11 @@
       case "marks_published":
         publishMarks(state, event.marks, event.now);
         break;
+      case "revision_changed": {
+        const { revision, now } = event;
+        writeEntry(state, "revision", { type: "revision", revision }, now);
+        break;
+      }
       case "tick":
         tick(state, event.now, effects);
         break;
@@ -130,6 +145,7 @@
     now: number;
     record: ServerRecord;
     load?: ServerLoad;
+    forwarded?: boolean;
     takeOver?: boolean;
   },
   effects: Effects,
@@ -139,10 +155,12 @@
   const record = orderAnnouncement(state, event);
   if (isOutdated(state, record)) return;
   const unchanged = known !== undefined && !isNewer(record, known.record);
-  if (unchanged && known.owner !== state.self.host) {
+  const keeper = keeperOf(state, record, unchanged ? known : undefined);
+  if (keeper !== state.self.host && !event.forwarded && !event.takeOver) {
     // Renewals stay with one owner, so that a balancer in front of the hosts
     // does not turn each renewal into a change that gossip has to spread.
-    effects.push({ type: "forward", to: known.owner, record, load });
+    const forwarded = event.record;
+    effects.push({ type: "forward", to: keeper, record: forwarded, load });
     return;
   }
   if (!unchanged) {
@@ -159,22 +177,41 @@
   refreshServer(state, server, { now, changed: true }, effects);
 }
 
+/** The host that has to own a record: its owner, or else its registrar. */
+function keeperOf(
+  state: MembershipState,
+  record: ServerRecord,
+  known: KnownServer | undefined,
+): HostId {
+  if (known === undefined) return pickRegistrar(state, record);
+  const { owner } = known;
+  if (owner === state.self.host || state.registrars.has(owner)) return owner;
+  return pickRegistrar(state, record);
+}
+
 /**
  * Gives an announced record its takeover number: that of the known record, or
  * the next one when the owner is gone or the record had expired.
  */
 function orderAnnouncement(
   state: MembershipState,
-  event: { now: number; record: ServerRecord; takeOver?: boolean },
+  event: {
+    now: number;
+    record: ServerRecord;
+    forwarded?: boolean;
+    takeOver?: boolean;
+  },
 ): ServerRecord {
   const { record, now } = event;
   const known = state.servers.get(record.id);
-  if (known !== undefined && isSameAnnouncement(known.record, record)) {
+  if (known !== undefined && hasSameContent(known.record, record)) {
     const owner = state.logs.get(known.owner);
     const ownerAlive = owner !== undefined && isAlive(state, owner, now);
-    const takeover = known.record.takeover;
-    const next = event.takeOver === true || !ownerAlive;
-    return { ...record, takeover: next ? takeover + 1 : takeover };
+    const own = known.owner === state.self.host;
+    const passedOn = event.forwarded === true || event.takeOver === true;
+    const next = !own && (passedOn || !ownerAlive);
+    const takeover = known.record.takeover + (next ? 1 : 0);
+    return { ...known.record, takeover };
   }
   const departure = state.departures.get(record.id);
   if (departure !== undefined && isSameAnnouncement(departure, record)) {
@@ -183,6 +220,19 @@
   return record;
 }
 
+/**
+ * Whether a record says nothing new. Servers may count up their sequence with
+ * each renewal, which must not become a change that gossip has to spread.
+ */
+function hasSameContent(left: ServerRecord, right: ServerRecord): boolean {
+  return contentOf(left) === contentOf(right);
+}
+
+function contentOf(record: ServerRecord): string {
+  const { sequence: _sequence, takeover: _takeover, ...content } = record;
+  return JSON.stringify(Object.entries(content).sort());
+}
+
 function isSameAnnouncement(
   left: { incarnation: Incarnation; sequence: number },
   right: { incarnation: Incarnation; sequence: number },
@@ -381,8 +431,10 @@
   if (delta.from > log.version) return;
   for (const { key, version, value } of delta.entries) {
     if (version <= log.version) continue;
-    log.entries.set(key, { version, value, size: 0, storedAt: now });
+    const size = entrySize(key, value);
+    log.entries.set(key, { version, value, size, storedAt: now });
     log.version = version;
+    if (isNews(value)) log.changedAt = now;
     applyValue(state, { host: digest.host, value, now }, effects);
   }
   if (!delta.complete) return;
@@ -418,6 +470,8 @@
     case "marks":
       effects.push({ type: "marks_heard", marks: value.marks });
       break;
+    case "revision":
+      break;
     case "server_gone":
       depart(state, { ...value, now }, effects);
       break;
@@ -476,6 +530,7 @@
   log.heartbeatAt = now;
   expireServers(state, now, effects);
   refreshHosts(state, now, effects);
+  chooseHosts(state, now);
   forget(state, now);
   startChecks(state, now, effects);
   const message = buildRoundMessage(state, now);
@@ -484,13 +539,23 @@
   }
 }
 
+/** Choices look at all hosts, so they are not made in each round. */
+function chooseHosts(state: MembershipState, now: number): void {
+  const settled = now - state.chosenAt < choiceInterval;
+  if (settled && state.neighbours.length > 0) return;
+  state.chosenAt = now;
+  state.registrarsByRegion = chooseRegistrars(state, now);
+  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
+  state.neighbours = listNeighbours(state, now).map(({ host }) => host);
+}
+
 function buildRoundMessage(
   state: MembershipState,
   now: number,
 ): GossipMessage {
   const builder = new DeltaBuilder();
   const recent = [...state.servers.values()]
-    .filter((server) => server.load !== undefined)
+    .filter(({ loadAt }) => now - loadAt <= loadLifetime)
     .sort((left, right) => right.loadAt - left.loadAt);
   for (const server of recent) {
     if (server.load === undefined) continue;
@@ -513,7 +578,7 @@
 ): void {
   for (const server of [...state.servers.values()]) {
     const owned = server.owner === state.self.host;
-    if (owned && now - server.renewedAt > renewTimeout) {
+    if (owned && now - evidenceAt(state, server) > renewTimeout) {
       const { id, incarnation, sequence, takeover } = server.record;
       const departure = { id, incarnation, sequence, takeover, left: false };
       writeEntry(
