policy: Count long prompts as long work

Cause: a prompt of 20 times the usual length is only about twice the usual slot time, so it passed as short work.

A host that gossip does not list yet takes the first place.

--- a/packages/rhubarbstage-bench/src/experiments.ts
+++ b/packages/rhubarbstage-bench/src/experiments.ts
@@ -265,7 +265,7 @@
   name: "stragglers",
   seeds: 2,
   async run(seed) {
-    const rate = padana.engines * ratePerEngine * 0.7;
+    const rate = padana.engines * ratePerEngine * 0.8;
     const run = async (policy: PolicyName, part: number) => {
       const streams = [stream("work", {
         rate: [[0, rate]],
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -192,9 +192,7 @@
   },
 ): RequestRecord {
   const { work, estimate, now } = options;
-  const typical = pool.estimates.typicalRunTime(now);
-  const long = pool.estimates.samples >= samplesForAdmission &&
-    estimate.runTime > typical * state.settings.longCostFactor;
+  const long = isLong(state, pool, { work, estimate, now });
   return {
     work,
     pool,
@@ -213,6 +211,27 @@
   };
 }
 
+/** Whether slot time or prompt are far longer than is typical of the pool. */
+function isLong(
+  state: FleetState,
+  pool: PoolState,
+  options: {
+    readonly work: Work;
+    readonly estimate: WorkEstimate;
+    readonly now: number;
+  },
+): boolean {
+  const { work, estimate, now } = options;
+  const { estimates } = pool;
+  if (estimates.samples < samplesForAdmission) return false;
+  const { longCostFactor } = state.settings;
+  if (estimate.runTime > estimates.typicalRunTime(now) * longCostFactor) {
+    return true;
+  }
+  return work.model !== undefined &&
+    work.promptTokens > estimates.typicalPrompt(now) * longCostFactor;
+}
+
 function admissionView(
   state: FleetState,
   record: RequestRecord,
@@ -342,7 +361,8 @@
   state.limits.report(event.total, event);
   state.table.setHosts(
     Math.max(1, event.hosts),
-    event.position ?? 0,
+    // A host that gossip does not list yet takes the first place.
+    Math.max(0, event.position ?? 0),
   );
   state.modelDemand = event.models ?? new Map();
   return [];
--- a/packages/rhubarbstage-policy/src/work_estimates.ts
+++ b/packages/rhubarbstage-policy/src/work_estimates.ts
@@ -72,6 +72,7 @@
   #serviceTime = new DecayedRatio(50, rateMemory);
   #calibration = new DecayedRatio(1, rateMemory);
   #logRunTime = new DecayedRatio(Math.log(1_000), rateMemory);
+  #logPrompt = new DecayedRatio(Math.log(1_000), rateMemory);
   #kinds = new LRUCache<string, KindStatistics>({ max: rememberedKinds });
 
   /** Requests from which the pool has learned. */
@@ -113,6 +114,11 @@
     return Math.exp(this.#logRunTime.value(now));
   }
 
+  /** Geometric mean of prompt lengths in tokens. */
+  typicalPrompt(now: number): number {
+    return Math.exp(this.#logPrompt.value(now));
+  }
+
   learnFirstToken(promptTokens: number, elapsed: number, now: number): void {
     this.#promptTime.add(elapsed, promptTokens, now);
   }
@@ -180,6 +186,7 @@
     this.#calibration.add(run.runTime, run.estimate.runTime, now);
     this.#serviceTime.add(run.runTime, 1, now);
     this.#logRunTime.add(Math.log(Math.max(1, run.runTime)), 1, now);
+    this.#logPrompt.add(Math.log(Math.max(1, work.promptTokens)), 1, now);
     const key = kindKey(work);
     const kind = this.#kinds.get(key) ??
       { count: 0, meanOutput: 0, meanRunTime: 0 };
