policy: Share the overhead of a prompt and bound remembered drops

Cause: three modules repeated the same number; a method was unused.

Change: one constant; the unused method is gone.

--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
+import { promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
 import type { CancelReason, PolicyEffect } from "./types.ts";
@@ -18,8 +19,6 @@
 const smallestHedgeDelay = 30;
 /** Shorter gaps between tokens are within the steps of an engine. */
 const smallestPaceWindow = 100;
-/** The overhead of a prompt in tokens, as routing counts it. */
-const promptOverhead = 100;
 /** Generated tokens, in estimated ones, from which running work is long. */
 const stragglerFactor = 4;
 
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -63,3 +63,6 @@
 
 /** Weight below which a slowed server gets probes only. */
 export const smallestWeight = 0.02;
+
+/** Fixed time of each prompt, counted in tokens. */
+export const promptOverhead = 100;
--- a/packages/rhubarbstage-policy/src/prefix_map.ts
+++ b/packages/rhubarbstage-policy/src/prefix_map.ts
@@ -15,6 +15,8 @@
 }
 
 const holdersPerPrefix = 4;
+/** Servers whose last drop is remembered; more than are ever known at once. */
+const rememberedDrops = 10_000;
 
 /**
  * Bounded map from prefix to servers. Hints decay with age; the servers' cache
@@ -56,13 +58,11 @@
 
   /** Drops what was known of a server, after a gap or a restart. */
   forget(server: BackendServerId, now: number): void {
+    this.#droppedBefore.delete(server);
     this.#droppedBefore.set(server, now);
-  }
-
-  /** Forgets a server that is gone for good. */
-  remove(server: BackendServerId, now: number): void {
-    this.#droppedBefore.set(server, now);
-    if (this.#droppedBefore.size > 10_000) this.#droppedBefore.clear();
+    if (this.#droppedBefore.size <= rememberedDrops) return;
+    const oldest = this.#droppedBefore.keys().next().value;
+    this.#droppedBefore.delete(oldest as BackendServerId);
   }
 
   /** Servers with the longest known prefixes, longest first. */
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -5,7 +5,7 @@
  */
 
 import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
-import { tokensPerBlock } from "./constants.ts";
+import { promptOverhead, tokensPerBlock } from "./constants.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { kvTransferPays, kvTransferTime } from "./kv_transfer.ts";
 import type { PrefixMap } from "./prefix_map.ts";
@@ -63,8 +63,6 @@
 const equalScoreFactor = 1.15;
 /** In milliseconds; keeps tiny scores from counting as different. */
 const equalScoreMargin = 2;
-/** Counted in tokens, for the fixed time of each prompt. */
-const promptOverhead = 100;
 
 /** Chooses a server with room, or none. */
 export function chooseRoute(
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -5,6 +5,7 @@
  */
 
 import { avoidedServers, cancelAttempt, startAttempt } from "./attempts.ts";
+import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
   addServed,
@@ -280,7 +281,10 @@
   const path = state.roundTrips.get(entry.server.region) ?? 0;
   const compute = record.work.model === undefined
     ? record.estimate.firstTokenTime
-    : record.pool.estimates.prefillTime(record.work.promptTokens + 100, now);
+    : record.pool.estimates.prefillTime(
+      record.work.promptTokens + promptOverhead,
+      now,
+    );
   return {
     entry,
     uncachedTokens: record.work.promptTokens,
