policy: Hold back every answer about a crash until marks have spread

Cause: a new test lets one request crash each server that runs it while its caller sends it to each of two hosts in turn. The fleet lost 3 servers: the answer to the second crash went out at once, and the resend reached the other host before the mark.

Change: each answer about a crashed server waits for the marks, also the one that says the request is quarantined. The test that expected that answer at once was wrong; it now expects it after the wait, and no other refusal.

The bound needs gossip within quarantineSpread (1.5 s).

--- a/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -279,10 +279,11 @@
     fail(driver, second!, lost, 20);
     driver.arrive(makeWork("bad2", bad));
     driver.arrive(makeWork("beside2", { fingerprint: "fingerprint-beside" }));
+    driver.tick(2_000);
     expect(driver.refusals().map((effect) => [effect.request, effect.kind]))
       .toEqual([
-        ["bad1", "request_quarantined"],
         ["bad2", "request_quarantined"],
+        ["bad1", "request_quarantined"],
       ]);
   });
 
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -37,8 +37,7 @@
     return effects;
   }
   state.requests.delete(record.work.request);
-  const suspect = state.quarantine.isSuspect(record.work.fingerprint, now);
-  if (crashed && suspect && refusal.kind !== "request_quarantined") {
+  if (crashed) {
     // The caller may send the request to another host at once.
     const at = now + state.settings.quarantineSpread;
     state.refusals.push({ at, subject: refusal });
