policy: Publish all own quarantine marks and admit less in a crest

Cause: gossip keeps the marks of a host as one entry that each publication replaces, so a mark was lost when another followed before the next round. An old clearing could hide a newer mark. In a crest 4% of the admitted work came later than its target.

Change: publish_quarantine carries all marks and clearings of the host, newest last, at most 128; a clearing counts only against older marks. Work is admitted up to 0.6 of its target instead of 0.7.

--- a/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -313,6 +313,34 @@
       .toMatchObject([{ request: "1", outcome: "may_have_run" }]);
   });
 
+  // Guards against marks that are lost because later ones replace them in
+  // gossip, and against an old clearing that hides a newer mark.
+  test("publishes all own marks each time", () => {
+    const driver = newDriver(["a", "b", "c"]);
+    const work = { repeatable: false };
+    driver.arrive(makeWork("1", { ...work, fingerprint: "f1" }));
+    fail(driver, driver.dispatches()[0]!, { connectionLost: true }, 10);
+    driver.arrive(makeWork("2", { ...work, fingerprint: "f2", arrivedAt: 20 }));
+    const last = driver.dispatches()[1]!;
+    expect(fail(driver, last, { connectionLost: true }, 30)).toMatchObject([{
+      type: "publish_quarantine",
+      marks: [
+        { fingerprint: "f1", crashes: 1, age: 20 },
+        { fingerprint: "f2", crashes: 1, age: 0 },
+      ],
+    }]);
+    const clear = { fingerprint: "f2", crashes: 0, blocked: false, age: 60 };
+    driver.send({ type: "quarantine_reported", now: 40, marks: [clear] });
+    driver.arrive(makeWork("3", { fingerprint: "f2", arrivedAt: 50 }));
+    const again = driver.dispatches().at(-1)!;
+    fail(driver, again, { connectionLost: true }, 60);
+    driver.arrive(makeWork("4", { fingerprint: "f2", arrivedAt: 70 }));
+    expect(driver.refusals().at(-1)).toMatchObject({
+      request: "4",
+      kind: "request_quarantined",
+    });
+  });
+
   // Guards against marks that stay on the host that made them.
   test("takes marks of other hosts", () => {
     const driver = newDriver();
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -9,7 +9,7 @@
 /** Settings that apply unless the tree says otherwise. */
 export const defaultFleetSettings: FleetSettings = {
   queueLimit: 5_000,
-  admissionPatience: 0.7,
+  admissionPatience: 0.6,
   concurrencySlack: 1.25,
   priorityOvercommit: 0.25,
   longCostFactor: 4,
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -75,7 +75,7 @@
 }
 
 function blockedNotes(marks: readonly QuarantineMark[]): PolicyEffect[] {
-  return marks.filter((mark) => mark.blocked).map((mark) => ({
+  return marks.filter((mark) => mark.blocked && mark.age === 0).map((mark) => ({
     type: "note",
     event: "request_quarantined",
     fields: { fingerprint: mark.fingerprint, crashes: mark.crashes },
--- a/packages/rhubarbstage-policy/src/quarantine.ts
+++ b/packages/rhubarbstage-policy/src/quarantine.ts
@@ -22,6 +22,8 @@
 /** Crashes from which a fingerprint is refused. */
 const crashesToBlock = 2;
 const largestMarkCount = 10_000;
+/** Gossip keeps this many marks of each host. */
+const publishedMarkCount = 128;
 
 /**
  * Marks of fingerprints. What runs on a server that crashes becomes suspected;
@@ -31,6 +33,8 @@
  */
 export class Quarantine {
   #marks = new Map<string, Mark>();
+  /** Marks and clearings that this host has set. */
+  #own = new Map<string, Mark>();
   #crashes = new Map<BackendServerId, Crash>();
   #period: number;
 
@@ -70,7 +74,8 @@
       fingerprints: [...known, ...fresh],
       at: now,
     });
-    return marked.map((one) => this.#mark(one, now));
+    for (const one of marked) this.#mark(one, now);
+    return marked.length === 0 ? [] : this.#ownMarks(now);
   }
 
   /** Withdraws marks when the process that seemed lost is still there. */
@@ -92,7 +97,8 @@
     const suspect = this.isSuspect(fingerprint, now);
     if (!suspect || this.isBlocked(fingerprint, now)) return [];
     this.#marks.delete(fingerprint);
-    return [{ fingerprint, crashes: 0, blocked: false, age: 0 }];
+    this.#setOwn(fingerprint, { crashes: 0, at: now });
+    return this.#ownMarks(now);
   }
 
   /** Takes marks of other hosts. */
@@ -101,9 +107,7 @@
       const at = now - age;
       const known = this.#crashesOf(fingerprint, now);
       const reported = blocked ? Math.max(crashes, crashesToBlock) : crashes;
-      if (reported === 0 && known < crashesToBlock) {
-        this.#marks.delete(fingerprint);
-      }
+      if (reported === 0) this.#clear(fingerprint, at);
       if (reported <= known) continue;
       this.#marks.set(fingerprint, { crashes: reported, at });
     }
@@ -117,14 +121,41 @@
     return 0;
   }
 
-  #mark(fingerprint: string, now: number): QuarantineMark {
+  /** Clears a suspect on the word of another host, unless it is marked anew. */
+  #clear(fingerprint: string, at: number): void {
+    const mark = this.#marks.get(fingerprint);
+    if (mark === undefined || mark.crashes >= crashesToBlock) return;
+    if (mark.at <= at) this.#marks.delete(fingerprint);
+  }
+
+  #mark(fingerprint: string, now: number): void {
     const crashes = this.#crashesOf(fingerprint, now) + 1;
+    const mark = { crashes, at: now };
     this.#marks.delete(fingerprint);
-    this.#marks.set(fingerprint, { crashes, at: now });
+    this.#marks.set(fingerprint, mark);
     if (this.#marks.size > largestMarkCount) {
       this.#marks.delete(this.#marks.keys().next().value as string);
     }
-    const blocked = crashes >= crashesToBlock;
-    return { fingerprint, crashes, blocked, age: 0 };
+    this.#setOwn(fingerprint, mark);
+  }
+
+  #setOwn(fingerprint: string, mark: Mark): void {
+    this.#own.delete(fingerprint);
+    this.#own.set(fingerprint, { ...mark });
+    if (this.#own.size > publishedMarkCount) {
+      this.#own.delete(this.#own.keys().next().value as string);
+    }
+  }
+
+  /** All marks that this host has set, newest last. */
+  #ownMarks(now: number): QuarantineMark[] {
+    const marks: QuarantineMark[] = [];
+    for (const [fingerprint, { crashes, at }] of this.#own) {
+      const age = now - at;
+      const blocked = crashes >= crashesToBlock;
+      if (age >= this.#period) this.#own.delete(fingerprint);
+      else marks.push({ fingerprint, crashes, blocked, age });
+    }
+    return marks;
   }
 }
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -272,6 +272,7 @@
   }
   | {
     readonly type: "publish_quarantine";
+    /** All marks that this host has set, newest last; they replace earlier ones. */
     readonly marks: readonly QuarantineMark[];
   }
   | {
