policy: Split the longest functions

Cause: the choice of a prefill server and the start of an attempt were too long to read at once.

Change: one function for each step; no change of behaviour.

--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -30,23 +30,51 @@
   now: number,
 ): PolicyEffect {
   const { work, pool } = record;
-  const { entry, prefill } = route;
+  const attempt = createAttempt(state, record, { route, now });
+  record.attempts.set(attempt.id, attempt);
+  occupy(state, attempt, now);
+  if (record.attempts.size === 1) markPreemptible(record);
+  if (work.repeatable) {
+    const at = now + hedgeDelayOf(state, attempt);
+    state.hedges.push({ at, subject: attempt });
+  }
+  if (work.model !== undefined) learnRoute(state, attempt, now);
+  pool.slow.sent(attempt.entry.server.id, now);
+  const { prefill } = attempt;
+  return {
+    type: "dispatch",
+    request: work.request,
+    attempt: attempt.id,
+    server: attempt.entry.server.id,
+    ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
+    priority: work.settings.priority * 2 + (record.long ? 0 : 1),
+    resumeFrom: record.delivered,
+  };
+}
+
+function createAttempt(
+  state: FleetState,
+  record: RequestRecord,
+  options: { readonly route: Route; readonly now: number },
+): Attempt {
+  const { route, now } = options;
+  const { entry, prefill, uncachedTokens, expectedFirstToken } = route;
+  const { request, fingerprint } = record.work;
+  const computing = prefill ?? entry;
   state.attemptCount += 1;
-  const suspect = state.quarantine.isSuspect(work.fingerprint, now);
-  const attempt: Attempt = {
-    id: `${work.request}-${state.attemptCount}` as AttemptId,
+  return {
+    id: `${request}-${state.attemptCount}` as AttemptId,
     record,
     entry,
     incarnation: entry.server.incarnation,
     prefill,
     startedAt: now,
-    uncachedTokens: route.uncachedTokens,
-    expectedFirstToken: route.expectedFirstToken,
+    uncachedTokens,
+    expectedFirstToken,
     resumeFrom: record.delivered,
-    suspect,
-    queued: state.table.used(prefill ?? entry) >=
-      (prefill ?? entry).server.capacity,
-    pendingPrefill: route.expectedFirstToken - entry.pendingPrefill,
+    suspect: state.quarantine.isSuspect(fingerprint, now),
+    queued: state.table.used(computing) >= computing.server.capacity,
+    pendingPrefill: Math.max(0, expectedFirstToken - entry.pendingPrefill),
     countedLong: record.long,
     firstTokenAt: undefined,
     tokens: 0,
@@ -54,35 +82,18 @@
     windowAt: now,
     pace: 1,
   };
-  attempt.pendingPrefill = Math.max(0, attempt.pendingPrefill);
-  record.attempts.set(attempt.id, attempt);
-  occupy(state, attempt, now);
-  if (record.attempts.size === 1) markPreemptible(record);
-  if (work.repeatable) {
-    const hedgeDelay = hedgeDelayOf(state, attempt);
-    state.hedges.push({ at: now + hedgeDelay, subject: attempt });
-  }
-  if (work.model !== undefined) {
-    state.prefixes.store(entry.server.id, work.prefixes, now);
-    const { uncachedTokens } = route;
-    const onPrefillEngine = prefill?.server.role === "prefill";
-    const tokens = work.promptTokens;
-    pool.estimates.learnPlacement(
-      { tokens, uncachedTokens, onPrefillEngine },
-      now,
-    );
-  }
-  pool.slow.sent(entry.server.id, now);
-  const priority = work.settings.priority * 2 + (record.long ? 0 : 1);
-  return {
-    type: "dispatch",
-    request: work.request,
-    attempt: attempt.id,
-    server: entry.server.id,
-    ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
-    priority,
-    resumeFrom: record.delivered,
-  };
+}
+
+/** Learns where the prompt is computed and will be cached. */
+function learnRoute(state: FleetState, attempt: Attempt, now: number): void {
+  const { record, entry, prefill, uncachedTokens } = attempt;
+  const { promptTokens: tokens, prefixes } = record.work;
+  const onPrefillEngine = prefill?.server.role === "prefill";
+  state.prefixes.store(entry.server.id, prefixes, now);
+  record.pool.estimates.learnPlacement(
+    { tokens, uncachedTokens, onPrefillEngine },
+    now,
+  );
 }
 
 /** The attempt, unless it has ended. */
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -221,6 +221,12 @@
   return view.random.pick(good);
 }
 
+/** A route and what is known of the prompt's cached parts. */
+interface PrefillChoice {
+  readonly route: Candidate;
+  readonly cached: ReadonlyMap<BackendServerId, number>;
+}
+
 /**
  * Another server for the prompt: one that has it cached, or a prefill engine,
  * if the prefill time that this saves pays for moving the KV cache.
@@ -228,50 +234,69 @@
 function choosePrefill(
   view: RoutingView,
   demand: RoutingDemand,
-  options: {
-    readonly route: Candidate;
-    readonly cached: ReadonlyMap<BackendServerId, number>;
-  },
+  choice: PrefillChoice,
 ): Route | undefined {
-  const { route, cached } = options;
-  const { work } = demand;
-  if (work.model === undefined) return undefined;
-  const { table, pool, estimates, settings, now } = view;
-  const own = cached.get(route.entry.server.id) ?? 0;
-  const sources = new Set(
-    table.sampleOpen(pool.prefilling, settings.sampledServers, view.random),
-  );
+  if (demand.work.model === undefined) return undefined;
+  let best: Route | undefined;
+  for (const entry of prefillSources(view, choice)) {
+    if (!suits(view, demand, entry)) continue;
+    const route = routeThrough(view, entry, { ...choice, work: demand.work });
+    if (route === undefined) continue;
+    if (best && best.expectedFirstToken <= route.expectedFirstToken) continue;
+    best = route;
+  }
+  return best;
+}
+
+/** Prefill engines with room and servers that hold a part of the prompt. */
+function prefillSources(
+  view: RoutingView,
+  { route, cached }: PrefillChoice,
+): ReadonlySet<ServerEntry> {
+  const { table, pool, settings, random } = view;
+  const count = settings.sampledServers;
+  const sources = new Set(table.sampleOpen(pool.prefilling, count, random));
   for (const id of cached.keys()) {
     const entry = pool.members.get(id);
     if (entry !== undefined) sources.add(entry);
   }
-  let best: Route | undefined;
-  for (const entry of sources) {
-    if (entry === route.entry || !suits(view, demand, entry)) continue;
-    const held = cached.get(entry.server.id) ?? 0;
-    const prefills = entry.server.role === "prefill";
-    const moved = prefills ? work.promptTokens - own : held - own;
-    if (moved <= 0) continue;
-    const crossRegion = entry.server.region !== route.entry.server.region;
-    const transfer = kvTransferTime(settings, moved, { crossRegion });
-    const uncached = prefills
-      ? work.promptTokens - Math.max(held, own)
-      : route.uncachedTokens - moved;
-    const compute = estimates.prefillTime(uncached + promptOverhead, now);
-    const wait = prefills ? entry.pendingPrefill : 0;
-    const expected = compute + wait + transfer + pathTime(view, entry);
-    const savedTime = route.expectedFirstToken - compute - wait +
-      (prefills ? decodeInterference(view, uncached) : 0);
-    if (!kvTransferPays(settings, moved, { crossRegion, savedTime })) continue;
-    if (best !== undefined && best.expectedFirstToken <= expected) continue;
-    best = {
-      entry: route.entry,
-      prefill: entry,
-      uncachedTokens: uncached,
-      expectedFirstToken: expected,
-    };
+  sources.delete(route.entry);
+  return sources;
+}
+
+/** The route with its prompt computed on another server, if that pays. */
+function routeThrough(
+  view: RoutingView,
+  entry: ServerEntry,
+  choice: PrefillChoice & { readonly work: Work },
+): Route | undefined {
+  const { route, cached, work } = choice;
+  const { estimates, settings, now } = view;
+  const own = cached.get(route.entry.server.id) ?? 0;
+  const held = cached.get(entry.server.id) ?? 0;
+  const prefills = entry.server.role === "prefill";
+  const moved = prefills ? work.promptTokens - own : held - own;
+  if (moved <= 0) return undefined;
+  const uncachedTokens = prefills
+    ? work.promptTokens - Math.max(held, own)
+    : route.uncachedTokens - moved;
+  const compute = estimates.prefillTime(uncachedTokens + promptOverhead, now);
+  const wait = prefills ? entry.pendingPrefill : 0;
+  const spared = prefills ? decodeInterference(view, uncachedTokens) : 0;
+  const savedTime = route.expectedFirstToken - compute - wait + spared;
+  const crossRegion = entry.server.region !== route.entry.server.region;
+  if (!kvTransferPays(settings, moved, { crossRegion, savedTime })) {
+    return undefined;
   }
-  return best;
+  const transfer = kvTransferTime(settings, moved, { crossRegion });
+  const path = pathTime(view, entry);
+  const expectedFirstToken = compute + wait + transfer + path;
+  return {
+    entry: route.entry,
+    prefill: entry,
+    uncachedTokens,
+    expectedFirstToken,
+  };
 }
 
 /** Time that a prompt would take from the streams of a decode engine. */
