Say in the status why a host is not ready

Cause: a host with an empty tree is not ready, and the status did not say why; a read without a quorum took 22 s until the command gave up.

Change: the status carries the reason, reads are sent twice at most.

Conclusion: an operator sees the cause without a look at the code.

--- a/packages/rhubarbstage-cli/__tests__/integration/system_test.ts
+++ b/packages/rhubarbstage-cli/__tests__/integration/system_test.ts
@@ -4,6 +4,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
+import { delay } from "rhubarbstage";
 import { exitCodes, runCommand } from "../../src/mod.ts";
 
 const program = join(__dirname, "../../../../dist/rhubarbstage.cjs");
@@ -52,6 +53,15 @@
   return JSON.parse(stdout);
 }
 
+/** Waits until a revision is in force; hosts confirm once a second. */
+async function waitForRevision(revision: number): Promise<void> {
+  for (let round = 0; round < 100; round += 1) {
+    if ((await runJson("status")).revision >= revision) return;
+    await delay(50);
+  }
+  throw new Error(`Revision ${revision} did not come into force`);
+}
+
 beforeAll(async () => {
   folder = await mkdtemp(join(tmpdir(), "rhubarbstage-command-"));
   await writeFile(join(folder, "token"), "anna:0123456789abcdef\n");
@@ -85,7 +95,10 @@
     const [entry] = (await runJson("tree", "history")).entries;
     expect(entry).toMatchObject({ operator: "anna", revision: tree.revision });
     expect(await runJson("backends")).toEqual({ backends: [] });
-    expect((await run("status")).stdout).toContain("attica-1 (command, ");
+    await waitForRevision(tree.revision);
+    expect((await run("status")).stdout).toMatch(
+      /^attica-1 \(command, version .*: not ready \(empty_tree\), revision 2 /,
+    );
   });
 
   // Guards against two operators who both believe that their edit is in force.
--- a/packages/rhubarbstage-cli/src/constants.ts
+++ b/packages/rhubarbstage-cli/src/constants.ts
@@ -36,7 +36,10 @@
  */
 export const seatAnswerTimeout = 90_000;
 
-/** Sends of one request before the command gives up. */
+/** Sends of one read before the command gives up. */
+export const maxReads = 2;
+
+/** Sends of one change before the command gives up. */
 export const maxSends = 4;
 
 /** Wait between two sends, in milliseconds. */
--- a/packages/rhubarbstage-cli/src/fleet_commands.ts
+++ b/packages/rhubarbstage-cli/src/fleet_commands.ts
@@ -24,7 +24,7 @@
     ? "isolated"
     : status.ready
     ? "ready"
-    : "not ready";
+    : `not ready (${status.not_ready_reason ?? "unknown"})`;
   const tone = state === "ready" ? "good" : "bad";
   output.line(
     `${status.host} (${status.cluster}, version ${status.version}): ` +
--- a/packages/rhubarbstage-cli/src/operator_client.ts
+++ b/packages/rhubarbstage-cli/src/operator_client.ts
@@ -12,6 +12,7 @@
 import {
   defaultAnswerTimeout,
   defaultUrl,
+  maxReads,
   maxSends,
   resendDelay,
 } from "./constants.ts";
@@ -133,7 +134,8 @@
     const { urls } = this.#options;
     let mayHaveRun = false;
     let last: RhubarbstageError | string = "";
-    const sends = Math.max(maxSends, urls.length);
+    const least = call.method === "GET" ? maxReads : maxSends;
+    const sends = Math.max(least, urls.length);
     for (let send = 0; send < sends; send += 1) {
       if (send >= urls.length) {
         await delay(this.#options.resendDelay ?? resendDelay);
--- a/packages/rhubarbstage-host/src/host_status.ts
+++ b/packages/rhubarbstage-host/src/host_status.ts
@@ -53,6 +53,7 @@
     const { process, incarnation, version, settings } = this.#options;
     const { lifecycle, seats, countRequests } = this.#options;
     const requests = [...countRequests().values()];
+    const reason = lifecycle.notReadyReason();
     return {
       host: process.host,
       cluster: process.cluster,
@@ -60,7 +61,8 @@
       region: process.region,
       availability_zone: process.availabilityZone,
       incarnation,
-      ready: lifecycle.notReadyReason() === undefined,
+      ready: reason === undefined,
+      ...(reason === undefined ? {} : { not_ready_reason: reason }),
       shutting_down: lifecycle.shuttingDown,
       isolated: settings.isolated,
       ...(settings.ready
--- a/packages/rhubarbstage-settings/src/operator_api.ts
+++ b/packages/rhubarbstage-settings/src/operator_api.ts
@@ -151,6 +151,8 @@
   readonly availability_zone: AvailabilityZone;
   readonly incarnation: Incarnation;
   readonly ready: boolean;
+  /** Why the host takes no work, for example `empty_tree`. */
+  readonly not_ready_reason?: string;
   readonly shutting_down: boolean;
   readonly isolated: boolean;
   /** Absent before the first confirmation. */
