Record attempts with their backend server

Cause: no event named the backend server of an attempt, so that a timeline of a server did not show what ran there.

Conclusion: filters by backend server find the requests of a server.

--- a/packages/rhubarbstage-bench/src/quickstart.ts
+++ b/packages/rhubarbstage-bench/src/quickstart.ts
@@ -13,6 +13,7 @@
   type EditAnswer,
   type EffectiveAnswer,
   operatorPaths,
+  type TimelineAnswer,
 } from "@rhubarbstage/settings";
 import {
   type DrivenProcess,
@@ -173,6 +174,20 @@
     const firstToken = Math.round(answer.firstToken);
     print(`chat: ${answer.chunks} chunks, the first after ${firstToken} ms`);
     print(`  ${answer.text.slice(0, 60)}`);
+    await this.#showTimeline("engine-1");
+  }
+
+  /** Prints what the hosts recorded of one backend server. */
+  async #showTimeline(server: string): Promise<void> {
+    const { events } = await this.#operate<TimelineAnswer>(
+      "timeline",
+      "--server",
+      server,
+    );
+    assert(events.length > 0, "The timeline has no event of the engine");
+    for (const { host, event } of events) {
+      print(`  timeline of ${server}: ${event} on ${host}`);
+    }
   }
 
   async charge(serviceUrl: string): Promise<void> {
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -73,9 +73,10 @@
     const address = this.dispatcher.backendServers.addressOf(server);
     const controller = new AbortController();
     if (!address) {
-      this.#reportFailure(id, new RhubarbstageError("backend_unreachable"));
+      this.#reportFailure(effect, new RhubarbstageError("backend_unreachable"));
       return;
     }
+    this.#noteStart(effect);
     const attempt = { id, effect, address, controller };
     this.#live.set(id, attempt);
     void this.#follow(attempt);
@@ -160,7 +161,7 @@
       this.onAttemptEnd(attempt);
       const error = toRhubarbstageError(thrown);
       if (error.outcome !== "not_run") this.#mayHaveRun = true;
-      this.#reportFailure(attempt.id, error);
+      this.#reportFailure(attempt.effect, error);
     }
   }
 
@@ -170,13 +171,29 @@
     this.dispatcher.notify({ type: "finished", request, attempt, ...tokens });
   }
 
-  #reportFailure(attempt: AttemptId, error: RhubarbstageError): void {
+  #noteStart(effect: DispatchEffect): void {
+    const { request, service, kind } = this.work;
+    const { attempt, server, prefillServer, resumeFrom } = effect;
+    this.dispatcher.telemetry.note("attempt_started", {
+      request,
+      attempt,
+      server,
+      service,
+      kind,
+      ...(prefillServer === undefined ? {} : { prefill_server: prefillServer }),
+      resume_from: resumeFrom,
+    });
+  }
+
+  #reportFailure(effect: DispatchEffect, error: RhubarbstageError): void {
     const { request } = this.work;
+    const { attempt, server } = effect;
     const { kind, outcome, cause } = error;
     const { connectionLost } = error as { connectionLost?: boolean };
     this.dispatcher.telemetry.note("attempt_failed", {
       request,
       attempt,
+      server,
       kind,
       outcome,
       cause: cause instanceof Error ? cause.message : "",
