Enforce the body limit of the tree

Cause: body_limit_bytes could be set and had no effect; only the fixed limit of the gateway of 8 MiB held, below what an example set.

Change: the gateway checks the limit in force for generations and service calls; the schema allows at most the 8 MiB that the gateway reads.

Conclusion: a test refuses a larger body on both paths; the tests of gateway, settings, cli and the quickstart pass.

--- a/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
@@ -113,6 +113,20 @@
     await expectRefusal(answer, { status: 503, type: "isolated" });
   });
 
+  // Guards against a body limit of the tree that has no effect.
+  test("body_too_large where the tree says so", async () => {
+    const { settings } = harness.settings;
+    harness.settings.settings = { ...settings, bodyLimit: 10 };
+    const paths = ["/v1/completions", "/services/ledger/usage"];
+    const answers = await Promise.all(
+      paths.map((path) => harness.post(path, body)),
+    );
+    harness.settings.settings = settings;
+    for (const answer of answers) {
+      await expectRefusal(answer, { status: 413, type: "body_too_large" });
+    }
+  });
+
   // Guards against operator rights for callers.
   test("unauthenticated for operators and backend servers", async () => {
     for (const path of ["/operator/tree/edits", "/backends/announce"]) {
--- a/packages/rhubarbstage-gateway/src/caller_request.ts
+++ b/packages/rhubarbstage-gateway/src/caller_request.ts
@@ -109,6 +109,17 @@
     : error.message;
 }
 
+/** Refuses a body that is larger than the tree allows. */
+export function checkBodySize(
+  settings: EffectiveSettings,
+  body: unknown,
+): void {
+  const { bodyLimit = Infinity } = settings;
+  if (body instanceof Uint8Array && body.length > bodyLimit) {
+    throw new RhubarbstageError("body_too_large");
+  }
+}
+
 /** Refuses repeatable work on an isolated host where the tree says so. */
 export function checkIsolation(settings: EffectiveSettings): void {
   if (settings.isolated && settings.whenIsolated === "refuse") {
--- a/packages/rhubarbstage-gateway/src/completions_controller.ts
+++ b/packages/rhubarbstage-gateway/src/completions_controller.ts
@@ -11,6 +11,7 @@
 import {
   type CallerRequest,
   type CallerResult,
+  checkBodySize,
   checkIsolation,
   serveCaller,
 } from "./caller_request.ts";
@@ -103,6 +104,7 @@
     if (!settings) throw new RhubarbstageError("unknown_model");
     call.revision = settings.revision;
     call.service = settings.service;
+    checkBodySize(settings, bytes);
     checkIsolation(settings);
     const work = readWork({
       request: call.id,
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -68,6 +68,8 @@
   readonly isolated: boolean;
   /** What an isolated host does with repeatable work. */
   readonly whenIsolated: "serve" | "refuse";
+  /** Largest body in bytes; only the limit of the gateway holds without. */
+  readonly bodyLimit?: number;
   readonly service: ServiceName;
   readonly kind: WorkKind;
   /** Time for the request, in milliseconds, unless the caller gives less. */
--- a/packages/rhubarbstage-gateway/src/services_controller.ts
+++ b/packages/rhubarbstage-gateway/src/services_controller.ts
@@ -10,6 +10,7 @@
 import {
   type CallerRequest,
   type CallerResult,
+  checkBodySize,
   checkIsolation,
   serveCaller,
 } from "./caller_request.ts";
@@ -76,6 +77,7 @@
     if (!settings) throw new RhubarbstageError("unknown_service");
     call.revision = settings.revision;
     call.service = settings.service;
+    checkBodySize(settings, call.request.body);
     const serviceCall = this.#read(call, { service, path, settings });
     const routing = new DispatcherRouting(this.#context, {
       call: serviceCall,
--- a/packages/rhubarbstage-host/src/host_settings_source.ts
+++ b/packages/rhubarbstage-host/src/host_settings_source.ts
@@ -74,6 +74,7 @@
       revision: configuration.revision,
       isolated,
       whenIsolated: settings.whenIsolated,
+      bodyLimit: settings.bodyLimit,
       service: work.service,
       kind: work.kind,
       timeout: settings.deadline,
--- a/packages/rhubarbstage-settings/src/constants.ts
+++ b/packages/rhubarbstage-settings/src/constants.ts
@@ -45,6 +45,9 @@
  */
 export const maxCachedSettings = 20_000;
 
+/** Largest body limit, in bytes; the gateway reads no larger body. */
+export const maxBodyLimit = 8 * 1_048_576;
+
 /** Operations that one edit may carry. */
 export const maxOperations = 1_000;
 
--- a/packages/rhubarbstage-settings/src/tree_schema.ts
+++ b/packages/rhubarbstage-settings/src/tree_schema.ts
@@ -6,6 +6,7 @@
  */
 
 import { z } from "zod";
+import { maxBodyLimit } from "./constants.ts";
 
 /** A whole number in a closed range. */
 export function wholeNumber(least: number, most: number) {
@@ -60,7 +61,7 @@
   first_token_target_ms: wholeNumber(1, 3_600_000).optional(),
   retry_ratio: numberBetween(0, 1).optional(),
   deadline_ms: wholeNumber(1, 86_400_000).optional(),
-  body_limit_bytes: wholeNumber(1, 1_073_741_824).optional(),
+  body_limit_bytes: wholeNumber(1, maxBodyLimit).optional(),
   when_isolated: oneOf(["serve", "refuse"]).optional(),
 };
 
