Measure replicas: proposals, restart and idle groups

Cause: the design needs claims at thousands a second, a bounded restart and a small idle cost. Change: a program that runs three replicas in one process over loopback sockets and real disks.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -21,6 +21,7 @@
   fake_engine: "packages/rhubarbstage-test-support/src/fake_engine_main.ts",
   fake_service: "packages/rhubarbstage-test-support/src/fake_service_main.ts",
   fault_proxy: "packages/rhubarbstage-test-support/src/fault_proxy_main.ts",
+  replica_bench: "packages/rhubarbstage-bench/src/replica_bench.ts",
   replica_process:
     "packages/rhubarbstage-replica/__tests__/integration/replica_process.ts",
 };
