Show certificates in a test and say whether a replica is seated

Cause: links with certificates had no test, and a repaired replica looked as if it belonged to no system. Change: a test with an authority, a host certificate and connections without one; the status of a replica says whether it has a seat in every group. Conclusion: only hosts with a certificate of the authority get a link.

--- a/packages/rhubarbstage-replica/__tests__/integration/replica_test.ts
+++ b/packages/rhubarbstage-replica/__tests__/integration/replica_test.ts
@@ -186,11 +186,12 @@
     const fresh = await start(lost.host);
     expect(fresh.replica.id).not.toBe(lostId);
     await delay(100);
-    expect(fresh.replica.status().groups[0]?.role).toBe("none");
+    expect(fresh.replica.status().isSeated).toBe(false);
     await b.replica.repair({ lost: lostId, replacement: lost.host });
     const seats = b.replica.status().groups[0]?.seats ?? [];
     expect(seats.filter((seat) => seat.role === "voter").length).toBe(3);
     expect(seats.some((seat) => seat.replica === lostId)).toBe(false);
+    expect(fresh.replica.status().isSeated).toBe(true);
     await stop(a);
     expect(await group(fresh).query("count", null)).toBe(250);
     await fill(b, ["after"]);
--- a/packages/rhubarbstage-replica/src/replica.ts
+++ b/packages/rhubarbstage-replica/src/replica.ts
@@ -163,11 +163,13 @@
   /** What an operator sees of this replica. */
   status(): ReplicaStatus {
     const { identity } = this.#folder;
+    const groups = [...this.#groups.values()].map((group) => group.status());
     return {
       replica: identity.replica,
       host: identity.host,
       isBootstrapped: identity.isBootstrapped,
-      groups: [...this.#groups.values()].map((group) => group.status()),
+      isSeated: groups.every((group) => group.role !== "none"),
+      groups,
       failures: [...this.#failures].map(([group, { message }]) => ({
         group,
         message,
--- a/packages/rhubarbstage-replica/src/types.ts
+++ b/packages/rhubarbstage-replica/src/types.ts
@@ -70,7 +70,10 @@
 export interface ReplicaStatus {
   readonly replica: ReplicaId;
   readonly host: HostId;
+  /** Whether the bootstrap was committed on this host; false after a repair. */
   readonly isBootstrapped: boolean;
+  /** Whether it has a seat in every group, by bootstrap or repair. */
+  readonly isSeated: boolean;
   readonly groups: readonly GroupStatus[];
   /** Groups that stopped after an error, with its message. */
   readonly failures: readonly {
--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
+import { certificates } from "./certificates.ts";
 import { delay, RhubarbstageError } from "rhubarbstage";
 import type { HostId } from "rhubarbstage";
 import { WebSocket } from "ws";
@@ -129,6 +130,28 @@
     expect(right.counters().rejectedConnections).toBeGreaterThanOrEqual(6);
   });
 
+  // Guards against certificates that are configured and not required.
+  test("accepts only hosts with a certificate of the authority", async () => {
+    const right = await listen(second, { certificates });
+    right.onRequest(echo, (body) => body);
+    const left = await listen(first, { certificates });
+    left.setAddress(second, right.address);
+    expect(await left.request(echo, { to: second, body: 1 })).toBe(1);
+    const { port } = right.address;
+    const { authority } = certificates;
+    for (
+      const url of ["ws", "wss"].map((name) => `${name}://127.0.0.1:${port}`)
+    ) {
+      const socket = new WebSocket(url, { ca: authority });
+      const outcome = await new Promise((resolve) => {
+        socket.on("open", () => resolve("open"));
+        socket.on("error", () => resolve("refused"));
+        socket.on("close", () => resolve("refused"));
+      });
+      expect(outcome).toBe("refused");
+    }
+  });
+
   // Guards against a silent link that is taken for a live one, a link that does
   // not come back by itself, and the token in what the listener sends (what the
   // dialling end sends is masked).
