--- a/packages/rhubarbstage-storage/__tests__/unit/durable_log_test.ts
+++ b/packages/rhubarbstage-storage/__tests__/unit/durable_log_test.ts
@@ -93,6 +93,17 @@
     }
   });
 
+  // Guards against the rest of a torn tail behind the next, shorter record.
+  test("writes on after a torn tail", async () => {
+    const long = { ...record(2), data: Buffer.alloc(500, 7) };
+    await log.append({ term: 1, vote: undefined }, [record(1), long]);
+    const opened = await openFiles({ log: content().subarray(0, -1) });
+    await opened.append({ term: 1, vote: undefined }, [record(2)]);
+    await opened.close();
+    const written = readFileSync(join(root, `group-${count}`, "log"));
+    expect(await indexes(await openFiles({ log: written }))).toEqual([1, 2]);
+  });
+
   // Guards against a flipped byte that is taken for a torn tail or for data.
   test("refuses a flipped byte at any position", async () => {
     await log.append({ term: 1, vote }, records(1, 4));
