Close idle links and keep the message that opens one

Cause: gossip with random hosts would end in a link between every two of 650 hosts, and a one-way message without a link was dropped. Change: a link without messages for 60 s is closed; up to 64 one-way messages a host wait while its link opens. Conclusion: the number of links follows the talk, and the first message arrives.

--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -104,6 +104,21 @@
     expect(left.peers().length).toBe(1);
   });
 
+  // Guards against a full mesh of links that nobody uses, and against losing
+  // the message that opens a link.
+  test("closes an idle link and opens it again", async () => {
+    const left = await listen(first, { idleTimeout: 120 });
+    const right = await listen(second);
+    right.onRequest(echo, (body) => body);
+    left.setAddress(second, right.address);
+    await left.request(echo, { to: second, body: 1 });
+    await until(() => left.peers().length + right.peers().length === 0);
+    const notes: unknown[] = [];
+    right.onMessage(note, (body) => notes.push(body));
+    left.send(note, { to: second, body: 2 });
+    await until(() => notes.length === 1);
+  });
+
   // Guards against a host without the token on either end, against another
   // host that answers at a known address, and against malformed hellos.
   test("refuses hosts that do not prove the token or the name", async () => {
--- a/packages/rhubarbstage-transport/src/constants.ts
+++ b/packages/rhubarbstage-transport/src/constants.ts
@@ -16,6 +16,12 @@
 /** Heartbeats without any sign of the peer after which a link is closed. */
 export const missedHeartbeats = 3;
 
+/**
+ * Time without messages after which a link is closed, in milliseconds. Without
+ * it, gossip with random hosts would end in a link between every two hosts.
+ */
+export const defaultIdleTimeout = 60_000;
+
 /** Longest time for connection and authentication, in milliseconds. */
 export const defaultHandshakeTimeout = 3_000;
 
@@ -31,6 +37,9 @@
 /** Largest frame before authentication, in bytes. */
 export const maxHandshakeBytes = 1_024;
 
+/** Most one-way messages that wait for a connection to one host. */
+export const maxMessagesWhileDialling = 64;
+
 /** Most incoming connections that are not authenticated yet. */
 export const maxUnauthenticatedConnections = 64;
 
--- a/packages/rhubarbstage-transport/src/link.ts
+++ b/packages/rhubarbstage-transport/src/link.ts
@@ -26,6 +26,7 @@
   readonly traffic: Traffic;
   readonly queueBytes: number;
   readonly heartbeatInterval: number;
+  readonly idleTimeout: number;
   /** Frames that arrived before the link was created. */
   readonly early: readonly Buffer[];
   readonly onClose: (link: Link, reason: string) => void;
@@ -49,6 +50,7 @@
   readonly #timer: ReturnType<typeof setInterval>;
   #lastId = 0;
   #silentHeartbeats = 0;
+  #lastUse = performance.now();
   #isOpen = true;
   #closeReason = "closed by peer";
 
@@ -131,6 +133,10 @@
       this.close("no heartbeat");
       return;
     }
+    if (this.#isIdle()) {
+      this.close("idle");
+      return;
+    }
     // Any frame of the peer is a sign of life; a ping asks for one when idle.
     if (this.#silentHeartbeats > 1) {
       this.#options.traffic.sent("heartbeat", frameBytes(0, this.isDialled));
@@ -138,6 +144,12 @@
     }
   }
 
+  #isIdle(): boolean {
+    const isBusy = this.#waiting.size + this.#answering.size > 0;
+    const idle = performance.now() - this.#lastUse;
+    return !isBusy && idle > this.#options.idleTimeout;
+  }
+
   #write(frame: Frame): boolean {
     const { traffic, queueBytes } = this.#options;
     const bytes = encode(frame);
@@ -146,6 +158,7 @@
       traffic.dropped += 1;
       return false;
     }
+    this.#lastUse = performance.now();
     traffic.sent(frame[1], frameBytes(bytes.length, this.isDialled));
     this.#socket.send(bytes);
     return true;
@@ -154,6 +167,7 @@
   #receive(data: Buffer): void {
     if (!this.#isOpen) return;
     this.#hear();
+    this.#lastUse = performance.now();
     let frame: Frame;
     try {
       frame = decode(data) as Frame;
--- a/packages/rhubarbstage-transport/src/peer_transport.ts
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -13,11 +13,13 @@
 import {
   defaultHandshakeTimeout,
   defaultHeartbeatInterval,
+  defaultIdleTimeout,
   defaultMaxBackoff,
   defaultMinBackoff,
   defaultQueueBytes,
   defaultRequestTimeout,
   maxFrameBytes,
+  maxMessagesWhileDialling,
   maxUnauthenticatedConnections,
   minTokenLength,
 } from "./constants.ts";
@@ -69,6 +71,8 @@
   readonly queueBytes?: number;
   /** Defaults to 2,000; a link without three answers is closed. */
   readonly heartbeatInterval?: number;
+  /** Time without messages after which a link is closed; defaults to 60,000. */
+  readonly idleTimeout?: number;
   /** Longest time for connection and authentication; defaults to 3,000. */
   readonly handshakeTimeout?: number;
   /** Shortest wait before another try to connect; defaults to 100. */
@@ -82,6 +86,8 @@
   /** Settles once the try in progress ends; undefined between tries. */
   attempt: Promise<void> | undefined;
   failures: number;
+  /** One-way messages that wait for the link. */
+  messages: number;
   /** Monotonic time before which there is no other try. */
   nextAt: number;
 }
@@ -152,9 +158,7 @@
   ): boolean {
     const link = this.#links.get(options.to);
     if (link !== undefined) return link.send(type.name, options.body);
-    void this.#connect(options.to)?.catch(() => {});
-    this.#traffic.dropped += 1;
-    return false;
+    return this.#sendLater(type.name, options);
   }
 
   override async request<Body, Answer>(
@@ -249,6 +253,25 @@
     await new Promise((resolve) => this.#server.close(resolve));
   }
 
+  /** Sends a message once the link that it needs is open. */
+  #sendLater(name: string, options: MessageOptions<unknown>): boolean {
+    const { to, body } = options;
+    const attempt = this.#connect(to);
+    const dial = this.#dials.get(to);
+    const isQueued = attempt !== undefined && dial !== undefined &&
+      dial.messages < maxMessagesWhileDialling;
+    if (!isQueued) {
+      this.#traffic.dropped += 1;
+      return false;
+    }
+    dial.messages += 1;
+    attempt.then(
+      () => this.#links.get(to)?.send(name, body),
+      () => this.#traffic.dropped += 1,
+    ).finally(() => dial.messages -= 1);
+    return true;
+  }
+
   /** Waits for a link, or throws when there cannot be one now. */
   async #open(to: HostId, signal: AbortSignal): Promise<Link> {
     const fail = (failure: TransportFailure, cause?: unknown) =>
@@ -276,7 +299,7 @@
     const address = this.#addresses.get(to);
     if (address === undefined || this.#closing.signal.aborted) return undefined;
     const dial = this.#dials.get(to) ??
-      { attempt: undefined, failures: 0, nextAt: 0 };
+      { attempt: undefined, failures: 0, messages: 0, nextAt: 0 };
     this.#dials.set(to, dial);
     if (dial.attempt !== undefined) return dial.attempt;
     if (performance.now() < dial.nextAt) return undefined;
@@ -390,6 +413,7 @@
     const {
       queueBytes = defaultQueueBytes,
       heartbeatInterval = defaultHeartbeatInterval,
+      idleTimeout = defaultIdleTimeout,
     } = this.#options;
     const link = new Link(socket, {
       ...authenticated,
@@ -397,6 +421,7 @@
       traffic: this.#traffic,
       queueBytes,
       heartbeatInterval,
+      idleTimeout,
       onClose: (closed, reason) => this.#forget(closed, reason),
     });
     const known = this.#links.get(peer.host);
