Refuse records that are too large to be read back

Cause: a record above 1 GiB would be written and then taken for corruption. Change: writing one throws.

--- a/packages/rhubarbstage-storage/src/records.ts
+++ b/packages/rhubarbstage-storage/src/records.ts
@@ -12,9 +12,14 @@
 
 const packr = new Packr({ useRecords: false });
 
-/** Frames one value. */
+/** Frames one value. Throws `RangeError` when it is too large. */
 export function encodeRecord(value: unknown): Buffer {
   const payload = packr.pack(value);
+  if (payload.length > maxRecordBytes) {
+    throw new RangeError(
+      `A record of ${payload.length} bytes is larger than ${maxRecordBytes}`,
+    );
+  }
   const record = Buffer.allocUnsafe(recordHeaderBytes + payload.length + 1);
   record.writeUInt32LE(payload.length, 0);
   record.writeUInt32LE(crc32(record.subarray(0, 4)), 4);
