Send the heartbeats of all groups together

Cause: each group kept its own heartbeat phase, so that 17 idle groups sent mostly separate messages. Change: heartbeats follow the ticks of the process, which all groups share; the measurement covers eight journals at once.

--- a/packages/rhubarbstage-bench/src/replica_bench.ts
+++ b/packages/rhubarbstage-bench/src/replica_bench.ts
@@ -177,6 +177,30 @@
   await stopNodes(nodes);
 }
 
+/** Proposals to eight journals at once, from the host of the first replica. */
+async function runJournals(root: string): Promise<void> {
+  const journals = 8;
+  const nodes = await startNodes(root, journals + 1);
+  const [first] = nodes as [Node];
+  await first.replica.bootstrap({ hosts });
+  const names = [...groupsOf(journals + 1).keys()].slice(1);
+  const groups = names.map((name) =>
+    first.replica.group<State, Change, number>(name)
+  );
+  await Promise.all(groups.map((group) => group.query("size", null)));
+  let next = 0;
+  await measureProposals("journals", {
+    callers: 256,
+    milliseconds: 2_000,
+    propose: (item) => {
+      next += 1;
+      const group = groups[next % journals];
+      return (group as GroupSeat<State, Change, number>).propose(item);
+    },
+  });
+  await stopNodes(nodes);
+}
+
 /** Time from the opening of all replicas to the first answered read. */
 async function runRestart(root: string, changes: number): Promise<void> {
   const nodes = await startNodes(root, 1);
@@ -252,6 +276,7 @@
 
 async function main(): Promise<void> {
   await inFolder(runProposals);
+  await inFolder(runJournals);
   for (const changes of [10_000, 50_000]) {
     await inFolder((root) => runRestart(root, changes));
   }
--- a/packages/rhubarbstage-consensus/src/consensus.ts
+++ b/packages/rhubarbstage-consensus/src/consensus.ts
@@ -111,6 +111,7 @@
 
 function tick(turn: Turn): void {
   const { state } = turn;
+  state.ticks += 1;
   if (state.role === "leader") return tickLeader(turn);
   state.ticksSinceLeader += 1;
   state.ticksUntilElection -= 1;
@@ -123,8 +124,8 @@
   if (!hasQuorumContact(state)) {
     return becomeFollower(turn, { term: state.term });
   }
-  state.ticksSinceHeartbeat += 1;
-  if (state.ticksSinceHeartbeat < state.heartbeatTicks) return;
+  // Groups that tick together send their heartbeats in one message.
+  if (state.ticks % state.heartbeatTicks !== 0) return;
   // A lost round must not hold up the reads that wait for the next one.
   const { round } = state;
   startWaitingRound(turn);
--- a/packages/rhubarbstage-consensus/src/election.ts
+++ b/packages/rhubarbstage-consensus/src/election.ts
@@ -136,7 +136,6 @@
   const { term, log } = state;
   state.role = "leader";
   state.leader = state.self;
-  state.ticksSinceHeartbeat = 0;
   state.progress = new Map();
   for (const { replica } of allSeats(currentSeats(state))) {
     if (replica === state.self) continue;
--- a/packages/rhubarbstage-consensus/src/replication.ts
+++ b/packages/rhubarbstage-consensus/src/replication.ts
@@ -72,7 +72,6 @@
 /** Tells every seat that the leader is alive; repeats an unanswered probe. */
 export function broadcastHeartbeats(turn: Turn): void {
   const { state } = turn;
-  state.ticksSinceHeartbeat = 0;
   for (const [to, progress] of state.progress) {
     progress.isProbing = false;
     const isCompacted = progress.nextIndex <= state.log.base.index;
--- a/packages/rhubarbstage-consensus/src/state.ts
+++ b/packages/rhubarbstage-consensus/src/state.ts
@@ -85,7 +85,8 @@
   seatsHistory: SeatsAt[];
   ticksSinceLeader: number;
   ticksUntilElection: number;
-  ticksSinceHeartbeat: number;
+  /** Ticks since the start of the process. */
+  ticks: number;
   votes: Map<ReplicaId, boolean>;
   progress: Map<ReplicaId, Progress>;
   /** Index of the empty entry of the own term, while leading. */
@@ -131,7 +132,7 @@
     // A restarted replica knows no leader, so that it holds up no election.
     ticksSinceLeader: electionTicks,
     ticksUntilElection: 1 + random.integer(electionTicks),
-    ticksSinceHeartbeat: 0,
+    ticks: 0,
     votes: new Map(),
     progress: new Map(),
     termStartIndex: 0,
