Bound slow connections to the peer port and the race for a stale lock

Cause: a connection that sent nothing could stay for minutes, and two processes that found the same stale lock could both take it. Change: the server refuses plain requests and drops connections that take longer than the handshake may; a stale lock is moved aside and put back when it is not the one that was read. Conclusion: neither depends on luck, except two processes that start within the same few microseconds behind a stale lock.

--- a/packages/rhubarbstage-storage/src/data_folder.ts
+++ b/packages/rhubarbstage-storage/src/data_folder.ts
@@ -5,7 +5,15 @@
  */
 
 import { randomUUID } from "node:crypto";
-import { mkdir, open, readdir, readFile, rm } from "node:fs/promises";
+import {
+  link,
+  mkdir,
+  open,
+  readdir,
+  readFile,
+  rename,
+  rm,
+} from "node:fs/promises";
 import { dirname, join, resolve } from "node:path";
 import process from "node:process";
 import type { GroupName, ReplicaId } from "rhubarbstage";
@@ -142,11 +150,23 @@
     if (pid > 0 && holder === await describeProcess(pid)) {
       throw new FolderInUseError(folder, { process: pid });
     }
-    await rm(file, { force: true });
+    await removeStaleLock(file, holder);
   }
   throw new Error(`Data folder "${folder}" cannot be locked`);
 }
 
+/**
+ * Removes the lock of a process that is gone. Another process may do the same
+ * and hold a new lock by now, which is put back.
+ */
+async function removeStaleLock(file: string, holder: string): Promise<void> {
+  const moved = `${file}.${process.pid}`;
+  await rename(file, moved).catch(() => {});
+  const content = await readFile(moved, "utf8").catch(() => holder);
+  if (content !== holder) await link(moved, file).catch(() => {});
+  await rm(moved, { force: true });
+}
+
 /** Process id and start time, because ids are used again. */
 async function describeProcess(pid: number): Promise<string> {
   try {
--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -175,6 +175,10 @@
       socket.send(hello);
       await new Promise((resolve) => socket.on("close", resolve));
     }
+    const silent = connect(port, "127.0.0.1");
+    const plain = await fetch(`http://127.0.0.1:${port}/`);
+    expect(plain.status).toBe(426);
+    await new Promise((resolve) => silent.on("close", resolve).resume());
     expect(right.peers()).toEqual([]);
     expect(right.counters().rejectedConnections).toBeGreaterThanOrEqual(6);
   });
--- a/packages/rhubarbstage-transport/src/peer_transport.ts
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -5,7 +5,7 @@
  */
 
 import { createServer as createHttpServer } from "node:http";
-import type { Server } from "node:http";
+import type { RequestListener, Server } from "node:http";
 import { createServer as createHttpsServer } from "node:https";
 import type { AddressInfo } from "node:net";
 import type { HostId, HybridLogicalClock, Incarnation } from "rhubarbstage";
@@ -127,7 +127,7 @@
     this.host = options.host;
     this.incarnation = options.incarnation ?? Date.now() as Incarnation;
     this.#addresses = new Map(options.peers);
-    this.#server = createServer(options.certificates);
+    this.#server = createServer(options);
     this.#sockets = new WebSocketServer({
       server: this.#server,
       perMessageDeflate: false,
@@ -470,15 +470,27 @@
   }
 }
 
-function createServer(certificates?: TransportCertificates): Server {
-  if (certificates === undefined) return createHttpServer();
+/** A server that only upgrades connections, and drops slow ones. */
+function createServer(options: PeerTransportOptions): Server {
+  const { certificates, handshakeTimeout = defaultHandshakeTimeout } = options;
+  const limits = {
+    headersTimeout: handshakeTimeout,
+    requestTimeout: handshakeTimeout,
+    connectionsCheckingInterval: handshakeTimeout,
+  };
+  const refuse: RequestListener = (_request, response) => {
+    response.writeHead(426, { connection: "close" }).end();
+  };
+  if (certificates === undefined) return createHttpServer(limits, refuse);
   return createHttpsServer({
+    ...limits,
+    handshakeTimeout,
     key: certificates.key,
     cert: certificates.certificate,
     ca: certificates.authority,
     requestCert: true,
     rejectUnauthorized: true,
-  });
+  }, refuse);
 }
 
 function opened(socket: WebSocket, signal: AbortSignal): Promise<void> {
