Check secrets by the matched route and survive faults of the policy

Cause: the sender was identified by the path as it was sent, while the router decodes paths. GET /%6fperator/tree and POST /b%61ckends/leave were served without a token. A fault inside the policy ended the process.

Change: the matched route decides which secret is needed, and a route that is not listed as open is refused. A fault of the policy refuses the request at hand as internal and is noted. KV cache moves have 60 s instead of the 10 s of silence in a stream. The origin of a gateway with a certificate starts with https. An orphaned fake engine exits.

--- a/packages/rhubarbstage-bench/src/relay.ts
+++ b/packages/rhubarbstage-bench/src/relay.ts
@@ -177,14 +177,27 @@
       }),
   );
   printSteps(steps, settings);
-  const p95 = (mode: RelayMode) =>
-    percentile(ofMode(steps, mode).flatMap((s) => s.load.firstTokens), 95);
-  const added = p95("gateway") - p95("direct");
-  const addedByPass = p95("pass_through") - p95("direct");
-  console.log(
-    `  added at p95: gateway ${added.toFixed(2)} ms (target 7.7), ` +
-      `pass-through ${addedByPass.toFixed(2)} ms`,
-  );
+  for (const mode of ["pass_through", "gateway"] as const) {
+    const added = addedFirstToken(steps, mode);
+    const rounds = added.map((time) => time.toFixed(2)).join(", ");
+    console.log(
+      `  added at p95 by ${mode}: median of rounds ` +
+        `${median(added).toFixed(2)} ms (target 7.7), rounds ${rounds}`,
+    );
+  }
+}
+
+/** Added time to the first token at p95 in each round, in milliseconds. */
+function addedFirstToken(steps: readonly Step[], mode: RelayMode): number[] {
+  const p95 = (step: Step) => percentile(step.load.firstTokens, 95);
+  const direct = ofMode(steps, "direct");
+  return ofMode(steps, mode)
+    .map((step, round) => p95(step) - p95(direct[round] as Step));
+}
+
+function median(values: readonly number[]): number {
+  const sorted = values.toSorted((left, right) => left - right);
+  return sorted[Math.floor(sorted.length / 2)] ?? 0;
 }
 
 /** Compares token rates of streams that the server cannot keep up with. */
@@ -273,7 +286,7 @@
   }
   const names = process.argv.slice(2).filter((name) => !name.startsWith("--"));
   const settings = {
-    rounds: readNumber("rounds", 2),
+    rounds: readNumber("rounds", 3),
     duration: readNumber("seconds", 10) * 1_000,
   };
   for (const [name, run] of Object.entries(parts)) {
--- a/packages/rhubarbstage-engine/src/constants.ts
+++ b/packages/rhubarbstage-engine/src/constants.ts
@@ -19,6 +19,9 @@
  */
 export const defaultIdleTimeout = 10_000;
 
+/** Time to compute a prompt or to move its KV cache, in milliseconds. */
+export const cacheMoveTimeout = 60_000;
+
 /** Connections to one engine. */
 export const defaultConnections = 256;
 
--- a/packages/rhubarbstage-engine/src/engine_client.ts
+++ b/packages/rhubarbstage-engine/src/engine_client.ts
@@ -9,6 +9,7 @@
 import type { AttemptId, RequestId } from "rhubarbstage";
 import {
   answerSizeLimit,
+  cacheMoveTimeout,
   defaultConnections,
   defaultConnectTimeout,
   defaultIdleTimeout,
@@ -57,6 +58,8 @@
   readonly method: "GET" | "POST";
   readonly path: string;
   readonly body?: JsonObject;
+  /** Time for the answer, in milliseconds; that of silence by default. */
+  readonly timeout?: number;
 }
 
 /** Calls engines. Never sends a request twice by itself. */
@@ -160,6 +163,7 @@
     const answer = await this.#call(address, {
       method: "POST",
       path: "/v1/kv/export",
+      timeout: cacheMoveTimeout,
       body: encodeGeneration(request),
       ...options,
     });
@@ -174,6 +178,7 @@
     const answer = await this.#call(address, {
       method: "POST",
       path: "/v1/kv/import",
+      timeout: cacheMoveTimeout,
       body: { handle: options.cache.handle, source: options.source.url },
       signal: options.signal,
     });
@@ -188,7 +193,7 @@
       method: call.method,
       headers: this.#headers,
       body: call.body === undefined ? null : JSON.stringify(call.body),
-      headersTimeout: this.#idleTimeout,
+      headersTimeout: call.timeout ?? this.#idleTimeout,
       bodyTimeout: this.#idleTimeout,
     };
     this.#agent.dispatch(options, exchange);
--- a/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
@@ -119,6 +119,15 @@
       const answer = await harness.post(path, {});
       await expectRefusal(answer, { status: 401, type: "unauthenticated" });
     }
+    // The router decodes paths, so an encoded one must not pass unchecked.
+    for (
+      const path of ["operator/status", "%6fperator/status", "%6Fperator/tree"]
+    ) {
+      const answer = await fetch(`${harness.url}/${path}`);
+      await expectRefusal(answer, { status: 401, type: "unauthenticated" });
+    }
+    const encoded = await harness.post("/b%61ckends/leave", {});
+    await expectRefusal(encoded, { status: 401, type: "unauthenticated" });
     const status = await fetch(`${harness.url}/operator/status`, {
       headers: { authorization: `Bearer ${operatorToken}` },
     });
--- a/packages/rhubarbstage-gateway/__tests__/unit/dispatcher_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/unit/dispatcher_test.ts
@@ -232,6 +232,19 @@
     await expect(result).rejects.toMatchObject({ kind: "overloaded", outcome });
   });
 
+  // Guards against a fault of the policy that stops the host or leaves a
+  // request hanging.
+  test("survives a fault of the policy", async () => {
+    jest.spyOn(policy, "reduce").mockImplementationOnce(() => {
+      throw new Error("Fault");
+    });
+    await expect(generate()).rejects.toMatchObject({ kind: "internal" });
+    expect(harness.telemetry.events[0]?.[0]).toBe("policy_failed");
+    const result = generate(dispatch("a"));
+    await engines.give("a", tokens(0, "x"), finished(1));
+    expect(await result).toMatchObject({ outputTokens: 2 });
+  });
+
   // Guards against an unknown server that leaves its request hanging.
   test("reports a server without an address as not run", () => {
     void generate(dispatch("a", "unknown"));
--- a/packages/rhubarbstage-gateway/src/access.ts
+++ b/packages/rhubarbstage-gateway/src/access.ts
@@ -8,6 +8,9 @@
 import { type CustomerId, RhubarbstageError } from "rhubarbstage";
 import type { Credentials, Readiness } from "./ports.ts";
 
+/** Routes that need no secret. */
+const openRoutes = new Set(["/healthz", "/readyz", "/metrics"]);
+
 /** Who sent a request. */
 export type Identity =
   | { readonly type: "caller"; readonly customer: CustomerId }
@@ -75,8 +78,14 @@
     throw new RhubarbstageError("unauthenticated");
   }
 
+  /**
+   * Goes by the matched route, not by the path: the router decodes paths, so an
+   * encoded one would not be recognised.
+   */
   #identify(request: FastifyRequest): Identity {
-    const [area] = request.url.slice(1).split(/[/?]/, 1);
+    const route = request.routeOptions.url;
+    if (route === undefined || openRoutes.has(route)) return { type: "anyone" };
+    const area = route.split("/")[1];
     const token = bearerToken(request.headers.authorization);
     switch (area) {
       case "v1":
@@ -87,7 +96,7 @@
       case "backends":
         return this.#identifyBackendServer(token);
       default:
-        return { type: "anyone" };
+        throw unknownToken();
     }
   }
 
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -159,9 +159,26 @@
   #drain(): void {
     let event = this.#events.shift();
     while (event) {
+      this.#reduce(event);
+      event = this.#events.shift();
+    }
+  }
+
+  /** A fault of the policy costs one request and not the host. */
+  #reduce(event: PolicyEvent): void {
+    try {
       const effects = this.#policy.reduce(this.#state, event);
       for (const effect of effects) this.#carryOut(effect);
-      event = this.#events.shift();
+    } catch (cause) {
+      this.telemetry.note("policy_failed", {
+        event: event.type,
+        cause: cause instanceof Error ? cause.stack ?? cause.message : "",
+      });
+      if (!("request" in event || event.type === "arrived")) return;
+      const request = "work" in event ? event.work.request : event.request;
+      this.#runs.get(request)?.refuse(
+        new RhubarbstageError("internal", { cause }),
+      );
     }
   }
 
--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -102,13 +102,15 @@
 export class Gateway {
   #application: NestFastifyApplication;
   #requests: RequestRegister;
+  #protocol: string;
 
   private constructor(
     application: NestFastifyApplication,
-    requests: RequestRegister,
+    options: { readonly requests: RequestRegister; readonly protocol: string },
   ) {
     this.#application = application;
-    this.#requests = requests;
+    this.#requests = options.requests;
+    this.#protocol = options.protocol;
   }
 
   /** Creates a gateway that does not listen yet. */
@@ -137,7 +139,8 @@
     application.useGlobalFilters(new ErrorFilter(parts.telemetry));
     prepareServer(adapter.getInstance(), access);
     await application.init();
-    return new Gateway(application, requests);
+    const protocol = options.tls ? "https:" : "http:";
+    return new Gateway(application, { requests, protocol });
   }
 
   /** Ids of the requests of callers that wait or run. */
@@ -148,7 +151,9 @@
   /** Starts to listen; resolves with the origin. */
   async listen(options: ListenOptions): Promise<string> {
     await this.#application.listen(options.port, options.address);
-    return await this.#application.getUrl();
+    // Nest does not see that the adapter was given a certificate.
+    const url = await this.#application.getUrl();
+    return url.replace(/^https?:/, this.#protocol);
   }
 
   /** Resolves when no request of a caller is open. */
--- a/packages/rhubarbstage-test-support/src/fake_engine_main.ts
+++ b/packages/rhubarbstage-test-support/src/fake_engine_main.ts
@@ -18,6 +18,8 @@
   const { incarnation } = engine;
   process.stdout.write(`${JSON.stringify({ url, incarnation })}\n`);
   process.once("SIGTERM", () => process.exit(0));
+  // The parent that forked this process is gone.
+  process.once("disconnect", () => process.exit(0));
 }
 
 void main();
