--- a/packages/rhubarbstage-gateway/__tests__/unit/dispatcher_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/unit/dispatcher_test.ts
@@ -204,6 +204,10 @@
       deliveredTokens: 1,
       connectionLost: true,
     });
+    expect(harness.telemetry.events).toMatchObject([
+      ["attempt_started", { request, attempt: "a", server: "one" }],
+      ["attempt_failed", { request, attempt: "a", server: "one" }],
+    ]);
     act({
       type: "refuse",
       request,
--- a/packages/rhubarbstage-gateway/src/answer_assembler.ts
+++ b/packages/rhubarbstage-gateway/src/answer_assembler.ts
@@ -5,6 +5,8 @@
  */
 
 import type { GenerationEndpoint } from "@rhubarbstage/engine";
+import { RhubarbstageError } from "rhubarbstage";
+import { wholeAnswerLimit } from "./constants.ts";
 
 interface ToolCall {
   index: number;
@@ -46,6 +48,7 @@
   #logprobs: unknown[] | undefined;
   #finishReason: string | null = null;
   #usage: unknown;
+  #size = 0;
 
   constructor(endpoint: GenerationEndpoint) {
     this.#endpoint = endpoint;
@@ -53,6 +56,12 @@
 
   /** Adds one chunk in JSON form. */
   add(data: string): void {
+    this.#size += data.length;
+    if (this.#size > wholeAnswerLimit) {
+      throw new RhubarbstageError("backend_failed", {
+        message: "The answer is too large to be sent whole",
+      });
+    }
     const chunk = JSON.parse(data) as Chunk;
     this.#first ??= chunk;
     this.#usage = chunk.usage ?? this.#usage;
--- a/packages/rhubarbstage-gateway/src/constants.ts
+++ b/packages/rhubarbstage-gateway/src/constants.ts
@@ -22,6 +22,9 @@
 /** Node.js looks for late requests at this interval, in milliseconds. */
 export const lateRequestCheckInterval = 500;
 
+/** Size of the chunks that an answer is assembled from, in characters. */
+export const wholeAnswerLimit = 32 * 1_048_576;
+
 /** Interval of the policy's tick, in milliseconds. */
 export const tickInterval = 50;
 
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -69,11 +69,19 @@
 
   dispatch(effect: DispatchEffect): void {
     this.attempts += 1;
-    const { attempt: id, server } = effect;
+    const { attempt: id, server, priority, resumeFrom } = effect;
+    this.dispatcher.telemetry.note("attempt_started", {
+      request: this.work.request,
+      attempt: id,
+      server,
+      priority,
+      resume_from: resumeFrom,
+    });
     const address = this.dispatcher.backendServers.addressOf(server);
     const controller = new AbortController();
     if (!address) {
-      this.#reportFailure(id, new RhubarbstageError("backend_unreachable"));
+      const error = new RhubarbstageError("backend_unreachable");
+      this.#reportFailure(effect, error);
       return;
     }
     const attempt = { id, effect, address, controller };
@@ -152,15 +160,16 @@
       const result = await this.run(attempt);
       if (!this.isLive(attempt)) return;
       this.#live.delete(attempt.id);
-      this.#reportFinish(attempt.id, result);
+      // The answer is out, so a fault of the policy must not change the result.
       this.#settle.resolve(result);
+      this.#reportFinish(attempt.id, result);
     } catch (thrown) {
       if (!this.isLive(attempt)) return;
       this.#live.delete(attempt.id);
       this.onAttemptEnd(attempt);
       const error = toRhubarbstageError(thrown);
       if (error.outcome !== "not_run") this.#mayHaveRun = true;
-      this.#reportFailure(attempt.id, error);
+      this.#reportFailure(attempt.effect, error);
     }
   }
 
@@ -170,13 +179,15 @@
     this.dispatcher.notify({ type: "finished", request, attempt, ...tokens });
   }
 
-  #reportFailure(attempt: AttemptId, error: RhubarbstageError): void {
+  #reportFailure(effect: DispatchEffect, error: RhubarbstageError): void {
+    const { attempt, server } = effect;
     const { request } = this.work;
     const { kind, outcome, cause } = error;
     const { connectionLost } = error as { connectionLost?: boolean };
     this.dispatcher.telemetry.note("attempt_failed", {
       request,
       attempt,
+      server,
       kind,
       outcome,
       cause: cause instanceof Error ? cause.message : "",
--- a/packages/rhubarbstage-gateway/src/sinks.ts
+++ b/packages/rhubarbstage-gateway/src/sinks.ts
@@ -72,6 +72,7 @@
 
   /** Ends a started answer with an error event and without the terminator. */
   fail(error: RhubarbstageError, request: string): void {
+    if (this.#response.writableEnded) return;
     this.#response.end(`data: ${errorBody(error, request)}\n\n`);
   }
 
