Keep a request open until its caller has the answer

Cause: a request counted as ended when its answer was written, so a shutdown closed the connection of a caller that still had to read a part of it.

Change: a request is open until the answer has been handed to the connection, or nothing has moved on it for the stall timeout. The record of a request counts its attempts also when it fails.

--- a/packages/rhubarbstage-gateway/__tests__/integration/callers_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/callers_test.ts
@@ -53,6 +53,24 @@
     expect(harness.dispatcher.requests).toEqual([]);
   });
 
+  // Guards against a shutdown that cuts off a caller who reads slowly.
+  test("stays open until a slow caller has its answer", async () => {
+    const size = 20_000_000;
+    harness.services.send = () =>
+      Promise.resolve({
+        status: 200,
+        headers: {},
+        body: Buffer.alloc(size),
+        replayed: false,
+      });
+    const answer = await harness.post("/services/ledger/statement", "{}");
+    expect(harness.gateway.openRequests).toHaveLength(1);
+    const closed = harness.gateway.idle().then(() => harness.gateway.close());
+    const { byteLength } = await answer.arrayBuffer();
+    await closed;
+    expect(byteLength).toBe(size);
+  });
+
   // Guards against unbounded buffers for a caller that reads nothing.
   test("back-pressure reaches the engine", async () => {
     const { hostname, port } = new URL(harness.url);
--- a/packages/rhubarbstage-gateway/src/caller_request.ts
+++ b/packages/rhubarbstage-gateway/src/caller_request.ts
@@ -13,6 +13,7 @@
   type ServiceName,
 } from "rhubarbstage";
 import type { GatewayContext } from "./context.ts";
+import { answerTaken } from "./connection_owner.ts";
 import { CallerGone, toCallerError } from "./errors.ts";
 import { sendError } from "./replies.ts";
 import type { EffectiveSettings, RequestRecord } from "./ports.ts";
@@ -20,7 +21,6 @@
 /** How a request ended well. */
 export interface CallerResult {
   readonly outputTokens: number;
-  readonly attempts: number;
 }
 
 /** One request of a caller. */
@@ -35,6 +35,8 @@
   revision: Revision;
   /** Service of the request, once the settings are read. */
   service?: ServiceName;
+  /** Attempts on backend servers so far. */
+  attempts: number;
   /** Sends an error after the answer has started. */
   failStarted?: (error: RhubarbstageError) => void;
 }
@@ -60,16 +62,18 @@
     reply,
     arrivedAt: context.dispatcher.clock.monotonicMilliseconds(),
     revision: 0 as Revision,
+    attempts: 0,
   };
   const { requests, telemetry } = context;
   let result: RequestRecord["result"] = "ok";
-  let ended: CallerResult = { outputTokens: 0, attempts: 0 };
+  let outputTokens = 0;
   requests.add(call.id);
   try {
-    ended = await handle(call);
+    ({ outputTokens } = await handle(call));
   } catch (thrown) {
     result = report(context, call, thrown);
   } finally {
+    await answerTaken(reply.raw, context.callerStallTimeout);
     requests.remove(call.id);
     telemetry.requestEnded({
       request: call.id,
@@ -80,7 +84,8 @@
       result,
       duration: context.dispatcher.clock.monotonicMilliseconds() -
         call.arrivedAt,
-      ...ended,
+      outputTokens,
+      attempts: call.attempts,
     });
   }
 }
--- a/packages/rhubarbstage-gateway/src/completions_controller.ts
+++ b/packages/rhubarbstage-gateway/src/completions_controller.ts
@@ -88,6 +88,7 @@
     const sink = this.#openSink(call, generation);
     return await this.#context.dispatcher.generate(generation, sink, {
       signal,
+      onAttempt: () => call.attempts += 1,
     });
   }
 
--- a/packages/rhubarbstage-gateway/src/connection_owner.ts
+++ b/packages/rhubarbstage-gateway/src/connection_owner.ts
@@ -7,6 +7,24 @@
 import type { ServerResponse } from "node:http";
 import { CallerGone } from "./errors.ts";
 
+/**
+ * Resolves when the answer has been handed to the connection or the connection
+ * is closed. Until then a shutdown must not close it: a caller that reads
+ * slowly still lacks a part of its answer. A connection on which nothing moves
+ * for `stallTimeout` milliseconds is closed.
+ */
+export async function answerTaken(
+  response: ServerResponse,
+  stallTimeout: number,
+): Promise<void> {
+  if (response.writableFinished || response.destroyed) return;
+  response.setTimeout(stallTimeout, () => response.destroy());
+  await new Promise<void>((resolve) => {
+    response.once("finish", resolve);
+    response.once("close", resolve);
+  });
+}
+
 /**
  * Signal that is aborted when the connection closes before the answer is
  * complete.
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -57,6 +57,8 @@
 export interface DispatchOptions {
   /** Aborted when the caller closes its connection. */
   readonly signal: AbortSignal;
+  /** Called when an attempt is started. */
+  readonly onAttempt?: () => void;
 }
 
 /** Leads requests through the policy to backend servers. */
@@ -158,6 +160,7 @@
         outcome: "not_run",
       });
     }
+    run.onAttempt = options.onAttempt;
     const onAbort = () => this.#onCallerGone(run);
     this.#runs.set(work.request, run);
     signal.addEventListener("abort", onAbort, { once: true });
--- a/packages/rhubarbstage-gateway/src/generation_run.ts
+++ b/packages/rhubarbstage-gateway/src/generation_run.ts
@@ -214,7 +214,6 @@
     return {
       promptTokens: event.promptTokens,
       outputTokens: event.outputTokens,
-      attempts: this.attempts,
     };
   }
 
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -48,6 +48,8 @@
   /** Resolves or rejects when the request ends. */
   readonly result: Promise<Result>;
   attempts = 0;
+  /** Called when an attempt is started. */
+  onAttempt: (() => void) | undefined;
   protected dispatcher: Dispatcher;
   #live = new Map<AttemptId, Attempt>();
   /** Whether a backend server may have run some of the request. */
@@ -69,6 +71,7 @@
 
   dispatch(effect: DispatchEffect): void {
     this.attempts += 1;
+    this.onAttempt?.();
     const { attempt: id, server, priority, resumeFrom } = effect;
     this.dispatcher.telemetry.note("attempt_started", {
       request: this.work.request,
--- a/packages/rhubarbstage-gateway/src/services_controller.ts
+++ b/packages/rhubarbstage-gateway/src/services_controller.ts
@@ -82,10 +82,11 @@
       settings,
       arrivedAt: call.arrivedAt,
       signal: callerSignal(call.reply.raw),
+      onAttempt: () => call.attempts += 1,
     });
     const answer = await this.#context.services.call(serviceCall, routing);
     sendAnswer(call.reply, answer);
-    return { outputTokens: 0, attempts: routing.attempts };
+    return { outputTokens: 0 };
   }
 
   #read(
@@ -134,11 +135,11 @@
   readonly settings: EffectiveServiceSettings;
   readonly arrivedAt: number;
   readonly signal: AbortSignal;
+  readonly onAttempt: () => void;
 }
 
 /** Leads a service call through the dispatcher. */
 class DispatcherRouting extends ServiceRouting {
-  attempts = 0;
   #context: GatewayContext;
   #routed: RoutedCall;
 
@@ -149,7 +150,7 @@
   }
 
   override run(send: SendService): Promise<ServiceAnswer> {
-    const { call, settings, arrivedAt, signal } = this.#routed;
+    const { call, settings, arrivedAt, signal, onAttempt } = this.#routed;
     const work = {
       request: call.request,
       customer: call.customer,
@@ -165,11 +166,10 @@
       deadlineAt: call.deadlineAt,
       settings: settings.work,
     };
-    const counted: SendService = (attempt) => {
-      this.attempts += 1;
-      return send(attempt);
-    };
-    return this.#context.dispatcher.callService(work, counted, { signal });
+    return this.#context.dispatcher.callService(work, send, {
+      signal,
+      onAttempt,
+    });
   }
 }
 
--- a/packages/rhubarbstage-gateway/src/types.ts
+++ b/packages/rhubarbstage-gateway/src/types.ts
@@ -37,5 +37,4 @@
 export interface GenerationResult {
   readonly promptTokens: number;
   readonly outputTokens: number;
-  readonly attempts: number;
 }
