--- a/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
@@ -70,6 +70,7 @@
     ["body_too_large", "completions", "x".repeat(10_001), {}, 413],
     ["unknown_model", "completions", { ...body, model: "big" }, {}, 404],
     ["not_found", "embeddings", body, {}, 404],
+    ["invalid_request", "%zz", body, {}, 400],
   ];
 
   // Guards against errors outside the closed list and untrue outcomes.
--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -13,7 +13,7 @@
   FastifyAdapter,
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
-import type { FastifyInstance } from "fastify";
+import type { FastifyInstance, FastifyReply } from "fastify";
 import { type RequestId, RhubarbstageError } from "rhubarbstage";
 import { AccessControl } from "./access.ts";
 import { BackendsController } from "./backends_controller.ts";
@@ -29,7 +29,7 @@
 import type { GatewayContext } from "./context.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { ErrorFilter } from "./error_filter.ts";
-import { errorBody, errorHeaders } from "./errors.ts";
+import { errorBody, errorHeaders, toCallerError } from "./errors.ts";
 import { HealthController } from "./health_controller.ts";
 import { OperatorController } from "./operator_controller.ts";
 import type {
@@ -181,6 +181,7 @@
     genReqId: () => randomUUID(),
     requestTimeout,
     clientErrorHandler: answerClientError,
+    frameworkErrors: answerFrameworkError,
     return503OnClosing: false,
     ...(options.tls
       ? { https: { ...options.tls, ...timing } }
@@ -208,6 +209,15 @@
   });
 }
 
+/** Answers paths that the router cannot decode. */
+function answerFrameworkError(
+  error: Error,
+  _request: unknown,
+  reply: unknown,
+): void {
+  sendError(reply as FastifyReply, toCallerError(error));
+}
+
 /** Errors of Node.js for requests that did not arrive in time. */
 const timeoutCodes = new Set(["ERR_HTTP_REQUEST_TIMEOUT"]);
 
