Answer a repeated order like its first sending

Cause: a new leader finishes an open order under the same fencing number, which the fake engine refused as stale although it had carried the order out.

The test certificate moves to test-support for other packages.

--- a/packages/rhubarbstage-gateway/__tests__/integration/tls_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/tls_test.ts
@@ -1,5 +1,5 @@
 import { get } from "node:https";
-import { selfSignedCertificate } from "../certificate.ts";
+import { selfSignedCertificate } from "@rhubarbstage/test-support";
 import { Harness } from "../harness.ts";
 
 describe("TLS", () => {
--- a/packages/rhubarbstage-test-support/src/fake_engine.ts
+++ b/packages/rhubarbstage-test-support/src/fake_engine.ts
@@ -69,6 +69,8 @@
   #role: FakeEngineRole;
   #state: EngineState = "serving";
   #highestFencing = 0;
+  /** Answers to accepted orders. */
+  #orderAnswers = new Map<string, Promise<Json>>();
   #sequence = 0;
   #cacheSequence = 0;
   #cacheBatches = 0;
@@ -298,7 +300,7 @@
     return { order_id: order, fencing_number: fencing, state: result };
   }
 
-  async #order(request: FastifyRequest): Promise<Json> {
+  #order(request: FastifyRequest): Promise<Json> | Json {
     const body = request.body as Json;
     const refused = this.#orderRefusal(request, body);
     const record: FakeOrderRecord = {
@@ -308,21 +310,29 @@
       fencing: Number(body.fencing_number ?? 0),
       receivedAt: Date.now(),
       overlapping: this.#state === "changing",
-      result: refused === undefined
-        ? "running"
-        : refused === "stale_fencing"
-        ? "stale_fencing"
-        : "refused",
+      result: "running",
       interruptedStreams: 0,
     };
     this.#orders.push(record);
-    if (refused !== undefined) {
-      return { result: "refused", reason: refused, message: "Not carried out" };
-    }
+    if (refused !== undefined) return this.#refuseOrder(record, refused);
     this.#highestFencing = Math.max(this.#highestFencing, record.fencing);
-    await this.#carryOut(record);
-    record.result = "done";
-    return { result: "done", status: this.#status() };
+    const answer = this.#carryOut(record).then(() => {
+      record.result = "done";
+      return { result: "done", status: this.#status() };
+    });
+    this.#orderAnswers.set(orderKey(record), answer);
+    return answer;
+  }
+
+  /** An order that was accepted before gets its first answer again. */
+  #refuseOrder(record: FakeOrderRecord, reason: string): Promise<Json> | Json {
+    const earlier = this.#orderAnswers.get(orderKey(record));
+    if (reason === "stale_fencing" && earlier) {
+      record.result = "repeated";
+      return earlier;
+    }
+    record.result = reason === "stale_fencing" ? reason : "refused";
+    return { result: "refused", reason, message: "Not carried out" };
   }
 
   #orderRefusal(request: FastifyRequest, body: Json): string | undefined {
@@ -516,6 +526,10 @@
   }
 }
 
+function orderKey({ order, fencing }: FakeOrderRecord): string {
+  return `${fencing} ${order}`;
+}
+
 function sleep(milliseconds: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, milliseconds));
 }
--- a/packages/rhubarbstage-test-support/src/fake_engine_types.ts
+++ b/packages/rhubarbstage-test-support/src/fake_engine_types.ts
@@ -83,7 +83,7 @@
   readonly receivedAt: number;
   /** Whether another order was still being carried out. */
   readonly overlapping: boolean;
-  result: "running" | "done" | "stale_fencing" | "refused";
+  result: "running" | "done" | "repeated" | "stale_fencing" | "refused";
   /** Streams that the change interrupted. */
   interruptedStreams: number;
 }
--- a/packages/rhubarbstage-test-support/src/mod.ts
+++ b/packages/rhubarbstage-test-support/src/mod.ts
@@ -22,6 +22,8 @@
   fakeToken,
   fakeTokenCount,
 } from "./fake_engine_text.ts";
+export type { SelfSignedCertificate } from "./self_signed_certificate.ts";
+export { selfSignedCertificate } from "./self_signed_certificate.ts";
 export { FaultProxy } from "./fault_proxy.ts";
 export type { FaultLink } from "./fault_link.ts";
 export type {
--- a/packages/rhubarbstage-gateway/__tests__/certificate.ts
+++ b/packages/rhubarbstage-test-support/src/self_signed_certificate.ts
@@ -25,8 +25,14 @@
   return Buffer.concat([Buffer.from([tag, ...length]), content]);
 }
 
-/** Certificate and key in PEM form; they are valid from 2020 to 2049. */
-export function selfSignedCertificate(name: string) {
+/** Certificate and key in PEM form. */
+export interface SelfSignedCertificate {
+  readonly cert: string;
+  readonly key: string;
+}
+
+/** Makes a certificate for a name, valid from 2020 to 2049. */
+export function selfSignedCertificate(name: string): SelfSignedCertificate {
   const { publicKey, privateKey } = generateKeyPairSync("ec", {
     namedCurve: "P-256",
   });
