--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -13,7 +13,7 @@
   FastifyAdapter,
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
-import type { FastifyInstance } from "fastify";
+import type { FastifyInstance, FastifyReply } from "fastify";
 import { type RequestId, RhubarbstageError } from "rhubarbstage";
 import { AccessControl } from "./access.ts";
 import { BackendsController } from "./backends_controller.ts";
@@ -29,7 +29,7 @@
 import type { GatewayContext } from "./context.ts";
 import type { Dispatcher } from "./dispatcher.ts";
 import { ErrorFilter } from "./error_filter.ts";
-import { errorBody, errorHeaders } from "./errors.ts";
+import { errorBody, errorHeaders, toCallerError } from "./errors.ts";
 import { HealthController } from "./health_controller.ts";
 import { OperatorController } from "./operator_controller.ts";
 import type {
@@ -102,13 +102,15 @@
 export class Gateway {
   #application: NestFastifyApplication;
   #requests: RequestRegister;
+  #protocol: string;
 
   private constructor(
     application: NestFastifyApplication,
-    requests: RequestRegister,
+    options: { readonly requests: RequestRegister; readonly protocol: string },
   ) {
     this.#application = application;
-    this.#requests = requests;
+    this.#requests = options.requests;
+    this.#protocol = options.protocol;
   }
 
   /** Creates a gateway that does not listen yet. */
@@ -137,7 +139,8 @@
     application.useGlobalFilters(new ErrorFilter(parts.telemetry));
     prepareServer(adapter.getInstance(), access);
     await application.init();
-    return new Gateway(application, requests);
+    const protocol = options.tls ? "https:" : "http:";
+    return new Gateway(application, { requests, protocol });
   }
 
   /** Ids of the requests of callers that wait or run. */
@@ -148,7 +151,9 @@
   /** Starts to listen; resolves with the origin. */
   async listen(options: ListenOptions): Promise<string> {
     await this.#application.listen(options.port, options.address);
-    return await this.#application.getUrl();
+    // Nest does not see that the adapter was given a certificate.
+    const url = await this.#application.getUrl();
+    return url.replace(/^https?:/, this.#protocol);
   }
 
   /** Resolves when no request of a caller is open. */
@@ -176,6 +181,7 @@
     genReqId: () => randomUUID(),
     requestTimeout,
     clientErrorHandler: answerClientError,
+    frameworkErrors: answerFrameworkError,
     return503OnClosing: false,
     ...(options.tls
       ? { https: { ...options.tls, ...timing } }
@@ -203,6 +209,15 @@
   });
 }
 
+/** Answers paths that the router cannot decode. */
+function answerFrameworkError(
+  error: Error,
+  _request: unknown,
+  reply: unknown,
+): void {
+  sendError(reply as FastifyReply, toCallerError(error));
+}
+
 /** Errors of Node.js for requests that did not arrive in time. */
 const timeoutCodes = new Set(["ERR_HTTP_REQUEST_TIMEOUT"]);
 
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -48,6 +48,8 @@
   /** Resolves or rejects when the request ends. */
   readonly result: Promise<Result>;
   attempts = 0;
+  /** Called when an attempt is started. */
+  onAttempt: (() => void) | undefined;
   protected dispatcher: Dispatcher;
   #live = new Map<AttemptId, Attempt>();
   /** Whether a backend server may have run some of the request. */
@@ -69,14 +71,22 @@
 
   dispatch(effect: DispatchEffect): void {
     this.attempts += 1;
-    const { attempt: id, server } = effect;
+    this.onAttempt?.();
+    const { attempt: id, server, priority, resumeFrom } = effect;
+    this.dispatcher.telemetry.note("attempt_started", {
+      request: this.work.request,
+      attempt: id,
+      server,
+      priority,
+      resume_from: resumeFrom,
+    });
     const address = this.dispatcher.backendServers.addressOf(server);
     const controller = new AbortController();
     if (!address) {
-      this.#reportFailure(effect, new RhubarbstageError("backend_unreachable"));
+      const error = new RhubarbstageError("backend_unreachable");
+      this.#reportFailure(effect, error);
       return;
     }
-    this.#noteStart(effect);
     const attempt = { id, effect, address, controller };
     this.#live.set(id, attempt);
     void this.#follow(attempt);
@@ -153,8 +163,9 @@
       const result = await this.run(attempt);
       if (!this.isLive(attempt)) return;
       this.#live.delete(attempt.id);
-      this.#reportFinish(attempt.id, result);
+      // The answer is out, so a fault of the policy must not change the result.
       this.#settle.resolve(result);
+      this.#reportFinish(attempt.id, result);
     } catch (thrown) {
       if (!this.isLive(attempt)) return;
       this.#live.delete(attempt.id);
@@ -171,23 +182,9 @@
     this.dispatcher.notify({ type: "finished", request, attempt, ...tokens });
   }
 
-  #noteStart(effect: DispatchEffect): void {
-    const { request, service, kind } = this.work;
-    const { attempt, server, prefillServer, resumeFrom } = effect;
-    this.dispatcher.telemetry.note("attempt_started", {
-      request,
-      attempt,
-      server,
-      service,
-      kind,
-      ...(prefillServer === undefined ? {} : { prefill_server: prefillServer }),
-      resume_from: resumeFrom,
-    });
-  }
-
   #reportFailure(effect: DispatchEffect, error: RhubarbstageError): void {
-    const { request } = this.work;
     const { attempt, server } = effect;
+    const { request } = this.work;
     const { kind, outcome, cause } = error;
     const { connectionLost } = error as { connectionLost?: boolean };
     this.dispatcher.telemetry.note("attempt_failed", {
