--- a/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -279,10 +279,11 @@
     fail(driver, second!, lost, 20);
     driver.arrive(makeWork("bad2", bad));
     driver.arrive(makeWork("beside2", { fingerprint: "fingerprint-beside" }));
+    driver.tick(2_000);
     expect(driver.refusals().map((effect) => [effect.request, effect.kind]))
       .toEqual([
-        ["bad1", "request_quarantined"],
         ["bad2", "request_quarantined"],
+        ["bad1", "request_quarantined"],
       ]);
   });
 
@@ -300,6 +301,46 @@
     expect(driver.dispatches().at(-1)!.request).toBe("2");
   });
 
+  // Guards against a resend that reaches another host before the mark does.
+  test("holds the answer back until marks have spread", () => {
+    const driver = newDriver(["a", "b"]);
+    driver.arrive(makeWork("1", { repeatable: false }));
+    const [dispatch] = driver.dispatches();
+    const effects = fail(driver, dispatch!, { connectionLost: true }, 10);
+    expect(effects).toMatchObject([{ type: "publish_quarantine" }]);
+    expect(driver.refusals(driver.tick(1_000))).toEqual([]);
+    expect(driver.refusals(driver.tick(1_600)))
+      .toMatchObject([{ request: "1", outcome: "may_have_run" }]);
+  });
+
+  // Guards against marks that are lost because later ones replace them in
+  // gossip, and against an old clearing that hides a newer mark.
+  test("publishes all own marks each time", () => {
+    const driver = newDriver(["a", "b", "c"]);
+    const work = { repeatable: false };
+    driver.arrive(makeWork("1", { ...work, fingerprint: "f1" }));
+    fail(driver, driver.dispatches()[0]!, { connectionLost: true }, 10);
+    driver.arrive(makeWork("2", { ...work, fingerprint: "f2", arrivedAt: 20 }));
+    const last = driver.dispatches()[1]!;
+    expect(fail(driver, last, { connectionLost: true }, 30)).toMatchObject([{
+      type: "publish_quarantine",
+      marks: [
+        { fingerprint: "f1", crashes: 1, age: 20 },
+        { fingerprint: "f2", crashes: 1, age: 0 },
+      ],
+    }]);
+    const clear = { fingerprint: "f2", crashes: 0, blocked: false, age: 60 };
+    driver.send({ type: "quarantine_reported", now: 40, marks: [clear] });
+    driver.arrive(makeWork("3", { fingerprint: "f2", arrivedAt: 50 }));
+    const again = driver.dispatches().at(-1)!;
+    fail(driver, again, { connectionLost: true }, 60);
+    driver.arrive(makeWork("4", { fingerprint: "f2", arrivedAt: 70 }));
+    expect(driver.refusals().at(-1)).toMatchObject({
+      request: "4",
+      kind: "request_quarantined",
+    });
+  });
+
   // Guards against marks that stay on the host that made them.
   test("takes marks of other hosts", () => {
     const driver = newDriver();
@@ -400,6 +441,19 @@
   });
 });
 
+describe("settings", () => {
+  // Guards against settings that take effect only after a restart.
+  test("take effect on running modules", () => {
+    const driver = newDriver();
+    const mark = { fingerprint: "f", crashes: 2, blocked: true, age: 0 };
+    driver.send({ type: "quarantine_reported", now: 0, marks: [mark] });
+    const settings = { quarantinePeriod: 1_000 };
+    driver.send({ type: "settings_changed", now: 0, settings });
+    driver.arrive(makeWork("1", { fingerprint: "f", arrivedAt: 1_500 }));
+    expect(driver.dispatches()).toHaveLength(1);
+  });
+});
+
 describe("plain services", () => {
   // Guards against routing a service call to an engine.
   test("run on servers that offer the service", () => {
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -19,13 +19,10 @@
   takeFirstToken,
   takeTokens,
 } from "./attempts.ts";
-import {
-  defaultFleetSettings,
-  demandPeriod,
-  samplesForAdmission,
-} from "./constants.ts";
+import { demandPeriod, samplesForAdmission } from "./constants.ts";
 import { markCrash, takeDelayedRefusals, takeFailure } from "./failures.ts";
 import {
+  applySettings,
   createFleetState,
   type FleetOptions,
   type FleetState,
@@ -111,7 +108,7 @@
         state.holdsRoleAuthority = event.held;
         return [];
       case "settings_changed":
-        state.settings = { ...defaultFleetSettings, ...event.settings };
+        applySettings(state, event.settings);
         return [];
       case "tick":
         return tick(state, event.now);
@@ -195,9 +192,7 @@
   },
 ): RequestRecord {
   const { work, estimate, now } = options;
-  const typical = pool.estimates.typicalRunTime(now);
-  const long = pool.estimates.samples >= samplesForAdmission &&
-    estimate.runTime > typical * state.settings.longCostFactor;
+  const long = isLong(state, pool, { work, estimate, now });
   return {
     work,
     pool,
@@ -216,6 +211,27 @@
   };
 }
 
+/** Whether slot time or prompt are far longer than is typical of the pool. */
+function isLong(
+  state: FleetState,
+  pool: PoolState,
+  options: {
+    readonly work: Work;
+    readonly estimate: WorkEstimate;
+    readonly now: number;
+  },
+): boolean {
+  const { work, estimate, now } = options;
+  const { estimates } = pool;
+  if (estimates.samples < samplesForAdmission) return false;
+  const { longCostFactor } = state.settings;
+  if (estimate.runTime > estimates.typicalRunTime(now) * longCostFactor) {
+    return true;
+  }
+  return work.model !== undefined &&
+    work.promptTokens > estimates.typicalPrompt(now) * longCostFactor;
+}
+
 function admissionView(
   state: FleetState,
   record: RequestRecord,
@@ -345,7 +361,8 @@
   state.limits.report(event.total, event);
   state.table.setHosts(
     Math.max(1, event.hosts),
-    event.position ?? 0,
+    // A host that gossip does not list yet takes the first place.
+    Math.max(0, event.position ?? 0),
   );
   state.modelDemand = event.models ?? new Map();
   return [];
@@ -388,15 +405,18 @@
       outstanding: state.table.used(entry),
     }));
     const slots = pool.capacity / pool.members.size;
-    const prefillTime = estimates.prefillTimePerToken(now);
+    const prefillTime = estimates.prefillEngineTimePerToken(now);
+    const promptTime = estimates.decodeEngineTimePerToken(now);
     const decodeTime = estimates.decodeTimePerToken() / slots;
+    const prompts = demand.promptTokensPerSecond / 1_000;
+    const outputs = demand.outputTokensPerSecond / 1_000;
     const changes = state.roles.decide(
       {
         model,
         engines,
         demand: {
-          prefillEngines: demand.promptTokensPerSecond * prefillTime / 1_000,
-          decodeEngines: demand.outputTokensPerSecond * decodeTime / 1_000,
+          prefillEngines: prompts * prefillTime,
+          decodeEngines: outputs * decodeTime + prompts * promptTime,
         },
       },
       state.settings,
