--- a/packages/rhubarbstage-control/src/order_executor.ts
+++ b/packages/rhubarbstage-control/src/order_executor.ts
@@ -237,13 +237,13 @@
 
   /** Commits a statement that only this process can make, however long it takes. */
   #state(orderId: OrderId, ending: StatedEnding): void {
-    const { group, sender } = this.#options;
+    const { group, sender, signal } = this.#options;
     const command = { type: "end_order", orderId, ending, sender } as const;
-    const statement = callUntilDone((callOptions) =>
-      group.propose(command, callOptions)
-    );
+    const statement = callUntilDone(
+      (callOptions) => group.propose(command, callOptions),
+      { signal },
+    ).catch(() => {}).finally(() => this.#statements.delete(statement));
     this.#statements.add(statement);
-    void statement.finally(() => this.#statements.delete(statement));
   }
 
   async #recoverQuietly(
--- a/packages/rhubarbstage-control/src/types.ts
+++ b/packages/rhubarbstage-control/src/types.ts
@@ -330,6 +330,8 @@
   readonly sender: Sender;
   /** Whether this host leads the control group, as far as it knows. */
   readonly leads: () => boolean;
+  /** Ends the tries to commit how orders ended, when the process stops. */
+  readonly signal?: AbortSignal;
   readonly clock?: Clock;
   /** Longest time from the intent to the write, in milliseconds; defaults to 5,000. */
   readonly writeWindow?: number;
--- /dev/null
+++ b/packages/rhubarbstage-host/__tests__/integration/configuration_test.ts
@@ -0,0 +1,203 @@
+import { delay, type EditId, type Revision } from "rhubarbstage";
+import { Cluster, type ClusterHost, type EditResult } from "./cluster.ts";
+
+/** Bound on the time until an accepted revision is in force, in milliseconds. */
+const inForceBound = 8_000;
+
+/** Watches the revision of each host and what it may not do. */
+class RevisionWatch {
+  readonly problems: string[] = [];
+  #cluster: Cluster;
+  #stopping = new AbortController();
+  #highest = new Map<string, number>();
+  #accepted: { revision: number; at: number }[] = [];
+  #running: Promise<void>[] = [];
+
+  constructor(cluster: Cluster) {
+    this.#cluster = cluster;
+  }
+
+  start(): void {
+    for (const host of this.#cluster.hosts) {
+      this.#running.push(this.#watch(host));
+    }
+  }
+
+  /** Notes that a revision was accepted before now. */
+  accept(revision: number): void {
+    this.#accepted.push({ revision, at: performance.now() });
+  }
+
+  async stop(): Promise<void> {
+    this.#stopping.abort();
+    await Promise.all(this.#running);
+  }
+
+  async #watch(host: ClusterHost): Promise<void> {
+    while (!this.#stopping.signal.aborted) {
+      const askedAt = performance.now();
+      const status = await this.#cluster.status(host);
+      if (status !== undefined && status.ready) {
+        this.#judge(host.name, { ...status, askedAt });
+      }
+      await delay(50);
+    }
+  }
+
+  #judge(
+    host: string,
+    status: { revision?: number; isolated: boolean; askedAt: number },
+  ): void {
+    const { revision = 0, isolated, askedAt } = status;
+    const highest = this.#highest.get(host) ?? 0;
+    if (revision < highest) {
+      this.problems.push(`${host} went from ${highest} to ${revision}`);
+    }
+    this.#highest.set(host, Math.max(highest, revision));
+    const due = this.#accepted
+      .filter(({ at }) => askedAt - at > inForceBound)
+      .reduce((most, { revision }) => Math.max(most, revision), 0);
+    if (!isolated && revision < due) {
+      this.problems.push(`${host} is at ${revision}; ${due} was due`);
+    }
+  }
+}
+
+describe("configuration", () => {
+  let cluster: Cluster;
+  let edits = 0;
+
+  afterEach(() => cluster.stop());
+
+  function edit(
+    host: ClusterHost,
+    options: { expected: number; value: number; id?: string },
+  ): Promise<EditResult> {
+    edits += 1;
+    return cluster.edit(host, {
+      edit_id: (options.id ?? `edit-${edits}`) as EditId,
+      expected_revision: options.expected as Revision,
+      operations: [{ path: "deadline_ms", set: options.value }],
+    });
+  }
+
+  async function currentRevision(): Promise<number> {
+    const statuses = await Promise.all(
+      cluster.hosts.map((host) => cluster.status(host)),
+    );
+    return Math.max(...statuses.map((status) => status?.revision ?? 0));
+  }
+
+  // Guards against two winners, against an edit that takes effect twice when it
+  // is sent again, and against a revision that is late or reverts on any host.
+  test("has one winner for each revision and never reverts", async () => {
+    cluster = await Cluster.start({ seed: 201, replicas: 3, entryHosts: 1 });
+    await cluster.check(async () => {
+      const watch = new RevisionWatch(cluster);
+      watch.start();
+      let revision = await currentRevision();
+      const race = async () => {
+        const sends = cluster.hosts.map((host, number) =>
+          edit(host, {
+            expected: revision,
+            value: 4_000 + number,
+            id: `race-${revision}-${number}`,
+          })
+        );
+        const results = await Promise.all(sends);
+        const winners = results.filter(({ status }) => status === 200);
+        expect(winners.length).toBeLessThanOrEqual(1);
+        const [winner] = winners;
+        if (winner === undefined) return;
+        expect(winner.revision).toBe(revision + 1);
+        revision = winner.revision;
+        watch.accept(revision);
+        const number = results.indexOf(winner);
+        const again = await edit(cluster.host((number + 1) % 4), {
+          expected: revision - 1,
+          value: 4_000 + number,
+          id: `race-${revision - 1}-${number}`,
+        });
+        if (again.status === 200) expect(again.revision).toBe(revision);
+      };
+      const firstRevision = revision;
+      for (let round = 0; round < 3; round += 1) await race();
+      expect(revision).toBe(firstRevision + 3);
+
+      const leader = await cluster.leaderOf("control");
+      cluster.isolate(leader, { loss: "hold" });
+      await delay(2_500);
+      const other = cluster.hosts.find((host) => host !== leader);
+      const duringCut = await edit(other as ClusterHost, {
+        expected: revision,
+        value: 5_000,
+      });
+      expect(duringCut.status).toBe(200);
+      revision = duringCut.revision;
+      watch.accept(revision);
+      await cluster.until(
+        "the cut-off host is isolated",
+        async () => (await cluster.status(leader))?.isolated === true,
+      );
+      const refused = await edit(leader, { expected: revision, value: 1 });
+      expect(refused.kind).toBe("isolated");
+      await delay(3_000);
+      cluster.heal();
+
+      const lost = cluster.hosts.find((host) =>
+        host.replica && host !== leader
+      ) as ClusterHost;
+      await cluster.kill(lost);
+      await cluster.restart(lost, { loseDisk: true });
+      await cluster.until(
+        "the host answers",
+        async () => await cluster.status(lost) !== undefined,
+      );
+      expect((await cluster.status(lost))?.ready).toBe(false);
+      const healthy = cluster.hosts.find((host) =>
+        host.replica && host !== lost
+      ) as ClusterHost;
+      await cluster.operate(healthy, ["repair", "--lost", lost.name]);
+      await cluster.until("all hosts are at the revision", async () => {
+        const statuses = await Promise.all(
+          cluster.hosts.map((host) => cluster.status(host)),
+        );
+        return statuses.every((status) => status?.revision === revision);
+      }, inForceBound);
+      await race();
+      await delay(1_500);
+      await watch.stop();
+      expect(watch.problems).toEqual([]);
+    });
+  });
+
+  // Guards against a restarted host that serves on a configuration it cannot
+  // confirm, and against edits that are accepted without a quorum.
+  test("is not in force on a host that restarts without a quorum", async () => {
+    cluster = await Cluster.start({ seed: 202, replicas: 3 });
+    await cluster.check(async () => {
+      const revision = await currentRevision();
+      const [first, second, third] = cluster.hosts;
+      if (!first || !second || !third) throw new Error("Three are needed");
+      await cluster.kill(second);
+      third.process.pause();
+      await cluster.kill(first);
+      await cluster.restart(first);
+      await cluster.until(
+        "the host answers",
+        async () => await cluster.status(first) !== undefined,
+      );
+      await delay(1_500);
+      const status = await cluster.status(first);
+      expect(status?.ready).toBe(false);
+      const refused = await edit(first, { expected: revision, value: 4_500 });
+      expect(refused.status).not.toBe(200);
+      third.process.resume();
+      await cluster.until(
+        "the host is ready",
+        async () => (await cluster.status(first))?.ready === true,
+      );
+      expect(await currentRevision()).toBe(revision);
+    });
+  });
+});
--- /dev/null
+++ b/packages/rhubarbstage-host/__tests__/integration/orders_test.ts
@@ -0,0 +1,252 @@
+import { join } from "node:path";
+import {
+  type BackendServerId,
+  delay,
+  type GroupName,
+  type HostId,
+  type Incarnation,
+  type OrderId,
+  RhubarbstageError,
+} from "rhubarbstage";
+import {
+  type ControlCommand,
+  controlQueries,
+  type ControlResult,
+  type ControlState,
+  ControlStateMachine,
+  type EngineTarget,
+  OrderExecutor,
+} from "@rhubarbstage/control";
+import { type GroupSeat, Replica } from "@rhubarbstage/replica";
+import { LocalNetwork } from "@rhubarbstage/transport";
+import {
+  type DrivenProcess,
+  type FakeEngineRecords,
+  FaultProxy,
+  ProcessDriver,
+} from "@rhubarbstage/test-support";
+import { EngineOrderConnector } from "../../src/engine_orders.ts";
+
+const control = "control" as GroupName;
+const engineId = "engine-1" as BackendServerId;
+
+type Seat = GroupSeat<ControlState, ControlCommand, ControlResult>;
+
+/** Three replicas of the control group, and one engine behind a proxy. */
+class OrderSystem {
+  readonly network = new LocalNetwork();
+  readonly driver = new ProcessDriver();
+  readonly proxy = new FaultProxy({ seed: 301, links: [] });
+  readonly replicas: Replica[] = [];
+  readonly executors: OrderExecutor[] = [];
+  #hosts = ["host-0", "host-1", "host-2"] as HostId[];
+  #engine: DrivenProcess | undefined;
+  #enginePort = 0;
+  #stopped = new AbortController();
+  #engineUrl = "";
+  #target: EngineTarget | undefined;
+
+  async start(checksFencing: boolean): Promise<void> {
+    for (const host of this.#hosts) await this.#startReplica(host);
+    await this.replicas[0]?.bootstrap({ hosts: this.#hosts });
+    await this.startEngine(checksFencing);
+    const target = `127.0.0.1:${this.#enginePort}`;
+    const port = await this.proxy.add({ name: "engine", target });
+    const address = `http://127.0.0.1:${port}`;
+    this.#target = { backendServer: engineId, address };
+  }
+
+  async #startReplica(host: HostId): Promise<void> {
+    const replica = await Replica.open({
+      dataFolder: join(this.driver.folder, host),
+      transport: this.network.join(host),
+      groups: new Map([[control, {
+        stateMachine: new ControlStateMachine(),
+        queries: controlQueries,
+      }]]),
+      tickInterval: 20,
+      seed: 301 + this.replicas.length,
+    });
+    const group: Seat = replica.group(control);
+    this.replicas.push(replica);
+    this.executors.push(
+      new OrderExecutor({
+        group,
+        connector: new EngineOrderConnector(),
+        sender: { host, incarnation: 1 as Incarnation },
+        leads: () => group.leadership().isLeader,
+        signal: this.#stopped.signal,
+      }),
+    );
+  }
+
+  async startEngine(checksFencing: boolean): Promise<void> {
+    const options = {
+      id: engineId,
+      port: this.#enginePort,
+      checksFencing,
+      roleChangeTime: 200,
+    };
+    this.#engine = this.driver.start("fake_engine", {
+      arguments: [JSON.stringify(options)],
+    });
+    const { url } = await this.#engine.ready<{ url: string }>();
+    this.#engineUrl = url;
+    this.#enginePort = Number(new URL(url).port);
+  }
+
+  async killEngine(): Promise<void> {
+    await this.#engine?.kill();
+  }
+
+  get target(): EngineTarget {
+    if (this.#target === undefined) throw new Error("There is no engine");
+    return this.#target;
+  }
+
+  /** The engine on a path without faults. */
+  get direct(): EngineTarget {
+    const address = `http://127.0.0.1:${this.#enginePort}`;
+    return { backendServer: engineId, address };
+  }
+
+  /** Number of the leader among the replicas that the caller may ask. */
+  async leader(among = [0, 1, 2]): Promise<number> {
+    const endsAt = performance.now() + 15_000;
+    while (performance.now() < endsAt) {
+      const found = among.find((number) =>
+        this.replicas[number]?.leadership(control).isLeader
+      );
+      if (found !== undefined) return found;
+      await delay(20);
+    }
+    throw new Error(`No leader\n${this.driver.timeline}`);
+  }
+
+  executor(number: number): OrderExecutor {
+    return this.executors[number] as OrderExecutor;
+  }
+
+  isolate(number: number): void {
+    const own = this.#hosts[number] as HostId;
+    for (const other of this.#hosts) {
+      if (other === own) continue;
+      this.network.cut(own, other);
+      this.network.cut(other, own);
+    }
+  }
+
+  /** Holds what is sent to the engine once an order's intent is committed. */
+  holdAtIntent(): Promise<void> {
+    const listening = new AbortController();
+    return new Promise((resolve) => {
+      for (const replica of this.replicas) {
+        const group: Seat = replica.group(control);
+        group.onApplied(({ command }) => {
+          if (command.type !== "intend") return;
+          this.proxy.link("engine").change({ forward: { loss: "hold" } });
+          listening.abort();
+          resolve();
+        }, { signal: listening.signal });
+      }
+    });
+  }
+
+  async records(): Promise<FakeEngineRecords> {
+    const answer = await fetch(`${this.#engineUrl}/test/records`);
+    return await answer.json() as FakeEngineRecords;
+  }
+
+  async stop(): Promise<void> {
+    this.#stopped.abort();
+    await this.proxy.close();
+    await Promise.all(this.replicas.map((replica) => replica.close()));
+    await this.driver.stop();
+  }
+}
+
+function order(id: string, role: string) {
+  const orderId = id as OrderId;
+  const kind = "set_role" as const;
+  return { orderId, backendServer: engineId, kind, argument: role };
+}
+
+describe("orders", () => {
+  const system = { current: new OrderSystem() };
+
+  async function lateOrder(checksFencing: boolean) {
+    const current = new OrderSystem();
+    system.current = current;
+    await current.start(checksFencing);
+    const old = await current.leader();
+    const held = current.holdAtIntent();
+    const late = current.executor(old)
+      .execute(order("first", "prefill"), current.target);
+    await Promise.race([held, late]);
+    current.isolate(old);
+    const others = [0, 1, 2].filter((number) => number !== old);
+    const next = await current.leader(others);
+    return { current, late, next, old };
+  }
+
+  afterEach(() => system.current.stop());
+
+  // Guards against a late order of a leader that lost its authority, on an
+  // engine that honours fencing numbers.
+  test("of a cut-off leader are refused by an engine that checks", async () => {
+    const { current, late, next } = await lateOrder(true);
+    const direct = current.direct;
+    const report = await current.executor(next)
+      .execute(order("second", "decode"), direct);
+    expect(report.ending).toBe("confirmed");
+    current.proxy.link("engine").heal();
+    expect((await late).ending).toBe("refused");
+    const { orders } = await current.records();
+    expect(orders.map(({ order, result }) => [order, result])).toEqual([
+      ["second", "done"],
+      ["first", "stale_fencing"],
+    ]);
+  });
+
+  // Guards against conflicting orders on an engine that ignores fencing
+  // numbers: the late order may arrive, so that no other may be given.
+  test("are not given twice to an engine that ignores numbers", async () => {
+    const { current, late, next } = await lateOrder(false);
+    const direct = current.direct;
+    const refusal = await current.executor(next)
+      .execute(order("second", "decode"), direct).catch((error) => error);
+    expect(refusal).toBeInstanceOf(RhubarbstageError);
+    expect(refusal).toMatchObject({
+      kind: "order_conflict",
+      outcome: "not_run",
+    });
+    current.proxy.link("engine").heal();
+    await late;
+    current.network.heal();
+    const [ended] = await current.executor(next).recover(() => direct);
+    expect(ended?.ending ?? "confirmed").toBe("confirmed");
+    await current.executor(next).idle();
+    const third = await current.executor(next)
+      .execute(order("third", "decode"), direct);
+    expect(third.ending).toBe("confirmed");
+    const { orders } = await current.records();
+    expect(orders.map(({ order, overlapping }) => [order, overlapping]))
+      .toEqual([["first", false], ["third", false]]);
+  });
+
+  // Guards against a late order that reaches the process after the one it was
+  // meant for: the engine restarts while the order is on its way.
+  test("never reach a restarted engine", async () => {
+    const { current, late, next } = await lateOrder(false);
+    await current.killEngine();
+    await current.startEngine(false);
+    const direct = current.direct;
+    const report = await current.executor(next)
+      .execute(order("second", "decode"), direct);
+    expect(report.ending).toBe("confirmed");
+    current.proxy.link("engine").heal();
+    await late;
+    const { orders } = await current.records();
+    expect(orders.map(({ order }) => order)).toEqual(["second"]);
+  });
+});
--- a/packages/rhubarbstage-host/src/engine_orders.ts
+++ b/packages/rhubarbstage-host/src/engine_orders.ts
@@ -61,10 +61,17 @@
   override async status(options: CallOptions = {}): Promise<EngineStatus> {
     const { signal } = options;
     const status = await this.#connection.readStatus({ signal });
+    const { id, incarnation, fencing, lastOrder } = status;
     return {
-      backendServer: status.id,
-      incarnation: status.incarnation,
-      honoursFencing: status.fencing === "checked",
+      backendServer: id,
+      incarnation,
+      honoursFencing: fencing === "checked",
+      ...lastOrder === undefined ? {} : {
+        lastOrder: {
+          fencingNumber: lastOrder.fencing,
+          state: lastOrder.state,
+        },
+      },
     };
   }
 
--- a/packages/rhubarbstage-host/src/serving.ts
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -113,6 +113,7 @@
     }),
     sender: senderOf(foundation),
     leads,
+    signal: foundation.stopped.signal,
   });
   return new OrderDesk({ executor, backends, events, leads });
 }
--- a/packages/rhubarbstage-test-support/src/fault_link.ts
+++ b/packages/rhubarbstage-test-support/src/fault_link.ts
@@ -112,7 +112,7 @@
   #accept(near: Socket): void {
     this.#accepted += 1;
     if (this.#faults.refuse) {
-      near.resetAndDestroy();
+      reset(near);
       return;
     }
     const separator = this.#link.target.lastIndexOf(":");
@@ -166,7 +166,14 @@
     if (!this.#connections.delete(connection)) return;
     connection.forward.stop();
     connection.backward.stop();
-    connection.near.resetAndDestroy();
-    connection.far.resetAndDestroy();
+    reset(connection.near);
+    reset(connection.far);
   }
 }
+
+/** Node.js 20 leaks the handle of a socket that is reset while it ends. */
+function reset(socket: Socket): void {
+  if (socket.destroyed || socket.writableEnded || socket.connecting) {
+    socket.destroy();
+  } else socket.resetAndDestroy();
+}
