--- a/packages/rhubarbstage-gateway/src/sinks.ts
+++ b/packages/rhubarbstage-gateway/src/sinks.ts
@@ -6,6 +6,7 @@
 
 import type { ServerResponse } from "node:http";
 import type { RhubarbstageError } from "rhubarbstage";
+import { tokenChunks } from "@rhubarbstage/engine";
 import { AnswerAssembler } from "./answer_assembler.ts";
 import { errorBody } from "./errors.ts";
 import type { AnswerEvent, Generation } from "./types.ts";
@@ -36,6 +37,11 @@
   #response: ServerResponse;
   #options: StreamSinkOptions;
   #drained: Promise<void> | undefined;
+  /**
+   * Parts before the first token. They wait for it, so that an attempt that
+   * fails earlier is still answered with the status of its error.
+   */
+  #held = "";
 
   constructor(response: ServerResponse, options: StreamSinkOptions) {
     super();
@@ -50,14 +56,13 @@
 
   override accept(event: AnswerEvent): Promise<void> | undefined {
     if (event.type === "tokens") {
-      let text = "";
-      for (const { position, data } of event.chunks) {
-        text += `id: ${position}\ndata: ${data}\n\n`;
-      }
-      return this.#write(text);
+      return this.#write(event.bytes);
     }
     if (event.type === "usage" && !this.#options.includeUsage) return undefined;
-    return this.#write(`data: ${event.data}\n\n`);
+    const text = `data: ${event.data}\n\n`;
+    if (this.#response.headersSent) return this.#write(text);
+    this.#held += text;
+    return undefined;
   }
 
   override finish(): void {
@@ -78,9 +83,11 @@
       "cache-control": "no-cache",
       "x-accel-buffering": "no",
     });
+    if (this.#held !== "") this.#response.write(this.#held);
+    this.#held = "";
   }
 
-  #write(text: string): Promise<void> | undefined {
+  #write(text: string | Buffer): Promise<void> | undefined {
     this.#open();
     if (this.#response.write(text)) return undefined;
     if (this.#response.destroyed) return undefined;
@@ -121,7 +128,7 @@
 
   override accept(event: AnswerEvent): undefined {
     if (event.type === "tokens") {
-      for (const { data } of event.chunks) this.#assembler.add(data);
+      for (const data of tokenChunks(event.bytes)) this.#assembler.add(data);
       return;
     }
     this.#assembler.add(event.data);
