Pause the leader before its write in the test of restarted engines

Cause: the test held an order that was already written; an adapter that opens a second connection for the order passed it. Change: the leader is paused between the commit of its intent and the write, while the engine restarts. Figures: trial on a scratch copy with an adapter that may connect again: the test passed before and fails now (expected not_sent, received confirmed). Conclusion: the single connection of an order is needed by a test.

--- a/packages/rhubarbstage-host/__tests__/integration/orders_test.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/orders_test.ts
@@ -39,6 +39,8 @@
   readonly proxy = new FaultProxy({ seed: 301, links: [] });
   readonly replicas: Replica[] = [];
   readonly executors: OrderExecutor[] = [];
+  /** Awaited between the commit of an intent and the write of its order. */
+  afterIntent: () => Promise<void> = async () => {};
   #hosts = ["host-0", "host-1", "host-2"] as HostId[];
   #engine: DrivenProcess | undefined;
   #enginePort = 0;
@@ -71,7 +73,14 @@
     this.replicas.push(replica);
     this.executors.push(
       new OrderExecutor({
-        group,
+        group: {
+          query: (...call) => group.query(...call),
+          propose: async (command, options) => {
+            const result = await group.propose(command, options);
+            if (command.type === "intend") await this.afterIntent();
+            return result;
+          },
+        },
         connector: new EngineOrderConnector(),
         sender: { host, incarnation: 1 as Incarnation },
         leads: () => group.leadership().isLeader,
@@ -235,17 +244,29 @@
   });
 
   // Guards against a late order that reaches the process after the one it was
-  // meant for: the engine restarts while the order is on its way.
+  // meant for: the engine restarts while the leader is paused before its write.
   test("never reach a restarted engine", async () => {
-    const { current, late, next } = await lateOrder(false);
+    const current = new OrderSystem();
+    system.current = current;
+    await current.start(false);
+    const leader = current.executor(await current.leader());
+    let resume = () => {};
+    const paused = new Promise<void>((reached) => {
+      current.afterIntent = () => {
+        reached();
+        return new Promise((resolve) => resume = resolve);
+      };
+    });
+    const late = leader.execute(order("first", "prefill"), current.direct);
+    await Promise.race([paused, late]);
     await current.killEngine();
     await current.startEngine(false);
-    const direct = current.direct;
-    const report = await current.executor(next)
-      .execute(order("second", "decode"), direct);
+    current.afterIntent = async () => {};
+    const report = await leader
+      .execute(order("second", "decode"), current.direct);
     expect(report.ending).toBe("confirmed");
-    current.proxy.link("engine").heal();
-    await late;
+    resume();
+    expect((await late).ending).toBe("not_sent");
     const { orders } = await current.records();
     expect(orders.map(({ order }) => order)).toEqual(["second"]);
   });
