--- /dev/null
+++ b/packages/rhubarbstage-host/__tests__/integration/roles_test.ts
@@ -0,0 +1,63 @@
+import { delay } from "rhubarbstage";
+import { Cluster } from "./cluster.ts";
+import {
+  EngineFleet,
+  expectedText,
+  type GenerationAnswer,
+} from "./engine_fleet.ts";
+
+const seed = 20_261_205;
+/** Requests and the time between two of them, in milliseconds. */
+const requestCount = 70;
+const requestInterval = 200;
+
+describe("role changes through processes", () => {
+  // Guards against a role change that ends running streams, and against orders
+  // that overlap on one engine (invariants 1 and 2).
+  test("moves an engine to decode without cutting a stream", async () => {
+    const cluster = await Cluster.start({ seed, replicas: 3 });
+    try {
+      await cluster.check(async () => {
+        const roles = ["prefill", "prefill", "prefill", "decode"] as const;
+        const fleet = await EngineFleet.start(
+          cluster,
+          roles.map((role) => ({
+            role,
+            slots: 4,
+            decodeTokensPerSecond: 60,
+            roleChangeTime: 1_000,
+          })),
+        );
+        const answers: Promise<GenerationAnswer>[] = [];
+        const calls = Array.from({ length: requestCount }, (_, index) => ({
+          prompt: `short prompt ${index}`,
+          maxTokens: 60,
+        }));
+        for (const [index, call] of calls.entries()) {
+          answers.push(fleet.generate(cluster.host(index % 3), call));
+          await delay(requestInterval);
+        }
+        for (const [index, answer] of (await Promise.all(answers)).entries()) {
+          if (answer.outcome === "not_run") continue;
+          const call = calls[index] as typeof calls[number];
+          expect(answer).toMatchObject({ complete: true, kind: "" });
+          expect(answer.text).toBe(expectedText(call));
+        }
+        const orders = (await Promise.all(
+          fleet.engines.map(async (engine) =>
+            (await fleet.records(engine)).orders
+          ),
+        )).flat();
+        const done = orders.filter(({ result }) => result === "done");
+        cluster.driver.note("engines", JSON.stringify(orders));
+        expect(done.map(({ kind, argument }) => `${kind} ${argument}`))
+          .toEqual(expect.arrayContaining(["drain ", "set_role decode"]));
+        expect(orders.filter(({ overlapping }) => overlapping)).toEqual([]);
+        expect(orders.map(({ interruptedStreams }) => interruptedStreams))
+          .toEqual(orders.map(() => 0));
+      });
+    } finally {
+      await cluster.stop();
+    }
+  });
+});
--- a/packages/rhubarbstage-host/src/host_settings_source.ts
+++ b/packages/rhubarbstage-host/src/host_settings_source.ts
@@ -55,10 +55,15 @@
     if (service === undefined || service.type !== "plain") return undefined;
     const { method, path } = query;
     const route = findRoute(service, { method, path });
+    // A caller must not raise its priority by naming another kind of work than
+    // the tree gives to the route.
+    const kind = route.kind === defaultKind
+      ? query.kind ?? defaultKind
+      : route.kind;
     const effective = this.#effective({
       customer: query.customer,
       service: service.service,
-      kind: query.kind ?? route.kind,
+      kind,
     });
     return { ...effective, repeatable: route.repeatable };
   }
