--- a/packages/rhubarbstage-bench/src/capacity_main.ts
+++ b/packages/rhubarbstage-bench/src/capacity_main.ts
@@ -9,11 +9,12 @@
 import process from "node:process";
 import { figureTableHead, formatFigure } from "./capacity_figure.ts";
 import { measureGossip } from "./capacity_gossip.ts";
+import { measureState } from "./capacity_state.ts";
 
 function main(): void {
   const full = process.argv.includes("--full");
   for (const line of figureTableHead) console.log(line);
-  for (const measure of [measureGossip]) {
+  for (const measure of [measureGossip, measureState]) {
     for (const figure of measure({ full })) console.log(formatFigure(figure));
   }
 }
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -11,6 +11,7 @@
 export type { NaiveOptions, NaiveState } from "./naive_policy.ts";
 export { NaivePolicy } from "./naive_policy.ts";
 export { Policy } from "./policy.ts";
+export { PrefixMap } from "./prefix_map.ts";
 export type {
   BackendServer,
   BackendServerLoad,
