--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -57,6 +57,8 @@
 export interface DispatchOptions {
   /** Aborted when the caller closes its connection. */
   readonly signal: AbortSignal;
+  /** Called when an attempt is started. */
+  readonly onAttempt?: () => void;
 }
 
 /** Leads requests through the policy to backend servers. */
@@ -158,6 +160,7 @@
         outcome: "not_run",
       });
     }
+    run.onAttempt = options.onAttempt;
     const onAbort = () => this.#onCallerGone(run);
     this.#runs.set(work.request, run);
     signal.addEventListener("abort", onAbort, { once: true });
@@ -182,9 +185,26 @@
   #drain(): void {
     let event = this.#events.shift();
     while (event) {
+      this.#reduce(event);
+      event = this.#events.shift();
+    }
+  }
+
+  /** A fault of the policy costs one request and not the host. */
+  #reduce(event: PolicyEvent): void {
+    try {
       const effects = this.#policy.reduce(this.#state, event);
       for (const effect of effects) this.#carryOut(effect);
-      event = this.#events.shift();
+    } catch (cause) {
+      this.telemetry.note("policy_failed", {
+        event: event.type,
+        cause: cause instanceof Error ? cause.stack ?? cause.message : "",
+      });
+      if (!("request" in event || event.type === "arrived")) return;
+      const request = "work" in event ? event.work.request : event.request;
+      this.#runs.get(request)?.refuse(
+        new RhubarbstageError("internal", { cause }),
+      );
     }
   }
 
--- a/packages/rhubarbstage-gateway/src/services_controller.ts
+++ b/packages/rhubarbstage-gateway/src/services_controller.ts
@@ -10,6 +10,7 @@
 import {
   type CallerRequest,
   type CallerResult,
+  checkBodySize,
   checkIsolation,
   serveCaller,
 } from "./caller_request.ts";
@@ -76,16 +77,18 @@
     if (!settings) throw new RhubarbstageError("unknown_service");
     call.revision = settings.revision;
     call.service = settings.service;
+    checkBodySize(settings, call.request.body);
     const serviceCall = this.#read(call, { service, path, settings });
     const routing = new DispatcherRouting(this.#context, {
       call: serviceCall,
       settings,
       arrivedAt: call.arrivedAt,
       signal: callerSignal(call.reply.raw),
+      onAttempt: () => call.attempts += 1,
     });
     const answer = await this.#context.services.call(serviceCall, routing);
     sendAnswer(call.reply, answer);
-    return { outputTokens: 0, attempts: routing.attempts };
+    return { outputTokens: 0 };
   }
 
   #read(
@@ -134,11 +137,11 @@
   readonly settings: EffectiveServiceSettings;
   readonly arrivedAt: number;
   readonly signal: AbortSignal;
+  readonly onAttempt: () => void;
 }
 
 /** Leads a service call through the dispatcher. */
 class DispatcherRouting extends ServiceRouting {
-  attempts = 0;
   #context: GatewayContext;
   #routed: RoutedCall;
 
@@ -149,7 +152,7 @@
   }
 
   override run(send: SendService): Promise<ServiceAnswer> {
-    const { call, settings, arrivedAt, signal } = this.#routed;
+    const { call, settings, arrivedAt, signal, onAttempt } = this.#routed;
     const work = {
       request: call.request,
       customer: call.customer,
@@ -165,11 +168,10 @@
       deadlineAt: call.deadlineAt,
       settings: settings.work,
     };
-    const counted: SendService = (attempt) => {
-      this.attempts += 1;
-      return send(attempt);
-    };
-    return this.#context.dispatcher.callService(work, counted, { signal });
+    return this.#context.dispatcher.callService(work, send, {
+      signal,
+      onAttempt,
+    });
   }
 }
 
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -5,6 +5,7 @@
  */
 
 import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
+import { promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
 import type { CancelReason, PolicyEffect } from "./types.ts";
@@ -16,8 +17,8 @@
 const slowedHedgeFactor = 2;
 /** Shorter waits are within the jitter of paths and timers. */
 const smallestHedgeDelay = 30;
-/** The overhead of a prompt in tokens, as routing counts it. */
-const promptOverhead = 100;
+/** Shorter gaps between tokens are within the steps of an engine. */
+const smallestPaceWindow = 100;
 /** Generated tokens, in estimated ones, from which running work is long. */
 const stragglerFactor = 4;
 
@@ -29,23 +30,51 @@
   now: number,
 ): PolicyEffect {
   const { work, pool } = record;
-  const { entry, prefill } = route;
+  const attempt = createAttempt(state, record, { route, now });
+  record.attempts.set(attempt.id, attempt);
+  occupy(state, attempt, now);
+  if (record.attempts.size === 1) markPreemptible(record);
+  if (work.repeatable) {
+    const at = now + hedgeDelayOf(state, attempt);
+    state.hedges.push({ at, subject: attempt });
+  }
+  if (work.model !== undefined) learnRoute(state, attempt, now);
+  pool.slow.sent(attempt.entry.server.id, now);
+  const { prefill } = attempt;
+  return {
+    type: "dispatch",
+    request: work.request,
+    attempt: attempt.id,
+    server: attempt.entry.server.id,
+    ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
+    priority: work.settings.priority * 2 + (record.long ? 0 : 1),
+    resumeFrom: record.delivered,
+  };
+}
+
+function createAttempt(
+  state: FleetState,
+  record: RequestRecord,
+  options: { readonly route: Route; readonly now: number },
+): Attempt {
+  const { route, now } = options;
+  const { entry, prefill, uncachedTokens, expectedFirstToken } = route;
+  const { request, fingerprint } = record.work;
+  const computing = prefill ?? entry;
   state.attemptCount += 1;
-  const suspect = state.quarantine.isSuspect(work.fingerprint, now);
-  const attempt: Attempt = {
-    id: `${work.request}-${state.attemptCount}` as AttemptId,
+  return {
+    id: `${request}-${state.attemptCount}` as AttemptId,
     record,
     entry,
     incarnation: entry.server.incarnation,
     prefill,
     startedAt: now,
-    uncachedTokens: route.uncachedTokens,
-    expectedFirstToken: route.expectedFirstToken,
+    uncachedTokens,
+    expectedFirstToken,
     resumeFrom: record.delivered,
-    suspect,
-    queued: state.table.used(prefill ?? entry) >=
-      (prefill ?? entry).server.capacity,
-    pendingPrefill: route.expectedFirstToken - entry.pendingPrefill,
+    suspect: state.quarantine.isSuspect(fingerprint, now),
+    queued: state.table.used(computing) >= computing.server.capacity,
+    pendingPrefill: Math.max(0, expectedFirstToken - entry.pendingPrefill),
     countedLong: record.long,
     firstTokenAt: undefined,
     tokens: 0,
@@ -53,29 +82,18 @@
     windowAt: now,
     pace: 1,
   };
-  attempt.pendingPrefill = Math.max(0, attempt.pendingPrefill);
-  record.attempts.set(attempt.id, attempt);
-  occupy(state, attempt, now);
-  if (record.attempts.size === 1) markPreemptible(record);
-  if (work.repeatable) {
-    const hedgeDelay = hedgeDelayOf(state, attempt);
-    state.hedges.push({ at: now + hedgeDelay, subject: attempt });
-  }
-  if (work.model !== undefined) {
-    state.prefixes.store(entry.server.id, work.prefixes, now);
-    pool.estimates.learnCache(route.uncachedTokens, work.promptTokens, now);
-  }
-  pool.slow.sent(entry.server.id, now);
-  const priority = work.settings.priority * 2 + (record.long ? 0 : 1);
-  return {
-    type: "dispatch",
-    request: work.request,
-    attempt: attempt.id,
-    server: entry.server.id,
-    ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
-    priority,
-    resumeFrom: record.delivered,
-  };
+}
+
+/** Learns where the prompt is computed and will be cached. */
+function learnRoute(state: FleetState, attempt: Attempt, now: number): void {
+  const { record, entry, prefill, uncachedTokens } = attempt;
+  const { promptTokens: tokens, prefixes } = record.work;
+  const onPrefillEngine = prefill?.server.role === "prefill";
+  state.prefixes.store(entry.server.id, prefixes, now);
+  record.pool.estimates.learnPlacement(
+    { tokens, uncachedTokens, onPrefillEngine },
+    now,
+  );
 }
 
 /** The attempt, unless it has ended. */
@@ -96,6 +114,7 @@
   const { record, entry, prefill } = attempt;
   if (!record.attempts.delete(attempt.id)) return;
   if (record.attempts.size === 0) unmarkPreemptible(record);
+  state.sluggish.delete(attempt);
   record.delivered = Math.max(
     record.delivered,
     attempt.resumeFrom + attempt.tokens,
@@ -155,6 +174,8 @@
       slow.observe((prefill ?? entry).server.id, sample, now);
     }
     estimates.learnFirstToken(tokens, elapsed, now);
+    const onPrefillEngine = prefill?.server.role === "prefill";
+    estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
   }
   return cancelOthers(state, attempt, now);
 }
@@ -171,6 +192,9 @@
   attempt.tokens += count;
   attempt.windowTokens += count;
   markStraggler(attempt);
+  if (paceOf(attempt, now) >= state.settings.slowThreshold) {
+    state.sluggish.add(attempt);
+  } else state.sluggish.delete(attempt);
   const elapsed = now - attempt.windowAt;
   const due = attempt.windowTokens >= speedWindowTokens ||
     elapsed >= speedWindowTime;
@@ -185,6 +209,15 @@
   return effects;
 }
 
+/** Time between tokens of a stream now, in that of the pool. */
+export function paceOf(attempt: Attempt, now: number): number {
+  const { pool } = attempt.record;
+  const elapsed = now - attempt.windowAt;
+  if (elapsed < smallestPaceWindow) return attempt.pace;
+  const tokens = Math.max(1, attempt.windowTokens);
+  return elapsed / pool.estimates.decodeTime(tokens, now);
+}
+
 /** Ends a request that has its complete answer. */
 export function finishAttempt(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -9,7 +9,7 @@
 /** Settings that apply unless the tree says otherwise. */
 export const defaultFleetSettings: FleetSettings = {
   queueLimit: 5_000,
-  admissionPatience: 0.7,
+  admissionPatience: 0.6,
   concurrencySlack: 1.25,
   priorityOvercommit: 0.25,
   longCostFactor: 4,
@@ -63,3 +63,6 @@
 
 /** Weight below which a slowed server gets probes only. */
 export const smallestWeight = 0.02;
+
+/** Fixed time of each prompt, counted in tokens. */
+export const promptOverhead = 100;
--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -1,5 +1,6 @@
 import { connect, createServer, type Server, type Socket } from "node:net";
 import type { AddressInfo } from "node:net";
+import { certificates } from "./certificates.ts";
 import {
   compareTimestamps,
   delay,
@@ -137,6 +138,21 @@
     expect(left.peers().length).toBe(1);
   });
 
+  // Guards against a full mesh of links that nobody uses, and against losing
+  // the message that opens a link.
+  test("closes an idle link and opens it again", async () => {
+    const left = await listen(first, { idleTimeout: 120 });
+    const right = await listen(second);
+    right.onRequest(echo, (body) => body);
+    left.setAddress(second, right.address);
+    await left.request(echo, { to: second, body: 1 });
+    await until(() => left.peers().length + right.peers().length === 0);
+    const notes: unknown[] = [];
+    right.onMessage(note, (body) => notes.push(body));
+    left.send(note, { to: second, body: 2 });
+    await until(() => notes.length === 1);
+  });
+
   // Guards against a host without the token on either end, against another
   // host that answers at a known address, and against malformed hellos.
   test("refuses hosts that do not prove the token or the name", async () => {
@@ -159,10 +175,36 @@
       socket.send(hello);
       await new Promise((resolve) => socket.on("close", resolve));
     }
+    const silent = connect(port, "127.0.0.1");
+    const plain = await fetch(`http://127.0.0.1:${port}/`);
+    expect(plain.status).toBe(426);
+    await new Promise((resolve) => silent.on("close", resolve).resume());
     expect(right.peers()).toEqual([]);
     expect(right.counters().rejectedConnections).toBeGreaterThanOrEqual(6);
   });
 
+  // Guards against certificates that are configured and not required.
+  test("accepts only hosts with a certificate of the authority", async () => {
+    const right = await listen(second, { certificates });
+    right.onRequest(echo, (body) => body);
+    const left = await listen(first, { certificates });
+    left.setAddress(second, right.address);
+    expect(await left.request(echo, { to: second, body: 1 })).toBe(1);
+    const { port } = right.address;
+    const { authority } = certificates;
+    for (
+      const url of ["ws", "wss"].map((name) => `${name}://127.0.0.1:${port}`)
+    ) {
+      const socket = new WebSocket(url, { ca: authority });
+      const outcome = await new Promise((resolve) => {
+        socket.on("open", () => resolve("open"));
+        socket.on("error", () => resolve("refused"));
+        socket.on("close", () => resolve("refused"));
+      });
+      expect(outcome).toBe("refused");
+    }
+  });
+
   // Guards against a silent link that is taken for a live one, a link that does
   // not come back by itself, and the token in what the listener sends (what the
   // dialling end sends is masked).
