--- a/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/errors_test.ts
@@ -70,6 +70,7 @@
     ["body_too_large", "completions", "x".repeat(10_001), {}, 413],
     ["unknown_model", "completions", { ...body, model: "big" }, {}, 404],
     ["not_found", "embeddings", body, {}, 404],
+    ["invalid_request", "%zz", body, {}, 400],
   ];
 
   // Guards against errors outside the closed list and untrue outcomes.
@@ -113,12 +114,35 @@
     await expectRefusal(answer, { status: 503, type: "isolated" });
   });
 
+  // Guards against a body limit of the tree that has no effect.
+  test("body_too_large where the tree says so", async () => {
+    const { settings } = harness.settings;
+    harness.settings.settings = { ...settings, bodyLimit: 10 };
+    const paths = ["/v1/completions", "/services/ledger/usage"];
+    const answers = await Promise.all(
+      paths.map((path) => harness.post(path, body)),
+    );
+    harness.settings.settings = settings;
+    for (const answer of answers) {
+      await expectRefusal(answer, { status: 413, type: "body_too_large" });
+    }
+  });
+
   // Guards against operator rights for callers.
   test("unauthenticated for operators and backend servers", async () => {
     for (const path of ["/operator/tree/edits", "/backends/announce"]) {
       const answer = await harness.post(path, {});
       await expectRefusal(answer, { status: 401, type: "unauthenticated" });
     }
+    // The router decodes paths, so an encoded one must not pass unchecked.
+    for (
+      const path of ["operator/status", "%6fperator/status", "%6Fperator/tree"]
+    ) {
+      const answer = await fetch(`${harness.url}/${path}`);
+      await expectRefusal(answer, { status: 401, type: "unauthenticated" });
+    }
+    const encoded = await harness.post("/b%61ckends/leave", {});
+    await expectRefusal(encoded, { status: 401, type: "unauthenticated" });
     const status = await fetch(`${harness.url}/operator/status`, {
       headers: { authorization: `Bearer ${operatorToken}` },
     });
--- a/packages/rhubarbstage-host/src/serving.ts
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -120,6 +120,7 @@
     }),
     sender: senderOf(foundation),
     leads,
+    signal: foundation.stopped.signal,
   });
   return new OrderDesk({
     executor,
--- a/packages/rhubarbstage-transport/src/link.ts
+++ b/packages/rhubarbstage-transport/src/link.ts
@@ -28,6 +28,7 @@
   readonly clock: HybridLogicalClock | undefined;
   readonly queueBytes: number;
   readonly heartbeatInterval: number;
+  readonly idleTimeout: number;
   /** Frames that arrived before the link was created. */
   readonly early: readonly Buffer[];
   readonly onClose: (link: Link, reason: string) => void;
@@ -51,6 +52,7 @@
   readonly #timer: ReturnType<typeof setInterval>;
   #lastId = 0;
   #silentHeartbeats = 0;
+  #lastUse = performance.now();
   #isOpen = true;
   #closeReason = "closed by peer";
 
@@ -136,6 +138,10 @@
       this.close("no heartbeat");
       return;
     }
+    if (this.#isIdle()) {
+      this.close("idle");
+      return;
+    }
     // Any frame of the peer is a sign of life; a ping asks for one when idle.
     if (this.#silentHeartbeats > 1) {
       this.#options.traffic.sent("heartbeat", frameBytes(0, this.isDialled));
@@ -143,6 +149,12 @@
     }
   }
 
+  #isIdle(): boolean {
+    const isBusy = this.#waiting.size + this.#answering.size > 0;
+    const idle = performance.now() - this.#lastUse;
+    return !isBusy && idle > this.#options.idleTimeout;
+  }
+
   #write(frame: Frame): boolean {
     return this.#options.traffic.measure(() => this.#encode(frame));
   }
@@ -158,6 +170,7 @@
       traffic.dropped += 1;
       return false;
     }
+    this.#lastUse = performance.now();
     traffic.sent(frame[1], frameBytes(bytes.length, this.isDialled));
     this.#socket.send(bytes);
     return true;
@@ -166,6 +179,7 @@
   #receive(data: Buffer): void {
     if (!this.#isOpen) return;
     this.#hear();
+    this.#lastUse = performance.now();
     let frame: Frame;
     try {
       frame = decode(data) as Frame;
