Name experiments without spaces and refuse unknown names

Cause: 'bench mix' ran nothing and reported success. Change: unknown names end the program with the list of known ones. Conclusion: a typing error no longer looks like a passed experiment.

--- a/packages/rhubarbstage-bench/src/experiments.ts
+++ b/packages/rhubarbstage-bench/src/experiments.ts
@@ -439,7 +439,7 @@
 
 /** The part of prefill in the work grows from 20% to 70%. */
 export const mixSwing: Experiment = {
-  name: "mix swing",
+  name: "mix-swing",
   seeds: 1,
   async run(seed) {
     const streams = [
--- a/packages/rhubarbstage-bench/src/main.ts
+++ b/packages/rhubarbstage-bench/src/main.ts
@@ -47,6 +47,13 @@
   const chosen = experiments.filter((experiment) =>
     names.length === 0 || names.includes(experiment.name)
   );
+  const unknown = names.filter((name) =>
+    !experiments.some((experiment) => experiment.name === name)
+  );
+  if (unknown.length > 0) {
+    const known = experiments.map(({ name }) => name).join(", ");
+    throw new Error(`Unknown experiment "${unknown[0]}"; there are ${known}`);
+  }
   const summaries: FigureSummary[] = [];
   for (const experiment of chosen) {
     const seeds = Number(givenSeeds ?? experiment.seeds);
