--- a/packages/rhubarbstage-host/__tests__/integration/cluster.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/cluster.ts
@@ -315,7 +315,10 @@
       () =>
         this.#all(async (host) => {
           const answer = await this.charge(host, `probe-${this.#sends}`);
-          return answer.status === 200;
+          const { status, kind } = answer;
+          if (status === 200) return true;
+          this.driver.note(host.name, `probe ${status} ${kind}`);
+          return false;
         }),
     );
   }
