Name the state of hosts when a system does not start

Cause: a trial run of the double fault ended after 31 s without a message that shows why. Conclusion: the next such failure explains itself.

--- a/packages/rhubarbstage-host/__tests__/integration/cluster.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/cluster.ts
@@ -115,7 +115,9 @@
       await cluster.#start(options);
       return cluster;
     } catch (error) {
-      const report = cluster.report();
+      await cluster.#noteStatuses();
+      const message = error instanceof Error ? error.message : String(error);
+      const report = `${message}\n${cluster.report()}`;
       await cluster.stop();
       throw new Error(report, { cause: error });
     }
