--- a/packages/rhubarbstage-host/__tests__/integration/cluster.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/cluster.ts
@@ -115,7 +115,9 @@
       await cluster.#start(options);
       return cluster;
     } catch (error) {
-      const report = cluster.report();
+      await cluster.#noteStatuses();
+      const message = error instanceof Error ? error.message : String(error);
+      const report = `${message}\n${cluster.report()}`;
       await cluster.stop();
       throw new Error(report, { cause: error });
     }
@@ -315,7 +317,10 @@
       () =>
         this.#all(async (host) => {
           const answer = await this.charge(host, `probe-${this.#sends}`);
-          return answer.status === 200;
+          const { status, kind } = answer;
+          if (status === 200) return true;
+          this.driver.note(host.name, `probe ${status} ${kind}`);
+          return false;
         }),
     );
   }
