Take test ports from below the range of outgoing connections

Cause: a host in a test ended with EADDRINUSE, so that its system never came up within 30 s: its port had been drawn from 32,768 to 60,999 and was taken by an outgoing connection of another test before the host listened. Ruled out: a slow machine (the host ended after 0.4 s). A run of Jest that hangs fails after 20 minutes.

--- a/packages/rhubarbstage-host/__tests__/integration/serving_test.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/serving_test.ts
@@ -28,11 +28,11 @@
 }
 
 describe("serving through processes", () => {
-  let cluster: Cluster;
+  let cluster!: Cluster;
   let fleet: EngineFleet;
 
   afterEach(async () => {
-    await cluster.stop();
+    await (cluster as Cluster | undefined)?.stop();
   });
 
   async function start(engines: number, options = {}): Promise<void> {
--- a/packages/rhubarbstage-replica/__tests__/integration/replica_process_test.ts
+++ b/packages/rhubarbstage-replica/__tests__/integration/replica_process_test.ts
@@ -1,10 +1,10 @@
 import { type ChildProcess, fork } from "node:child_process";
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { delay } from "rhubarbstage";
 import type { HostId } from "rhubarbstage";
+import { freePorts } from "@rhubarbstage/test-support";
 import type { Leadership } from "../../src/mod.ts";
 import type { ProcessCall } from "./replica_process.ts";
 
@@ -79,28 +79,6 @@
   }
 }
 
-/**
- * Ports that no connection takes by chance while a process is down, because
- * they are below the range from which the system draws them.
- */
-async function freePorts(count: number): Promise<number[]> {
-  const free: number[] = [];
-  let port = 20_000 + (process.pid * 37) % 10_000;
-  while (free.length < count) {
-    port += 1;
-    if (await isFree(port)) free.push(port);
-  }
-  return free;
-}
-
-function isFree(port: number): Promise<boolean> {
-  const server = createServer();
-  return new Promise((resolve) => {
-    server.once("error", () => resolve(false));
-    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
-  });
-}
-
 async function start(host: HostId): Promise<Node> {
   const node = new Node(host);
   nodes.set(host, node);
--- a/packages/rhubarbstage-test-support/src/mod.ts
+++ b/packages/rhubarbstage-test-support/src/mod.ts
@@ -24,6 +24,7 @@
 } from "./fake_engine_text.ts";
 export type { SelfSignedCertificate } from "./self_signed_certificate.ts";
 export { selfSignedCertificate } from "./self_signed_certificate.ts";
+export { freePorts } from "./free_ports.ts";
 export { FaultProxy } from "./fault_proxy.ts";
 export type { FaultLink } from "./fault_link.ts";
 export type {
@@ -50,7 +51,6 @@
 export {
   DrivenProcess,
   flipByte,
-  freePorts,
   loseDisk,
   ProcessDriver,
   truncateTail,
--- a/packages/rhubarbstage-test-support/src/process_driver.ts
+++ b/packages/rhubarbstage-test-support/src/process_driver.ts
@@ -7,8 +7,6 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { mkdtempSync, rmSync } from "node:fs";
 import { open, rm, stat, truncate } from "node:fs/promises";
-import { createServer } from "node:net";
-import type { AddressInfo } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import process from "node:process";
@@ -204,24 +202,6 @@
   }
 }
 
-/** Ports of loopback that are free at the time of the call. */
-export async function freePorts(count: number): Promise<readonly number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, async () => {
-      const server = createServer();
-      await new Promise<void>((resolve) => {
-        server.listen(0, "127.0.0.1", resolve);
-      });
-      return server;
-    }),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(
-    servers.map((server) => new Promise((resolve) => server.close(resolve))),
-  );
-  return ports;
-}
-
 /** Removes a data folder, as a lost disk does. */
 export async function loseDisk(folder: string): Promise<void> {
   await rm(folder, { recursive: true, force: true });
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -11,6 +11,8 @@
 import process from "node:process";
 
 const knownRedFile = "KNOWN-RED.txt";
+/** A run that hangs ends after this time, in milliseconds, and has failed. */
+const jestTimeLimit = 20 * 60_000;
 
 function readKnownRed() {
   if (!existsSync(knownRedFile)) return new Set();
@@ -30,7 +32,7 @@
       `--outputFile=${resultFile}`,
       ...process.argv.slice(2),
     ],
-    { stdio: ["ignore", "ignore", "inherit"] },
+    { stdio: ["ignore", "ignore", "inherit"], timeout: jestTimeLimit },
   );
 }
 
