policy: Wait for estimates before the split of roles changes

Cause: the first requests of a pool finish on idle engines and make its work look cheaper, so that one engine changed its role in the steady part of the mix experiment. Ruled out: a longer hold alone, because the estimates were wrong for longer than it lasts. Change: no change before the deciding host has 40 samples of the pool. The unit test teaches the pool before the swing and checks that 39 samples are not enough; the test with processes sends 250 shorter requests, because the deciding host must see 40 of them finish, and waits until the engine is back.

--- a/packages/rhubarbstage-host/__tests__/integration/roles_test.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/roles_test.ts
@@ -8,8 +8,8 @@
 
 const seed = 20_261_205;
 /** Requests and the time between two of them, in milliseconds. */
-const requestCount = 70;
-const requestInterval = 200;
+const requestCount = 250;
+const requestInterval = 80;
 
 describe("role changes through processes", () => {
   // Guards against a role change that ends running streams, and against orders
@@ -31,7 +31,7 @@
         const answers: Promise<GenerationAnswer>[] = [];
         const calls = Array.from({ length: requestCount }, (_, index) => ({
           prompt: `short prompt ${index}`,
-          maxTokens: 60,
+          maxTokens: 30,
         }));
         for (const [index, call] of calls.entries()) {
           answers.push(fleet.generate(cluster.host(index % 3), call));
@@ -43,11 +43,22 @@
           expect(answer).toMatchObject({ complete: true, kind: "" });
           expect(answer.text).toBe(expectedText(call));
         }
-        const orders = (await Promise.all(
-          fleet.engines.map(async (engine) =>
-            (await fleet.records(engine)).orders
-          ),
-        )).flat();
+        const readOrders = async () =>
+          (await Promise.all(
+            fleet.engines.map(async (engine) =>
+              (await fleet.records(engine)).orders
+            ),
+          )).flat();
+        await cluster.until(
+          "the role has changed and the engine is back",
+          () =>
+            readOrders().then((orders) =>
+              orders.some(({ kind, result }) =>
+                kind === "undrain" && result === "done"
+              )
+            ),
+        );
+        const orders = await readOrders();
         const done = orders.filter(({ result }) => result === "done");
         cluster.driver.note("engines", JSON.stringify(orders));
         expect(done.map(({ kind, argument }) => `${kind} ${argument}`))
--- a/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -7,6 +7,7 @@
   RequestId,
   ServiceName,
 } from "rhubarbstage";
+import { samplesForRoles } from "../../src/constants.ts";
 import {
   FleetPolicy,
   type FleetSettings,
@@ -393,7 +394,16 @@
 });
 
 describe("roles", () => {
-  function runSwing(held: boolean, promptRate: number): PolicyEffect[] {
+  /** Rates of a pool after `teach`: 0.1 ms a prompt token, 1 ms an output one. */
+  const outputRate = 8_000;
+  const steadyPromptRate = 10_000;
+  const swungPromptRate = 38_000;
+
+  function runSwing(
+    held: boolean,
+    promptRate: number,
+    samples = samplesForRoles,
+  ): PolicyEffect[] {
     const driver = newDriver([], { roleDwell: 60_000 });
     const roles = [
       "prefill",
@@ -406,12 +416,13 @@
     for (const [index, role] of roles.entries()) {
       driver.see(makeServer(`s${index}`, { role: role as "prefill" }));
     }
-    driver.arrive(makeWork("1"));
-    driver.send({ type: "role_authority_changed", now: 0, held });
-    for (let now = 500; now <= 20_000; now += 500) {
+    teach(driver, samples);
+    const start = samples * 200;
+    driver.send({ type: "role_authority_changed", now: start, held });
+    for (let now = start + 500; now <= start + 20_000; now += 500) {
       const models = new Map([[chat as ModelName, {
         promptTokensPerSecond: promptRate,
-        outputTokensPerSecond: 400,
+        outputTokensPerSecond: outputRate,
       }]]);
       driver.send({
         type: "demand_reported",
@@ -432,12 +443,19 @@
   // Guards against a split that flaps in a steady mix, does not follow a swing,
   // or is changed by a host without the authority.
   test("follow a swing once, and only with the authority", () => {
-    expect(runSwing(true, 5_000)).toEqual([]);
-    const changed = runSwing(true, 19_000);
+    expect(runSwing(true, steadyPromptRate)).toEqual([]);
+    const changed = runSwing(true, swungPromptRate);
     expect(changed.length).toBeGreaterThanOrEqual(1);
     const servers = changed.map((effect) => (effect as Dispatch).server);
     expect(new Set(servers).size).toBe(servers.length);
-    expect(runSwing(false, 19_000)).toEqual([]);
+    expect(runSwing(false, swungPromptRate)).toEqual([]);
+  });
+
+  // Guards against a change in a steady mix, ordered from the first requests
+  // of a pool, which finish sooner than later ones.
+  test("wait until the pool has estimates", () => {
+    const samples = samplesForRoles - 1;
+    expect(runSwing(true, swungPromptRate, samples)).toEqual([]);
   });
 });
 
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -58,6 +58,12 @@
 /** Seconds of a limit that may be used at once after a quiet time. */
 export const limitBurstSeconds = 1;
 
+/**
+ * Samples of a pool needed before its split of roles may change. The first
+ * requests of a pool finish on idle engines and make its work look cheaper.
+ */
+export const samplesForRoles = 40;
+
 /** Samples of a pool needed before its estimates may refuse or delay work. */
 export const samplesForAdmission = 20;
 
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -19,7 +19,11 @@
   takeFirstToken,
   takeTokens,
 } from "./attempts.ts";
-import { demandPeriod, samplesForAdmission } from "./constants.ts";
+import {
+  demandPeriod,
+  samplesForAdmission,
+  samplesForRoles,
+} from "./constants.ts";
 import { markCrash, takeDelayedRefusals, takeFailure } from "./failures.ts";
 import {
   applySettings,
@@ -395,7 +399,7 @@
   const effects: PolicyEffect[] = [];
   for (const poolState of state.poolStates.values()) {
     const { model, pool, estimates } = poolState;
-    if (model === undefined) continue;
+    if (model === undefined || estimates.samples < samplesForRoles) continue;
     const demand = state.modelDemand.get(model) ??
       state.ownModelDemand.get(model);
     if (demand === undefined || pool.members.size === 0) continue;
