Split the membership reducer and use plainer names

Change: records of servers, the exchange of gossip and the round are modules of their own; OrderDesk is OrderCoordinator, PolicyNews is PolicyInput. Conclusion: no change of behaviour.

--- a/packages/rhubarbstage-engine/src/schema.ts
+++ b/packages/rhubarbstage-engine/src/schema.ts
@@ -73,7 +73,7 @@
   };
 }
 
-/** Parses the word of a backend server that it leaves. */
+/** Parses the departure of a backend server. */
 export function parseDeparture(value: unknown): Departure {
   const fields = toFields(value);
   return {
--- a/packages/rhubarbstage-engine/src/types.ts
+++ b/packages/rhubarbstage-engine/src/types.ts
@@ -191,7 +191,7 @@
   readonly evicted: readonly string[];
 }
 
-/** Word of a backend server that it leaves. */
+/** Departure of a backend server. */
 export interface Departure {
   readonly id: BackendServerId;
   readonly incarnation: Incarnation;
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -32,7 +32,7 @@
 import type { ActiveRequest, DispatchEffect, Run } from "./run.ts";
 import { ServiceRun } from "./service_run.ts";
 import type { GenerationSink } from "./sinks.ts";
-import type { Generation, GenerationResult, PolicyNews } from "./types.ts";
+import type { Generation, GenerationResult, PolicyInput } from "./types.ts";
 
 /** What a {@linkcode Dispatcher} works with. */
 export interface DispatcherOptions {
@@ -108,9 +108,9 @@
   }
 
   /** Tells the policy what happened and carries out what it decides. */
-  notify(news: PolicyNews): void {
+  notify(input: PolicyInput): void {
     const now = this.clock.monotonicMilliseconds();
-    this.#events.push({ ...news, now } as PolicyEvent);
+    this.#events.push({ ...input, now } as PolicyEvent);
     if (this.#reducing) return;
     this.#reducing = true;
     try {
--- a/packages/rhubarbstage-gateway/src/mod.ts
+++ b/packages/rhubarbstage-gateway/src/mod.ts
@@ -30,7 +30,7 @@
   ServiceRouting,
   SettingsSource,
 } from "./ports.ts";
-export type { Generation, GenerationResult, PolicyNews } from "./types.ts";
+export type { Generation, GenerationResult, PolicyInput } from "./types.ts";
 export type {
   DispatcherOptions,
   DispatchOptions,
--- a/packages/rhubarbstage-gateway/src/types.ts
+++ b/packages/rhubarbstage-gateway/src/types.ts
@@ -16,7 +16,7 @@
   : never;
 
 /** An event for the policy; the dispatcher adds the time. */
-export type PolicyNews = DistributiveOmit<PolicyEvent, "now">;
+export type PolicyInput = DistributiveOmit<PolicyEvent, "now">;
 
 /** Events of a generation that carry a part of the answer. */
 export type AnswerEvent = Extract<
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -56,10 +56,10 @@
 
   override announce(announcement: Announcement): AnnouncementAnswer {
     const { load } = announcement;
-    const keeper = this.#membership?.announce(toRecord(announcement), load);
+    const owner = this.#membership?.announce(toRecord(announcement), load);
     return {
       renewAfter: membershipConstants.renewInterval,
-      renewAt: keeper?.httpAddress,
+      renewAt: owner?.httpAddress,
     };
   }
 
--- a/packages/rhubarbstage-host/src/host_operator_actions.ts
+++ b/packages/rhubarbstage-host/src/host_operator_actions.ts
@@ -36,7 +36,7 @@
 import type { TimelineFilter } from "@rhubarbstage/telemetry";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { HostStatusReport } from "./host_status.ts";
-import type { OrderDesk } from "./order_desk.ts";
+import type { OrderCoordinator } from "./order_coordinator.ts";
 import type { SeatOperations } from "./seat_operations.ts";
 import type { SettingsInForce } from "./settings_in_force.ts";
 import type { TimelineQueries } from "./timeline_queries.ts";
@@ -48,7 +48,7 @@
   readonly edits: EditClient;
   readonly settings: SettingsInForce;
   readonly backends: BackendRegistry;
-  readonly orders: OrderDesk;
+  readonly orders: OrderCoordinator;
   readonly seats: SeatOperations;
   readonly status: HostStatusReport;
   readonly timeline: TimelineQueries;
--- a/packages/rhubarbstage-host/src/host_policy_listener.ts
+++ b/packages/rhubarbstage-host/src/host_policy_listener.ts
@@ -15,11 +15,11 @@
 } from "@rhubarbstage/policy";
 import type { Metrics } from "@rhubarbstage/telemetry";
 import type { DemandReport } from "./demand_report.ts";
-import type { OrderDesk } from "./order_desk.ts";
+import type { OrderCoordinator } from "./order_coordinator.ts";
 
 /** Options of {@linkcode HostPolicyListener}. */
 export interface HostPolicyListenerOptions {
-  readonly orders: OrderDesk;
+  readonly orders: OrderCoordinator;
   readonly demand: DemandReport;
   readonly metrics: Metrics;
 }
--- a/packages/rhubarbstage-host/src/order_desk.ts
+++ b/packages/rhubarbstage-host/src/order_coordinator.ts
@@ -33,8 +33,8 @@
 /** Time between two looks at the load of a drained engine, in milliseconds. */
 const drainPollInterval = 100;
 
-/** Options of an {@linkcode OrderDesk}. */
-export interface OrderDeskOptions {
+/** Options of an {@linkcode OrderCoordinator}. */
+export interface OrderCoordinatorOptions {
   readonly executor: OrderExecutor;
   readonly backends: BackendRegistry;
   readonly events: HostEvents;
@@ -47,15 +47,15 @@
 }
 
 /** Gives orders on the host that leads the control group. */
-export class OrderDesk {
-  #options: OrderDeskOptions;
+export class OrderCoordinator {
+  #options: OrderCoordinatorOptions;
   #recovering = false;
   /** Engines that this host has taken out of service for a change. */
   #changing = new Set<BackendServerId>();
   /** Incarnations that were reported to the control group. */
   #observed = new Map<BackendServerId, number>();
 
-  constructor(options: OrderDeskOptions) {
+  constructor(options: OrderCoordinatorOptions) {
     this.#options = options;
   }
 
--- a/packages/rhubarbstage-host/src/serving.ts
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -22,7 +22,7 @@
 import { HostPolicyListener } from "./host_policy_listener.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
 import { TransportLink } from "./membership_link.ts";
-import { OrderDesk } from "./order_desk.ts";
+import { OrderCoordinator } from "./order_coordinator.ts";
 import type { Replication } from "./replication.ts";
 
 /** Time that an engine has to report its load, in milliseconds. */
@@ -37,7 +37,7 @@
   readonly claims: ClaimRunner;
   readonly repeatable: RepeatableClient;
   readonly engines: EngineClient;
-  readonly orders: OrderDesk;
+  readonly orders: OrderCoordinator;
   readonly telemetry: HostTelemetry;
 }
 
@@ -56,7 +56,7 @@
     sample: options.sample,
   });
   const demand = new DemandReport({ host: process.host });
-  const orders = createOrderDesk(foundation, replication, {
+  const orders = createOrderCoordinator(foundation, replication, {
     backends,
     engines,
   });
@@ -104,11 +104,11 @@
   return { host: process.host, incarnation };
 }
 
-function createOrderDesk(
+function createOrderCoordinator(
   foundation: Foundation,
   replication: Replication,
   parts: Pick<Serving, "backends" | "engines">,
-): OrderDesk {
+): OrderCoordinator {
   const { events, settings, tokens } = foundation;
   const { backends, engines } = parts;
   const { seats } = replication;
@@ -122,7 +122,7 @@
     leads,
     signal: foundation.stopped.signal,
   });
-  return new OrderDesk({
+  return new OrderCoordinator({
     executor,
     backends,
     events,
--- a/packages/rhubarbstage-membership/src/constants.ts
+++ b/packages/rhubarbstage-membership/src/constants.ts
@@ -22,8 +22,8 @@
 export const digestSliceLimit = 24;
 /** Digest entries of hosts whose log changed a short time ago. */
 export const changedLogLimit = 16;
-/** Time for which a change is news that goes into each digest, in ms. */
-export const newsLifetime = 4_000;
+/** Time for which a changed log is in each digest, in milliseconds. */
+export const changeLifetime = 4_000;
 /** Time between two choices of neighbours and registrars, in milliseconds. */
 export const choiceInterval = 2_000;
 /** Bytes of deltas in one message, before framing. */
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -0,0 +1,195 @@
+/**
+ * Exchange of gossip: digests, wants and deltas of host logs, and loads.
+ *
+ * @module
+ */
+
+import type { HostId } from "rhubarbstage";
+import { quarantineMarkLimit } from "./constants.ts";
+import {
+  advanceHeartbeat,
+  compareDigest,
+  createLog,
+  DeltaBuilder,
+  entrySize,
+  isUrgent,
+  toWant,
+  writeEntry,
+} from "./host_logs.ts";
+import {
+  depart,
+  type Effects,
+  isOutdated,
+  refreshServer,
+  takeRecord,
+} from "./server_records.ts";
+import { type HostLog, isNewer, type MembershipState } from "./state.ts";
+import type {
+  Delta,
+  DigestEntry,
+  GossipMessage,
+  LogValue,
+  ServerRecord,
+  SharedLoad,
+  SharedMark,
+  Want,
+} from "./types.ts";
+
+/** Takes a gossip message and answers it. */
+export function receive(
+  state: MembershipState,
+  event: { now: number; from: HostId; message: GossipMessage },
+  effects: Effects,
+): void {
+  const { now, message } = event;
+  for (const delta of message.deltas) applyDelta(state, delta, now, effects);
+  for (const load of message.loads) takeLoad(state, load, now, effects);
+  const reply = answerDigest(state, message, now);
+  if (reply !== undefined) {
+    effects.push({ type: "send", to: event.from, message: reply });
+  }
+}
+
+/** Answers wants, pushes what the sender lacks, asks for what this host lacks. */
+function answerDigest(
+  state: MembershipState,
+  message: GossipMessage,
+  now: number,
+): GossipMessage | undefined {
+  const builder = new DeltaBuilder();
+  const wants: Want[] = [];
+  for (const want of message.wants) builder.addWanted(state, want, now);
+  for (const entry of message.digest) {
+    compareEntry(state, entry, { now, builder, wants });
+  }
+  if (builder.deltas.length === 0 && wants.length === 0) return undefined;
+  return { digest: [], wants, deltas: builder.deltas, loads: [] };
+}
+
+function compareEntry(
+  state: MembershipState,
+  entry: DigestEntry,
+  reply: { now: number; builder: DeltaBuilder; wants: Want[] },
+): void {
+  const log = state.logs.get(entry.host);
+  const comparison = compareDigest(log, entry);
+  if (comparison === "newer" && entry.host !== state.self.host) {
+    reply.wants.push(toWant(log, entry));
+    return;
+  }
+  if (comparison === "older") {
+    const { host, incarnation, version } = entry;
+    reply.builder.addWanted(state, { host, incarnation, version }, reply.now);
+    return;
+  }
+  if (log !== undefined) advanceHeartbeat(log, entry, reply.now);
+}
+
+function applyDelta(
+  state: MembershipState,
+  delta: Delta,
+  now: number,
+  effects: Effects,
+): void {
+  const { digest } = delta;
+  if (digest.host === state.self.host) return;
+  const log = prepareLog(state, digest);
+  if (log === undefined) return;
+  // A delta for an earlier process of this host starts after entries that this
+  // process does not have.
+  if (delta.from > log.version) return;
+  for (const { key, version, value } of delta.entries) {
+    if (version <= log.version) continue;
+    const size = entrySize(key, value);
+    log.entries.set(key, { version, value, size, storedAt: now });
+    log.version = version;
+    if (isUrgent(value)) log.changedAt = now;
+    applyValue(state, { host: digest.host, value, now }, effects);
+  }
+  if (!delta.complete) return;
+  log.version = Math.max(log.version, digest.version);
+  if (log.version === digest.version) advanceHeartbeat(log, digest, now);
+}
+
+/** The log that a delta extends; a newer incarnation starts an empty one. */
+function prepareLog(
+  state: MembershipState,
+  digest: DigestEntry,
+): HostLog | undefined {
+  const log = state.logs.get(digest.host);
+  if (log !== undefined && log.incarnation > digest.incarnation) {
+    return undefined;
+  }
+  if (log !== undefined && log.incarnation === digest.incarnation) return log;
+  const created = createLog(digest.host, digest.incarnation);
+  state.logs.set(digest.host, created);
+  return created;
+}
+
+function applyValue(
+  state: MembershipState,
+  change: { host: HostId; value: LogValue; now: number },
+  effects: Effects,
+): void {
+  const { host, value, now } = change;
+  switch (value.type) {
+    case "host":
+      effects.push({ type: "host_seen", record: value.record });
+      break;
+    case "marks":
+      effects.push({ type: "marks_heard", marks: value.marks });
+      break;
+    case "revision":
+      break;
+    case "server_gone":
+      depart(state, { ...value, now }, effects);
+      break;
+    case "server":
+      takeGossipedRecord(state, { record: value.record, host, now }, effects);
+      break;
+  }
+}
+
+function takeGossipedRecord(
+  state: MembershipState,
+  change: { record: ServerRecord; host: HostId; now: number },
+  effects: Effects,
+): void {
+  const { record, host, now } = change;
+  if (isOutdated(state, record)) return;
+  const known = state.servers.get(record.id);
+  const same = known !== undefined && !isNewer(record, known.record);
+  // The server renews here, so another host's copy of the same record must not
+  // take ownership away.
+  if (same && known.owner === state.self.host) return;
+  takeRecord(state, { record, owner: host, now }, effects);
+  const server = state.servers.get(record.id);
+  if (server === undefined) return;
+  refreshServer(state, server, { now, changed: !same }, effects);
+}
+
+function takeLoad(
+  state: MembershipState,
+  shared: SharedLoad,
+  now: number,
+  effects: Effects,
+): void {
+  const server = state.servers.get(shared.id);
+  if (server === undefined) return;
+  if (server.record.incarnation !== shared.incarnation) return;
+  const reportedAt = now - shared.age;
+  if (reportedAt <= server.loadAt) return;
+  server.load = shared.load;
+  server.loadAt = reportedAt;
+  refreshServer(state, server, { now, changed: true }, effects);
+}
+
+/** Writes the quarantine marks of this host into its log. */
+export function publishMarks(
+  state: MembershipState,
+  marks: readonly SharedMark[],
+  now: number,
+): void {
+  const newest = marks.slice(-quarantineMarkLimit);
+  writeEntry(state, "marks", { type: "marks", marks: newest }, now);
+}
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/gossip_round.ts
@@ -0,0 +1,156 @@
+/**
+ * What a host does in each gossip round.
+ *
+ * @module
+ */
+
+import {
+  choiceInterval,
+  deletionMemory,
+  departureMemory,
+  loadLifetime,
+  probeAge,
+  probesPerRound,
+  renewTimeout,
+} from "./constants.ts";
+import { buildDigest, DeltaBuilder, ownLog, writeEntry } from "./host_logs.ts";
+import { listNeighbours, pickGossipTargets } from "./neighbours.ts";
+import { chooseRegistrars } from "./registrars.ts";
+import {
+  depart,
+  type Effects,
+  refreshServer,
+  serverKey,
+} from "./server_records.ts";
+import { evidenceAt, isAlive, type MembershipState } from "./state.ts";
+import type { GossipMessage } from "./types.ts";
+
+/** One round: expiry, choice of hosts, direct checks and gossip. */
+export function tick(
+  state: MembershipState,
+  now: number,
+  effects: Effects,
+): void {
+  const log = ownLog(state);
+  log.heartbeat += 1;
+  log.heartbeatAt = now;
+  expireServers(state, now, effects);
+  refreshHosts(state, now, effects);
+  chooseHosts(state, now);
+  forget(state, now);
+  startChecks(state, now, effects);
+  const message = buildRoundMessage(state, now);
+  for (const to of pickGossipTargets(state, now)) {
+    effects.push({ type: "send", to, message });
+  }
+}
+
+/** Choices look at all hosts, so they are not made in each round. */
+function chooseHosts(state: MembershipState, now: number): void {
+  const settled = now - state.chosenAt < choiceInterval;
+  if (settled && state.neighbours.length > 0) return;
+  state.chosenAt = now;
+  state.registrarsByRegion = chooseRegistrars(state, now);
+  state.registrars = new Set([...state.registrarsByRegion.values()].flat());
+  state.neighbours = listNeighbours(state, now).map(({ host }) => host);
+}
+
+function buildRoundMessage(
+  state: MembershipState,
+  now: number,
+): GossipMessage {
+  const builder = new DeltaBuilder();
+  const recent = [...state.servers.values()]
+    .filter(({ loadAt }) => now - loadAt <= loadLifetime)
+    .sort((left, right) => right.loadAt - left.loadAt);
+  for (const server of recent) {
+    if (server.load === undefined) continue;
+    const fits = builder.addLoad({
+      id: server.record.id,
+      incarnation: server.record.incarnation,
+      load: server.load,
+      age: Math.round(now - server.loadAt),
+    });
+    if (!fits) break;
+  }
+  const digest = buildDigest(state, now);
+  return { digest, wants: [], deltas: [], loads: builder.loads };
+}
+
+function expireServers(
+  state: MembershipState,
+  now: number,
+  effects: Effects,
+): void {
+  for (const server of [...state.servers.values()]) {
+    const owned = server.owner === state.self.host;
+    if (owned && now - evidenceAt(state, server) > renewTimeout) {
+      const { id, incarnation, sequence, takeover } = server.record;
+      const departure = { id, incarnation, sequence, takeover, left: false };
+      writeEntry(
+        state,
+        serverKey(id),
+        { type: "server_gone", ...departure },
+        now,
+      );
+      depart(state, { ...departure, now }, effects);
+      continue;
+    }
+    refreshServer(state, server, { now, changed: false }, effects);
+  }
+}
+
+function refreshHosts(
+  state: MembershipState,
+  now: number,
+  effects: Effects,
+): void {
+  for (const log of state.logs.values()) {
+    const alive = isAlive(state, log, now);
+    if (log.alive && !alive) {
+      effects.push({ type: "host_gone", host: log.host });
+    }
+    log.alive = alive;
+  }
+}
+
+/** Drops what nobody can still be confused by, to bound memory. */
+function forget(state: MembershipState, now: number): void {
+  for (const [id, departure] of state.departures) {
+    if (now - departure.at > departureMemory) state.departures.delete(id);
+  }
+  for (const [id, server] of state.servers) {
+    const silence = now - evidenceAt(state, server);
+    if (!server.usable && silence > departureMemory) state.servers.delete(id);
+  }
+  for (const [host, log] of state.logs) {
+    const silent = host !== state.self.host &&
+      now - log.heartbeatAt > departureMemory;
+    if (silent && log.heartbeatAt !== -Infinity) state.logs.delete(host);
+  }
+  const log = ownLog(state);
+  for (const [key, entry] of log.entries) {
+    const deleted = entry.value.type === "server_gone";
+    if (deleted && now - entry.storedAt > deletionMemory) {
+      log.entries.delete(key);
+    }
+  }
+}
+
+function startChecks(
+  state: MembershipState,
+  now: number,
+  effects: Effects,
+): void {
+  let started = 0;
+  for (const server of state.servers.values()) {
+    if (started >= probesPerRound) return;
+    const stale = now - evidenceAt(state, server) > probeAge;
+    const waiting = now - server.checkStartedAt < probeAge;
+    if (!stale || waiting || server.record.leaving) continue;
+    server.checkStartedAt = now;
+    started += 1;
+    const { id, address } = server.record;
+    effects.push({ type: "check", id, address });
+  }
+}
--- a/packages/rhubarbstage-membership/src/host_logs.ts
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -9,11 +9,11 @@
 import type { HostId, Incarnation } from "rhubarbstage";
 import {
   changedLogLimit,
+  changeLifetime,
   deltaByteBudget,
   digestSliceLimit,
   firstDeltaByteBudget,
   loadLimit,
-  newsLifetime,
 } from "./constants.ts";
 import { hashText } from "./hash.ts";
 import {
@@ -69,7 +69,7 @@
 ): void {
   const log = ownLog(state);
   log.version += 1;
-  if (isNews(value)) log.changedAt = now;
+  if (isUrgent(value)) log.changedAt = now;
   log.entries.set(key, {
     version: log.version,
     value,
@@ -79,12 +79,12 @@
 }
 
 /** Whether other hosts have to hear of an entry soon. */
-export function isNews(value: LogValue): boolean {
+export function isUrgent(value: LogValue): boolean {
   return value.type !== "revision";
 }
 
 /**
- * Digest for one message: the registrars, the hosts with news and a rotating
+ * Digest for one message: the registrars, the hosts with recent changes and a rotating
  * slice of the others.
  */
 export function buildDigest(
@@ -93,13 +93,13 @@
 ): DigestEntry[] {
   const chosen: HostLog[] = [ownLog(state)];
   const others: HostLog[] = [];
-  let newsCount = 0;
+  let changedCount = 0;
   for (const log of state.logs.values()) {
     if (log.host === state.self.host || log.heartbeatAt === -Infinity) continue;
-    const news = now - log.changedAt <= newsLifetime &&
-      newsCount < changedLogLimit;
-    if (news) newsCount += 1;
-    if (news || state.registrars.has(log.host)) chosen.push(log);
+    const changed = now - log.changedAt <= changeLifetime &&
+      changedCount < changedLogLimit;
+    if (changed) changedCount += 1;
+    if (changed || state.registrars.has(log.host)) chosen.push(log);
     else others.push(log);
   }
   chosen.push(...takeSlice(state, others));
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -155,7 +155,7 @@
     return findHost(this.#state, owner) ?? this.#options.self;
   }
 
-  /** Takes the word of a server that it leaves. */
+  /** Takes the statement of a server that it leaves. */
   leave(id: BackendServerId, incarnation: Incarnation): void {
     this.#dispatch({ type: "left", now: this.#now(), id, incarnation });
   }
--- /dev/null
+++ b/packages/rhubarbstage-membership/src/server_records.ts
@@ -0,0 +1,262 @@
+/**
+ * Records of backend servers: announcements, departures and direct checks.
+ *
+ * @module
+ */
+
+import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
+import { ownLog, writeEntry } from "./host_logs.ts";
+import { pickRegistrar } from "./registrars.ts";
+import {
+  isAlive,
+  isNewer,
+  isUsable,
+  type KnownServer,
+  type MembershipState,
+} from "./state.ts";
+import type { MembershipEffect, ServerLoad, ServerRecord } from "./types.ts";
+
+/** Effects that a step adds to. */
+export type Effects = MembershipEffect[];
+
+/** Key of a server's entry in a host's log. */
+export function serverKey(id: BackendServerId): string {
+  return `server:${id}`;
+}
+
+/** Takes an announcement or a renewal, or passes it on to its owner. */
+export function announce(
+  state: MembershipState,
+  event: {
+    now: number;
+    record: ServerRecord;
+    load?: ServerLoad;
+    forwarded?: boolean;
+    takeOver?: boolean;
+  },
+  effects: Effects,
+): void {
+  const { now, load } = event;
+  const known = state.servers.get(event.record.id);
+  const record = orderAnnouncement(state, event);
+  if (isOutdated(state, record)) return;
+  const unchanged = known !== undefined && !isNewer(record, known.record);
+  const owner = ownerFor(state, record, unchanged ? known : undefined);
+  if (owner !== state.self.host && !event.forwarded && !event.takeOver) {
+    // Renewals stay with one owner, so that a balancer in front of the hosts
+    // does not turn each renewal into a change that gossip has to spread.
+    const forwarded = event.record;
+    effects.push({ type: "forward", to: owner, record: forwarded, load });
+    return;
+  }
+  if (!unchanged) {
+    writeEntry(state, serverKey(record.id), { type: "server", record }, now);
+    takeRecord(state, { record, owner: state.self.host, now }, effects);
+  }
+  const server = state.servers.get(record.id);
+  if (server === undefined) return;
+  server.renewedAt = now;
+  if (load !== undefined) {
+    server.load = load;
+    server.loadAt = now;
+  }
+  refreshServer(state, server, { now, changed: true }, effects);
+}
+
+/** The host that has to own a record: its owner, or else its registrar. */
+function ownerFor(
+  state: MembershipState,
+  record: ServerRecord,
+  known: KnownServer | undefined,
+): HostId {
+  if (known === undefined) return pickRegistrar(state, record);
+  const { owner } = known;
+  if (owner === state.self.host || state.registrars.has(owner)) return owner;
+  return pickRegistrar(state, record);
+}
+
+/**
+ * Gives an announced record its takeover number: that of the known record, or
+ * the next one when the owner is gone or the record had expired.
+ */
+function orderAnnouncement(
+  state: MembershipState,
+  event: {
+    now: number;
+    record: ServerRecord;
+    forwarded?: boolean;
+    takeOver?: boolean;
+  },
+): ServerRecord {
+  const { record, now } = event;
+  const known = state.servers.get(record.id);
+  if (known !== undefined && hasSameContent(known.record, record)) {
+    const owner = state.logs.get(known.owner);
+    const ownerAlive = owner !== undefined && isAlive(state, owner, now);
+    const own = known.owner === state.self.host;
+    const passedOn = event.forwarded === true || event.takeOver === true;
+    const next = !own && (passedOn || !ownerAlive);
+    const takeover = known.record.takeover + (next ? 1 : 0);
+    return { ...known.record, takeover };
+  }
+  const departure = state.departures.get(record.id);
+  if (departure !== undefined && isSameAnnouncement(departure, record)) {
+    return { ...record, takeover: departure.takeover + 1 };
+  }
+  return record;
+}
+
+/**
+ * Whether a record says nothing new. Servers may count up their sequence with
+ * each renewal, which must not become a change that gossip has to spread.
+ */
+function hasSameContent(left: ServerRecord, right: ServerRecord): boolean {
+  return contentOf(left) === contentOf(right);
+}
+
+function contentOf(record: ServerRecord): string {
+  const { sequence: _sequence, takeover: _takeover, ...content } = record;
+  return JSON.stringify(Object.entries(content).sort());
+}
+
+function isSameAnnouncement(
+  left: { incarnation: Incarnation; sequence: number },
+  right: { incarnation: Incarnation; sequence: number },
+): boolean {
+  return left.incarnation === right.incarnation &&
+    left.sequence === right.sequence;
+}
+
+/** Whether a record is older than what is known of the server. */
+export function isOutdated(
+  state: MembershipState,
+  record: ServerRecord,
+): boolean {
+  const known = state.servers.get(record.id);
+  if (known !== undefined && isNewer(known.record, record)) return true;
+  const departure = state.departures.get(record.id);
+  if (departure === undefined) return false;
+  // A renewal that was under way when its server left must not bring it back.
+  if (departure.left) return record.incarnation <= departure.incarnation;
+  return !isNewer(record, departure);
+}
+
+/** Makes a record the known one of its server. */
+export function takeRecord(
+  state: MembershipState,
+  change: { record: ServerRecord; owner: HostId; now: number },
+  effects: Effects,
+): void {
+  const { record, owner, now } = change;
+  const known = state.servers.get(record.id);
+  const replaced = known !== undefined &&
+    known.record.incarnation < record.incarnation;
+  if (replaced) {
+    const crashed = !known.record.leaving;
+    effects.push({ type: "server_gone", id: record.id, crashed });
+  }
+  const kept = replaced ? undefined : known;
+  if (owner !== state.self.host) {
+    ownLog(state).entries.delete(serverKey(record.id));
+  }
+  state.departures.delete(record.id);
+  state.servers.set(record.id, {
+    record,
+    owner,
+    load: kept?.load,
+    loadAt: kept?.loadAt ?? -Infinity,
+    checkedAt: kept?.checkedAt ?? -Infinity,
+    renewedAt: owner === state.self.host ? now : -Infinity,
+    usable: kept?.usable ?? false,
+    checkStartedAt: -Infinity,
+  });
+}
+
+/** Tells of a server when it has changed or became usable or unusable. */
+export function refreshServer(
+  state: MembershipState,
+  server: KnownServer,
+  options: { now: number; changed: boolean },
+  effects: Effects,
+): void {
+  const usable = isUsable(state, server, options.now);
+  if (!options.changed && usable === server.usable) return;
+  server.usable = usable;
+  effects.push({
+    type: "server_seen",
+    record: server.record,
+    load: server.load,
+    usable,
+  });
+}
+
+/** Takes the statement of a server that it leaves. */
+export function leave(
+  state: MembershipState,
+  event: { now: number; id: BackendServerId; incarnation: Incarnation },
+  effects: Effects,
+): void {
+  const { id, incarnation, now } = event;
+  const known = state.servers.get(id);
+  if (known !== undefined && known.record.incarnation > incarnation) return;
+  const sequence = (known?.record.sequence ?? 0) + 1;
+  const departure = { incarnation, sequence, takeover: 0, left: true };
+  writeEntry(
+    state,
+    serverKey(id),
+    { type: "server_gone", id, ...departure },
+    now,
+  );
+  depart(state, { id, ...departure, now }, effects);
+}
+
+/** Forgets a server unless a newer record of it is known. */
+export function depart(
+  state: MembershipState,
+  change: {
+    id: BackendServerId;
+    incarnation: Incarnation;
+    sequence: number;
+    takeover: number;
+    left: boolean;
+    now: number;
+  },
+  effects: Effects,
+): void {
+  const { id, incarnation, sequence, takeover, left, now } = change;
+  const known = state.servers.get(id);
+  if (known !== undefined && isNewer(known.record, change)) return;
+  const earlier = state.departures.get(id);
+  if (earlier !== undefined && isNewer(earlier, change)) return;
+  const departure = { incarnation, sequence, takeover, left, at: now };
+  state.departures.set(id, departure);
+  if (known === undefined) return;
+  state.servers.delete(id);
+  const crashed = !left && !known.record.leaving;
+  effects.push({ type: "server_gone", id, crashed });
+}
+
+/** Takes the answer of a server to a direct check. */
+export function takeCheck(
+  state: MembershipState,
+  event: {
+    now: number;
+    id: BackendServerId;
+    startedAt: number;
+    incarnation: Incarnation;
+    leaving: boolean;
+  },
+  effects: Effects,
+): void {
+  const server = state.servers.get(event.id);
+  if (server === undefined) return;
+  server.checkStartedAt = -Infinity;
+  if (server.record.incarnation !== event.incarnation) return;
+  if (event.leaving) {
+    const { id, now } = event;
+    leave(state, { id, now, incarnation: event.incarnation }, effects);
+    return;
+  }
+  server.checkedAt = Math.max(server.checkedAt, event.startedAt);
+  refreshServer(state, server, { now: event.now, changed: false }, effects);
+}
