--- a/packages/rhubarbstage-host/src/host_operator_actions.ts
+++ b/packages/rhubarbstage-host/src/host_operator_actions.ts
@@ -83,16 +83,14 @@
     operator: string,
   ): Promise<EditAnswer> {
     const { edit_id, expected_revision } = request;
+    const before = this.#options.settings.revision ?? 0;
     const revision = await this.#options.edits.submit({
       editId: edit_id,
       expectedRevision: expected_revision,
       operations: request.operations.map(toControlOperation),
       author: operator,
     });
-    const current = this.#options.settings.ready
-      ? this.#options.settings.configuration.revision
-      : 0;
-    return { edit_id, revision, replayed: revision <= current };
+    return { edit_id, revision, replayed: revision <= before };
   }
 
   override async history(limit: number): Promise<HistoryAnswer> {
