--- a/packages/rhubarbstage-bench/src/capacity_gossip.ts
+++ b/packages/rhubarbstage-bench/src/capacity_gossip.ts
@@ -38,10 +38,15 @@
 const measuredTime = 20_000;
 const warmUpTime = 40_000;
 
+/** Incarnation of all hosts at the start. */
+const firstStart = 1_800_000_000_000;
+/** Virtual time after which a catch-up is given up, in milliseconds. */
+const longestCatchUp = 120_000;
+
 interface Member {
   readonly host: HostId;
-  readonly reducer: MembershipReducer;
-  readonly state: MembershipState;
+  reducer: MembershipReducer;
+  state: MembershipState;
 }
 
 interface Mail {
@@ -95,6 +100,7 @@
   readonly members: Member[] = [];
   readonly #byHost = new Map<HostId, Member>();
   readonly #servers: number;
+  readonly #seeds: readonly HostRecord[];
   #now = 0;
   bytes = 0;
   messages = 0;
@@ -104,18 +110,46 @@
   constructor(hostCount: number, serverCount: number) {
     this.#servers = serverCount;
     const hosts = Array.from({ length: hostCount }, (_, i) => makeHost(i));
+    this.#seeds = hosts.slice(0, 11);
     for (const self of hosts) {
-      const reducer = new MembershipReducer({
-        self,
-        incarnation: 1_800_000_000_000 as Incarnation,
-        seeds: hosts.slice(0, 11),
-      });
-      const member = { host: self.host, reducer, state: reducer.initial() };
+      const member = { host: self.host, ...this.#start(self, firstStart) };
       this.members.push(member);
       this.#byHost.set(self.host, member);
     }
   }
 
+  /**
+   * Restarts every tenth host at once, as when an availability zone returns.
+   * Returns the virtual time until these hosts can use all servers, in
+   * milliseconds, and the bytes that each of them got and sent meanwhile.
+   */
+  restartZone(): { readonly milliseconds: number; readonly bytes: number } {
+    const restarted = this.members.filter((_, index) => index % 10 === 0);
+    for (const member of restarted) {
+      const self = member.state.self;
+      Object.assign(member, this.#start(self, firstStart + this.#now));
+    }
+    const start = this.#now;
+    this.bytes = 0;
+    const complete = ({ state }: Member) =>
+      state.servers.size === this.#servers &&
+      [...state.servers.values()].every(({ usable }) => usable);
+    while (!restarted.every(complete) && this.#now - start < longestCatchUp) {
+      this.run(tickInterval);
+    }
+    const bytes = 2 * this.bytes / this.members.length;
+    return { milliseconds: this.#now - start, bytes };
+  }
+
+  #start(self: HostRecord, incarnation: number) {
+    const reducer = new MembershipReducer({
+      self,
+      incarnation: incarnation as Incarnation,
+      seeds: this.#seeds,
+    });
+    return { reducer, state: reducer.initial() };
+  }
+
   /** Runs for a virtual time, in milliseconds. */
   run(milliseconds: number): void {
     const end = this.#now + milliseconds;
@@ -215,6 +249,9 @@
   readonly corePercent: number;
   readonly memoryBytes: number;
   readonly spreadMilliseconds: number;
+  readonly catchUpMilliseconds: number;
+  /** Bytes of one host, both ways, while a zone catches up. */
+  readonly catchUpBytes: number;
 }
 
 function measureFleet(hosts: number, servers: number): GossipCost {
@@ -227,12 +264,18 @@
   fleet.processorTime = 0;
   fleet.run(measuredTime);
   const seconds = measuredTime / 1_000;
+  const steady = {
+    bytesPerSecond: 2 * fleet.bytes / hosts / seconds,
+    corePercent: fleet.processorTime / hosts / measuredTime * 100,
+  };
+  const catchUp = fleet.restartZone();
   return {
     hosts,
     servers,
-    bytesPerSecond: 2 * fleet.bytes / hosts / seconds,
-    corePercent: fleet.processorTime / hosts / measuredTime * 100,
+    ...steady,
     memoryBytes: memory / hosts,
+    catchUpMilliseconds: catchUp.milliseconds,
+    catchUpBytes: catchUp.bytes,
     spreadMilliseconds: fleet.timeToSpreadLeave(),
   };
 }
@@ -272,6 +315,22 @@
       points: points(({ memoryBytes }) => memoryBytes / 1_000_000),
       limit: 32,
     },
+    {
+      name: "time until a returned zone can use all servers",
+      unit: "s",
+      size,
+      target,
+      points: points(({ catchUpMilliseconds }) => catchUpMilliseconds / 1_000),
+    },
+    {
+      name: "traffic of one host, both ways, meanwhile",
+      unit: "KB/s",
+      size,
+      target,
+      points: points(({ catchUpBytes, catchUpMilliseconds }) =>
+        catchUpBytes / catchUpMilliseconds
+      ),
+    },
     {
       name: "time until all hosts know of a leave",
       unit: "s",
