Let only a log that holds a server speak for it, and keep early records

After a restart, an owner's heartbeats went on to keep servers in use that it had not heard from (7 of 8 hosts kept a server that had vanished). A restarted host dropped records that arrived before the first heartbeat of their owner, for ever. Servers that announced before the registrars were known stayed with owners whose heartbeats come up only now and then. Change: a heartbeat counts only for servers in the host's log; records are kept from the time they are learned; an owner that is no registrar hands its servers to one. Two new tests, each fails without its change.

--- a/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -133,6 +133,42 @@
     expect(countUsable(network)).toBe(hostCount);
   });
 
+  // Guards against a restarted owner whose heartbeats keep a server in use that
+  // vanished while the owner was away.
+  test("forgets a server that vanished while its owner restarted", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    const owner = network.ownerOf("engine");
+    network.start(`host-${owner}` as HostId, 2);
+    network.run(8_000);
+    expect(countUsable(network)).toBe(0);
+  });
+
+  // Guards against a restarted host that drops records which arrive before the
+  // first heartbeat of their owner, and never hears of them again.
+  test("knows all servers again after a restart", () => {
+    const count = 32;
+    const servers = 300;
+    const network = new Network(count);
+    const renew = (now: number) => {
+      if (now % 2_000 !== 0) return;
+      for (let index = 0; index < servers; index += 1) {
+        const host = network.ownerOf(`engine-${index}`);
+        const record = makeServer(`engine-${index}`);
+        network.announce(host < 0 ? index % count : host, record);
+      }
+    };
+    network.run(30_000, renew);
+    const restarted = [10, 20, 30];
+    for (const host of restarted) network.start(`host-${host}` as HostId, 2);
+    network.run(15_000, renew);
+    const known = restarted.map((host) =>
+      network.member(host).state.servers.size
+    );
+    expect(known).toEqual(restarted.map(() => servers));
+  });
+
   // Guards against losing a server together with the host that owned it.
   test("moves a server to another host when its owner dies", () => {
     const network = new Network(hostCount);
--- a/packages/rhubarbstage-membership/src/gossip_exchange.ts
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -121,11 +121,20 @@
     return undefined;
   }
   if (log !== undefined && log.incarnation === digest.incarnation) return log;
+  if (log !== undefined) keepEvidence(state, log);
   const created = createLog(digest.host, digest.incarnation);
   state.logs.set(digest.host, created);
   return created;
 }
 
+/** The last heartbeat of a process still counts after it has restarted. */
+function keepEvidence(state: MembershipState, log: HostLog): void {
+  for (const server of state.servers.values()) {
+    if (server.owner !== log.host) continue;
+    server.checkedAt = Math.max(server.checkedAt, log.heartbeatAt);
+  }
+}
+
 function applyValue(
   state: MembershipState,
   change: { host: HostId; value: LogValue; now: number },
--- a/packages/rhubarbstage-membership/src/gossip_round.ts
+++ b/packages/rhubarbstage-membership/src/gossip_round.ts
@@ -16,13 +16,13 @@
 import { buildDigest, DeltaBuilder, ownLog, writeEntry } from "./host_logs.ts";
 import { listNeighbours, pickGossipTargets } from "./neighbours.ts";
 import { chooseRegistrars } from "./registrars.ts";
+import { depart, type Effects, refreshServer } from "./server_records.ts";
 import {
-  depart,
-  type Effects,
-  refreshServer,
+  evidenceAt,
+  isAlive,
+  type MembershipState,
   serverKey,
-} from "./server_records.ts";
-import { evidenceAt, isAlive, type MembershipState } from "./state.ts";
+} from "./state.ts";
 import type { GossipMessage } from "./types.ts";
 
 /** One round: expiry, choice of hosts, direct checks and gossip. */
@@ -120,7 +120,9 @@
     if (now - departure.at > departureMemory) state.departures.delete(id);
   }
   for (const [id, server] of state.servers) {
-    const silence = now - evidenceAt(state, server);
+    // A record may arrive before the first heartbeat of its owner.
+    const heardAt = Math.max(evidenceAt(state, server), server.learnedAt);
+    const silence = now - heardAt;
     if (!server.usable && silence > departureMemory) state.servers.delete(id);
   }
   for (const [host, log] of state.logs) {
--- a/packages/rhubarbstage-membership/src/server_records.ts
+++ b/packages/rhubarbstage-membership/src/server_records.ts
@@ -13,17 +13,13 @@
   isUsable,
   type KnownServer,
   type MembershipState,
+  serverKey,
 } from "./state.ts";
 import type { MembershipEffect, ServerLoad, ServerRecord } from "./types.ts";
 
 /** Effects that a step adds to. */
 export type Effects = MembershipEffect[];
 
-/** Key of a server's entry in a host's log. */
-export function serverKey(id: BackendServerId): string {
-  return `server:${id}`;
-}
-
 /** Takes an announcement or a renewal, or passes it on to its owner. */
 export function announce(
   state: MembershipState,
@@ -71,7 +67,7 @@
 ): HostId {
   if (known === undefined) return pickRegistrar(state, record);
   const { owner } = known;
-  if (owner === state.self.host || state.registrars.has(owner)) return owner;
+  if (state.registrars.has(owner)) return owner;
   return pickRegistrar(state, record);
 }
 
@@ -163,6 +159,7 @@
   state.servers.set(record.id, {
     record,
     owner,
+    learnedAt: now,
     load: kept?.load,
     loadAt: kept?.loadAt ?? -Infinity,
     checkedAt: kept?.checkedAt ?? -Infinity,
--- a/packages/rhubarbstage-membership/src/state.ts
+++ b/packages/rhubarbstage-membership/src/state.ts
@@ -55,6 +55,8 @@
   loadAt: number;
   /** Host whose heartbeats vouch for the record. */
   owner: HostId;
+  /** When this host learned of the record. */
+  readonly learnedAt: number;
   /** Last direct evidence that the server takes work. */
   checkedAt: number;
   /** Time of the last renewal at this host, if it owns the record. */
@@ -108,6 +110,11 @@
   return left.takeover > right.takeover;
 }
 
+/** Key of a server's entry in a host's log. */
+export function serverKey(id: BackendServerId): string {
+  return `server:${id}`;
+}
+
 /** Time of the newest evidence that a server takes work. */
 export function evidenceAt(
   state: MembershipState,
@@ -117,7 +124,18 @@
     return Math.max(server.renewedAt, server.checkedAt);
   }
   const log = state.logs.get(server.owner);
-  return Math.max(log?.heartbeatAt ?? -Infinity, server.checkedAt);
+  if (log === undefined || !vouchesFor(log, server)) return server.checkedAt;
+  return Math.max(log.heartbeatAt, server.checkedAt);
+}
+
+/**
+ * Whether a host's heartbeats speak for a server. After a restart the host's
+ * log is empty: it has not heard from the server yet.
+ */
+function vouchesFor(log: HostLog, server: KnownServer): boolean {
+  const value = log.entries.get(serverKey(server.record.id))?.value;
+  return value?.type === "server" &&
+    value.record.incarnation === server.record.incarnation;
 }
 
 /** Whether a server may get new work. */
