--- a/packages/rhubarbstage-host/src/host_operator_actions.ts
+++ b/packages/rhubarbstage-host/src/host_operator_actions.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type HostId, type Revision, RhubarbstageError } from "rhubarbstage";
+import type { Revision } from "rhubarbstage";
 import {
   type Confirmation,
   type ControlGroup,
@@ -173,14 +173,3 @@
     }
   }
 }
-
-/** A host id that an operator names, checked against the known ones. */
-export function requireHost(
-  host: HostId,
-  known: ReadonlySet<HostId>,
-): HostId {
-  if (known.has(host)) return host;
-  throw new RhubarbstageError("invalid_request", {
-    message: `Host "${host}" is not known`,
-  });
-}
--- a/packages/rhubarbstage-membership/src/server_records.ts
+++ b/packages/rhubarbstage-membership/src/server_records.ts
@@ -65,9 +65,8 @@
   record: ServerRecord,
   known: KnownServer | undefined,
 ): HostId {
-  if (known === undefined) return pickRegistrar(state, record);
-  const { owner } = known;
-  if (state.registrars.has(owner)) return owner;
+  const owner = known?.owner;
+  if (owner !== undefined && state.registrars.has(owner)) return owner;
   return pickRegistrar(state, record);
 }
 
