Serve the platform's routes through a transparent relay

A first, thin path over all parts: platform/ translates settings, headers, configuration and announcements; packages/rhubarbstage-relay relays requests under the existing dispatcher and policy; hosts join through seeds, form the control group by themselves and keep its seats on hosts that answer; operators publish whole versions of the table of routes.

Membership pushes changes at once, and a host outnumbers an earlier process of its own whose clock ran ahead. A link to another process of a host replaces the known one whatever the clocks say. The runs of the dispatcher no longer import it.

--- a/jest.config.mjs
+++ b/jest.config.mjs
@@ -1,7 +1,10 @@
 /** Tests run on the sources; workspaces resolve through their `exports`. */
 export default {
   testEnvironment: "node",
-  testMatch: ["<rootDir>/packages/*/__tests__/**/*_test.ts"],
+  testMatch: [
+    "<rootDir>/packages/*/__tests__/**/*_test.ts",
+    "<rootDir>/platform/__tests__/**/*_test.ts",
+  ],
   transform: {
     "^.+\\.ts$": ["@swc/jest", {
       jsc: {
--- a/packages/rhubarbstage-control/src/control_state.ts
+++ b/packages/rhubarbstage-control/src/control_state.ts
@@ -19,6 +19,7 @@
   HistoryEntry,
   OrderIntent,
   Tree,
+  VersionedDocument,
 } from "./types.ts";
 
 /** First answer to an edit, with the content it belongs to. */
@@ -53,6 +54,8 @@
   /** Orders that were given up before their intent was applied. */
   withdrawn: Map<OrderId, true>;
   engines: Map<BackendServerId, KnownEngine>;
+  /** Document in force by name. */
+  documents: Map<string, VersionedDocument>;
 }
 
 /** State before the first command. */
@@ -70,6 +73,7 @@
     endedOrders: new Map(),
     withdrawn: new Map(),
     engines: new Map(),
+    documents: new Map(),
   };
 }
 
@@ -85,5 +89,7 @@
     endedOrders: new Map(state.endedOrders),
     withdrawn: new Map(state.withdrawn),
     engines: new Map(state.engines),
+    // Snapshots of earlier versions have no documents.
+    documents: new Map(state.documents ?? []),
   };
 }
--- a/packages/rhubarbstage-control/src/control_state_machine.ts
+++ b/packages/rhubarbstage-control/src/control_state_machine.ts
@@ -10,6 +10,7 @@
   copyControlState,
   initialControlState,
 } from "./control_state.ts";
+import { applyPublication, readDocument } from "./documents.ts";
 import { applyDrain, applyEdit, rememberedResult } from "./edits.ts";
 import {
   applyEnd,
@@ -22,6 +23,8 @@
   ConfirmationRequest,
   ControlCommand,
   ControlResult,
+  DocumentAnswer,
+  DocumentRequest,
   Drain,
   Edit,
   EditLookup,
@@ -52,6 +55,10 @@
         return { type: "take_over", intent: applyTakeOver(state, command) };
       case "end_order":
         return { type: "end_order", intent: applyEnd(state, command) };
+      case "publish": {
+        const version = applyPublication(state, command.document);
+        return { type: "publish", version };
+      }
       case "observe_engine": {
         const { backendServer, incarnation } = command;
         const ended = observeEngine(state, backendServer, incarnation);
@@ -88,6 +95,11 @@
     return first === undefined ? { revision, tree } : { first, revision, tree };
   },
 
+  /** See {@linkcode DocumentAnswer}. */
+  document(state: ControlState, argument: unknown): DocumentAnswer {
+    return readDocument(state, argument as DocumentRequest);
+  },
+
   /** Latest edits, newest first. */
   history(state: ControlState, argument: unknown): readonly HistoryEntry[] {
     const { limit } = argument as { readonly limit: number };
--- a/packages/rhubarbstage-control/src/mod.ts
+++ b/packages/rhubarbstage-control/src/mod.ts
@@ -14,6 +14,8 @@
   ControlCommand,
   ControlGroup,
   ControlResult,
+  DocumentAnswer,
+  DocumentRequest,
   Drain,
   Edit,
   EditClientOptions,
@@ -42,7 +44,10 @@
   TreePath,
   TreeValidator,
   TreeValue,
+  VersionedDocument,
 } from "./types.ts";
+export type { DocumentClientOptions } from "./document_client.ts";
+export { DocumentClient } from "./document_client.ts";
 export { OrderConnection, OrderConnector } from "./types.ts";
 export { answerRetention, isolationAge, keptBodyLimit } from "./constants.ts";
 export { RevisionConflictError } from "./errors.ts";
--- a/packages/rhubarbstage-control/src/types.ts
+++ b/packages/rhubarbstage-control/src/types.ts
@@ -165,6 +165,11 @@
     readonly orderId: OrderId;
     readonly sender: Sender;
   }
+  /** Offers a document under a number that the publisher chose. */
+  | {
+    readonly type: "publish";
+    readonly document: VersionedDocument;
+  }
   | {
     readonly type: "end_order";
     readonly orderId: OrderId;
@@ -187,11 +192,39 @@
   | { readonly type: "take_over"; readonly intent?: OrderIntent }
   /** `intent` is absent when the order is unknown or forgotten. */
   | { readonly type: "end_order"; readonly intent?: OrderIntent }
-  | { readonly type: "observe_engine"; readonly ended: readonly OrderId[] };
+  | { readonly type: "observe_engine"; readonly ended: readonly OrderId[] }
+  /** Version in force after the publication. */
+  | { readonly type: "publish"; readonly version: number };
 
 /** The control group as its clients use it. */
 export type ControlGroup = ReplicatedGroup<ControlCommand, ControlResult>;
 
+/**
+ * A whole document whose versions are chosen by its publishers, for example a
+ * table of routes. Of all versions that were published the highest one is in
+ * force, and the first content that was committed under it.
+ */
+export interface VersionedDocument {
+  readonly name: string;
+  readonly version: number;
+  readonly content: unknown;
+}
+
+/** Argument of the query `document`. */
+export interface DocumentRequest {
+  readonly name: string;
+  /** Version that the caller has; absent at its start. */
+  readonly version?: number;
+}
+
+/** Answer of the query `document`, valid at the time of the request. */
+export interface DocumentAnswer {
+  /** Absent while no version was published. */
+  readonly version?: number;
+  /** Absent when the caller has the version in force. */
+  readonly document?: VersionedDocument;
+}
+
 /** Argument of the query `confirm`. */
 export interface ConfirmationRequest {
   /** Revision that the host has; absent at its start. */
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -6,11 +6,12 @@
  */
 
 import type { EngineClient } from "@rhubarbstage/engine";
-import type {
-  Policy,
-  PolicyEffect,
-  PolicyEvent,
-  Work,
+import {
+  isCancellable,
+  type Policy,
+  type PolicyEffect,
+  type PolicyEvent,
+  type Work,
 } from "@rhubarbstage/policy";
 import {
   type Clock,
@@ -29,7 +30,7 @@
   SendService,
   ServiceAnswer,
 } from "./ports.ts";
-import type { ActiveRequest, DispatchEffect, Run } from "./run.ts";
+import type { ActiveRequest, DispatchEffect, Run, RunContext } from "./run.ts";
 import { ServiceRun } from "./service_run.ts";
 import type { GenerationSink } from "./sinks.ts";
 import type { Generation, GenerationResult, PolicyInput } from "./types.ts";
@@ -62,7 +63,7 @@
 }
 
 /** Leads requests through the policy to backend servers. */
-export class Dispatcher {
+export class Dispatcher implements RunContext {
   readonly engines: EngineClient;
   readonly backendServers: Pick<BackendServers, "addressOf">;
   readonly telemetry: GatewayTelemetry;
@@ -132,7 +133,7 @@
     options: DispatchOptions,
   ): Promise<GenerationResult> {
     const run = new GenerationRun(this, { generation, sink });
-    return await this.#lead(run, generation.work, options);
+    return await this.lead(run, options);
   }
 
   /** Runs a call to a plain service. Throws as {@linkcode generate} does. */
@@ -141,18 +142,20 @@
     send: SendService,
     options: DispatchOptions,
   ): Promise<ServiceAnswer> {
-    return await this.#lead(
-      new ServiceRun(this, { work, send }),
-      work,
-      options,
-    );
+    return await this.lead(new ServiceRun(this, { work, send }), options);
   }
 
-  async #lead<Result>(
+  /**
+   * Leads a run through the policy to its end.
+   *
+   * @throws {RhubarbstageError} If the policy refuses the request.
+   * @throws {CallerGone} If the caller closes its connection.
+   */
+  async lead<Result>(
     run: Run<Result>,
-    work: Work,
     options: DispatchOptions,
   ): Promise<Result> {
+    const { work } = run;
     const { signal } = options;
     if (this.#runs.has(work.request)) {
       throw new RhubarbstageError("internal", {
@@ -176,8 +179,8 @@
   }
 
   #onCallerGone(run: ActiveRequest): void {
-    // The policy lets work that may not be repeated run to its end.
-    if (!run.work.repeatable && run.attempts > 0) return;
+    // The policy lets work that may not be cut run to its end.
+    if (!isCancellable(run.work) && run.attempts > 0) return;
     this.notify({ type: "caller_gone", request: run.work.request });
     run.abandon();
   }
--- a/packages/rhubarbstage-gateway/src/generation_run.ts
+++ b/packages/rhubarbstage-gateway/src/generation_run.ts
@@ -6,9 +6,8 @@
  */
 
 import { EngineError, type GenerationEvent } from "@rhubarbstage/engine";
-import type { Dispatcher } from "./dispatcher.ts";
 import { progressInterval } from "./constants.ts";
-import { type Attempt, Run } from "./run.ts";
+import { type Attempt, Run, type RunContext } from "./run.ts";
 import type { GenerationSink } from "./sinks.ts";
 import type { AnswerEvent, Generation, GenerationResult } from "./types.ts";
 
@@ -43,8 +42,8 @@
   #owner: Attempt | undefined;
   #hasFirstToken = false;
 
-  constructor(dispatcher: Dispatcher, options: GenerationRunOptions) {
-    super(dispatcher, options.generation.work);
+  constructor(context: RunContext, options: GenerationRunOptions) {
+    super(context, options.generation.work);
     this.#generation = options.generation;
     this.#sink = options.sink;
   }
@@ -63,7 +62,7 @@
   }
 
   protected override async run(attempt: Attempt): Promise<GenerationResult> {
-    const { engines } = this.dispatcher;
+    const { engines } = this.context;
     const { signal } = attempt.controller;
     const request = this.#request(attempt);
     const cacheHandle = await this.#moveCache(attempt);
@@ -100,7 +99,7 @@
   async #moveCache(attempt: Attempt): Promise<string | undefined> {
     const { prefillServer } = attempt.effect;
     if (prefillServer === undefined) return undefined;
-    const { engines, backendServers } = this.dispatcher;
+    const { engines, backendServers } = this.context;
     const { signal } = attempt.controller;
     const source = backendServers.addressOf(prefillServer);
     if (!source) {
@@ -176,9 +175,9 @@
     const { request, service, arrivedAt } = this.work;
     if (!this.#hasFirstToken) {
       this.#hasFirstToken = true;
-      this.dispatcher.telemetry.firstToken(service, this.#now() - arrivedAt);
+      this.context.telemetry.firstToken(service, this.#now() - arrivedAt);
     }
-    this.dispatcher.notify({
+    this.context.notify({
       type: "first_token",
       request,
       attempt: attempt.id,
@@ -197,8 +196,8 @@
     const mean = (now - progress.reportedAt) / count;
     progress.tokens = 0;
     progress.reportedAt = now;
-    this.dispatcher.telemetry.betweenTokens(this.work.service, mean, count);
-    this.dispatcher.notify({
+    this.context.telemetry.betweenTokens(this.work.service, mean, count);
+    this.context.notify({
       type: "tokens",
       request: this.work.request,
       attempt: attempt.id,
@@ -218,6 +217,6 @@
   }
 
   #now(): number {
-    return this.dispatcher.clock.monotonicMilliseconds();
+    return this.context.clock.monotonicMilliseconds();
   }
 }
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -4,15 +4,17 @@
  * @module
  */
 
-import type { EngineAddress } from "@rhubarbstage/engine";
+import type { EngineAddress, EngineClient } from "@rhubarbstage/engine";
 import type { PolicyEffect, Work } from "@rhubarbstage/policy";
 import {
   type AttemptId,
+  type Clock,
   RhubarbstageError,
   toRhubarbstageError,
 } from "rhubarbstage";
-import type { Dispatcher } from "./dispatcher.ts";
 import { CallerGone } from "./errors.ts";
+import type { BackendServers, GatewayTelemetry } from "./ports.ts";
+import type { PolicyInput } from "./types.ts";
 
 /** The effect that starts an attempt. */
 export type DispatchEffect = Extract<PolicyEffect, { type: "dispatch" }>;
@@ -25,6 +27,16 @@
   readonly controller: AbortController;
 }
 
+/** What runs need of whoever leads them through the policy. */
+export interface RunContext {
+  readonly engines: EngineClient;
+  readonly backendServers: Pick<BackendServers, "addressOf">;
+  readonly telemetry: GatewayTelemetry;
+  readonly clock: Clock;
+  /** Tells the policy what happened. */
+  notify(input: PolicyInput): void;
+}
+
 /** A request as the dispatcher sees it, whatever its result. */
 export interface ActiveRequest {
   readonly work: Work;
@@ -50,7 +62,7 @@
   attempts = 0;
   /** Called when an attempt is started. */
   onAttempt: (() => void) | undefined;
-  protected dispatcher: Dispatcher;
+  protected context: RunContext;
   #live = new Map<AttemptId, Attempt>();
   /** Whether a backend server may have run some of the request. */
   #mayHaveRun = false;
@@ -59,8 +71,8 @@
     reject: (error: Error) => void;
   };
 
-  constructor(dispatcher: Dispatcher, work: Work) {
-    this.dispatcher = dispatcher;
+  constructor(context: RunContext, work: Work) {
+    this.context = context;
     this.work = work;
     this.result = new Promise((resolve, reject) => {
       this.#settle = { resolve, reject };
@@ -73,14 +85,14 @@
     this.attempts += 1;
     this.onAttempt?.();
     const { attempt: id, server, priority, resumeFrom } = effect;
-    this.dispatcher.telemetry.note("attempt_started", {
+    this.context.telemetry.note("attempt_started", {
       request: this.work.request,
       attempt: id,
       server,
       priority,
       resume_from: resumeFrom,
     });
-    const address = this.dispatcher.backendServers.addressOf(server);
+    const address = this.context.backendServers.addressOf(server);
     const controller = new AbortController();
     if (!address) {
       const error = new RhubarbstageError("backend_unreachable");
@@ -179,7 +191,7 @@
   #reportFinish(attempt: AttemptId, result: Result): void {
     const { request } = this.work;
     const tokens = this.tokensOf(result);
-    this.dispatcher.notify({ type: "finished", request, attempt, ...tokens });
+    this.context.notify({ type: "finished", request, attempt, ...tokens });
   }
 
   #reportFailure(effect: DispatchEffect, error: RhubarbstageError): void {
@@ -187,7 +199,7 @@
     const { request } = this.work;
     const { kind, outcome, cause } = error;
     const { connectionLost } = error as { connectionLost?: boolean };
-    this.dispatcher.telemetry.note("attempt_failed", {
+    this.context.telemetry.note("attempt_failed", {
       request,
       attempt,
       server,
@@ -195,7 +207,7 @@
       outcome,
       cause: cause instanceof Error ? cause.message : "",
     });
-    this.dispatcher.notify({
+    this.context.notify({
       type: "failed",
       request,
       attempt,
--- a/packages/rhubarbstage-gateway/src/service_run.ts
+++ b/packages/rhubarbstage-gateway/src/service_run.ts
@@ -5,9 +5,8 @@
  */
 
 import type { Work } from "@rhubarbstage/policy";
-import type { Dispatcher } from "./dispatcher.ts";
 import type { SendService, ServiceAnswer } from "./ports.ts";
-import { type Attempt, Run } from "./run.ts";
+import { type Attempt, Run, type RunContext } from "./run.ts";
 
 /** What a {@linkcode ServiceRun} runs. */
 export interface ServiceRunOptions {
@@ -19,8 +18,8 @@
 export class ServiceRun extends Run<ServiceAnswer> {
   #send: SendService;
 
-  constructor(dispatcher: Dispatcher, options: ServiceRunOptions) {
-    super(dispatcher, options.work);
+  constructor(context: RunContext, options: ServiceRunOptions) {
+    super(context, options.work);
     this.#send = options.send;
   }
 
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -9,7 +9,7 @@
   type AnnouncementAnswer,
   BackendServers,
   type Dispatcher,
-} from "@rhubarbstage/gateway";
+} from "@rhubarbstage/gateway/dispatch";
 import type {
   Announcement,
   CacheEvents,
@@ -34,13 +34,18 @@
 
 /** Takes announcements and tells the policy which servers take work. */
 export class BackendRegistry extends BackendServers {
-  #settings: SettingsInForce;
+  #settings: Pick<SettingsInForce, "ready" | "configuration"> | undefined;
   #seen = new Map<BackendServerId, SeenServer>();
   #cacheSequences = new Map<BackendServerId, number>();
   #membership: Membership | undefined;
   #dispatcher: Dispatcher | undefined;
 
-  constructor(options: { readonly settings: SettingsInForce }) {
+  constructor(
+    options: {
+      /** Tells which servers an operator has drained; none when absent. */
+      readonly settings?: Pick<SettingsInForce, "ready" | "configuration">;
+    } = {},
+  ) {
     super();
     this.#settings = options.settings;
   }
@@ -99,6 +104,21 @@
     this.#tell(seen);
   }
 
+  /** Takes the load that a server told with an answer. */
+  takeLoad(id: BackendServerId, load: ServerLoad): void {
+    const seen = this.#seen.get(id);
+    if (seen === undefined) return;
+    const updated = { ...seen, load };
+    this.#seen.set(id, updated);
+    this.#tell(updated);
+  }
+
+  /** Tells the policy of one server again, after it has answered a check. */
+  confirm(id: BackendServerId): void {
+    const seen = this.#seen.get(id);
+    if (seen !== undefined) this.#tell(seen);
+  }
+
   /** Membership lost a server. */
   lose(id: BackendServerId, options: { readonly crashed: boolean }): void {
     const { crashed } = options;
@@ -127,7 +147,7 @@
 
   /** Whether an operator has drained a server. */
   isDrained(server: BackendServerId): boolean {
-    if (!this.#settings.ready) return false;
+    if (this.#settings?.ready !== true) return false;
     return this.#settings.configuration.drains.has(server);
   }
 
--- a/packages/rhubarbstage-host/src/host_telemetry.ts
+++ b/packages/rhubarbstage-host/src/host_telemetry.ts
@@ -9,7 +9,7 @@
   GatewayTelemetry,
   type MetricsText,
   type RequestRecord,
-} from "@rhubarbstage/gateway";
+} from "@rhubarbstage/gateway/dispatch";
 import { errorAnswers, type ServiceName } from "rhubarbstage";
 import type { Metrics } from "@rhubarbstage/telemetry";
 import type { HostEvents } from "./host_events.ts";
--- /dev/null
+++ b/packages/rhubarbstage-host/src/relay_mod.ts
@@ -0,0 +1,11 @@
+/**
+ * Composition of hosts that relay by a table of routes, without the interface
+ * for generations and its libraries.
+ *
+ * @module
+ */
+
+export type { RelayHostSettings } from "./relay_host_settings.ts";
+export type { RelayHostOptions } from "./relay_host.ts";
+export { RelayHost } from "./relay_host.ts";
+export { ControlDesk } from "./control_desk.ts";
--- a/packages/rhubarbstage-host/src/seat_operations.ts
+++ b/packages/rhubarbstage-host/src/seat_operations.ts
@@ -37,7 +37,8 @@
 } from "@rhubarbstage/settings";
 import type { Transport } from "@rhubarbstage/transport";
 
-const controlName = "control" as GroupName;
+/** Name of the group with configuration, orders and drains. */
+export const controlName = "control" as GroupName;
 
 function journalName(number: number): GroupName {
   return `journal-${number}` as GroupName;
@@ -45,8 +46,16 @@
 
 /** Options of {@linkcode SeatOperations.open}. */
 export interface SeatOperationsOptions {
-  readonly process: ProcessSettings;
+  readonly process: Pick<
+    ProcessSettings,
+    "cluster" | "dataFolder" | "journalGroups" | "peers" | "region"
+  >;
   readonly transport: Transport;
+  /**
+   * Hosts that may have seats, nearest first; those of the process settings by
+   * default.
+   */
+  readonly replicaHosts?: () => readonly HostId[];
   readonly onFailure: (failure: { group: GroupName; error: Error }) => void;
 }
 
@@ -94,6 +103,11 @@
     return this.#replica?.group(controlName) as ControlSeat | undefined;
   }
 
+  /** The replica of this host, if it has a data folder. */
+  get replica(): Replica | undefined {
+    return this.#replica;
+  }
+
   /** Id of this host's replica, if it has a data folder. */
   get replicaId(): ReplicaId | undefined {
     return this.#replica?.id;
@@ -165,7 +179,10 @@
     if (this.#replica !== undefined) {
       return this.#replica.group(name) as GroupSeat<unknown, Command, Result>;
     }
-    const { transport, process } = this.#options;
+    const { transport, process, replicaHosts } = this.#options;
+    if (replicaHosts !== undefined) {
+      return new GroupClient({ transport, group: name, hosts: replicaHosts });
+    }
     const hosts = process.peers
       .filter(({ replica }) => replica)
       .toSorted((left, right) =>
--- a/packages/rhubarbstage-membership/src/constants.ts
+++ b/packages/rhubarbstage-membership/src/constants.ts
@@ -33,6 +33,13 @@
  * restarted host knows all servers after a few messages.
  */
 export const firstDeltaByteBudget = 65_536;
+/**
+ * Up to this many living hosts, the owner of a change sends it to all of them
+ * at once; above, it goes from neighbour to neighbour.
+ */
+export const directPushLimit = 128;
+/** Hosts that say they are registrars and that every host gossips with. */
+export const registrarNeighbourLimit = 16;
 /** Loads in one message, newest first. */
 export const loadLimit = 16;
 /** Loads older than this are not passed on, in milliseconds. */
--- a/packages/rhubarbstage-membership/src/gossip_exchange.ts
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { HostId } from "rhubarbstage";
+import type { HostId, Incarnation } from "rhubarbstage";
 import { quarantineMarkLimit } from "./constants.ts";
 import {
   advanceHeartbeat,
@@ -73,6 +73,7 @@
 ): void {
   const log = state.logs.get(entry.host);
   const comparison = compareDigest(log, entry);
+  if (entry.host === state.self.host) outnumber(log, entry);
   if (comparison === "newer" && entry.host !== state.self.host) {
     reply.wants.push(toWant(log, entry));
     return;
@@ -85,6 +86,15 @@
   if (log !== undefined) advanceHeartbeat(log, entry, reply.now);
 }
 
+/**
+ * An earlier process of this host was started by a clock that ran ahead. Its
+ * number would hide this process, so this process takes the next one.
+ */
+function outnumber(log: HostLog | undefined, entry: DigestEntry): void {
+  if (log === undefined || entry.incarnation <= log.incarnation) return;
+  log.incarnation = entry.incarnation + 1 as Incarnation;
+}
+
 function applyDelta(
   state: MembershipState,
   delta: Delta,
--- a/packages/rhubarbstage-membership/src/gossip_round.ts
+++ b/packages/rhubarbstage-membership/src/gossip_round.ts
@@ -8,11 +8,12 @@
   choiceInterval,
   deletionMemory,
   departureMemory,
+  directPushLimit,
   loadLifetime,
-  probeAge,
   probesPerRound,
   renewTimeout,
 } from "./constants.ts";
+import type { HostId } from "rhubarbstage";
 import { buildDigest, DeltaBuilder, ownLog, writeEntry } from "./host_logs.ts";
 import { listNeighbours, pickGossipTargets } from "./neighbours.ts";
 import { chooseRegistrars } from "./registrars.ts";
@@ -45,6 +46,41 @@
   }
 }
 
+/**
+ * Sends the newest changes of the own log before the next round: to all living
+ * hosts while they are few, else to the neighbours. What is lost on the way,
+ * the rounds bring.
+ */
+export function pushChanges(
+  state: MembershipState,
+  now: number,
+  effects: Effects,
+): void {
+  state.urgentChange = false;
+  const log = ownLog(state);
+  const from = state.pushedVersion;
+  state.pushedVersion = log.version;
+  const builder = new DeltaBuilder();
+  const { host, incarnation } = log;
+  builder.addWanted(state, { host, incarnation, version: from }, now);
+  if (builder.deltas.length === 0) return;
+  const { deltas } = builder;
+  const message = { digest: [], wants: [], deltas, loads: [] };
+  for (const to of pushTargets(state, now)) {
+    effects.push({ type: "send", to, message });
+  }
+}
+
+function pushTargets(state: MembershipState, now: number): HostId[] {
+  const living: HostId[] = [];
+  for (const log of state.logs.values()) {
+    if (log.host !== state.self.host && isAlive(state, log, now)) {
+      living.push(log.host);
+    }
+  }
+  return living.length <= directPushLimit ? living : [...state.neighbours];
+}
+
 /** Choices look at all hosts, so they are not made in each round. */
 function chooseHosts(state: MembershipState, now: number): void {
   const settled = now - state.chosenAt < choiceInterval;
@@ -147,8 +183,8 @@
   let started = 0;
   for (const server of state.servers.values()) {
     if (started >= probesPerRound) return;
-    const stale = now - evidenceAt(state, server) > probeAge;
-    const waiting = now - server.checkStartedAt < probeAge;
+    const stale = now - evidenceAt(state, server) > state.probeAge;
+    const waiting = now - server.checkStartedAt < state.probeAge;
     if (!stale || waiting || server.record.leaving) continue;
     server.checkStartedAt = now;
     started += 1;
--- a/packages/rhubarbstage-membership/src/host_logs.ts
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -69,7 +69,10 @@
 ): void {
   const log = ownLog(state);
   log.version += 1;
-  if (isUrgent(value)) log.changedAt = now;
+  if (isUrgent(value)) {
+    log.changedAt = now;
+    state.urgentChange = true;
+  }
   log.entries.set(key, {
     version: log.version,
     value,
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -112,6 +112,10 @@
   ) => Promise<ServerCheck>;
   /** Own demand of the last interval. */
   readonly demand: () => ReadonlyMap<DemandSubject, DemandRates>;
+  /** Oldest evidence on which a server gets new work; defaults to 5,000 ms. */
+  readonly evidenceLimit?: number;
+  /** Evidence older than this is renewed by a check; defaults to 3,500 ms. */
+  readonly probeAge?: number;
   /** Ends all timers. */
   readonly signal: AbortSignal;
   readonly clock?: Clock;
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -6,8 +6,9 @@
 
 import type { Incarnation } from "rhubarbstage";
 import { Reducer, SeededRandom } from "rhubarbstage";
+import { evidenceLimit, probeAge } from "./constants.ts";
 import { publishMarks, receive } from "./gossip_exchange.ts";
-import { tick } from "./gossip_round.ts";
+import { pushChanges, tick } from "./gossip_round.ts";
 import { hashText } from "./hash.ts";
 import { createLog, ownLog, writeEntry } from "./host_logs.ts";
 import { announce, type Effects, leave, takeCheck } from "./server_records.ts";
@@ -24,6 +25,14 @@
   readonly seeds?: readonly HostRecord[];
   /** Seed of the choice of targets; defaults to the hash of the host's name. */
   readonly seed?: number;
+  /**
+   * Oldest evidence on which a server gets new work, in milliseconds; defaults
+   * to 5,000. Longer where requests name the process that they are meant for,
+   * so that a wrong server refuses them.
+   */
+  readonly evidenceLimit?: number;
+  /** Evidence older than this is renewed by a check; defaults to 3,500 ms. */
+  readonly probeAge?: number;
 }
 
 /** Membership on one host. See docs/design.md, section 4.6. */
@@ -45,10 +54,16 @@
       logs: new Map([[self.host, createLog(self.host, incarnation)]]),
       servers: new Map(),
       departures: new Map(),
+      evidenceLimit: this.#options.evidenceLimit ?? evidenceLimit,
+      probeAge: this.#options.probeAge ?? probeAge,
+      urgentChange: false,
+      pushedVersion: 0,
       seeds,
       random: new SeededRandom(seed),
-      registrarsByRegion: new Map([[self.region, [self.host]]]),
-      registrars: new Set([self.host]),
+      registrarsByRegion: new Map(
+        self.registrar === false ? [] : [[self.region, [self.host]]],
+      ),
+      registrars: new Set(self.registrar === false ? [] : [self.host]),
       neighbours: [],
       chosenAt: -Infinity,
       sliceStart: 0,
@@ -88,6 +103,7 @@
         tick(state, event.now, effects);
         break;
     }
+    if (state.urgentChange) pushChanges(state, event.now, effects);
     return effects;
   }
 }
--- a/packages/rhubarbstage-membership/src/neighbours.ts
+++ b/packages/rhubarbstage-membership/src/neighbours.ts
@@ -9,6 +9,7 @@
   gossipFanout,
   neighbourCount,
   regionalNeighbourCount,
+  registrarNeighbourLimit,
 } from "./constants.ts";
 import { hashText } from "./hash.ts";
 import { findHost, isAlive, type MembershipState } from "./state.ts";
@@ -60,7 +61,14 @@
     .filter((record) => record.region === self.region)
     .slice(0, regionalNeighbourCount);
   const others = ranked.filter((record) => !regional.includes(record));
-  return [...regional, ...others.slice(0, neighbourCount - regional.length)];
+  const chosen = [
+    ...regional,
+    ...others.slice(0, neighbourCount - regional.length),
+  ];
+  const registrars = ranked
+    .filter((record) => record.registrar === true)
+    .slice(0, registrarNeighbourLimit);
+  return [...new Set([...chosen, ...registrars])];
 }
 
 /**
--- a/packages/rhubarbstage-membership/src/registrars.ts
+++ b/packages/rhubarbstage-membership/src/registrars.ts
@@ -22,7 +22,7 @@
   const byRegion = new Map<Region, HostLog[]>();
   for (const log of state.logs.values()) {
     const record = findHost(state, log.host);
-    if (record === undefined) continue;
+    if (record === undefined || record.registrar === false) continue;
     // Hosts that are not registrars are heard of too rarely to be judged by
     // the time limit of registrars.
     const considered = state.registrars.has(log.host)
--- a/packages/rhubarbstage-membership/src/state.ts
+++ b/packages/rhubarbstage-membership/src/state.ts
@@ -11,7 +11,7 @@
   Region,
 } from "rhubarbstage";
 import { SeededRandom } from "rhubarbstage";
-import { evidenceLimit, hostTimeout, registrarTimeout } from "./constants.ts";
+import { hostTimeout, registrarTimeout } from "./constants.ts";
 import type {
   DigestEntry,
   HostRecord,
@@ -79,6 +79,14 @@
   readonly logs: Map<HostId, HostLog>;
   readonly servers: Map<BackendServerId, KnownServer>;
   readonly departures: Map<BackendServerId, Departure>;
+  /** Oldest evidence on which a server gets new work, in milliseconds. */
+  readonly evidenceLimit: number;
+  /** Evidence older than this is renewed by a direct check, in ms. */
+  readonly probeAge: number;
+  /** Entries that other hosts have to hear of before the next round. */
+  urgentChange: boolean;
+  /** Version of the own log up to which changes were pushed. */
+  pushedVersion: number;
   /** Hosts that gossip starts from before it has heard of others. */
   readonly seeds: readonly HostRecord[];
   readonly random: SeededRandom;
@@ -145,7 +153,7 @@
   now: number,
 ): boolean {
   if (server.record.leaving) return false;
-  return now - evidenceAt(state, server) <= evidenceLimit;
+  return now - evidenceAt(state, server) <= state.evidenceLimit;
 }
 
 /** Whether a host's heartbeat is recent. */
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -67,6 +67,13 @@
   readonly httpAddress: string;
   /** Whether it has a data folder. */
   readonly replica: boolean;
+  /**
+   * Whether it takes announcements of backend servers and so may own their
+   * records. Every host may when absent.
+   */
+  readonly registrar?: boolean;
+  /** Whether it sends requests to backend servers; true when absent. */
+  readonly servesCallers?: boolean;
 }
 
 /** A request fingerprint suspected of crashing servers; see the policy. */
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -32,6 +32,7 @@
   const { work, pool } = record;
   const attempt = createAttempt(state, record, { route, now });
   record.attempts.set(attempt.id, attempt);
+  record.starts += 1;
   occupy(state, attempt, now);
   if (record.attempts.size === 1) markPreemptible(record);
   if (work.repeatable) {
@@ -366,3 +367,8 @@
   const { priority } = record.work.settings;
   record.pool.preemptible.get(priority)?.delete(record);
 }
+
+/** Whether the request may be started on one more server. */
+export function mayStartAnother(record: RequestRecord): boolean {
+  return record.starts < (record.work.maxAttempts ?? Infinity);
+}
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -24,6 +24,8 @@
   prefixLife: 120_000,
   slowThreshold: 2,
   probeInterval: 4_000,
+  retryBurst: Infinity,
+  hedgeBurst: Infinity,
   hedgeRatio: 0.05,
   hedgeDelayFactor: 3,
   quarantinePeriod: 600_000,
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -5,7 +5,7 @@
  */
 
 import { errorAnswers } from "rhubarbstage";
-import { endAttempt } from "./attempts.ts";
+import { endAttempt, mayStartAnother } from "./attempts.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import { enqueue } from "./scheduling.ts";
 import type { ServerEntry } from "./server_table.ts";
@@ -108,7 +108,7 @@
   if (failure.outcome !== "not_run" && !work.repeatable) return refusal;
   if (record.delivered > 0 && !work.resumable) return refusal;
   if (now + record.estimate.firstTokenTime >= work.deadlineAt) return refusal;
-  if (!hasOtherServer(record)) return refusal;
+  if (!mayStartAnother(record) || !hasOtherServer(record)) return refusal;
   if (!state.retries.spend(work.customer)) return refusal;
   return undefined;
 }
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -27,6 +27,7 @@
 import { markCrash, takeDelayedRefusals, takeFailure } from "./failures.ts";
 import {
   applySettings,
+  boundBudgets,
   createFleetState,
   type FleetOptions,
   type FleetState,
@@ -39,11 +40,12 @@
 import { dequeue, dispatchPool, enqueue, waitingIn } from "./scheduling.ts";
 import { targetOf } from "./server_table.ts";
 import { expire, hedge, moveStreams } from "./supervision.ts";
-import type {
-  BackendServer,
-  PolicyEffect,
-  PolicyEvent,
-  Work,
+import {
+  type BackendServer,
+  isCancellable,
+  type PolicyEffect,
+  type PolicyEvent,
+  type Work,
 } from "./types.ts";
 import type { WorkEstimate } from "./work_estimates.ts";
 
@@ -72,7 +74,9 @@
   }
 
   override initial(): FleetState {
-    return createFleetState(this.#options);
+    const state = createFleetState(this.#options);
+    boundBudgets(state);
+    return state;
   }
 
   override reduce(
@@ -211,6 +215,7 @@
     queuedAt: now,
     preemptions: 0,
     tries: 0,
+    starts: 0,
     byFloor: false,
   };
 }
@@ -270,8 +275,7 @@
 ): PolicyEffect[] {
   const record = state.requests.get(event.request);
   if (record === undefined) return [];
-  // Work that may not be repeated runs to its end, so that its claim settles.
-  if (record.attempts.size > 0 && !record.work.repeatable) return [];
+  if (record.attempts.size > 0 && !isCancellable(record.work)) return [];
   dequeue(record);
   state.requests.delete(event.request);
   const cancels = [...record.attempts.values()].map((attempt) =>
@@ -369,6 +373,7 @@
     Math.max(0, event.position ?? 0),
   );
   state.modelDemand = event.models ?? new Map();
+  boundBudgets(state);
   return [];
 }
 
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -38,6 +38,10 @@
   readonly slowThreshold: number;
   /** A slowed server gets one request at least this often, if there is one. */
   readonly probeInterval: number;
+  /** Retries that one customer may have at once on all hosts together. */
+  readonly retryBurst: number;
+  /** Hedged and moved requests that may run at once on all hosts together. */
+  readonly hedgeBurst: number;
   /** Hedged and moved requests for each dispatched one. */
   readonly hedgeRatio: number;
   /** Wait for the first token before a hedge, in expected waits. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -72,6 +72,8 @@
   queuedAt: number;
   preemptions: number;
   tries: number;
+  /** Servers on which it was started, hedges and moves included. */
+  starts: number;
   byFloor: boolean;
 }
 
@@ -216,6 +218,7 @@
   state.settings = settings;
   state.table.configure(tableOptions(settings));
   state.quarantine.configure(settings.quarantinePeriod);
+  boundBudgets(state);
   for (const pool of state.poolStates.values()) {
     pool.slow.configure({ threshold, probeInterval });
   }
@@ -295,3 +298,14 @@
     now,
   };
 }
+
+/**
+ * Divides the bursts of retries and hedges evenly among the hosts, so that the
+ * sum over all hosts keeps to them without a call for each request.
+ */
+export function boundBudgets(state: FleetState): void {
+  const { retryBurst, hedgeBurst } = state.settings;
+  const { hosts } = state.limits;
+  state.retries.bound(retryBurst / hosts);
+  state.extraRuns.bound(hedgeBurst / hosts);
+}
--- a/packages/rhubarbstage-policy/src/retry_budget.ts
+++ b/packages/rhubarbstage-policy/src/retry_budget.ts
@@ -12,10 +12,17 @@
 /** A number of extra runs in proportion to first runs. */
 export class RunBudget {
   #level = largestBudget;
+  #largest = largestBudget;
+
+  /** Bounds what may be saved up; at least one extra run. */
+  bound(largest: number): void {
+    this.#largest = Math.max(1, Math.min(largestBudget, largest));
+    this.#level = Math.min(this.#level, this.#largest);
+  }
 
   /** Counts a first run, which allows `ratio` extra runs. */
   earn(ratio: number): void {
-    this.#level = Math.min(largestBudget, this.#level + ratio);
+    this.#level = Math.min(this.#largest, this.#level + ratio);
   }
 
   /** Takes one extra run, if there is one left. */
@@ -29,6 +36,13 @@
 /** One retry budget for each customer. */
 export class RetryBudgets {
   #budgets = new Map<CustomerId, RunBudget>();
+  #largest = Infinity;
+
+  /** Bounds what each customer may save up on this host. */
+  bound(largest: number): void {
+    this.#largest = largest;
+    for (const budget of this.#budgets.values()) budget.bound(largest);
+  }
 
   earn(customer: CustomerId, ratio: number): void {
     this.#of(customer).earn(ratio);
@@ -42,6 +56,7 @@
     let budget = this.#budgets.get(customer);
     if (budget === undefined) {
       budget = new RunBudget();
+      budget.bound(this.#largest);
       this.#budgets.set(customer, budget);
     }
     return budget;
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -4,18 +4,23 @@
  * @module
  */
 
-import { cancelAttempt, paceOf, startAttempt } from "./attempts.ts";
+import {
+  cancelAttempt,
+  mayStartAnother,
+  paceOf,
+  startAttempt,
+} from "./attempts.ts";
 import { type Attempt, type FleetState, routingView } from "./fleet_state.ts";
 import { chooseRoute, type Route } from "./routing.ts";
 import { dequeue, mayHaveRun, routingDemand, waitingIn } from "./scheduling.ts";
-import type { PolicyEffect } from "./types.ts";
+import { isCancellable, type PolicyEffect } from "./types.ts";
 
 /** Streams that are moved in one tick. */
 const movesPerTick = 4;
 /** Saved time, in milliseconds, from which a move of a stream pays. */
 const movePays = 100;
 
-/** Refuses waiting work and cancels repeatable work at its deadline. */
+/** Refuses waiting work and cancels running work at its deadline. */
 export function expire(state: FleetState, now: number): PolicyEffect[] {
   const effects: PolicyEffect[] = [];
   for (;;) {
@@ -25,9 +30,8 @@
     const record = timer.subject;
     const { work } = record;
     if (state.requests.get(work.request) !== record) continue;
-    // Work that may not be repeated runs to its end, so that its claim settles.
     const running = record.attempts.size > 0;
-    if (running && !work.repeatable) continue;
+    if (running && !isCancellable(work)) continue;
     for (const attempt of [...record.attempts.values()]) {
       effects.push(cancelAttempt(state, attempt, "deadline", now));
     }
@@ -37,7 +41,7 @@
       type: "refuse",
       request: work.request,
       kind: "deadline_exceeded",
-      outcome: mayHaveRun(record) ? "may_have_run" : "not_run",
+      outcome: running || mayHaveRun(record) ? "may_have_run" : "not_run",
     });
   }
 }
@@ -86,6 +90,7 @@
 ): PolicyEffect[] {
   const { record } = attempt;
   if (!record.work.repeatable || record.attempts.size > 1) return [];
+  if (!mayStartAnother(record)) return [];
   if (waitingIn(record.pool) > 0 || now >= record.work.deadlineAt) return [];
   const route = betterRoute(state, attempt, now);
   if (route === undefined || !state.extraRuns.spend()) return [];
@@ -113,6 +118,7 @@
   const { record } = attempt;
   const { work, pool } = record;
   if (!work.repeatable || !work.resumable) return false;
+  if (!mayStartAnother(record)) return false;
   if (attempt.firstTokenAt === undefined || record.attempts.size !== 1) {
     return false;
   }
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -62,11 +62,24 @@
   readonly repeatable: boolean;
   /** Whether the stream may be cancelled and resumed elsewhere. */
   readonly resumable: boolean;
+  /**
+   * Whether it ends when its caller leaves or its deadline passes, even while
+   * it runs. Defaults to `repeatable`: other work runs to its end, so that its
+   * claim settles.
+   */
+  readonly cancellable?: boolean;
+  /** Most servers on which it may be started; unlimited when absent. */
+  readonly maxAttempts?: number;
   readonly arrivedAt: number;
   readonly deadlineAt: number;
   readonly settings: WorkSettings;
 }
 
+/** Whether running work may be cut short for its caller or its deadline. */
+export function isCancellable(work: Work): boolean {
+  return work.cancellable ?? work.repeatable;
+}
+
 /** Load report of a backend server; seconds old by the time it is read. */
 export interface BackendServerLoad {
   readonly runningRequests: number;
--- /dev/null
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -0,0 +1,31 @@
+/**
+ * Transparent relay: any request, by a table of routes, under the policy.
+ *
+ * @module
+ */
+
+export type {
+  AnswerLoad,
+  AnswerTraits,
+  AttemptTraits,
+  CallerLimits,
+  EngineTraits,
+  HeaderList,
+  PromptExport,
+  PromptPart,
+  RelayService,
+  RequestTraits,
+  Route,
+  RouteKind,
+  RouteTable,
+  RouteTarget,
+} from "./types.ts";
+export type { ServerCall } from "./dialect.ts";
+export { Dialect } from "./dialect.ts";
+export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
+export { pickTarget, RouteIndex } from "./route_index.ts";
+export type { ServerConnectionsOptions } from "./server_connections.ts";
+export { refusesConnections, ServerConnections } from "./server_connections.ts";
+export type { RelayOptions } from "./relay.ts";
+export { prefixesOf, Relay, relayStatus } from "./relay.ts";
+export { RelayListener } from "./relay_listener.ts";
--- /dev/null
+++ b/packages/rhubarbstage-relay/src/route_index.ts
@@ -0,0 +1,58 @@
+/**
+ * Finding the route of a request.
+ *
+ * @module
+ */
+
+import type { ServiceName } from "rhubarbstage";
+import type { RelayService, Route, RouteTable } from "./types.ts";
+
+/** A table of routes, prepared for look-ups. */
+export class RouteIndex {
+  readonly table: RouteTable;
+  /** Routes of each host name, longest prefix first. */
+  #routes = new Map<string, Route[]>();
+  #services = new Map<ServiceName, RelayService>();
+
+  constructor(table: RouteTable) {
+    this.table = table;
+    for (const service of table.services) {
+      this.#services.set(service.name, service);
+    }
+    for (const route of table.routes) {
+      const routes = this.#routes.get(route.hostName) ?? [];
+      routes.push(route);
+      this.#routes.set(route.hostName, routes);
+    }
+    for (const routes of this.#routes.values()) {
+      routes.sort((left, right) =>
+        right.pathPrefix.length - left.pathPrefix.length
+      );
+    }
+  }
+
+  /** The route with the longest prefix of the path, if there is one. */
+  find(hostName: string, path: string): Route | undefined {
+    return this.#routes.get(hostName.toLowerCase())
+      ?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
+  }
+
+  service(name: ServiceName): RelayService | undefined {
+    return this.#services.get(name);
+  }
+}
+
+/**
+ * Draws one target of a route by weight.
+ *
+ * @param draw Number from 0 up to 1.
+ */
+export function pickTarget(route: Route, draw: number): ServiceName {
+  let rest = draw *
+    route.targets.reduce((sum, target) => sum + target.weight, 0);
+  for (const { service, weight } of route.targets) {
+    rest -= weight;
+    if (rest < 0) return service;
+  }
+  return (route.targets.at(-1) as Route["targets"][number]).service;
+}
--- a/packages/rhubarbstage-replica/src/mod.ts
+++ b/packages/rhubarbstage-replica/src/mod.ts
@@ -31,3 +31,5 @@
   ReplicaOptions,
 } from "./options.ts";
 export { Replica } from "./replica.ts";
+export type { SeatKeeperOptions } from "./seat_keeper.ts";
+export { SeatKeeper } from "./seat_keeper.ts";
--- a/packages/rhubarbstage-replica/src/replica.ts
+++ b/packages/rhubarbstage-replica/src/replica.ts
@@ -7,7 +7,7 @@
 import { randomInt } from "node:crypto";
 import { delay, RhubarbstageError } from "rhubarbstage";
 import type { GroupName, HostId, ReplicaId } from "rhubarbstage";
-import type { Message, Seat } from "@rhubarbstage/consensus";
+import type { Message, Seat, SeatChange } from "@rhubarbstage/consensus";
 import { DataFolder } from "@rhubarbstage/storage";
 import {
   BootstrapGranter,
@@ -16,7 +16,11 @@
 } from "./bootstrap.ts";
 import { consensusMessage, fromWire } from "./codec.ts";
 import type { ConsensusBatch } from "./codec.ts";
-import { defaultTickInterval, transferTimeout } from "./constants.ts";
+import {
+  defaultCallTimeout,
+  defaultTickInterval,
+  transferTimeout,
+} from "./constants.ts";
 import { forwardRequest } from "./forward.ts";
 import type { ForwardedAnswer, ForwardedCall } from "./forward.ts";
 import type { GroupSeat } from "./group_seat.ts";
@@ -36,7 +40,7 @@
   snapshotRequest,
 } from "./snapshot_transfer.ts";
 import type { SnapshotPiece } from "./snapshot_transfer.ts";
-import type { Leadership, ReplicaStatus } from "./types.ts";
+import type { GroupStatus, Leadership, ReplicaStatus } from "./types.ts";
 
 type AnyLocalGroup = LocalGroup<unknown, unknown, unknown>;
 
@@ -160,6 +164,22 @@
     await runRepair({ ...options, transport, callers, replica: this.id });
   }
 
+  /** One group as this replica sees it. */
+  groupStatus(name: GroupName): GroupStatus {
+    return this.#group(name).status();
+  }
+
+  /**
+   * Takes one step in a change of the seats, if this replica leads the group.
+   * Returns `committed` or why the step was refused. Throws `no_quorum`.
+   */
+  async changeSeat(name: GroupName, change: SeatChange): Promise<string> {
+    const signal = AbortSignal.timeout(defaultCallTimeout);
+    const call = { kind: "change_seats", group: name, change } as const;
+    const answer = await this.#group(name).answer(call, signal);
+    return answer.kind === "done" ? String(answer.value) : "not_leader";
+  }
+
   /** What an operator sees of this replica. */
   status(): ReplicaStatus {
     const { identity } = this.#folder;
--- /dev/null
+++ b/packages/rhubarbstage-replica/src/seat_plan.ts
@@ -0,0 +1,81 @@
+/**
+ * Which seat of a group has to change next, as a pure function.
+ *
+ * @module
+ */
+
+import type { HostId, ReplicaId } from "rhubarbstage";
+import type { Seat, SeatChange } from "@rhubarbstage/consensus";
+import type { SeatStatus } from "./types.ts";
+
+/** What the leader of a group sees. */
+export interface SeatView {
+  readonly seats: readonly SeatStatus[];
+  /** Replica of the leader itself. */
+  readonly self: ReplicaId;
+  /** Voters that the group should have. */
+  readonly target: number;
+  /** Replicas of the hosts that answer now. */
+  readonly present: ReadonlyMap<HostId, ReplicaId>;
+  /** Hosts that have been silent for so long that their seat is given away. */
+  readonly silent: ReadonlySet<HostId>;
+  readonly commitIndex: number;
+}
+
+/**
+ * The next step towards a group of `target` voters on hosts that answer:
+ *
+ * 1. A voter whose host answers with another replica has lost its disk. It
+ *    never votes again, so it goes before anything else.
+ * 2. A silent voter goes only when a replica that has caught up can take its
+ *    place, because it may come back with what it has on its disk.
+ * 3. Learners are added, and promoted once they have what is committed.
+ */
+export function planSeatChange(view: SeatView): SeatChange | undefined {
+  const voters = view.seats.filter(({ role }) => role === "voter");
+  const wiped = view.seats.find((seat) => isWiped(view, seat));
+  if (wiped !== undefined && voters.length > 1) return remove(wiped);
+  const ready = view.seats.find((seat) => isReady(view, seat));
+  const silent = voters.find((seat) => isSilent(view, seat));
+  const isShort = voters.length < view.target;
+  if (ready !== undefined) {
+    if (isShort) return { kind: "promote", replica: ready.replica };
+    if (silent !== undefined) return remove(silent);
+  }
+  const stale = view.seats.find((seat) =>
+    seat.role === "learner" && isSilent(view, seat)
+  );
+  if (stale !== undefined) return remove(stale);
+  if (!isShort && silent === undefined) return undefined;
+  const candidate = findCandidate(view);
+  return candidate && { kind: "add_learner", seat: candidate };
+}
+
+function remove({ replica }: SeatStatus): SeatChange {
+  return { kind: "remove", replica };
+}
+
+function isWiped(view: SeatView, seat: SeatStatus): boolean {
+  const replica = view.present.get(seat.host);
+  return replica !== undefined && replica !== seat.replica &&
+    seat.replica !== view.self;
+}
+
+function isSilent(view: SeatView, seat: SeatStatus): boolean {
+  return seat.replica !== view.self && view.silent.has(seat.host);
+}
+
+function isReady(view: SeatView, seat: SeatStatus): boolean {
+  return seat.role === "learner" && !view.silent.has(seat.host) &&
+    (seat.durableIndex ?? -1) >= view.commitIndex;
+}
+
+function findCandidate(view: SeatView): Seat | undefined {
+  const seated = new Set(view.seats.map(({ replica }) => replica));
+  // One learner at a time keeps the load of snapshots low.
+  if (view.seats.some(({ role }) => role === "learner")) return undefined;
+  for (const [host, replica] of view.present) {
+    if (!seated.has(replica)) return { host, replica };
+  }
+  return undefined;
+}
--- a/packages/rhubarbstage-transport/src/peer_transport.ts
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -444,12 +444,12 @@
   /**
    * Whether a known link stays when another to the same host opens. When both
    * hosts dial at once, both keep the link of the smaller host id. An older
-   * link is replaced, because its other end may have lost it.
+   * link is replaced, because its other end may have lost it. A link to another
+   * process of the host always replaces the known one: it has just proven that
+   * this process runs, whatever the wall clocks of the two say.
    */
   #isPreferred(known: Link, other: Link): boolean {
-    if (known.peer.incarnation !== other.peer.incarnation) {
-      return known.peer.incarnation > other.peer.incarnation;
-    }
+    if (known.peer.incarnation !== other.peer.incarnation) return false;
     const { handshakeTimeout = defaultHandshakeTimeout } = this.#options;
     const age = other.startedAt - known.startedAt;
     if (known.isDialled === other.isDialled || age > handshakeTimeout) {
--- /dev/null
+++ b/scripts/build_platform.mjs
@@ -0,0 +1,19 @@
+/** Bundles the process for the platform into `target/platform.cjs`. */
+import { dirname, join } from "node:path";
+import { fileURLToPath } from "node:url";
+import { build } from "esbuild";
+
+const root = dirname(dirname(fileURLToPath(import.meta.url)));
+
+await build({
+  entryPoints: [join(root, "platform/main.ts")],
+  outfile: join(root, "target/platform.cjs"),
+  bundle: true,
+  minify: true,
+  keepNames: true,
+  platform: "node",
+  target: "node20",
+  format: "cjs",
+  external: ["bufferutil", "utf-8-validate"],
+  logLevel: "warning",
+});
