--- a/packages/rhubarbstage-bench/src/relay_servers.ts
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -222,6 +222,7 @@
 }
 
 class NoListener extends PolicyListener {
+  override announcePlacement(): void {}
   override setRole() {}
   override publishQuarantine() {}
   override publishDemand() {}
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -186,6 +186,7 @@
 }
 
 class NoListener extends PolicyListener {
+  override announcePlacement(): void {}
   override setRole() {}
   override publishQuarantine() {}
   override publishDemand() {}
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -271,6 +271,11 @@
 /** Carries out the effects of the policy that the dispatcher does not. */
 export abstract class PolicyListener {
   abstract setRole(server: BackendServerId, role: EngineRole): void;
+  /** Tells other hosts that a prefix will be in a server's cache. */
+  abstract announcePlacement(
+    server: BackendServerId,
+    prefixes: readonly string[],
+  ): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
   /** Demand that this host sees, for exchange with other hosts. */
   abstract publishDemand(
--- a/packages/rhubarbstage-host/src/host_policy_listener.ts
+++ b/packages/rhubarbstage-host/src/host_policy_listener.ts
@@ -44,6 +44,10 @@
     void this.#options.orders.setRole(server, role);
   }
 
+  override announcePlacement(): void {
+    // Engines send events of their caches themselves.
+  }
+
   override publishQuarantine(marks: readonly QuarantineMark[]): void {
     this.#membership?.publishMarks(marks);
   }
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -7,6 +7,7 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import {
+  type BackendServerId,
   type Clock,
   delay,
   type HostId,
@@ -72,6 +73,16 @@
 const retryPart = 0.6;
 const hedgePart = 0.2;
 
+/** Shared tokens from which a prompt has a home server. */
+const tokensPerPrefix = 1_000;
+/** Time to export and import KV cache, without its transfer, in ms. */
+const kvFixedCost = 12;
+/**
+ * Time to transfer the KV cache of one token, in milliseconds: 18 KB over
+ * 370 Gbit/s take 0.0004 ms; the rest weighs the price of the path.
+ */
+const kvCostPerToken = 0.001;
+
 /** Options of {@linkcode RelayHost.start}. */
 export interface RelayHostOptions {
   readonly dialect: Dialect;
@@ -337,6 +348,8 @@
 class RelayPolicyListener extends PolicyListener {
   readonly #demand: DemandReport;
   membership: Membership | undefined;
+  incarnationOf: (server: BackendServerId) => Incarnation | undefined = () =>
+    undefined;
 
   constructor(demand: DemandReport) {
     super();
@@ -347,6 +360,16 @@
     // Hosts that relay hold no authority over roles.
   }
 
+  override announcePlacement(
+    id: BackendServerId,
+    stored: readonly string[],
+  ): void {
+    const incarnation = this.incarnationOf(id);
+    if (incarnation === undefined) return;
+    const change = { id, incarnation, stored, evicted: [], gap: false };
+    this.membership?.changeCache(change);
+  }
+
   override publishQuarantine(
     marks: Parameters<PolicyListener["publishQuarantine"]>[0],
   ): void {
@@ -387,6 +410,7 @@
     dispatcher,
     link: (membership: Membership) => {
       listener.membership = membership;
+      listener.incarnationOf = (id) => registry.recordOf(id)?.incarnation;
     },
   };
   return serving;
@@ -401,6 +425,12 @@
     hedgeRatio: settings.retries.ratio * hedgePart,
     // Engines batch continuously, so that long work blocks no slot of others.
     longCostFactor: 1e6,
+    homeTokens: tokensPerPrefix,
+    announcePlacements: true,
+    // Engines compute prompts at half the speed while they generate.
+    decodePromptFactor: 2,
+    kvFixedCost,
+    kvCostPerToken,
     // A request that is given up is answered at once.
     quarantineSpread: 0,
     quarantinePeriod: 30_000,
@@ -449,6 +479,7 @@
         transport.setAddress(record.host, { address, port: Number(port) });
       },
       hostGone: (host) => events.note("host_gone", { peer: host }),
+      cacheChanged: (change) => registry.noteCache(change),
       marksHeard: (marks) =>
         dispatcher.notify({ type: "quarantine_reported", marks }),
       demandHeard: (totals) => {
--- a/packages/rhubarbstage-membership/src/demand_exchange.ts
+++ b/packages/rhubarbstage-membership/src/demand_exchange.ts
@@ -6,7 +6,7 @@
  */
 
 import type { HostId } from "rhubarbstage";
-import { hashText } from "./hash.ts";
+import { hashText } from "rhubarbstage";
 
 /** What demand is counted for, for example `customer/kiosks`. */
 export type DemandSubject = string;
--- a/packages/rhubarbstage-membership/src/host_logs.ts
+++ b/packages/rhubarbstage-membership/src/host_logs.ts
@@ -15,7 +15,7 @@
   firstDeltaByteBudget,
   loadLimit,
 } from "./constants.ts";
-import { hashText } from "./hash.ts";
+import { hashText } from "rhubarbstage";
 import {
   type HostLog,
   type LogEntry,
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -9,7 +9,7 @@
 import { evidenceLimit, probeAge } from "./constants.ts";
 import { publishMarks, receive } from "./gossip_exchange.ts";
 import { pushChanges, tick } from "./gossip_round.ts";
-import { hashText } from "./hash.ts";
+import { hashText } from "rhubarbstage";
 import { createLog, ownLog, writeEntry } from "./host_logs.ts";
 import { announce, type Effects, leave, takeCheck } from "./server_records.ts";
 import type { MembershipState } from "./state.ts";
--- a/packages/rhubarbstage-membership/src/neighbours.ts
+++ b/packages/rhubarbstage-membership/src/neighbours.ts
@@ -11,7 +11,7 @@
   regionalNeighbourCount,
   registrarNeighbourLimit,
 } from "./constants.ts";
-import { hashText } from "./hash.ts";
+import { hashText } from "rhubarbstage";
 import { findHost, isAlive, type MembershipState } from "./state.ts";
 import type { HostRecord } from "./types.ts";
 
--- a/packages/rhubarbstage-membership/src/registrars.ts
+++ b/packages/rhubarbstage-membership/src/registrars.ts
@@ -6,7 +6,7 @@
 
 import type { BackendServerId, HostId, Region } from "rhubarbstage";
 import { registrarsPerRegion, registrarTimeout } from "./constants.ts";
-import { hashText } from "./hash.ts";
+import { hashText } from "rhubarbstage";
 import { findHost, type HostLog, type MembershipState } from "./state.ts";
 
 function isRecent(state: MembershipState, log: HostLog, now: number): boolean {
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -5,10 +5,11 @@
  */
 
 import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
-import { promptOverhead } from "./constants.ts";
+import { placementRefresh, promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
-import type { CancelReason, PolicyEffect } from "./types.ts";
+import type { ServerEntry } from "./server_table.ts";
+import type { BackendServer, CancelReason, PolicyEffect } from "./types.ts";
 
 /** Tokens or time after which the speed of a stream is judged anew. */
 const speedWindowTokens = 16;
@@ -28,7 +29,7 @@
   record: RequestRecord,
   route: Route,
   now: number,
-): PolicyEffect {
+): PolicyEffect[] {
   const { work, pool } = record;
   const attempt = createAttempt(state, record, { route, now });
   record.attempts.set(attempt.id, attempt);
@@ -39,10 +40,12 @@
     const at = now + hedgeDelayOf(state, attempt);
     state.hedges.push({ at, subject: attempt });
   }
-  if (work.model !== undefined) learnRoute(state, attempt, now);
+  const effects = work.model === undefined
+    ? []
+    : learnRoute(state, attempt, now);
   pool.slow.sent(attempt.entry.server.id, now);
   const { prefill } = attempt;
-  return {
+  effects.push({
     type: "dispatch",
     request: work.request,
     attempt: attempt.id,
@@ -50,7 +53,8 @@
     ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
     priority: work.settings.priority * 2 + (record.long ? 0 : 1),
     resumeFrom: record.delivered,
-  };
+  });
+  return effects;
 }
 
 function createAttempt(
@@ -86,15 +90,41 @@
 }
 
 /** Learns where the prompt is computed and will be cached. */
-function learnRoute(state: FleetState, attempt: Attempt, now: number): void {
+function learnRoute(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): PolicyEffect[] {
   const { record, entry, prefill, uncachedTokens } = attempt;
   const { promptTokens: tokens, prefixes } = record.work;
   const onPrefillEngine = prefill?.server.role === "prefill";
-  state.prefixes.store(entry.server.id, prefixes, now);
+  const effects: PolicyEffect[] = [];
+  for (const { server } of prefill === undefined ? [entry] : [entry, prefill]) {
+    effects.push(...announcePlacement(state, { server, prefixes, now }));
+    state.prefixes.store(server.id, prefixes, now);
+  }
   record.pool.estimates.learnPlacement(
     { tokens, uncachedTokens, onPrefillEngine },
     now,
   );
+  return effects;
+}
+
+/** Tells other hosts of a placement that they may not know. */
+function announcePlacement(
+  state: FleetState,
+  placement: {
+    readonly server: BackendServer;
+    readonly prefixes: readonly string[];
+    readonly now: number;
+  },
+): PolicyEffect[] {
+  const { server, prefixes, now } = placement;
+  const deepest = prefixes.at(-1);
+  if (!state.settings.announcePlacements || deepest === undefined) return [];
+  const placedAt = state.prefixes.placedAt(server.id, deepest);
+  if (placedAt !== undefined && now - placedAt < placementRefresh) return [];
+  return [{ type: "announce_placement", server: server.id, prefixes }];
 }
 
 /** The attempt, unless it has ended. */
@@ -165,7 +195,8 @@
   const elapsed = Math.max(0.1, now - attempt.startedAt - path);
   if (record.work.model !== undefined) {
     const tokens = attempt.uncachedTokens + promptOverhead;
-    const expected = estimates.prefillTime(tokens, now);
+    const factor = promptFactor(state, prefill ?? entry);
+    const expected = estimates.prefillTime(tokens, now) * factor;
     // Time in the queue of a full engine says nothing about its speed.
     if (!attempt.queued) {
       const sample = {
@@ -174,7 +205,7 @@
       } as const;
       slow.observe((prefill ?? entry).server.id, sample, now);
     }
-    estimates.learnFirstToken(tokens, elapsed, now);
+    estimates.learnFirstToken(tokens, elapsed / factor, now);
     const onPrefillEngine = prefill?.server.role === "prefill";
     estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
   }
@@ -372,3 +403,9 @@
 export function mayStartAnother(record: RequestRecord): boolean {
   return record.starts < (record.work.maxAttempts ?? Infinity);
 }
+
+/** Time of an engine for a prompt token, in that of a prefill engine. */
+export function promptFactor(state: FleetState, entry: ServerEntry): number {
+  const { role } = entry.server;
+  return role === "decode" ? state.settings.decodePromptFactor : 1;
+}
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -20,6 +20,9 @@
   crossRegionPenalty: 20,
   sampledServers: 6,
   bestServers: 3,
+  homeTokens: Infinity,
+  decodePromptFactor: 1,
+  announcePlacements: false,
   prefixEntries: 20_000,
   prefixLife: 120_000,
   slowThreshold: 2,
@@ -72,5 +75,8 @@
 /** Weight below which a slowed server gets probes only. */
 export const smallestWeight = 0.02;
 
+/** Age at which the placement of a prefix is announced again. */
+export const placementRefresh = 8_000;
+
 /** Fixed time of each prompt, counted in tokens. */
 export const promptOverhead = 100;
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -32,6 +32,18 @@
   readonly bestServers: number;
   /** Most prefixes that are remembered. */
   readonly prefixEntries: number;
+  /**
+   * Tokens of a shared prefix from which all hosts send its requests to the
+   * same engine, found by hash, until they know of one that has it cached.
+   */
+  readonly homeTokens: number;
+  /**
+   * Time that a decode engine takes for a prompt token, in that of a prefill
+   * engine.
+   */
+  readonly decodePromptFactor: number;
+  /** Whether other hosts are told where a prefix is computed. */
+  readonly announcePlacements: boolean;
   /** Age at which a hint about a cached prefix is no longer used. */
   readonly prefixLife: number;
   /** Latency, in that of the peers, from which a server counts as slow. */
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
+import {
+  type BackendServerId,
+  hashText,
+  type Region,
+  type SeededRandom,
+} from "rhubarbstage";
 import { promptOverhead, tokensPerBlock } from "./constants.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { kvTransferPays, kvTransferTime } from "./kv_transfer.ts";
@@ -74,7 +79,8 @@
     .filter((entry) => suits(view, demand, entry));
   const lively = entries.filter((entry) => passesSlowGate(view, demand, entry));
   const usable = lively.length > 0 ? lively : entries;
-  const candidates = usable.map((entry) =>
+  const home = cached.size === 0 ? findHome(view, demand.work, usable) : undefined;
+  const candidates = (home === undefined ? usable : [home]).map((entry) =>
     scoreEntry(view, demand, { entry, cached })
   );
   const chosen = pickAmongBest(view, candidates);
@@ -83,6 +89,35 @@
   return prefill ?? chosen;
 }
 
+/**
+ * The server to which all hosts send a shared prefix that none of them has
+ * placed yet, so that it is computed and cached once. Chosen by the highest
+ * hash of prefix and server; undefined when that server cannot take it.
+ */
+function findHome(
+  view: RoutingView,
+  work: Work,
+  usable: readonly ServerEntry[],
+): ServerEntry | undefined {
+  const deepest = work.prefixes.at(-1);
+  const shared = work.prefixes.length * tokensPerBlock;
+  if (deepest === undefined || shared < view.settings.homeTokens) {
+    return undefined;
+  }
+  let home: ServerEntry | undefined;
+  let best = -1;
+  for (const entry of view.pool.members.values()) {
+    if (entry.server.role === "prefill" || !accepts(entry)) continue;
+    const rank = hashText(`${deepest}\n${entry.server.id}`);
+    if (rank <= best) continue;
+    best = rank;
+    home = entry;
+  }
+  if (home === undefined || view.table.room(home) <= 0) return undefined;
+  const isAvoided = usable.length > 0 && view.slow.weight(home.server.id) < 1;
+  return isAvoided ? undefined : home;
+}
+
 /** Whether a request may run on a server, apart from the server's room. */
 export function suits(
   view: RoutingView,
@@ -186,7 +221,8 @@
   const uncachedTokens = work.promptTokens - (cached.get(id) ?? 0);
   const compute = work.model === undefined
     ? estimates.estimate(work, now).firstTokenTime
-    : estimates.prefillTime(uncachedTokens + promptOverhead, now);
+    : estimates.prefillTime(uncachedTokens + promptOverhead, now) *
+      (entry.server.role === "decode" ? settings.decodePromptFactor : 1);
   const path = pathTime(view, entry);
   const penalty = region === view.region ? 0 : settings.crossRegionPenalty;
   const load = view.table.used(entry) / Math.max(1, capacity);
@@ -278,7 +314,7 @@
   const moved = prefills ? work.promptTokens - own : held - own;
   if (moved <= 0) return undefined;
   const uncachedTokens = prefills
-    ? work.promptTokens - Math.max(held, own)
+    ? work.promptTokens - held
     : route.uncachedTokens - moved;
   const compute = estimates.prefillTime(uncachedTokens + promptOverhead, now);
   const wait = prefills ? entry.pendingPrefill : 0;
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { avoidedServers, cancelAttempt, startAttempt } from "./attempts.ts";
+import { avoidedServers, cancelAttempt, promptFactor, startAttempt } from "./attempts.ts";
 import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
@@ -174,7 +174,7 @@
   record.tries += 1;
   const { priority } = item.work.settings;
   addServed(pool, { priority, cost: item.cost }, now);
-  effects.push(startAttempt(state, record, route, now));
+  effects.push(...startAttempt(state, record, route, now));
   return effects;
 }
 
@@ -281,7 +281,7 @@
   const path = state.roundTrips.get(entry.server.region) ?? 0;
   const compute = record.work.model === undefined
     ? record.estimate.firstTokenTime
-    : record.pool.estimates.prefillTime(
+    : promptFactor(state, entry) * record.pool.estimates.prefillTime(
       record.work.promptTokens + promptOverhead,
       now,
     );
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -94,7 +94,7 @@
   if (waitingIn(record.pool) > 0 || now >= record.work.deadlineAt) return [];
   const route = betterRoute(state, attempt, now);
   if (route === undefined || !state.extraRuns.spend()) return [];
-  return [startAttempt(state, record, route, now), {
+  return [...startAttempt(state, record, route, now), {
     type: "note",
     event: "request_hedged",
     fields: {
@@ -152,7 +152,7 @@
   } as const;
   record.pool.slow.observeWait(attempt.entry.server.id, sample, now);
   const cancel = cancelAttempt(state, attempt, "moved", now);
-  return [cancel, startAttempt(state, record, route, now), {
+  return [cancel, ...startAttempt(state, record, route, now), {
     type: "note",
     event: "stream_moved",
     fields: {
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -294,6 +294,12 @@
     readonly own: ReadonlyMap<CustomerId, Demand>;
     readonly ownModels: ReadonlyMap<ModelName, ModelDemand>;
   }
+  | {
+    /** A prefix will soon be in the cache of a server. */
+    readonly type: "announce_placement";
+    readonly server: BackendServerId;
+    readonly prefixes: readonly string[];
+  }
   | {
     readonly type: "note";
     /** Event name for log and time line. */
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -373,12 +373,15 @@
   return query < 0 ? url : url.slice(0, query);
 }
 
-/** Names of the prompt's prefixes, one for each step of tokens. */
+/**
+ * Names of the prompt's shared prefixes, one for each step of tokens. The last
+ * part of a prompt is its own and never shared.
+ */
 export function prefixesOf(parts: readonly PromptPart[]): string[] {
   const names: string[] = [];
   let tokens = 0;
   let before = "";
-  for (const { id, tokens: length } of parts) {
+  for (const { id, tokens: length } of parts.slice(0, -1)) {
     tokens += length;
     while ((names.length + 1) * tokensPerPrefix <= tokens) {
       names.push(`${before}${id}#${names.length}`);
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -38,6 +38,7 @@
   ManualClock,
   SystemClock,
 } from "./clock.ts";
+export { hashText } from "./hash.ts";
 export { Reducer } from "./reducer.ts";
 export { SeededRandom } from "./random.ts";
 export { delay, every } from "./abort.ts";
