Test the relay's parts and keep a reset answer from passing for complete

Cause: the HTTP client treats a reset as the end of an answer that has no length, so half an answer was relayed as whole. The connection is now watched for resets. The test failed before and passes after.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -426,6 +426,7 @@
     // Engines batch continuously, so that long work blocks no slot of others.
     longCostFactor: 1e6,
     homeTokens: tokensPerPrefix,
+    estimateBacklog: true,
     announcePlacements: true,
     // Engines compute prompts at half the speed while they generate.
     decodePromptFactor: 2,
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
+import type {
+  AttemptId,
+  BackendServerId,
+  ModelName,
+  RequestId,
+} from "rhubarbstage";
 import { placementRefresh, promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
@@ -35,6 +40,7 @@
   record.attempts.set(attempt.id, attempt);
   record.starts += 1;
   occupy(state, attempt, now);
+  addBacklog(state, attempt, now);
   if (record.attempts.size === 1) markPreemptible(record);
   if (work.repeatable) {
     const at = now + hedgeDelayOf(state, attempt);
@@ -79,6 +85,7 @@
     resumeFrom: record.delivered,
     suspect: state.quarantine.isSuspect(fingerprint, now),
     queued: state.table.used(computing) >= computing.server.capacity,
+    expectedWait: computing.backlog.value(now),
     pendingPrefill: Math.max(0, expectedFirstToken - entry.pendingPrefill),
     countedLong: record.long,
     firstTokenAt: undefined,
@@ -89,6 +96,26 @@
   };
 }
 
+/** Counts the prompt on the engine that computes it, for all hosts. */
+function addBacklog(state: FleetState, attempt: Attempt, now: number): void {
+  const { record, entry, prefill, uncachedTokens } = attempt;
+  const { model } = record.work;
+  if (!state.settings.estimateBacklog || model === undefined) return;
+  const computing = prefill ?? entry;
+  const time = promptFactor(state, computing) *
+    record.pool.estimates.prefillTime(uncachedTokens, now);
+  computing.backlog.add(time, demandShare(state, model), now);
+}
+
+/** Demand of all hosts for a model, in that of this host. */
+function demandShare(state: FleetState, model: ModelName): number {
+  const { hosts } = state.limits;
+  const all = state.modelDemand.get(model)?.promptTokensPerSecond;
+  const own = state.ownModelDemand.get(model)?.promptTokensPerSecond;
+  if (all === undefined || own === undefined || own <= 0) return hosts;
+  return Math.min(2 * hosts, Math.max(1, all / own));
+}
+
 /** Learns where the prompt is computed and will be cached. */
 function learnRoute(
   state: FleetState,
@@ -205,7 +232,14 @@
       } as const;
       slow.observe((prefill ?? entry).server.id, sample, now);
     }
-    estimates.learnFirstToken(tokens, elapsed / factor, now);
+    (prefill ?? entry).backlog.correct(
+      elapsed - attempt.expectedFirstToken,
+      now,
+    );
+    // What an engine has queued before says nothing about its speed.
+    const wait = state.settings.estimateBacklog ? attempt.expectedWait : 0;
+    const computing = Math.max(elapsed - wait, elapsed / 4);
+    estimates.learnFirstToken(tokens, computing / factor, now);
     const onPrefillEngine = prefill?.server.role === "prefill";
     estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
   }
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -22,6 +22,7 @@
   bestServers: 3,
   homeTokens: Infinity,
   decodePromptFactor: 1,
+  estimateBacklog: false,
   announcePlacements: false,
   prefixEntries: 20_000,
   prefixLife: 120_000,
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -42,6 +42,8 @@
    * engine.
    */
   readonly decodePromptFactor: number;
+  /** Whether prompt work of other hosts is estimated from the own part. */
+  readonly estimateBacklog: boolean;
   /** Whether other hosts are told where a prefix is computed. */
   readonly announcePlacements: boolean;
   /** Age at which a hint about a cached prefix is no longer used. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -87,6 +87,8 @@
   readonly startedAt: number;
   readonly uncachedTokens: number;
   readonly expectedFirstToken: number;
+  /** Prompt work that the computing engine was expected to do first. */
+  readonly expectedWait: number;
   readonly resumeFrom: number;
   readonly suspect: boolean;
   /** Whether the server was probably full, so that the engine queues. */
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -79,7 +79,9 @@
     .filter((entry) => suits(view, demand, entry));
   const lively = entries.filter((entry) => passesSlowGate(view, demand, entry));
   const usable = lively.length > 0 ? lively : entries;
-  const home = cached.size === 0 ? findHome(view, demand.work, usable) : undefined;
+  const home = cached.size === 0
+    ? findHome(view, demand.work, usable)
+    : undefined;
   const candidates = (home === undefined ? usable : [home]).map((entry) =>
     scoreEntry(view, demand, { entry, cached })
   );
@@ -202,6 +204,12 @@
   return view.slow.probeDue(server, view.now);
 }
 
+/** Time until a prompt that is sent to an engine now would be computed. */
+function promptWait(view: RoutingView, entry: ServerEntry): number {
+  if (!view.settings.estimateBacklog) return entry.pendingPrefill;
+  return Math.max(entry.pendingPrefill, entry.backlog.value(view.now));
+}
+
 function pathTime(view: RoutingView, entry: ServerEntry): number {
   return view.roundTrips.get(entry.server.region) ?? 0;
 }
@@ -227,7 +235,8 @@
   const penalty = region === view.region ? 0 : settings.crossRegionPenalty;
   const load = view.table.used(entry) / Math.max(1, capacity);
   const typical = estimates.typicalRunTime(now);
-  const queueing = entry.pendingPrefill + typical * (load ** 2) / 2 +
+  const wait = promptWait(view, entry);
+  const queueing = wait + typical * (load ** 2) / 2 +
     typical * Math.max(0, load - 1);
   // A probe must win, otherwise a recovered server would never be noticed.
   const probe = isProbe(view, demand, id);
@@ -237,7 +246,7 @@
   return {
     entry,
     uncachedTokens,
-    expectedFirstToken: compute + entry.pendingPrefill + path,
+    expectedFirstToken: compute + wait + path,
     score: (compute + queueing) * factor + path + penalty,
   };
 }
@@ -317,7 +326,7 @@
     ? work.promptTokens - held
     : route.uncachedTokens - moved;
   const compute = estimates.prefillTime(uncachedTokens + promptOverhead, now);
-  const wait = prefills ? entry.pendingPrefill : 0;
+  const wait = prefills ? promptWait(view, entry) : 0;
   const spared = prefills ? decodeInterference(view, uncachedTokens) : 0;
   const savedTime = route.expectedFirstToken - compute - wait + spared;
   const crossRegion = entry.server.region !== route.entry.server.region;
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import { avoidedServers, cancelAttempt, promptFactor, startAttempt } from "./attempts.ts";
+import {
+  avoidedServers,
+  cancelAttempt,
+  promptFactor,
+  startAttempt,
+} from "./attempts.ts";
 import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { EngineBacklog } from "./engine_backlog.ts";
 import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
 import { SampledSet } from "./sampled_set.ts";
 import type { BackendServer, Work } from "./types.ts";
@@ -22,6 +23,8 @@
   ownSuspects: number;
   /** Expected time of own prompts that have no first token yet. */
   pendingPrefill: number;
+  /** Prompt work of all hosts that the engine has not done. */
+  readonly backlog: EngineBacklog;
   /** Requests of all hosts in the last load report, if there was one. */
   reported: number | undefined;
   /** Own attempts that the report counts, as far as its lag is known. */
@@ -316,6 +319,7 @@
     ownLong: 0,
     ownSuspects: 0,
     pendingPrefill: 0,
+    backlog: new EngineBacklog(),
     reported: undefined,
     ownAtReport: 0,
     averageOwn: 0,
--- /dev/null
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -0,0 +1,308 @@
+/** A relay over a real policy, with raw servers that tests script. */
+
+import { Buffer } from "node:buffer";
+import { connect, createServer, type Socket } from "node:net";
+import type { AddressInfo } from "node:net";
+import { EngineClient } from "@rhubarbstage/engine";
+import {
+  Dispatcher,
+  GatewayTelemetry,
+  PolicyListener,
+  Readiness,
+} from "@rhubarbstage/gateway/dispatch";
+import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  Incarnation,
+  Region,
+  RequestId,
+  ServiceName,
+} from "rhubarbstage";
+import {
+  type AnswerTraits,
+  type AttemptTraits,
+  Dialect,
+  endToEndHeaders,
+  type HeaderList,
+  headerValue,
+  Relay,
+  RelayListener,
+  type RequestTraits,
+  type Route,
+  ServerConnections,
+} from "../src/mod.ts";
+
+const region = "here" as Region;
+
+class TestDialect extends Dialect {
+  override readRequest(headers: HeaderList): RequestTraits {
+    const id = headerValue(headers, "test-id");
+    const patience = headerValue(headers, "test-patience");
+    return {
+      promptTokens: 0,
+      outputTokenLimit: 0,
+      promptParts: [],
+      ...(id === undefined ? {} : { id: id as RequestId }),
+      ...(patience === undefined ? {} : { patience: Number(patience) }),
+    };
+  }
+
+  override attemptHeaders(headers: HeaderList, attempt: AttemptTraits) {
+    const sent = endToEndHeaders(headers);
+    sent.push("test-server", attempt.server);
+    if (attempt.resumeAfter !== undefined) {
+      sent.push("test-resume", attempt.resumeAfter);
+    }
+    return sent;
+  }
+
+  override readAnswer(_status: number, headers: HeaderList): AnswerTraits {
+    const request = headerValue(headers, "test-id");
+    return {
+      isNotRun: headerValue(headers, "test-not-run") !== undefined,
+      isWrongServer: false,
+      isSigned: headerValue(headers, "test-signature") !== undefined,
+      ...(request === undefined ? {} : { request }),
+    };
+  }
+
+  override readExport(): undefined {
+    return undefined;
+  }
+
+  override freeExport() {
+    return { method: "DELETE", path: "/" };
+  }
+}
+
+class NoListener extends PolicyListener {
+  override announcePlacement(): void {}
+  override setRole(): void {}
+  override publishQuarantine(): void {}
+  override publishDemand(): void {}
+}
+
+class NoTelemetry extends GatewayTelemetry {
+  override note(): void {}
+  override requestEnded(): void {}
+  override firstToken(): void {}
+  override betweenTokens(): void {}
+  override metrics() {
+    return Promise.resolve({ contentType: "", text: "" });
+  }
+}
+
+class AlwaysReady extends Readiness {
+  override notReadyReason(): undefined {
+    return undefined;
+  }
+  override acceptsWork(): boolean {
+    return true;
+  }
+}
+
+/** One request as a server received it, and the socket to answer on. */
+export interface Received {
+  readonly head: string;
+  readonly body: string;
+  readonly socket: Socket;
+  /** Requests that the server has received, this one included. */
+  readonly count: number;
+}
+
+/** Answers one request by writing raw bytes. */
+export type Script = (received: Received) => void;
+
+export interface TestServer {
+  readonly url: string;
+  readonly received: Received[];
+  close(): Promise<void>;
+}
+
+/** Starts a server that reads whole requests and answers as told. */
+export async function startServer(script: Script): Promise<TestServer> {
+  const received: Received[] = [];
+  const sockets = new Set<Socket>();
+  const server = createServer((socket) => {
+    sockets.add(socket);
+    let bytes = Buffer.alloc(0);
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      bytes = Buffer.concat([bytes, chunk]);
+      for (;;) {
+        const end = bytes.indexOf("\r\n\r\n");
+        if (end < 0) return;
+        const head = bytes.subarray(0, end).toString("latin1");
+        const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+        if (bytes.length < end + 4 + length) return;
+        const body = bytes.subarray(end + 4, end + 4 + length).toString();
+        bytes = bytes.subarray(end + 4 + length);
+        const one = { head, body, socket, count: received.length + 1 };
+        received.push(one);
+        script(one);
+      }
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  return {
+    url: `http://127.0.0.1:${port}`,
+    received,
+    close: () =>
+      new Promise((resolve) => {
+        for (const socket of sockets) socket.destroy();
+        server.close(() => resolve());
+      }),
+  };
+}
+
+export interface TestRelay {
+  readonly port: number;
+  readonly relay: Relay;
+  close(): Promise<void>;
+}
+
+/** Starts a relay with one service on some servers. */
+export async function startRelay(options: {
+  readonly servers: readonly TestServer[];
+  readonly route?: Partial<Route>;
+  readonly settings?: Partial<FleetSettings>;
+}): Promise<TestRelay> {
+  const service = "store" as ServiceName;
+  const addresses = options.servers.map(({ url }, index) => ({
+    id: `server-${index}` as BackendServerId,
+    url,
+  }));
+  const stopped = new AbortController();
+  const backendServers = {
+    addressOf: (id: BackendServerId) =>
+      addresses.find((address) => address.id === id),
+  };
+  const dispatcher = new Dispatcher({
+    policy: new FleetPolicy({ region, settings: options.settings ?? {} }),
+    engines: new EngineClient({}),
+    backendServers,
+    listener: new NoListener(),
+    telemetry: new NoTelemetry(),
+  });
+  const connections = new ServerConnections({
+    maxConnections: () => 10,
+    hosts: () => 1,
+  });
+  const relay = new Relay({
+    dispatcher,
+    dialect: new TestDialect(),
+    connections,
+    telemetry: new NoTelemetry(),
+    readiness: new AlwaysReady(),
+    backendServers,
+    retryRatio: 1,
+    onLoad: () => {},
+    onLost: () => {},
+    onWrongServer: () => {},
+  });
+  relay.take({
+    version: 1,
+    routes: [{
+      name: "route",
+      hostName: "shop.example",
+      pathPrefix: "/",
+      kind: "idempotent",
+      timeout: 5_000,
+      latencyTarget: 500,
+      rank: 0,
+      targets: [{ service, weight: 1 }],
+      maxAttempts: 2,
+      resumable: false,
+      ...options.route,
+    }],
+    services: [{ name: service, healthPath: "/health", maxConnections: 10 }],
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: 1_000_000,
+      headerTimeout: 3_000,
+      idleTimeout: 15_000,
+    },
+  });
+  for (const { id } of addresses) {
+    dispatcher.notify({
+      type: "server_seen",
+      server: {
+        id,
+        incarnation: 1 as Incarnation,
+        region,
+        availabilityZone: "here-a" as AvailabilityZone,
+        models: [],
+        services: [service],
+        role: "mixed",
+        capacity: 8,
+        acceptsNewWork: true,
+      },
+    });
+  }
+  dispatcher.start({ signal: stopped.signal });
+  const listener = new RelayListener(relay);
+  const origin = await listener.listen({ address: "127.0.0.1", port: 0 });
+  return {
+    port: Number(new URL(origin).port),
+    relay,
+    close: async () => {
+      stopped.abort();
+      await listener.close();
+      await connections.close();
+    },
+  };
+}
+
+/** Sends raw bytes and collects what comes back until the connection ends. */
+export function exchange(
+  port: number,
+  text: string,
+  options: { readonly until?: (seen: string) => boolean } = {},
+): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    let seen = "";
+    socket.on("data", (chunk) => {
+      seen += chunk.toString("latin1");
+      if (options.until?.(seen) === true) socket.destroy();
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(seen));
+  });
+}
+
+/** A request that asks for its connection to be closed. */
+export function request(options: {
+  readonly method?: string;
+  readonly path?: string;
+  readonly headers?: readonly string[];
+  readonly body?: string;
+}): string {
+  const { method = "GET", path = "/", headers = [], body } = options;
+  const lines = [
+    `${method} ${path} HTTP/1.1`,
+    "Host: shop.example",
+    "Connection: close",
+    ...headers,
+    ...(body === undefined ? [] : [`Content-Length: ${body.length}`]),
+  ];
+  return `${lines.join("\r\n")}\r\n\r\n${body ?? ""}`;
+}
+
+/** A whole answer with a signature. */
+export function answer(
+  status: string,
+  headers: readonly string[],
+  body: string,
+): string {
+  return [
+    `HTTP/1.1 ${status}`,
+    "test-signature: s",
+    ...headers,
+    `Content-Length: ${body.length}`,
+    "",
+    body,
+  ].join("\r\n");
+}
--- /dev/null
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -0,0 +1,261 @@
+import {
+  answer,
+  exchange,
+  request,
+  type Script,
+  startRelay,
+  startServer,
+  type TestRelay,
+  type TestServer,
+} from "../harness.ts";
+import type { Route } from "../../src/types.ts";
+
+let servers: TestServer[] = [];
+let relay: TestRelay | undefined;
+
+async function start(scripts: readonly Script[], route: Partial<Route> = {}) {
+  servers = await Promise.all(scripts.map(startServer));
+  relay = await startRelay({ servers, route });
+  return relay.port;
+}
+
+afterEach(async () => {
+  await relay?.close();
+  await Promise.all(servers.map((server) => server.close()));
+});
+
+function receivedCount(): number {
+  return servers.reduce((sum, { received }) => sum + received.length, 0);
+}
+
+function delayMilliseconds(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+const stream: Partial<Route> = { kind: "stream", maxAttempts: 2 };
+const streamHead = "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+  "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+test("passes method, path, query, headers and body unchanged", async () => {
+  const port = await start([
+    ({ socket }) =>
+      socket.write(answer("201 Made", ["X-Odd: a", "x-odd: b"], "whole")),
+  ], { kind: "at_most_once" });
+  const seen = await exchange(
+    port,
+    request({
+      method: "PATCH",
+      path: "/a%2Fb//c?x=%zz&y",
+      headers: ["X-Own: 1", "Content-Type: odd/type"],
+      body: "the body",
+    }),
+  );
+  const [received] = servers[0]!.received;
+  expect(received?.head).toMatch(/^PATCH \/a%2Fb\/\/c\?x=%zz&y HTTP\/1\.1/);
+  expect(received?.head).toMatch(/X-Own: 1/);
+  expect(received?.head).toMatch(/test-server: server-0/);
+  expect(received?.body).toBe("the body");
+  expect(seen).toMatch(/^HTTP\/1\.1 201 /);
+  expect(seen).toMatch(/X-Odd: a\r\nx-odd: b/);
+  expect(seen).toMatch(/\r\n\r\nwhole$/);
+});
+
+test("passes a body in chunks", async () => {
+  const port = await start([
+    ({ socket }) => socket.write(answer("200 OK", [], "ok")),
+  ]);
+  const text = request({
+    method: "POST",
+    headers: ["Transfer-Encoding: chunked"],
+  });
+  const seen = await exchange(
+    port,
+    `${text}5\r\nhello\r\n6\r\n world\r\n0\r\n\r\n`,
+  );
+  expect(seen).toMatch(/^HTTP\/1\.1 200 /);
+  expect(servers[0]?.received[0]?.body).toBe("hello world");
+});
+
+test("refuses what no route allows", async () => {
+  const port = await start([() => {}]);
+  const text = request({}).replace("shop.example", "other.example");
+  expect(await exchange(port, text)).toMatch(/^HTTP\/1\.1 404 /);
+  expect(receivedCount()).toBe(0);
+});
+
+test("repeats what a server says it has not run, whatever the kind", async () => {
+  const refuse: Script = ({ socket }) =>
+    socket.write(answer("503 Full", ["test-not-run: 1"], ""));
+  const serve: Script = ({ socket }) =>
+    socket.write(answer("200 OK", [], "done"));
+  const port = await start([refuse, serve], { kind: "at_most_once" });
+  for (let count = 0; count < 6; count += 1) {
+    const seen = await exchange(port, request({ method: "POST", body: "x" }));
+    expect(seen).toMatch(/^HTTP\/1\.1 200 /);
+  }
+});
+
+test("sends to no more servers than the route allows", async () => {
+  const refuse: Script = ({ socket }) =>
+    socket.write(answer("503 Full", ["test-not-run: 1"], ""));
+  const port = await start([refuse, refuse, refuse], { maxAttempts: 2 });
+  const seen = await exchange(port, request({}));
+  expect(seen).toMatch(/^HTTP\/1\.1 503 /);
+  expect(seen).toMatch(/retry-after: [\d.]+/i);
+  expect(receivedCount()).toBe(2);
+});
+
+test("never repeats what may have run", async () => {
+  const breakOff: Script = ({ socket }) => socket.destroy();
+  const port = await start([breakOff, breakOff], { kind: "at_most_once" });
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen).toMatch(/^HTTP\/1\.1 502 /);
+  expect(receivedCount()).toBe(1);
+});
+
+test("repeats idempotent requests whose connection broke", async () => {
+  const breakOff: Script = ({ socket }) => socket.destroy();
+  const serve: Script = ({ socket }) =>
+    socket.write(answer("200 OK", [], "done"));
+  const port = await start([breakOff, serve]);
+  for (let count = 0; count < 4; count += 1) {
+    expect(await exchange(port, request({}))).toMatch(/^HTTP\/1\.1 200 /);
+  }
+});
+
+test("relays a server's failure unless a repeat does better", async () => {
+  const fail: Script = ({ socket }) =>
+    socket.write(answer("500 Broken", ["X-Mine: 1"], "the server's words"));
+  const port = await start([fail, fail]);
+  const seen = await exchange(port, request({}));
+  expect(seen).toMatch(/^HTTP\/1\.1 500 /);
+  expect(seen).toMatch(/X-Mine: 1/);
+  expect(seen).toMatch(/the server's words$/);
+  expect(receivedCount()).toBe(2);
+});
+
+test.each([
+  ["an answer to another request", ["test-id: other"]],
+  ["an answer without signature", []],
+])("never relays %s", async (name, headers) => {
+  const unsigned = name.includes("signature");
+  const port = await start([
+    ({ socket }) => {
+      const text = answer("200 OK", headers, "not yours");
+      socket.write(unsigned ? text.replace("test-signature: s\r\n", "") : text);
+    },
+  ], { kind: "at_most_once" });
+  const seen = await exchange(port, request({ headers: ["test-id: mine"] }));
+  expect(seen).toMatch(/^HTTP\/1\.1 502 /);
+  expect(seen).not.toMatch(/not yours/);
+});
+
+test("bytes after an answer spoil only their connection", async () => {
+  const port = await start([
+    ({ socket, count }) => {
+      const own = answer("200 OK", [`test-id: ${count}`], `answer ${count}`);
+      const extra = answer("200 OK", ["test-id: 1"], "late answer");
+      socket.write(own);
+      if (count === 1) setTimeout(() => socket.write(extra), 20);
+    },
+  ]);
+  const first = await exchange(port, request({ headers: ["test-id: 1"] }));
+  expect(first).toMatch(/answer 1$/);
+  await delayMilliseconds(60);
+  const second = await exchange(port, request({ headers: ["test-id: 2"] }));
+  expect(second).toMatch(/answer 2$/);
+});
+
+test("an answer that breaks off never looks complete", async () => {
+  const port = await start([
+    ({ socket }) => {
+      socket.write(streamHead + chunk("id: 1\ndata: a\n\n"));
+      setTimeout(() => socket.destroy(), 20);
+    },
+  ], { ...stream, maxAttempts: 1 });
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen).toMatch(/data: a/);
+  expect(seen).not.toMatch(/\r\n0\r\n\r\n$/);
+});
+
+test("a resumable stream goes on after its last whole event", async () => {
+  const begin: Script = ({ socket }) => {
+    socket.write(
+      streamHead + chunk("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"),
+    );
+    setTimeout(() => socket.destroy(), 20);
+  };
+  const goOn: Script = ({ socket, head }) => {
+    const after = /test-resume: (\d+)/.exec(head)?.[1];
+    if (after === undefined) return begin({ socket } as never);
+    socket.write(
+      streamHead + chunk(`id: 3\ndata: after ${after}\n\n`) + "0\r\n\r\n",
+    );
+  };
+  const port = await start([goOn, goOn], { ...stream, resumable: true });
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen.match(/id: \d/g)).toEqual(["id: 1", "id: 2", "id: 3"]);
+  expect(seen).toMatch(/data: after 2/);
+  expect(seen).toMatch(/\r\n0\r\n\r\n$/);
+});
+
+test("an answer without length that is reset is not complete", async () => {
+  const port = await start([
+    ({ socket }) => {
+      socket.write("HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\nhalf");
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    },
+  ], { kind: "at_most_once" });
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen).toMatch(/^HTTP\/1\.1 502 /);
+});
+
+test("an answer without length ends with its connection", async () => {
+  const port = await start([
+    ({ socket }) =>
+      socket.end("HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\nwhole"),
+  ], { kind: "at_most_once" });
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen).toMatch(/^HTTP\/1\.1 200 /);
+  expect(seen).toMatch(/whole/);
+});
+
+test("a caller that leaves stops the work", async () => {
+  let closedAfter = 0;
+  const port = await start([
+    ({ socket }) => {
+      const began = performance.now();
+      socket.write(streamHead + chunk("id: 1\ndata: a\n\n"));
+      socket.on("close", () => closedAfter = performance.now() - began);
+    },
+  ], stream);
+  await exchange(port, request({ method: "POST", body: "x" }), {
+    until: (seen) => seen.includes("data: a"),
+  });
+  await delayMilliseconds(200);
+  expect(closedAfter).toBeGreaterThan(0);
+  expect(closedAfter).toBeLessThan(200);
+});
+
+test("answers at the route's time-out, with the truth", async () => {
+  const port = await start([() => {}], { kind: "at_most_once", timeout: 300 });
+  const began = performance.now();
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen).toMatch(/^HTTP\/1\.1 504 /);
+  expect(performance.now() - began).toBeLessThan(600);
+});
+
+test("refuses a body beyond the limit", async () => {
+  const port = await start([() => {}]);
+  const text = request({
+    method: "POST",
+    headers: ["Content-Length: 1000001"],
+  });
+  const seen = await exchange(port, text);
+  expect(seen).toMatch(/^HTTP\/1\.1 413 /);
+  expect(receivedCount()).toBe(0);
+});
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -6,6 +6,8 @@
 
 import { Buffer } from "node:buffer";
 import type { Dispatcher, Pool } from "undici";
+import { headerValue } from "./headers.ts";
+import type { ResetWatch } from "./reset_watch.ts";
 import type { HeaderList } from "./types.ts";
 
 /** What is sent. */
@@ -36,12 +38,22 @@
   }
 }
 
+/** Options of {@linkcode Exchange.start}. */
+export interface ExchangeOptions {
+  readonly signal: AbortSignal;
+  /** Watch of the pool's connections. */
+  readonly watch: ResetWatch;
+}
+
 /** Bytes that wait for the caller before the server is held back. */
 const highWaterBytes = 65_536;
 
 /** Follows one exchange on a connection of a pool. */
 export class Exchange {
   readonly #signal: AbortSignal;
+  readonly #watch: ResetWatch;
+  /** Whether the answer's end is the end of its connection. */
+  #isUnframed = false;
   readonly #pieces: Buffer[] = [];
   #bytes = 0;
   #abort: ((reason: Error) => void) | undefined;
@@ -55,8 +67,9 @@
     reject: (error: Error) => void;
   } | undefined;
 
-  private constructor(signal: AbortSignal) {
-    this.#signal = signal;
+  private constructor(options: ExchangeOptions) {
+    this.#signal = options.signal;
+    this.#watch = options.watch;
   }
 
   /**
@@ -66,9 +79,9 @@
   static async start(
     pool: Pool,
     request: ExchangeRequest,
-    options: { readonly signal: AbortSignal },
+    options: ExchangeOptions,
   ): Promise<ExchangeAnswer> {
-    return await new Exchange(options.signal).#run(pool, request);
+    return await new Exchange(options).#run(pool, request);
   }
 
   #run(pool: Pool, request: ExchangeRequest): Promise<ExchangeAnswer> {
@@ -117,6 +130,7 @@
         if (status < 200) return true;
         this.#resume = resume;
         const headers = raw.map((item) => item.toString("latin1"));
+        this.#isUnframed = isUnframed(headers);
         this.#head?.resolve({ status, headers, body: this.#read() });
         this.#head = undefined;
         return true;
@@ -129,6 +143,10 @@
       },
       onComplete: () => {
         done();
+        if (this.#isUnframed && this.#watch.isResetting) {
+          this.#fail(new Error("The connection was reset"));
+          return;
+        }
         this.#ended = true;
         this.#wake();
       },
@@ -175,3 +193,8 @@
     this.#wake();
   }
 }
+
+function isUnframed(headers: HeaderList): boolean {
+  return headerValue(headers, "content-length") === undefined &&
+    headerValue(headers, "transfer-encoding") === undefined;
+}
--- a/packages/rhubarbstage-relay/src/server_connections.ts
+++ b/packages/rhubarbstage-relay/src/server_connections.ts
@@ -20,6 +20,7 @@
   type ExchangeAnswer,
   type ExchangeRequest,
 } from "./exchange.ts";
+import { ResetWatch } from "./reset_watch.ts";
 
 /** Options of {@linkcode ServerConnections}. */
 export interface ServerConnectionsOptions {
@@ -32,6 +33,7 @@
 interface ServerPool {
   readonly url: string;
   readonly pool: Pool;
+  readonly watch: ResetWatch;
 }
 
 /** One pool of connections for each server, within this host's part. */
@@ -49,7 +51,8 @@
     request: ExchangeRequest,
     options: { readonly signal: AbortSignal },
   ): Promise<ExchangeAnswer> {
-    return Exchange.start(this.#poolOf(server), request, options);
+    const { pool, watch } = this.#poolOf(server);
+    return Exchange.start(pool, request, { ...options, watch });
   }
 
   /** Lets what runs on a server end and opens no more connections to it. */
@@ -67,18 +70,20 @@
     await Promise.all(pools.map(({ pool }) => pool.destroy()));
   }
 
-  #poolOf({ id, url }: EngineAddress): Pool {
+  #poolOf({ id, url }: EngineAddress): ServerPool {
     const known = this.#pools.get(id);
-    if (known?.url === url) return known.pool;
+    if (known?.url === url) return known;
     if (known !== undefined) closeQuietly(known.pool);
+    const watch = new ResetWatch({ timeout: connectTimeout });
     const pool = new Pool(url, {
       connections: this.#share(id),
       pipelining: 1,
-      connect: { timeout: connectTimeout },
+      connect: watch.connector,
       keepAliveTimeout: idleConnectionTimeout,
     });
-    this.#pools.set(id, { url, pool });
-    return pool;
+    const created = { url, pool, watch };
+    this.#pools.set(id, created);
+    return created;
   }
 
   #share(id: BackendServerId): number {
