--- /dev/null
+++ b/packages/rhubarbstage-storage/__tests__/unit/folder_lock_test.ts
@@ -0,0 +1,37 @@
+import { mkdtemp, readFile, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import process from "node:process";
+import type { HostId } from "rhubarbstage";
+import { lockFile } from "../../src/constants.ts";
+import { DataFolder } from "../../src/data_folder.ts";
+import { FolderInUseError } from "../../src/errors.ts";
+
+const host = "a" as HostId;
+
+async function openedFolder() {
+  const path = await mkdtemp(join(tmpdir(), "folder-lock-"));
+  const folder = await DataFolder.open(path, { host });
+  return { path, folder, file: join(path, lockFile) };
+}
+
+test("a running process keeps others out", async () => {
+  const { path, folder } = await openedFolder();
+  await expect(DataFolder.open(path, { host })).rejects.toThrow(
+    FolderInUseError,
+  );
+  await folder.close();
+});
+
+test.each([
+  ["of an earlier process with the same id", `${process.pid} 1`],
+  ["of a process whose start is not known", "99999999 unknown"],
+  ["of a killed process where the system hides processes", "1 unknown"],
+  ["that a crash left empty", ""],
+])("a lock %s is taken over", async (_name, holder) => {
+  const { path, file } = await openedFolder();
+  await writeFile(file, holder);
+  const folder = await DataFolder.open(path, { host });
+  expect(await readFile(file, "utf8")).toMatch(`${process.pid} `);
+  await folder.close();
+});
--- a/packages/rhubarbstage-storage/src/data_folder.ts
+++ b/packages/rhubarbstage-storage/src/data_folder.ts
@@ -147,7 +147,8 @@
     }
     const holder = await readFile(file, "utf8");
     const pid = Number.parseInt(holder, 10);
-    if (pid > 0 && holder === await describeProcess(pid)) {
+    const isKnown = !holder.endsWith(unknownStart);
+    if (pid > 0 && isKnown && holder === await describeProcess(pid)) {
       throw new FolderInUseError(folder, { process: pid });
     }
     await removeStaleLock(file, holder);
@@ -167,7 +168,14 @@
   await rm(moved, { force: true });
 }
 
-/** Process id and start time, because ids are used again. */
+/** In place of the start time where the system does not tell it. */
+const unknownStart = "unknown";
+
+/**
+ * Process id and start time, because ids are used again. A process whose start
+ * time cannot be read may be gone, so that its lock holds nobody back: where
+ * the system hides processes, whoever runs them must start one a folder.
+ */
 async function describeProcess(pid: number): Promise<string> {
   try {
     const fields = await readFile(`/proc/${pid}/stat`, "utf8");
@@ -175,6 +183,6 @@
     const startTime = fields.slice(fields.lastIndexOf(")") + 2).split(" ")[19];
     return `${pid} ${startTime}`;
   } catch {
-    return `${pid} gone`;
+    return `${pid} ${unknownStart}`;
   }
 }
