Share the queues of engines between hosts and refuse what cannot begin in time

Cause: each host saw an eighth of the work on an engine, so prompts piled up on three prefill engines while others idled, and callers left before their first event. Hosts now tell each other every 50 ms what they send; each follows the backlog and the cache of every engine, learns the engines' speed, and picks the route by queue, uncached tokens, transfer and path. What could not begin before its caller leaves is refused at once; what will be late goes behind.

--- a/packages/rhubarbstage-bench/src/relay_servers.ts
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -222,7 +222,7 @@
 }
 
 class NoListener extends PolicyListener {
-  override announcePlacement(): void {}
+  override announceWork(): void {}
   override setRole() {}
   override publishQuarantine() {}
   override publishDemand() {}
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -186,7 +186,7 @@
 }
 
 class NoListener extends PolicyListener {
-  override announcePlacement(): void {}
+  override announceWork(): void {}
   override setRole() {}
   override publishQuarantine() {}
   override publishDemand() {}
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -225,8 +225,8 @@
         return this.#listener.publishQuarantine(effect.marks);
       case "publish_demand":
         return this.#listener.publishDemand(effect.own, effect.ownModels);
-      case "announce_placement":
-        return this.#listener.announcePlacement(effect.server, effect.prefixes);
+      case "announce_work":
+        return this.#listener.announceWork(effect.work);
       case "note":
         return this.telemetry.note(effect.event, effect.fields);
     }
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -13,6 +13,7 @@
 import type {
   Demand,
   EngineRole,
+  EngineWork,
   ModelDemand,
   QuarantineMark,
   WorkSettings,
@@ -271,11 +272,8 @@
 /** Carries out the effects of the policy that the dispatcher does not. */
 export abstract class PolicyListener {
   abstract setRole(server: BackendServerId, role: EngineRole): void;
-  /** Tells other hosts that a prefix will be in a server's cache. */
-  abstract announcePlacement(
-    server: BackendServerId,
-    prefixes: readonly string[],
-  ): void;
+  /** Tells other hosts what this host has sent to an engine. */
+  abstract announceWork(work: EngineWork): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
   /** Demand that this host sees, for exchange with other hosts. */
   abstract publishDemand(
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -13,7 +13,7 @@
   toRhubarbstageError,
 } from "rhubarbstage";
 import { CallerGone } from "./errors.ts";
-import type { BackendServers, GatewayTelemetry } from "./ports.ts";
+import type { BackendServers, EventFields, GatewayTelemetry } from "./ports.ts";
 import type { PolicyInput } from "./types.ts";
 
 /** The effect that starts an attempt. */
@@ -91,6 +91,7 @@
       server,
       priority,
       resume_from: resumeFrom,
+      ...forecastFields(effect),
     });
     const address = this.context.backendServers.addressOf(server);
     const controller = new AbortController();
@@ -218,3 +219,15 @@
     });
   }
 }
+
+/** What decided on a route, as fields of its log line. */
+function forecastFields(effect: DispatchEffect): EventFields {
+  const { forecast, prefillServer } = effect;
+  if (forecast === undefined) return {};
+  return {
+    ...(prefillServer === undefined ? {} : { prefill_server: prefillServer }),
+    expected_first_token: Math.round(forecast.firstToken),
+    expected_wait: Math.round(forecast.wait),
+    uncached_tokens: Math.round(forecast.uncachedTokens),
+  };
+}
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -35,6 +35,9 @@
 /** Takes announcements and tells the policy which servers take work. */
 export class BackendRegistry extends BackendServers {
   #settings: Pick<SettingsInForce, "ready" | "configuration"> | undefined;
+  #cacheTokensOf:
+    | ((record: ServerRecord) => number | undefined)
+    | undefined;
   #seen = new Map<BackendServerId, SeenServer>();
   #cacheSequences = new Map<BackendServerId, number>();
   #membership: Membership | undefined;
@@ -42,12 +45,15 @@
 
   constructor(
     options: {
+      /** Memory of an engine for prompts, in tokens, where it is known. */
+      readonly cacheTokensOf?: (record: ServerRecord) => number | undefined;
       /** Tells which servers an operator has drained; none when absent. */
       readonly settings?: Pick<SettingsInForce, "ready" | "configuration">;
     } = {},
   ) {
     super();
     this.#settings = options.settings;
+    this.#cacheTokensOf = options.cacheTokensOf;
   }
 
   /** Connects the parts, which refer to each other; called once. */
@@ -151,6 +157,11 @@
     return this.#settings.configuration.drains.has(server);
   }
 
+  #memoryOf(record: ServerRecord): { readonly cacheTokens?: number } {
+    const cacheTokens = this.#cacheTokensOf?.(record);
+    return cacheTokens === undefined ? {} : { cacheTokens };
+  }
+
   #tell(seen: SeenServer): void {
     const { record, load } = seen;
     const { id, incarnation, region, availabilityZone } = record;
@@ -166,6 +177,7 @@
         services,
         role,
         capacity,
+        ...this.#memoryOf(record),
         acceptsNewWork: seen.usable && record.state === "serving" &&
           !this.isDrained(id),
         load,
--- a/packages/rhubarbstage-host/src/host_policy_listener.ts
+++ b/packages/rhubarbstage-host/src/host_policy_listener.ts
@@ -44,8 +44,8 @@
     void this.#options.orders.setRole(server, role);
   }
 
-  override announcePlacement(): void {
-    // Engines send events of their caches themselves.
+  override announceWork(): void {
+    // Engines tell of their caches and queues themselves.
   }
 
   override publishQuarantine(marks: readonly QuarantineMark[]): void {
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -7,9 +7,9 @@
 import { randomBytes } from "node:crypto";
 import { createServer, type Server } from "node:http";
 import {
-  type BackendServerId,
   type Clock,
   delay,
+  every,
   type HostId,
   type Incarnation,
   SystemClock,
@@ -22,11 +22,16 @@
   Membership,
   type ServerRecord,
 } from "@rhubarbstage/membership";
-import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
+import {
+  type EngineWork,
+  FleetPolicy,
+  type FleetSettings,
+} from "@rhubarbstage/policy";
 import {
   type Dialect,
   Relay,
   RelayListener,
+  type RelayService,
   type RouteTable,
   ServerConnections,
 } from "@rhubarbstage/relay";
@@ -37,7 +42,7 @@
   Metrics,
   Timeline,
 } from "@rhubarbstage/telemetry";
-import { PeerTransport } from "@rhubarbstage/transport";
+import { messageType, PeerTransport } from "@rhubarbstage/transport";
 import { BackendRegistry } from "./backend_registry.ts";
 import { ControlDesk } from "./control_desk.ts";
 import { DemandReport } from "./demand_report.ts";
@@ -73,8 +78,8 @@
 const retryPart = 0.6;
 const hedgePart = 0.2;
 
-/** Shared tokens from which a prompt has a home server. */
-const tokensPerPrefix = 1_000;
+/** Time between two messages about work on engines, in milliseconds. */
+const workInterval = 50;
 /** Time to export and import KV cache, without its transfer, in ms. */
 const kvFixedCost = 12;
 /**
@@ -297,6 +302,8 @@
     connections,
     relay: () => relay,
   });
+  serving.serviceOf = (record) =>
+    relay.table?.services.find(({ name }) => name as string === poolOf(record));
   const relay: Relay = new Relay({
     dispatcher,
     dialect: base.options.dialect,
@@ -315,6 +322,12 @@
     onLost: (server) => checks.start(server),
     onWrongServer: (server) => registry.lose(server, { crashed: false }),
   });
+  shareWork(base, {
+    transport,
+    membership,
+    dispatcher,
+    listener: serving.listener,
+  });
   return {
     ...base,
     transport,
@@ -329,6 +342,11 @@
   };
 }
 
+/** Name of the service that a server runs. */
+function poolOf(record: ServerRecord): string | undefined {
+  return record.models[0] ?? record.services[0];
+}
+
 /** Hosts that may have seats: those that gossip knows, and the seeds. */
 function replicaHosts(
   settings: RelayHostSettings,
@@ -348,8 +366,7 @@
 class RelayPolicyListener extends PolicyListener {
   readonly #demand: DemandReport;
   membership: Membership | undefined;
-  incarnationOf: (server: BackendServerId) => Incarnation | undefined = () =>
-    undefined;
+  readonly #work: EngineWork[] = [];
 
   constructor(demand: DemandReport) {
     super();
@@ -360,14 +377,13 @@
     // Hosts that relay hold no authority over roles.
   }
 
-  override announcePlacement(
-    id: BackendServerId,
-    stored: readonly string[],
-  ): void {
-    const incarnation = this.incarnationOf(id);
-    if (incarnation === undefined) return;
-    const change = { id, incarnation, stored, evicted: [], gap: false };
-    this.membership?.changeCache(change);
+  override announceWork(work: EngineWork): void {
+    this.#work.push(work);
+  }
+
+  /** Work since the last call, for other hosts. */
+  takeWork(): readonly EngineWork[] {
+    return this.#work.splice(0);
   }
 
   override publishQuarantine(
@@ -383,9 +399,23 @@
   }
 }
 
-function createServing(base: Base) {
+interface ServingParts {
+  /** Service of a server in the table in force; set with the relay. */
+  serviceOf: (record: ServerRecord) => RelayService | undefined;
+  readonly listener: RelayPolicyListener;
+  readonly registry: BackendRegistry;
+  readonly demand: DemandReport;
+  readonly telemetry: HostTelemetry;
+  readonly dispatcher: Dispatcher;
+  readonly link: (membership: Membership) => void;
+}
+
+function createServing(base: Base): ServingParts {
   const { settings, metrics, events, clock } = base;
-  const registry = new BackendRegistry();
+  const registry: BackendRegistry = new BackendRegistry({
+    cacheTokensOf: (record): number | undefined =>
+      serving.serviceOf(record)?.engine?.cacheTokens,
+  });
   const demand = new DemandReport({ host: settings.host });
   const listener = new RelayPolicyListener(demand);
   const telemetry = new HostTelemetry({ metrics, events, sample: () => {} });
@@ -403,19 +433,48 @@
     telemetry,
     clock,
   });
-  const serving = {
+  const serving: ServingParts = {
+    serviceOf: () => undefined,
+    listener,
     registry,
     demand,
     telemetry,
     dispatcher,
     link: (membership: Membership) => {
       listener.membership = membership;
-      listener.incarnationOf = (id) => registry.recordOf(id)?.incarnation;
     },
   };
   return serving;
 }
 
+const workMessage = messageType<readonly EngineWork[]>("engine_work");
+
+/** Exchanges what hosts send to engines, so that all know their queues. */
+function shareWork(
+  base: Base,
+  parts: {
+    readonly transport: PeerTransport;
+    readonly membership: Membership;
+    readonly dispatcher: Dispatcher;
+    readonly listener: RelayPolicyListener;
+  },
+): void {
+  const { transport, membership, dispatcher, listener } = parts;
+  transport.onMessage(workMessage, (works) => {
+    for (const work of works) {
+      dispatcher.notify({ type: "work_announced", work });
+    }
+  });
+  every(workInterval, () => {
+    const body = listener.takeWork();
+    if (body.length === 0) return;
+    for (const { host, servesCallers } of membership.listHosts()) {
+      if (servesCallers === false || host === base.settings.host) continue;
+      transport.send(workMessage, { to: host, body });
+    }
+  }, { signal: base.stopped.signal });
+}
+
 /** Settings of the policy for servers that other hosts use as well. */
 function policySettings(settings: RelayHostSettings): Partial<FleetSettings> {
   const { burst } = settings.retries;
@@ -425,11 +484,7 @@
     hedgeRatio: settings.retries.ratio * hedgePart,
     // Engines batch continuously, so that long work blocks no slot of others.
     longCostFactor: 1e6,
-    homeTokens: tokensPerPrefix,
-    estimateBacklog: true,
-    announcePlacements: true,
-    // Engines compute prompts at half the speed while they generate.
-    decodePromptFactor: 2,
+    sharedEngines: true,
     kvFixedCost,
     kvCostPerToken,
     // A request that is given up is answered at once.
@@ -480,7 +535,6 @@
         transport.setAddress(record.host, { address, port: Number(port) });
       },
       hostGone: (host) => events.note("host_gone", { peer: host }),
-      cacheChanged: (change) => registry.noteCache(change),
       marksHeard: (marks) =>
         dispatcher.notify({ type: "quarantine_reported", marks }),
       demandHeard: (totals) => {
@@ -558,7 +612,7 @@
   return new ServerConnections({
     maxConnections: (server) => {
       const record = registry.recordOf(server);
-      const name = record?.models[0] ?? record?.services[0];
+      const name = record === undefined ? undefined : poolOf(record);
       const service = relay().table?.services
         .find((candidate) => candidate.name as string === name);
       return service?.maxConnections ?? 0;
@@ -589,7 +643,7 @@
     check: async (server, signal) => {
       const record = registry.recordOf(server);
       if (record === undefined) return false;
-      const name = record.models[0] ?? record.services[0];
+      const name = poolOf(record);
       const path = relay().table?.services
         .find((candidate) => candidate.name as string === name)?.healthPath;
       if (path === undefined) return false;
@@ -639,6 +693,8 @@
         const table = parts.options.readTable(content);
         relay.take(table);
         readiness.take(table);
+        // Services tell what their engines can do.
+        parts.registry.refresh();
         events.note("revision_in_force", {
           version,
           routes: table.routes.length,
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -4,17 +4,11 @@
  * @module
  */
 
-import type {
-  AttemptId,
-  BackendServerId,
-  ModelName,
-  RequestId,
-} from "rhubarbstage";
-import { placementRefresh, promptOverhead } from "./constants.ts";
+import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
+import { promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
-import type { ServerEntry } from "./server_table.ts";
-import type { BackendServer, CancelReason, PolicyEffect } from "./types.ts";
+import type { CancelReason, EngineWork, PolicyEffect } from "./types.ts";
 
 /** Tokens or time after which the speed of a stream is judged anew. */
 const speedWindowTokens = 16;
@@ -40,15 +34,13 @@
   record.attempts.set(attempt.id, attempt);
   record.starts += 1;
   occupy(state, attempt, now);
-  addBacklog(state, attempt, now);
   if (record.attempts.size === 1) markPreemptible(record);
   if (work.repeatable) {
     const at = now + hedgeDelayOf(state, attempt);
     state.hedges.push({ at, subject: attempt });
   }
-  const effects = work.model === undefined
-    ? []
-    : learnRoute(state, attempt, now);
+  if (work.model !== undefined) learnRoute(state, attempt, now);
+  const effects = shareWork(state, attempt, now);
   pool.slow.sent(attempt.entry.server.id, now);
   const { prefill } = attempt;
   effects.push({
@@ -59,6 +51,11 @@
     ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
     priority: work.settings.priority * 2 + (record.long ? 0 : 1),
     resumeFrom: record.delivered,
+    forecast: {
+      firstToken: attempt.expectedFirstToken,
+      wait: attempt.expectedWait,
+      uncachedTokens: attempt.uncachedTokens,
+    },
   });
   return effects;
 }
@@ -96,62 +93,54 @@
   };
 }
 
-/** Counts the prompt on the engine that computes it, for all hosts. */
-function addBacklog(state: FleetState, attempt: Attempt, now: number): void {
+/** Counts the prompt on the engine that computes it, here and elsewhere. */
+function shareWork(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): PolicyEffect[] {
   const { record, entry, prefill, uncachedTokens } = attempt;
-  const { model } = record.work;
-  if (!state.settings.estimateBacklog || model === undefined) return;
+  const { model, promptParts: parts = [] } = record.work;
+  if (!state.settings.sharedEngines || model === undefined) return [];
   const computing = prefill ?? entry;
-  const time = promptFactor(state, computing) *
-    record.pool.estimates.prefillTime(uncachedTokens, now);
-  computing.backlog.add(time, demandShare(state, model), now);
+  const { speed } = record.pool;
+  const used = prefill === undefined ? [entry] : [entry, prefill];
+  return used.map(({ server }) => {
+    const time = server.id === computing.server.id
+      ? speed.promptTime(uncachedTokens, server.role)
+      : 0;
+    const work = {
+      server: server.id,
+      milliseconds: Math.round(time),
+      parts,
+    };
+    takeWork(state, work, now);
+    return { type: "announce_work", work };
+  });
 }
 
-/** Demand of all hosts for a model, in that of this host. */
-function demandShare(state: FleetState, model: ModelName): number {
-  const { hosts } = state.limits;
-  const all = state.modelDemand.get(model)?.promptTokensPerSecond;
-  const own = state.ownModelDemand.get(model)?.promptTokensPerSecond;
-  if (all === undefined || own === undefined || own <= 0) return hosts;
-  return Math.min(2 * hosts, Math.max(1, all / own));
+/** Counts prompt work of any host on an engine. */
+export function takeWork(
+  state: FleetState,
+  work: EngineWork,
+  now: number,
+): void {
+  const entry = state.table.servers.get(work.server);
+  if (entry === undefined) return;
+  entry.backlog.add(work.milliseconds, now);
+  entry.cache?.store(work.parts);
 }
 
 /** Learns where the prompt is computed and will be cached. */
-function learnRoute(
-  state: FleetState,
-  attempt: Attempt,
-  now: number,
-): PolicyEffect[] {
+function learnRoute(state: FleetState, attempt: Attempt, now: number): void {
   const { record, entry, prefill, uncachedTokens } = attempt;
   const { promptTokens: tokens, prefixes } = record.work;
   const onPrefillEngine = prefill?.server.role === "prefill";
-  const effects: PolicyEffect[] = [];
-  for (const { server } of prefill === undefined ? [entry] : [entry, prefill]) {
-    effects.push(...announcePlacement(state, { server, prefixes, now }));
-    state.prefixes.store(server.id, prefixes, now);
-  }
+  state.prefixes.store(entry.server.id, prefixes, now);
   record.pool.estimates.learnPlacement(
     { tokens, uncachedTokens, onPrefillEngine },
     now,
   );
-  return effects;
-}
-
-/** Tells other hosts of a placement that they may not know. */
-function announcePlacement(
-  state: FleetState,
-  placement: {
-    readonly server: BackendServer;
-    readonly prefixes: readonly string[];
-    readonly now: number;
-  },
-): PolicyEffect[] {
-  const { server, prefixes, now } = placement;
-  const deepest = prefixes.at(-1);
-  if (!state.settings.announcePlacements || deepest === undefined) return [];
-  const placedAt = state.prefixes.placedAt(server.id, deepest);
-  if (placedAt !== undefined && now - placedAt < placementRefresh) return [];
-  return [{ type: "announce_placement", server: server.id, prefixes }];
 }
 
 /** The attempt, unless it has ended. */
@@ -222,8 +211,9 @@
   const elapsed = Math.max(0.1, now - attempt.startedAt - path);
   if (record.work.model !== undefined) {
     const tokens = attempt.uncachedTokens + promptOverhead;
-    const factor = promptFactor(state, prefill ?? entry);
-    const expected = estimates.prefillTime(tokens, now) * factor;
+    const expected = state.settings.sharedEngines
+      ? Math.max(1, attempt.expectedFirstToken)
+      : estimates.prefillTime(tokens, now);
     // Time in the queue of a full engine says nothing about its speed.
     if (!attempt.queued) {
       const sample = {
@@ -232,14 +222,8 @@
       } as const;
       slow.observe((prefill ?? entry).server.id, sample, now);
     }
-    (prefill ?? entry).backlog.correct(
-      elapsed - attempt.expectedFirstToken,
-      now,
-    );
-    // What an engine has queued before says nothing about its speed.
-    const wait = state.settings.estimateBacklog ? attempt.expectedWait : 0;
-    const computing = Math.max(elapsed - wait, elapsed / 4);
-    estimates.learnFirstToken(tokens, computing / factor, now);
+    estimates.learnFirstToken(tokens, elapsed, now);
+    learnEngine(attempt, elapsed, now);
     const onPrefillEngine = prefill?.server.role === "prefill";
     estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
   }
@@ -438,8 +422,14 @@
   return record.starts < (record.work.maxAttempts ?? Infinity);
 }
 
-/** Time of an engine for a prompt token, in that of a prefill engine. */
-export function promptFactor(state: FleetState, entry: ServerEntry): number {
-  const { role } = entry.server;
-  return role === "decode" ? state.settings.decodePromptFactor : 1;
+/** Learns the speed and the queue of the engine that computed the prompt. */
+function learnEngine(attempt: Attempt, elapsed: number, now: number): void {
+  const { record, entry, prefill, uncachedTokens, expectedWait } = attempt;
+  const computing = prefill ?? entry;
+  computing.backlog.correct(elapsed - attempt.expectedFirstToken, now);
+  record.pool.speed.learn({
+    tokens: uncachedTokens,
+    role: computing.server.role,
+    elapsed: elapsed - expectedWait,
+  });
 }
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -20,10 +20,7 @@
   crossRegionPenalty: 20,
   sampledServers: 6,
   bestServers: 3,
-  homeTokens: Infinity,
-  decodePromptFactor: 1,
-  estimateBacklog: false,
-  announcePlacements: false,
+  sharedEngines: false,
   prefixEntries: 20_000,
   prefixLife: 120_000,
   slowThreshold: 2,
@@ -76,8 +73,5 @@
 /** Weight below which a slowed server gets probes only. */
 export const smallestWeight = 0.02;
 
-/** Age at which the placement of a prefix is announced again. */
-export const placementRefresh = 8_000;
-
 /** Fixed time of each prompt, counted in tokens. */
 export const promptOverhead = 100;
--- a/packages/rhubarbstage-policy/src/engine_backlog.ts
+++ b/packages/rhubarbstage-policy/src/engine_backlog.ts
@@ -1,17 +1,16 @@
 /**
- * Prompt work that waits on an engine, estimated from the own part of it.
+ * Prompt work that waits on an engine.
  *
  * @module
  */
 
 /** Part of a wrong prediction by which the estimate is corrected. */
-const correctionGain = 0.5;
+const correctionGain = 0.3;
 
 /**
- * Backlog of prompt work on one engine that several hosts use. Hosts do not
- * tell each other of single requests: each one counts its own work as often as
- * the demand of all hosts exceeds its own, lets the engine work it off in real
- * time, and corrects the estimate by what its own requests have waited.
+ * Backlog of prompt work on one engine. It grows with the work that any host
+ * announces, shrinks in real time, and is corrected by what own requests have
+ * waited.
  */
 export class EngineBacklog {
   #milliseconds = 0;
@@ -22,9 +21,9 @@
     return Math.max(0, this.#milliseconds - Math.max(0, now - this.#at));
   }
 
-  /** Adds own work and the work that other hosts send meanwhile. */
-  add(milliseconds: number, share: number, now: number): void {
-    this.#set(this.value(now) + milliseconds * share, now);
+  /** Adds work, in milliseconds of the engine. */
+  add(milliseconds: number, now: number): void {
+    this.#set(this.value(now) + milliseconds, now);
   }
 
   /** Takes what a request waited beyond its prediction, or less than it. */
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -0,0 +1,162 @@
+/**
+ * Where a prompt is computed and its answer generated, on engines that several
+ * hosts share. Every host follows the work of all hosts on each engine, so that
+ * one decision weighs the queue of an engine, what it has cached, the transfer
+ * of KV cache and the price of the path.
+ *
+ * @module
+ */
+
+import type { EngineSpeed } from "./engine_speed.ts";
+import { kvTransferTime } from "./kv_transfer.ts";
+import {
+  type Route,
+  type RoutingDemand,
+  type RoutingView,
+  suits,
+} from "./routing.ts";
+import { accepts, type ServerEntry } from "./server_table.ts";
+
+/** Engines that one decision looks at; more are drawn at random. */
+const consideredEngines = 128;
+/**
+ * Weight of the engine's own time beside the request's: what is computed here
+ * delays others as long.
+ */
+const occupancyWeight = 1;
+/** Delay of a stream for each other one on its engine, in milliseconds. */
+const crowdingTime = 4;
+/** Routes this close to the best one are as good, in milliseconds. */
+const equalMargin = 8;
+
+interface Option extends Route {
+  readonly score: number;
+}
+
+/** Chooses the engines for a prompt, or none. */
+export function chooseEngines(
+  view: RoutingView,
+  demand: RoutingDemand,
+  speed: EngineSpeed,
+): Route | undefined {
+  const generating: ServerEntry[] = [];
+  const prefilling: ServerEntry[] = [];
+  for (const entry of consideredMembers(view)) {
+    if (!accepts(entry) || !suits(view, demand, entry)) continue;
+    if (entry.server.role === "prefill") prefilling.push(entry);
+    else if (view.table.room(entry) > 0) generating.push(entry);
+  }
+  const options = [
+    ...directOptions(view, demand, { generating, speed }),
+    ...splitOptions(view, demand, { generating, prefilling, speed }),
+  ];
+  return pickOption(view, options);
+}
+
+function consideredMembers(view: RoutingView): Iterable<ServerEntry> {
+  const { members } = view.pool;
+  if (members.size <= consideredEngines) return members.values();
+  const all = [...members.values()];
+  const start = view.random.integer(all.length);
+  return [...all.slice(start), ...all.slice(0, start)]
+    .slice(0, consideredEngines);
+}
+
+/** The generating engine computes the prompt itself. */
+function* directOptions(
+  view: RoutingView,
+  demand: RoutingDemand,
+  engines: {
+    readonly generating: readonly ServerEntry[];
+    readonly speed: EngineSpeed;
+  },
+): Generator<Option> {
+  const { generating, speed } = engines;
+  for (const entry of generating) {
+    const uncachedTokens = uncachedOn(view, demand, entry);
+    const compute = speed.promptTime(uncachedTokens, entry.server.role) *
+      slowness(view, entry);
+    const wait = entry.backlog.value(view.now);
+    const expectedFirstToken = wait + compute + speed.fixedTime +
+      pathCost(view, entry);
+    yield {
+      entry,
+      uncachedTokens,
+      expectedFirstToken,
+      score: expectedFirstToken + compute * occupancyWeight +
+        crowding(view, entry),
+    };
+  }
+}
+
+/** A prefill engine computes the prompt and hands its KV cache on. */
+function* splitOptions(
+  view: RoutingView,
+  demand: RoutingDemand,
+  engines: {
+    readonly generating: readonly ServerEntry[];
+    readonly prefilling: readonly ServerEntry[];
+    readonly speed: EngineSpeed;
+  },
+): Generator<Option> {
+  const { generating, prefilling, speed } = engines;
+  const { promptTokens } = demand.work;
+  for (const prefill of prefilling) {
+    const uncachedTokens = uncachedOn(view, demand, prefill);
+    const compute = speed.promptTime(uncachedTokens, "prefill") *
+      slowness(view, prefill);
+    const wait = prefill.backlog.value(view.now);
+    for (const entry of generating) {
+      const crossRegion = prefill.server.region !== entry.server.region;
+      const transfer = kvTransferTime(view.settings, promptTokens, {
+        crossRegion,
+      });
+      const expectedFirstToken = wait + compute + transfer + speed.fixedTime +
+        pathCost(view, prefill) + pathCost(view, entry);
+      yield {
+        entry,
+        prefill,
+        uncachedTokens,
+        expectedFirstToken,
+        score: expectedFirstToken + compute * occupancyWeight +
+          crowding(view, entry),
+      };
+    }
+  }
+}
+
+function uncachedOn(
+  view: RoutingView,
+  demand: RoutingDemand,
+  entry: ServerEntry,
+): number {
+  const { promptTokens, promptParts = [] } = demand.work;
+  const cached = entry.cache?.cachedTokens(promptParts) ?? 0;
+  return Math.max(0, promptTokens - cached);
+}
+
+function slowness(view: RoutingView, entry: ServerEntry): number {
+  const { id } = entry.server;
+  return view.slow.isSlow(id, view.now) ? view.slow.factor(id, view.now) : 1;
+}
+
+function crowding(view: RoutingView, entry: ServerEntry): number {
+  return view.table.used(entry) * crowdingTime;
+}
+
+/** Round trip and price of the way to an engine, in milliseconds. */
+function pathCost(view: RoutingView, entry: ServerEntry): number {
+  const { region } = entry.server;
+  if (region === view.region) return 0;
+  return (view.roundTrips.get(region) ?? 0) + view.settings.crossRegionPenalty;
+}
+
+function pickOption(
+  view: RoutingView,
+  options: readonly Option[],
+): Option | undefined {
+  let best = Infinity;
+  for (const { score } of options) best = Math.min(best, score);
+  const good = options.filter(({ score }) => score <= best + equalMargin);
+  return good.length === 0 ? undefined : view.random.pick(good);
+}
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -18,6 +18,7 @@
   finishAttempt,
   takeFirstToken,
   takeTokens,
+  takeWork,
 } from "./attempts.ts";
 import {
   demandPeriod,
@@ -34,10 +35,18 @@
   type PoolState,
   poolStateOf,
   type RequestRecord,
+  routingView,
   slotsAbove,
 } from "./fleet_state.ts";
 import { Policy } from "./policy.ts";
-import { dequeue, dispatchPool, enqueue, waitingIn } from "./scheduling.ts";
+import {
+  dequeue,
+  dispatchPool,
+  enqueue,
+  routingDemand,
+  waitingIn,
+} from "./scheduling.ts";
+import { chooseEngines } from "./engine_routing.ts";
 import { targetOf } from "./server_table.ts";
 import { expire, hedge, moveStreams } from "./supervision.ts";
 import {
@@ -56,6 +65,10 @@
 
 /** Bound of the correction of predicted waits, in both directions. */
 const largestCorrection = 4;
+/** Part of a caller's patience that may be spent in an engine's queue. */
+const largestWaitPart = 0.5;
+/** Shortest time after which a refused request may come back, in ms. */
+const smallestRetryAfter = 100;
 /** How often the split of roles is looked at, in milliseconds. */
 const rolePeriod = 500;
 
@@ -104,6 +117,9 @@
         state.prefixes.store(event.server, event.stored, event.now);
         state.prefixes.evict(event.server, event.evicted);
         return [];
+      case "work_announced":
+        takeWork(state, event.work, event.now);
+        return [];
       case "path_measured":
         state.roundTrips.set(event.region, event.roundTrip);
         return [];
@@ -165,6 +181,10 @@
   }
   const hasQueue = !view.hasRoom || view.costAhead > 0;
   if (hasQueue) record.predictedWait = rawWait(view);
+  const hopeless = hopelessWait(state, record, now);
+  if (hopeless !== undefined) {
+    return [refusal(request, "overloaded", hopeless / 1_000)];
+  }
   state.limits.charge(customer, tokens);
   record.chargedTokens = tokens;
   state.requests.set(request, record);
@@ -173,6 +193,40 @@
   return dispatchPool(state, poolState, now);
 }
 
+/**
+ * Time after which a request may come back that could not begin before its
+ * caller leaves; undefined if it can. Such a request would only take engines'
+ * time from others. The bound on the wait does not depend on the prompt's
+ * length, so that long prompts are not refused before short ones.
+ */
+function hopelessWait(
+  state: FleetState,
+  record: RequestRecord,
+  now: number,
+): number | undefined {
+  const { work, pool } = record;
+  if (!state.settings.sharedEngines || work.model === undefined) {
+    return undefined;
+  }
+  const patience = Math.min(
+    work.firstTokenPatience ?? Infinity,
+    work.deadlineAt - work.arrivedAt,
+  );
+  const demand = routingDemand(state, record, { aged: false, now });
+  const route = chooseEngines(
+    routingView(state, pool, now),
+    demand,
+    pool.speed,
+  );
+  if (route === undefined) return undefined;
+  const wait = (route.prefill ?? route.entry).backlog.value(now);
+  const excess = Math.max(
+    wait - patience * largestWaitPart,
+    route.expectedFirstToken - patience,
+  );
+  return excess > 0 ? Math.max(smallestRetryAfter, excess) : undefined;
+}
+
 function observeDemand(
   state: FleetState,
   work: Work,
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -33,19 +33,10 @@
   /** Most prefixes that are remembered. */
   readonly prefixEntries: number;
   /**
-   * Tokens of a shared prefix from which all hosts send its requests to the
-   * same engine, found by hash, until they know of one that has it cached.
+   * Whether hosts tell each other what they send to engines, so that each one
+   * knows the queue and the cache of every engine.
    */
-  readonly homeTokens: number;
-  /**
-   * Time that a decode engine takes for a prompt token, in that of a prefill
-   * engine.
-   */
-  readonly decodePromptFactor: number;
-  /** Whether prompt work of other hosts is estimated from the own part. */
-  readonly estimateBacklog: boolean;
-  /** Whether other hosts are told where a prefix is computed. */
-  readonly announcePlacements: boolean;
+  readonly sharedEngines: boolean;
   /** Age at which a hint about a cached prefix is no longer used. */
   readonly prefixLife: number;
   /** Latency, in that of the peers, from which a server counts as slow. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -17,6 +17,7 @@
 import { defaultFleetSettings } from "./constants.ts";
 import { CustomerLimits } from "./customer_limits.ts";
 import { DecayedRatio, DecayedSum } from "./decayed.ts";
+import { EngineSpeed } from "./engine_speed.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { PrefixMap } from "./prefix_map.ts";
@@ -113,6 +114,7 @@
   readonly lanes: Readonly<Record<Lane, FairQueue>>;
   readonly estimates: WorkEstimates;
   readonly slow: SlowServers;
+  readonly speed: EngineSpeed;
   /** Real over predicted waits of requests that found no room. */
   readonly waits: DecayedRatio;
   /** Slot time given to each priority in the recent past. */
@@ -245,6 +247,7 @@
       },
       estimates: new WorkEstimates(),
       slow: new SlowServers({ threshold: slowThreshold, probeInterval }),
+      speed: new EngineSpeed(),
       waits: new DecayedRatio(1, waitMemory),
       served: new Map(),
       preemptible: new Map(),
--- a/packages/rhubarbstage-policy/src/prefix_map.ts
+++ b/packages/rhubarbstage-policy/src/prefix_map.ts
@@ -56,11 +56,6 @@
     }
   }
 
-  /** Time at which a prefix was last placed on a server, if it is known. */
-  placedAt(server: BackendServerId, prefix: string): number | undefined {
-    return this.#holders.peek(prefix)?.get(server);
-  }
-
   /** Drops what was known of a server, after a gap or a restart. */
   forget(server: BackendServerId, now: number): void {
     this.#droppedBefore.delete(server);
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -4,12 +4,7 @@
  * @module
  */
 
-import {
-  type BackendServerId,
-  hashText,
-  type Region,
-  type SeededRandom,
-} from "rhubarbstage";
+import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
 import { promptOverhead, tokensPerBlock } from "./constants.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { kvTransferPays, kvTransferTime } from "./kv_transfer.ts";
@@ -79,10 +74,7 @@
     .filter((entry) => suits(view, demand, entry));
   const lively = entries.filter((entry) => passesSlowGate(view, demand, entry));
   const usable = lively.length > 0 ? lively : entries;
-  const home = cached.size === 0
-    ? findHome(view, demand.work, usable)
-    : undefined;
-  const candidates = (home === undefined ? usable : [home]).map((entry) =>
+  const candidates = usable.map((entry) =>
     scoreEntry(view, demand, { entry, cached })
   );
   const chosen = pickAmongBest(view, candidates);
@@ -91,35 +83,6 @@
   return prefill ?? chosen;
 }
 
-/**
- * The server to which all hosts send a shared prefix that none of them has
- * placed yet, so that it is computed and cached once. Chosen by the highest
- * hash of prefix and server; undefined when that server cannot take it.
- */
-function findHome(
-  view: RoutingView,
-  work: Work,
-  usable: readonly ServerEntry[],
-): ServerEntry | undefined {
-  const deepest = work.prefixes.at(-1);
-  const shared = work.prefixes.length * tokensPerBlock;
-  if (deepest === undefined || shared < view.settings.homeTokens) {
-    return undefined;
-  }
-  let home: ServerEntry | undefined;
-  let best = -1;
-  for (const entry of view.pool.members.values()) {
-    if (entry.server.role === "prefill" || !accepts(entry)) continue;
-    const rank = hashText(`${deepest}\n${entry.server.id}`);
-    if (rank <= best) continue;
-    best = rank;
-    home = entry;
-  }
-  if (home === undefined || view.table.room(home) <= 0) return undefined;
-  const isAvoided = usable.length > 0 && view.slow.weight(home.server.id) < 1;
-  return isAvoided ? undefined : home;
-}
-
 /** Whether a request may run on a server, apart from the server's room. */
 export function suits(
   view: RoutingView,
@@ -204,12 +167,6 @@
   return view.slow.probeDue(server, view.now);
 }
 
-/** Time until a prompt that is sent to an engine now would be computed. */
-function promptWait(view: RoutingView, entry: ServerEntry): number {
-  if (!view.settings.estimateBacklog) return entry.pendingPrefill;
-  return Math.max(entry.pendingPrefill, entry.backlog.value(view.now));
-}
-
 function pathTime(view: RoutingView, entry: ServerEntry): number {
   return view.roundTrips.get(entry.server.region) ?? 0;
 }
@@ -229,14 +186,12 @@
   const uncachedTokens = work.promptTokens - (cached.get(id) ?? 0);
   const compute = work.model === undefined
     ? estimates.estimate(work, now).firstTokenTime
-    : estimates.prefillTime(uncachedTokens + promptOverhead, now) *
-      (entry.server.role === "decode" ? settings.decodePromptFactor : 1);
+    : estimates.prefillTime(uncachedTokens + promptOverhead, now);
   const path = pathTime(view, entry);
   const penalty = region === view.region ? 0 : settings.crossRegionPenalty;
   const load = view.table.used(entry) / Math.max(1, capacity);
   const typical = estimates.typicalRunTime(now);
-  const wait = promptWait(view, entry);
-  const queueing = wait + typical * (load ** 2) / 2 +
+  const queueing = entry.pendingPrefill + typical * (load ** 2) / 2 +
     typical * Math.max(0, load - 1);
   // A probe must win, otherwise a recovered server would never be noticed.
   const probe = isProbe(view, demand, id);
@@ -246,7 +201,7 @@
   return {
     entry,
     uncachedTokens,
-    expectedFirstToken: compute + wait + path,
+    expectedFirstToken: compute + entry.pendingPrefill + path,
     score: (compute + queueing) * factor + path + penalty,
   };
 }
@@ -323,10 +278,10 @@
   const moved = prefills ? work.promptTokens - own : held - own;
   if (moved <= 0) return undefined;
   const uncachedTokens = prefills
-    ? work.promptTokens - held
+    ? work.promptTokens - Math.max(held, own)
     : route.uncachedTokens - moved;
   const compute = estimates.prefillTime(uncachedTokens + promptOverhead, now);
-  const wait = prefills ? promptWait(view, entry) : 0;
+  const wait = prefills ? entry.pendingPrefill : 0;
   const spared = prefills ? decodeInterference(view, uncachedTokens) : 0;
   const savedTime = route.expectedFirstToken - compute - wait + spared;
   const crossRegion = entry.server.region !== route.entry.server.region;
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -4,12 +4,8 @@
  * @module
  */
 
-import {
-  avoidedServers,
-  cancelAttempt,
-  promptFactor,
-  startAttempt,
-} from "./attempts.ts";
+import { avoidedServers, cancelAttempt, startAttempt } from "./attempts.ts";
+import { chooseEngines } from "./engine_routing.ts";
 import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
@@ -158,7 +154,9 @@
   const effects: PolicyEffect[] = [];
   let route: Route | undefined;
   if (urgent || pool.pool.own < slotLimit(state, pool)) {
-    route = chooseRoute(view, demand);
+    route = state.settings.sharedEngines && pool.model !== undefined
+      ? chooseEngines(view, demand, pool.speed)
+      : chooseRoute(view, demand);
   }
   if (route === undefined && urgent) {
     const freed = preempt(state, { record, demand, now });
@@ -286,7 +284,7 @@
   const path = state.roundTrips.get(entry.server.region) ?? 0;
   const compute = record.work.model === undefined
     ? record.estimate.firstTokenTime
-    : promptFactor(state, entry) * record.pool.estimates.prefillTime(
+    : record.pool.estimates.prefillTime(
       record.work.promptTokens + promptOverhead,
       now,
     );
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { CacheBelief } from "./cache_belief.ts";
 import { EngineBacklog } from "./engine_backlog.ts";
 import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
 import { SampledSet } from "./sampled_set.ts";
@@ -25,6 +26,8 @@
   pendingPrefill: number;
   /** Prompt work of all hosts that the engine has not done. */
   readonly backlog: EngineBacklog;
+  /** Prompts that the engine probably has cached, if its memory is known. */
+  cache: CacheBelief | undefined;
   /** Requests of all hosts in the last load report, if there was one. */
   reported: number | undefined;
   /** Own attempts that the report counts, as far as its lag is known. */
@@ -122,6 +125,10 @@
     known.lost = false;
     this.#close(known);
     known.server = server;
+    const isRestarted = server.incarnation > before.incarnation;
+    if (isRestarted || known.cache === undefined) {
+      known.cache = beliefOf(server);
+    }
     if (!sameTargets(before, server)) this.#join(known);
     else this.#changeCapacity(known, server.capacity - before.capacity);
     this.#takeLoad(known, now);
@@ -320,6 +327,7 @@
     ownSuspects: 0,
     pendingPrefill: 0,
     backlog: new EngineBacklog(),
+    cache: beliefOf(server),
     reported: undefined,
     ownAtReport: 0,
     averageOwn: 0,
@@ -329,6 +337,10 @@
   };
 }
 
+function beliefOf({ cacheTokens }: BackendServer): CacheBelief | undefined {
+  return cacheTokens === undefined ? undefined : new CacheBelief(cacheTokens);
+}
+
 function sameTargets(left: BackendServer, right: BackendServer): boolean {
   const targets = targetsOf(right);
   const before = targetsOf(left);
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -42,6 +42,12 @@
   readonly retryRatio: number;
 }
 
+/** One part of a prompt that other prompts may share. */
+export interface PromptPart {
+  readonly id: string;
+  readonly tokens: number;
+}
+
 /** One request as the policy sees it. */
 export interface Work {
   readonly request: RequestId;
@@ -56,6 +62,11 @@
   readonly outputTokenLimit: number;
   /** Hashes of the prompt's prefixes, one for each block of 1,000 tokens. */
   readonly prefixes: readonly string[];
+  /**
+   * Parts of the prompt in order, where callers name them; the last one is the
+   * request's own.
+   */
+  readonly promptParts?: readonly PromptPart[];
   /** Hash of customer and body, the same when the request is sent again. */
   readonly fingerprint: string;
   /** Whether the request may run more than once. */
@@ -72,6 +83,11 @@
   readonly maxAttempts?: number;
   readonly arrivedAt: number;
   readonly deadlineAt: number;
+  /**
+   * Time after which the caller leaves unless the answer has begun; it waits
+   * until its deadline when absent.
+   */
+  readonly firstTokenPatience?: number;
   readonly settings: WorkSettings;
 }
 
@@ -102,6 +118,8 @@
   readonly role: EngineRole;
   /** Requests that the server can run at the same time. */
   readonly capacity: number;
+  /** Memory of an engine for prompts and answers, in tokens, if known. */
+  readonly cacheTokens?: number;
   /** Leaving or drained servers receive no new work. */
   readonly acceptsNewWork: boolean;
   readonly load?: BackendServerLoad;
@@ -130,6 +148,15 @@
   readonly age: number;
 }
 
+/** Prompt work that one host has sent to an engine. */
+export interface EngineWork {
+  readonly server: BackendServerId;
+  /** Expected time of the engine for it, in milliseconds. */
+  readonly milliseconds: number;
+  /** Parts of the prompt that the engine will have in its cache. */
+  readonly parts: readonly PromptPart[];
+}
+
 /** What happened. */
 export type PolicyEvent =
   | { readonly type: "arrived"; readonly now: number; readonly work: Work }
@@ -193,6 +220,12 @@
     /** Whether events before this one were lost. */
     readonly gap: boolean;
   }
+  /** Another host has sent work to an engine. */
+  | {
+    readonly type: "work_announced";
+    readonly now: number;
+    readonly work: EngineWork;
+  }
   | {
     readonly type: "path_measured";
     readonly now: number;
@@ -233,6 +266,16 @@
   }
   | { readonly type: "tick"; readonly now: number };
 
+/** What a policy expects of a route; times in milliseconds. */
+export interface RouteForecast {
+  /** Time to the first token. */
+  readonly firstToken: number;
+  /** Part of it for which the engine does earlier work. */
+  readonly wait: number;
+  /** Tokens of the prompt that have to be computed. */
+  readonly uncachedTokens: number;
+}
+
 /**
  * Why an attempt is cancelled. After `preempted` and `moved` the request goes
  * on elsewhere; after `hedged` another attempt of it goes on.
@@ -264,6 +307,8 @@
      * resumes from its own count, which may be larger.
      */
     readonly resumeFrom: number;
+    /** What decided, for logs. */
+    readonly forecast?: RouteForecast;
   }
   | {
     readonly type: "refuse";
@@ -295,10 +340,9 @@
     readonly ownModels: ReadonlyMap<ModelName, ModelDemand>;
   }
   | {
-    /** A prefix will soon be in the cache of a server. */
-    readonly type: "announce_placement";
-    readonly server: BackendServerId;
-    readonly prefixes: readonly string[];
+    /** Tells other hosts what this host has sent to an engine. */
+    readonly type: "announce_work";
+    readonly work: EngineWork;
   }
   | {
     readonly type: "note";
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -77,7 +77,7 @@
 }
 
 class NoListener extends PolicyListener {
-  override announcePlacement(): void {}
+  override announceWork(): void {}
   override setRole(): void {}
   override publishQuarantine(): void {}
   override publishDemand(): void {}
--- a/packages/rhubarbstage-relay/__tests__/unit/routing_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/unit/routing_test.ts
@@ -1,7 +1,7 @@
 import type { ServiceName } from "rhubarbstage";
 import { RhubarbstageError } from "rhubarbstage";
 import { endToEndHeaders } from "../../src/headers.ts";
-import { prefixesOf, relayStatus } from "../../src/relay.ts";
+import { relayStatus } from "../../src/relay.ts";
 import { pickTarget, RouteIndex } from "../../src/route_index.ts";
 import type { Route, RouteTable } from "../../src/types.ts";
 
@@ -78,15 +78,6 @@
   );
 });
 
-test("names shared prefixes by their whole path and leaves the own part", () => {
-  const names = prefixesOf([
-    { id: "common", tokens: 2_500 },
-    { id: "subject", tokens: 1_000 },
-    { id: "own", tokens: 9_000 },
-  ]);
-  expect(names).toEqual(["common#0", "common#1", "common/subject#2"]);
-});
-
 test("promises `not run` only for what has not run", () => {
   const refused = new RhubarbstageError("overloaded");
   expect(relayStatus(refused)).toBe(503);
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -37,8 +37,11 @@
 /** Longest wait to find out whether a server still listens, in milliseconds. */
 export const livenessTimeout = 150;
 
-/** Tokens of a prompt that one entry of the prefix map stands for. */
-export const tokensPerPrefix = 1_000;
-
 /** Seconds of `Retry-After` where nothing better is known. */
 export const defaultRetryAfter = 0.5;
+
+/** Ranks by which requests that will be late go behind others. */
+export const lateRankOffset = 5;
+
+/** Forecasts are this much too long or short before a request counts as late. */
+export const latenessSlack = 1.2;
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -12,7 +12,6 @@
   EngineTraits,
   HeaderList,
   PromptExport,
-  PromptPart,
   RelayService,
   RequestTraits,
   Route,
@@ -27,5 +26,5 @@
 export type { ServerConnectionsOptions } from "./server_connections.ts";
 export { refusesConnections, ServerConnections } from "./server_connections.ts";
 export type { RelayOptions } from "./relay.ts";
-export { prefixesOf, Relay, relayStatus } from "./relay.ts";
+export { Relay, relayStatus } from "./relay.ts";
 export { RelayListener } from "./relay_listener.ts";
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -28,11 +28,7 @@
   toRhubarbstageError,
   type WorkKind,
 } from "rhubarbstage";
-import {
-  answerMargin,
-  defaultRetryAfter,
-  tokensPerPrefix,
-} from "./constants.ts";
+import { answerMargin, defaultRetryAfter } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { Reply } from "./reply.ts";
 import { type RelayRequest, RelayRun } from "./relay_run.ts";
@@ -40,7 +36,6 @@
 import type { ServerConnections } from "./server_connections.ts";
 import type {
   AnswerLoad,
-  PromptPart,
   RelayService,
   RequestTraits,
   Route,
@@ -243,7 +238,8 @@
         : { model: service.name as string as ModelName }),
       promptTokens: traits.promptTokens,
       outputTokenLimit: traits.outputTokenLimit,
-      prefixes: prefixesOf(traits.promptParts),
+      prefixes: [],
+      promptParts: traits.promptParts,
       fingerprint: fingerprintOf(incoming, body),
       repeatable: route.kind === "idempotent" ||
         (route.kind === "stream" && route.resumable),
@@ -252,6 +248,9 @@
       maxAttempts: route.maxAttempts,
       arrivedAt,
       deadlineAt: arrivedAt + Math.min(patience, route.timeout),
+      ...(route.firstEventPatience === undefined
+        ? {}
+        : { firstTokenPatience: route.firstEventPatience }),
       settings: this.#workSettings(route),
     };
   }
@@ -373,24 +372,6 @@
   return query < 0 ? url : url.slice(0, query);
 }
 
-/**
- * Names of the prompt's shared prefixes, one for each step of tokens. The last
- * part of a prompt is its own and never shared.
- */
-export function prefixesOf(parts: readonly PromptPart[]): string[] {
-  const names: string[] = [];
-  let tokens = 0;
-  let before = "";
-  for (const { id, tokens: length } of parts.slice(0, -1)) {
-    tokens += length;
-    while ((names.length + 1) * tokensPerPrefix <= tokens) {
-      names.push(`${before}${id}#${names.length}`);
-    }
-    before = `${id}/`;
-  }
-  return names;
-}
-
 /** Equal for the same request sent again, whoever relays it. */
 function fingerprintOf(incoming: IncomingMessage, body: Buffer): string {
   return createHash("sha1")
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -13,7 +13,11 @@
 } from "@rhubarbstage/gateway/dispatch";
 import type { Work } from "@rhubarbstage/policy";
 import { type BackendServerId, RhubarbstageError } from "rhubarbstage";
-import { wholeAnswerBytes } from "./constants.ts";
+import {
+  latenessSlack,
+  lateRankOffset,
+  wholeAnswerBytes,
+} from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { type ExchangeAnswer, ExchangeError } from "./exchange.ts";
@@ -154,13 +158,13 @@
     const { request, dialect, connections } = this.#options;
     const { promptExport, prefillAt } = options;
     const server = prefillAt ?? attempt.address;
-    const { work, route, method, path, body } = request;
+    const { work, method, path, body } = request;
     const now = this.context.clock.monotonicMilliseconds();
     const headers = dialect.attemptHeaders(request.headers, {
       server: server.id,
       timeLeft: Math.max(1, work.deadlineAt - now),
       step: prefillAt === undefined ? "run" : "prefill",
-      ...(work.model === undefined ? {} : { rank: route.rank }),
+      ...(work.model === undefined ? {} : { rank: this.#rank(attempt) }),
       ...(promptExport === undefined ? {} : { promptExport }),
       ...(this.#lastEventId === undefined || prefillAt !== undefined
         ? {}
@@ -172,6 +176,16 @@
     });
   }
 
+  /** What will be late in any case goes behind what can be on time. */
+  #rank(attempt: Attempt): number {
+    const { work, route } = this.#options.request;
+    const expected = attempt.effect.forecast?.firstToken ?? 0;
+    const now = this.context.clock.monotonicMilliseconds();
+    const isLate = now - work.arrivedAt + expected >
+      route.latencyTarget * latenessSlack;
+    return route.rank + (isLate ? lateRankOffset : 0);
+  }
+
   async #take(
     attempt: Attempt,
     answer: ExchangeAnswer,
@@ -277,6 +291,13 @@
     const { reply, request } = this.#options;
     if (reply.isBegun) return;
     reply.begin(answer.status, answer.headers);
+    this.#note("first_event", {
+      attempt: attempt.id,
+      server: attempt.address.id,
+      milliseconds: Math.round(
+        this.context.clock.monotonicMilliseconds() - request.work.arrivedAt,
+      ),
+    });
     this.context.telemetry.firstToken(
       this.work.service,
       this.context.clock.monotonicMilliseconds() - request.work.arrivedAt,
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { PromptPart } from "@rhubarbstage/policy";
 import type { BackendServerId, RequestId, ServiceName } from "rhubarbstage";
 
 /** Header names and values in turn, as they were received. */
@@ -35,6 +36,11 @@
   readonly timeout: number;
   /** Time within which an answer, or its first event, has its full worth. */
   readonly latencyTarget: number;
+  /**
+   * Time after which a caller leaves a stream that has not begun; it waits
+   * until its deadline when absent.
+   */
+  readonly firstEventPatience?: number;
   /** Longest pause between events of a stream that is still on time. */
   readonly gapTarget?: number;
   /** Rank among requests of one service; 0 is the most urgent. */
@@ -85,12 +91,6 @@
   readonly limits: CallerLimits;
 }
 
-/** One part of a prompt that other prompts may share. */
-export interface PromptPart {
-  readonly id: string;
-  readonly tokens: number;
-}
-
 /** What the headers of a request say. */
 export interface RequestTraits {
   /** Id of the caller's attempt; absent when it sent none. */
