--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -214,6 +214,19 @@
   expect(seen).toMatch(/^HTTP\/1\.1 502 /);
 });
 
+test("a reset that arrives together with data is no end", async () => {
+  const port = await start([
+    ({ socket }) => {
+      socket.write("HTTP/1.1 200 OK\r\ntest-signature: s\r\n\r\nhalf");
+      socket.resetAndDestroy();
+    },
+  ], { kind: "at_most_once" });
+  for (let count = 0; count < 10; count += 1) {
+    const seen = await exchange(port, request({ method: "POST", body: "x" }));
+    expect(seen).toMatch(/^HTTP\/1\.1 502 /);
+  }
+});
+
 test("an answer without length ends with its connection", async () => {
   const port = await start([
     ({ socket }) =>
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -115,7 +115,10 @@
   }
 
   #handler(onAbort: () => void): Dispatcher.DispatchHandler {
-    const done = () => this.#signal.removeEventListener("abort", onAbort);
+    const done = () => {
+      this.#signal.removeEventListener("abort", onAbort);
+      if (this.#isUnframed) this.#watch.unframed -= 1;
+    };
     return {
       onConnect: (abort: (reason?: Error) => void) => {
         // A second connection would mean that the client sends it again.
@@ -131,6 +134,7 @@
         this.#resume = resume;
         const headers = raw.map((item) => item.toString("latin1"));
         this.#isUnframed = isUnframed(headers);
+        if (this.#isUnframed) this.#watch.unframed += 1;
         this.#head?.resolve({ status, headers, body: this.#read() });
         this.#head = undefined;
         return true;
