--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -9,8 +9,6 @@
   entryPoints: [join(root, "platform/main.ts")],
   outfile: join(root, "target/platform.cjs"),
   bundle: true,
-  minify: true,
-  keepNames: true,
   platform: "node",
   target: "node20",
   format: "cjs",
