--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -24,8 +24,18 @@
  * delays others as long.
  */
 const occupancyWeight = 1;
-/** Delay of a stream for each other one on its engine, in milliseconds. */
-const crowdingTime = 4;
+/**
+ * Weight of a stream that waits while its engine computes a prompt for another
+ * request, beside that request's own time.
+ */
+const interferenceWeight = 0.2;
+/** Part of an engine's backlog that a stream on it is slowed by. */
+const backlogWeight = 0.5;
+/**
+ * Delay of one token for each other stream on the engine, in milliseconds: the
+ * growth of a batch's step with its size on current accelerators.
+ */
+const crowdingTime = 0.15;
 /** Routes this close to the best one are as good, in milliseconds. */
 const equalMargin = 8;
 
@@ -83,8 +93,9 @@
       entry,
       uncachedTokens,
       expectedFirstToken,
-      score: expectedFirstToken + compute * occupancyWeight +
-        crowding(view, entry),
+      score: expectedFirstToken +
+        compute * (occupancyWeight + interference(view, entry)) +
+        crowding(view, demand, entry),
     };
   }
 }
@@ -119,7 +130,8 @@
         uncachedTokens,
         expectedFirstToken,
         score: expectedFirstToken + compute * occupancyWeight +
-          crowding(view, entry),
+          entry.backlog.value(view.now) * backlogWeight +
+          crowding(view, demand, entry),
       };
     }
   }
@@ -140,8 +152,24 @@
   return view.slow.isSlow(id, view.now) ? view.slow.factor(id, view.now) : 1;
 }
 
-function crowding(view: RoutingView, entry: ServerEntry): number {
-  return view.table.used(entry) * crowdingTime;
+function interference(view: RoutingView, entry: ServerEntry): number {
+  return runningOn(entry) * interferenceWeight;
+}
+
+function crowding(
+  view: RoutingView,
+  demand: RoutingDemand,
+  entry: ServerEntry,
+): number {
+  const { work } = demand;
+  const tokens = work.expectedOutputTokens ??
+    view.estimates.estimate(work, view.now).outputTokens;
+  return runningOn(entry) * tokens * crowdingTime;
+}
+
+/** Streams of all hosts on an engine in the last report, or the own ones. */
+function runningOn(entry: ServerEntry): number {
+  return Math.max(entry.own, entry.reported ?? 0);
 }
 
 /** Round trip and price of the way to an engine, in milliseconds. */
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -60,6 +60,8 @@
   readonly promptTokens: number;
   /** Largest output that the caller allows, in tokens. */
   readonly outputTokenLimit: number;
+  /** Caller's guess of the output in tokens, if it makes one. */
+  readonly expectedOutputTokens?: number;
   /** Hashes of the prompt's prefixes, one for each block of 1,000 tokens. */
   readonly prefixes: readonly string[];
   /**
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -238,6 +238,9 @@
         : { model: service.name as string as ModelName }),
       promptTokens: traits.promptTokens,
       outputTokenLimit: traits.outputTokenLimit,
+      ...(traits.expectedOutputTokens === undefined
+        ? {}
+        : { expectedOutputTokens: traits.expectedOutputTokens }),
       prefixes: [],
       promptParts: traits.promptParts,
       fingerprint: fingerprintOf(incoming, body),
