--- a/packages/rhubarbstage-telemetry/src/logger.ts
+++ b/packages/rhubarbstage-telemetry/src/logger.ts
@@ -11,6 +11,7 @@
   transports,
 } from "winston";
 import { formatFields } from "./key_value.ts";
+import { LineGate } from "./line_gate.ts";
 import type { Fields, Level } from "./types.ts";
 
 /** Options of {@linkcode createLogger}. */
@@ -73,15 +74,24 @@
 class KeyValueLogger extends Logger {
   readonly #winston: WinstonLogger;
   readonly #fields: Fields;
+  readonly #gate: LineGate;
 
-  constructor(winston: WinstonLogger, fields: Fields) {
+  constructor(winston: WinstonLogger, fields: Fields, gate: LineGate) {
     super();
     this.#winston = winston;
     this.#fields = fields;
+    this.#gate = gate;
   }
 
   override log(level: Level, event: string, fields: Fields = {}): void {
     if (!this.#winston.isLevelEnabled(level)) return;
+    if (!this.#gate.admits()) return;
+    const lines = this.#gate.takeSuppressed();
+    if (lines > 0) this.#write("warn", "log_lines_suppressed", { lines });
+    this.#write(level, event, fields);
+  }
+
+  #write(level: Level, event: string, fields: Fields): void {
     const time = new Date().toISOString();
     const message = formatFields({
       time,
@@ -134,7 +144,11 @@
   });
   // Without a listener, a full disk would end the serving process.
   winston.on("error", reportFailure);
-  return new KeyValueLogger(winston, fields);
+  const isStandard = options.file === undefined;
+  const gate = new LineGate({
+    pendingBytes: () => isStandard ? process.stdout.writableLength : 0,
+  });
+  return new KeyValueLogger(winston, fields, gate);
 }
 
 /** A logger that drops all lines. */
