Believe the load that a plain server tells with its answer

Cause: each host counted each own request for all eight hosts, so that one request in flight made a server of six slots look full and top-ups waited or were refused. Loads come with each answer here and are believed.

Tests of the crest on shared engines.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -181,7 +181,7 @@
   }
 
   async #listen(): Promise<void> {
-    const { settings, relay, readiness, metrics } = this.#parts;
+    const { settings, relay, readiness, metrics, events } = this.#parts;
     if (settings.callers !== undefined) {
       const listener = new RelayListener(relay);
       this.#parts.readiness.onTable = (table) =>
@@ -199,12 +199,17 @@
       );
     }
     if (settings.metrics === undefined) return;
-    this.#listeners.push(
-      await listenPlain(settings.metrics, async () => ({
-        status: 200,
-        body: await metrics.render(),
-      })),
-    );
+    try {
+      this.#listeners.push(
+        await listenPlain(settings.metrics, async () => ({
+          status: 200,
+          body: await metrics.render(),
+        })),
+      );
+    } catch (thrown) {
+      // A host without metrics still serves its callers.
+      events.note("metrics_unavailable", { cause: String(thrown) });
+    }
   }
 
   async #close(): Promise<void> {
--- /dev/null
+++ b/packages/rhubarbstage-policy/__tests__/unit/shared_engines_test.ts
@@ -0,0 +1,215 @@
+/**
+ * The crest on engines that several hosts share: long prompts arrive faster
+ * than engines compute them, and shared parts of prompts repeat.
+ */
+
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  CustomerId,
+  Incarnation,
+  ModelName,
+  Region,
+  RequestId,
+  ServiceName,
+  WorkKind,
+} from "rhubarbstage";
+import { CacheBelief } from "../../src/cache_belief.ts";
+import { EngineBacklog } from "../../src/engine_backlog.ts";
+import { EngineSpeed } from "../../src/engine_speed.ts";
+import { FleetPolicy } from "../../src/fleet_policy.ts";
+import type {
+  EngineRole,
+  PolicyEffect,
+  PolicyEvent,
+  PromptPart,
+  Work,
+} from "../../src/types.ts";
+
+const region = "here" as Region;
+const model = "assistant" as ModelName;
+
+function createPolicy() {
+  const policy = new FleetPolicy({
+    region,
+    seed: 3,
+    hosts: 8,
+    settings: {
+      sharedEngines: true,
+      kvFixedCost: 12,
+      kvCostPerToken: 0.001,
+      longCostFactor: 1e6,
+    },
+  });
+  const state = policy.initial();
+  return (event: PolicyEvent): readonly PolicyEffect[] =>
+    policy.reduce(state, event);
+}
+
+function engine(id: string, role: EngineRole): PolicyEvent {
+  return {
+    type: "server_seen",
+    now: 0,
+    server: {
+      id: id as BackendServerId,
+      incarnation: 1 as Incarnation,
+      region,
+      availabilityZone: "here-a" as AvailabilityZone,
+      models: [model],
+      services: [],
+      role,
+      capacity: 64,
+      cacheTokens: 400_000,
+      acceptsNewWork: true,
+    },
+  };
+}
+
+function prompt(subject: string): PromptPart[] {
+  return [{ id: subject, tokens: 13_000 }, { id: "own", tokens: 4_000 }];
+}
+
+function arrival(id: string, changes: Partial<Work> & { now: number }) {
+  const { now, ...rest } = changes;
+  const work: Work = {
+    request: id as RequestId,
+    customer: "team" as CustomerId,
+    service: "assistant" as ServiceName,
+    kind: "review" as WorkKind,
+    model,
+    promptTokens: 17_000,
+    outputTokenLimit: 100,
+    prefixes: [],
+    promptParts: prompt(id),
+    fingerprint: id,
+    repeatable: false,
+    resumable: false,
+    cancellable: true,
+    arrivedAt: now,
+    deadlineAt: now + 6_000,
+    firstTokenPatience: 4_000,
+    settings: {
+      priority: 0,
+      share: 1,
+      requestsPerSecond: Infinity,
+      tokensPerSecond: Infinity,
+      floorRequestsPerSecond: 0,
+      firstTokenTarget: 1_000,
+      retryRatio: 0,
+    },
+    ...rest,
+  };
+  return { type: "arrived", now, work } as const;
+}
+
+function dispatchOf(effects: readonly PolicyEffect[]) {
+  return effects.find((effect) => effect.type === "dispatch");
+}
+
+test("prompts spread over prefill and decode engines as queues grow", () => {
+  const reduce = createPolicy();
+  for (const id of ["p1", "p2"]) reduce(engine(id, "prefill"));
+  for (const id of ["d1", "d2", "d3"]) reduce(engine(id, "decode"));
+  const computing = new Map<string, number>();
+  for (let count = 0; count < 12; count += 1) {
+    const effect = dispatchOf(reduce(arrival(`r${count}`, { now: 10 })));
+    const id = effect?.prefillServer ?? effect?.server ?? "";
+    computing.set(id, (computing.get(id) ?? 0) + 1);
+  }
+  expect(computing.get("p1")).toBeGreaterThanOrEqual(2);
+  expect(computing.get("p2")).toBeGreaterThanOrEqual(2);
+  const direct = ["d1", "d2", "d3"].filter((id) => computing.has(id));
+  expect(direct.length).toBeGreaterThanOrEqual(1);
+});
+
+test("work that another host announces counts as one's own", () => {
+  const reduce = createPolicy();
+  reduce(engine("d1", "decode"));
+  reduce(engine("d2", "decode"));
+  const server = "d1" as BackendServerId;
+  reduce({
+    type: "work_announced",
+    now: 5,
+    work: { server, milliseconds: 900, parts: prompt("other") },
+  });
+  expect(dispatchOf(reduce(arrival("a", { now: 10 })))?.server).toBe("d2");
+});
+
+test("a prompt goes where another host had its shared part computed", () => {
+  const reduce = createPolicy();
+  for (const id of ["d1", "d2", "d3", "d4"]) reduce(engine(id, "decode"));
+  const server = "d3" as BackendServerId;
+  reduce({
+    type: "work_announced",
+    now: 5,
+    work: { server, milliseconds: 100, parts: prompt("ledger") },
+  });
+  const work = arrival("a", { now: 200, promptParts: prompt("ledger") });
+  const effect = dispatchOf(reduce(work));
+  expect(effect?.server).toBe("d3");
+  expect(effect?.forecast?.uncachedTokens).toBe(4_000);
+});
+
+test("refuses at once what cannot begin before its caller leaves", () => {
+  const reduce = createPolicy();
+  reduce(engine("d1", "decode"));
+  const server = "d1" as BackendServerId;
+  reduce({
+    type: "work_announced",
+    now: 5,
+    work: { server, milliseconds: 5_000, parts: [] },
+  });
+  const effects = reduce(arrival("a", { now: 10 }));
+  expect(effects).toHaveLength(1);
+  expect(effects[0]).toMatchObject({
+    type: "refuse",
+    kind: "overloaded",
+    outcome: "not_run",
+  });
+  // The queue is short enough again when the caller comes back as told.
+  const wait = (effects[0] as { retryAfterSeconds?: number }).retryAfterSeconds;
+  const back = reduce(arrival("b", { now: 10 + (wait ?? 0) * 1_000 + 1 }));
+  expect(dispatchOf(back)).toBeDefined();
+});
+
+test("a long prompt is not refused for its own length", () => {
+  const reduce = createPolicy();
+  reduce(engine("d1", "decode"));
+  const long = arrival("a", {
+    now: 10,
+    promptTokens: 40_000,
+    promptParts: [{ id: "own", tokens: 40_000 }],
+  });
+  expect(dispatchOf(reduce(long))).toBeDefined();
+});
+
+test("a backlog is worked off in real time and corrected by waits", () => {
+  const backlog = new EngineBacklog();
+  backlog.add(400, 0);
+  expect(backlog.value(100)).toBe(300);
+  backlog.correct(200, 100);
+  expect(backlog.value(100)).toBeCloseTo(360);
+  expect(backlog.value(1_000)).toBe(0);
+});
+
+test("a belief forgets what was used least recently", () => {
+  const belief = new CacheBelief(40_000);
+  belief.store(prompt("first"));
+  expect(belief.cachedTokens(prompt("first"))).toBe(13_000);
+  belief.store(prompt("second"));
+  belief.store(prompt("third"));
+  expect(belief.cachedTokens(prompt("first"))).toBe(0);
+  expect(belief.cachedTokens(prompt("third"))).toBe(13_000);
+});
+
+test("speed is learned within bounds", () => {
+  const speed = new EngineSpeed();
+  for (let count = 0; count < 200; count += 1) {
+    speed.learn({ tokens: 10_000, role: "prefill", elapsed: 280 });
+  }
+  expect(speed.promptTime(10_000, "prefill")).toBeCloseTo(200, -1);
+  for (let count = 0; count < 500; count += 1) {
+    speed.learn({ tokens: 10_000, role: "prefill", elapsed: 60_000 });
+  }
+  expect(speed.promptTime(10_000, "prefill")).toBeLessThanOrEqual(1_400);
+});
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -206,6 +206,7 @@
   return {
     slack: settings.concurrencySlack,
     sampled: settings.sampledServers * regionsOfSamples,
+    freshReports: settings.sharedEngines,
   };
 }
 
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -77,6 +77,16 @@
   return entry.server.acceptsNewWork && !entry.lost;
 }
 
+/** Options of a {@linkcode ServerTable}. */
+export interface ServerTableOptions {
+  /** Slots that hosts together may use, over the capacity. */
+  readonly slack: number;
+  /** Servers drawn for one decision. */
+  readonly sampled: number;
+  /** Whether servers tell their load with each answer. */
+  readonly freshReports: boolean;
+}
+
 /** All servers and pools that a host knows. */
 export class ServerTable {
   readonly servers = new Map<BackendServerId, ServerEntry>();
@@ -88,19 +98,19 @@
   /** Slots that hosts together may use, over the capacity. */
   #slack: number;
   #sampled: number;
+  #freshReports: boolean;
 
-  /** @param options Slots over capacity; servers drawn for one decision. */
-  constructor(options: { readonly slack: number; readonly sampled: number }) {
+  constructor(options: ServerTableOptions) {
     this.#slack = options.slack;
     this.#sampled = options.sampled;
+    this.#freshReports = options.freshReports;
   }
 
   /** Takes changed settings. */
-  configure(
-    options: { readonly slack: number; readonly sampled: number },
-  ): void {
+  configure(options: ServerTableOptions): void {
     this.#slack = options.slack;
     this.#sampled = options.sampled;
+    this.#freshReports = options.freshReports;
     for (const entry of this.servers.values()) this.refresh(entry);
   }
 
@@ -175,6 +185,7 @@
 
   /** Hosts that probably consider the server when this one does. */
   #likeMinded(entry: ServerEntry): number {
+    if (this.#freshReports) return 1;
     const size = entry.pools[0]?.members.size ?? 1;
     const part = Math.min(1, this.#sampled / Math.max(1, size));
     return Math.max(1, this.#hosts * part);
@@ -188,7 +199,8 @@
     // be sent; and a host may always use its even part of a server.
     // Engines queue by priority; plain services may refuse what is too much.
     const engine = entry.server.models.length > 0;
-    const slots = Math.ceil(capacity * (engine ? this.#slack : 1));
+    const mayQueue = engine || this.#freshReports;
+    const slots = Math.ceil(capacity * (mayQueue ? this.#slack : 1));
     const left = Math.floor(slots - this.used(entry));
     const evenLeft = Math.ceil(capacity / this.#hosts) - entry.own;
     return Math.max(left, evenLeft);
--- a/scripts/build_platform.mjs
+++ b/scripts/build_platform.mjs
@@ -9,6 +9,9 @@
   entryPoints: [join(root, "platform/main.ts")],
   outfile: join(root, "target/platform.cjs"),
   bundle: true,
+  // Names are kept, so that a stack in a log can be read.
+  minifySyntax: true,
+  minifyWhitespace: true,
   platform: "node",
   target: "node20",
   format: "cjs",
