--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -297,7 +297,7 @@
     name: routesDocument,
   });
   const readiness = new RelayReadiness();
-  const connections = createConnections(base, {
+  const connections = createConnections({
     registry,
     membership,
     relay: () => relay,
@@ -606,7 +606,6 @@
 }
 
 function createConnections(
-  _base: Base,
   parts: {
     readonly registry: BackendRegistry;
     readonly membership: Membership;
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -83,7 +83,7 @@
 ): Generator<Option> {
   const { generating, speed } = engines;
   for (const entry of generating) {
-    const uncachedTokens = uncachedOn(view, demand, entry);
+    const uncachedTokens = uncachedOn(demand, entry);
     const compute = speed.promptTime(uncachedTokens, entry.server.role) *
       slowness(view, entry);
     const wait = entry.backlog.value(view.now);
@@ -94,7 +94,7 @@
       uncachedTokens,
       expectedFirstToken,
       score: expectedFirstToken +
-        compute * (occupancyWeight + interference(view, entry)) +
+        compute * (occupancyWeight + interference(entry)) +
         crowding(view, demand, entry),
     };
   }
@@ -113,7 +113,7 @@
   const { generating, prefilling, speed } = engines;
   const { promptTokens } = demand.work;
   for (const prefill of prefilling) {
-    const uncachedTokens = uncachedOn(view, demand, prefill);
+    const uncachedTokens = uncachedOn(demand, prefill);
     const compute = speed.promptTime(uncachedTokens, "prefill") *
       slowness(view, prefill);
     const wait = prefill.backlog.value(view.now);
@@ -137,11 +137,7 @@
   }
 }
 
-function uncachedOn(
-  view: RoutingView,
-  demand: RoutingDemand,
-  entry: ServerEntry,
-): number {
+function uncachedOn(demand: RoutingDemand, entry: ServerEntry): number {
   const { promptTokens, promptParts = [] } = demand.work;
   const cached = entry.cache?.cachedTokens(promptParts) ?? 0;
   return Math.max(0, promptTokens - cached);
@@ -152,7 +148,7 @@
   return view.slow.isSlow(id, view.now) ? view.slow.factor(id, view.now) : 1;
 }
 
-function interference(view: RoutingView, entry: ServerEntry): number {
+function interference(entry: ServerEntry): number {
   return runningOn(entry) * interferenceWeight;
 }
 
