Log what decided on a refusal and the cause of a failed attempt

Cause: walking from a refused request's id to its cause ended at result=overloaded, and failed attempts had an empty cause.

--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -206,7 +206,7 @@
       server,
       kind,
       outcome,
-      cause: cause instanceof Error ? cause.message : "",
+      cause: cause instanceof Error ? cause.message : String(cause ?? ""),
     });
     this.context.notify({
       type: "failed",
--- a/packages/rhubarbstage-policy/__tests__/unit/shared_engines_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/shared_engines_test.ts
@@ -160,14 +160,18 @@
     work: { server, milliseconds: 5_000, parts: [] },
   });
   const effects = reduce(arrival("a", { now: 10 }));
-  expect(effects).toHaveLength(1);
   expect(effects[0]).toMatchObject({
+    type: "note",
+    event: "request_refused",
+    fields: { reason: "engine_queue", server: "d1", patience: 4_000 },
+  });
+  expect(effects[1]).toMatchObject({
     type: "refuse",
     kind: "overloaded",
     outcome: "not_run",
   });
   // The queue is short enough again when the caller comes back as told.
-  const wait = (effects[0] as { retryAfterSeconds?: number }).retryAfterSeconds;
+  const wait = (effects[1] as { retryAfterSeconds?: number }).retryAfterSeconds;
   const back = reduce(arrival("b", { now: 10 + (wait ?? 0) * 1_000 + 1 }));
   expect(dispatchOf(back)).toBeDefined();
 });
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -177,13 +177,26 @@
   const full = state.requests.size >= state.settings.queueLimit;
   if (full || (!withinFloor && wouldMissTime(work, estimate, view))) {
     const wait = retryAfter(predictWait(view), state.random);
-    return [refusal(request, "overloaded", wait)];
+    const reason = full ? "queue_limit" : "predicted_wait";
+    return [
+      refusalNote(request, {
+        reason,
+        expected_wait: Math.round(predictWait(view)),
+        slots: Math.round(view.slots),
+        target: work.settings.firstTokenTarget,
+      }),
+      refusal(request, "overloaded", wait),
+    ];
   }
   const hasQueue = !view.hasRoom || view.costAhead > 0;
   if (hasQueue) record.predictedWait = rawWait(view);
   const hopeless = hopelessWait(state, record, now);
   if (hopeless !== undefined) {
-    return [refusal(request, "overloaded", hopeless / 1_000)];
+    const { excess, ...inputs } = hopeless;
+    return [
+      refusalNote(request, { reason: "engine_queue", ...inputs }),
+      refusal(request, "overloaded", excess / 1_000),
+    ];
   }
   state.limits.charge(customer, tokens);
   record.chargedTokens = tokens;
@@ -193,8 +206,18 @@
   return dispatchPool(state, poolState, now);
 }
 
+/** Why a request cannot begin in time; times in milliseconds. */
+interface HopelessWait {
+  /** Time after which it may come back. */
+  readonly excess: number;
+  readonly server: string;
+  readonly expected_wait: number;
+  readonly expected_first_token: number;
+  readonly patience: number;
+}
+
 /**
- * Time after which a request may come back that could not begin before its
+ * Why and how long a request should stay away that could not begin before its
  * caller leaves; undefined if it can. Such a request would only take engines'
  * time from others. The bound on the wait does not depend on the prompt's
  * length, so that long prompts are not refused before short ones.
@@ -203,7 +226,7 @@
   state: FleetState,
   record: RequestRecord,
   now: number,
-): number | undefined {
+): HopelessWait | undefined {
   const { work, pool } = record;
   if (!state.settings.sharedEngines || work.model === undefined) {
     return undefined;
@@ -224,7 +247,26 @@
     wait - patience * largestWaitPart,
     route.expectedFirstToken - patience,
   );
-  return excess > 0 ? Math.max(smallestRetryAfter, excess) : undefined;
+  if (excess <= 0) return undefined;
+  return {
+    excess: Math.max(smallestRetryAfter, excess),
+    server: (route.prefill ?? route.entry).server.id,
+    expected_wait: Math.round(wait),
+    expected_first_token: Math.round(route.expectedFirstToken),
+    patience: Math.round(patience),
+  };
+}
+
+/** What decided on a refusal, for the log. */
+function refusalNote(
+  request: RequestId,
+  inputs: Readonly<Record<string, string | number>>,
+): PolicyEffect {
+  return {
+    type: "note",
+    event: "request_refused",
+    fields: { request, ...inputs },
+  };
 }
 
 function observeDemand(
