--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -109,6 +109,21 @@
   expect(receivedCount()).toBe(2);
 });
 
+test("a server that cannot be reached takes no attempt", async () => {
+  const serve: Script = ({ socket }) =>
+    socket.write(answer("200 OK", [], "done"));
+  servers = await Promise.all([startServer(serve), startServer(serve)]);
+  await servers[0]!.close();
+  const route: Partial<Route> = { kind: "at_most_once", maxAttempts: 1 };
+  relay = await startRelay({ servers, route });
+  const statuses = new Set<string>();
+  for (let count = 0; count < 4; count += 1) {
+    const text = request({ method: "POST", body: "x" });
+    statuses.add((await exchange(relay.port, text)).slice(9, 12));
+  }
+  expect([...statuses]).toEqual(["200"]);
+});
+
 test("never repeats what may have run", async () => {
   const breakOff: Script = ({ socket }) => socket.destroy();
   const port = await start([breakOff, breakOff], { kind: "at_most_once" });
