Ask another control host after a silent one, and repeat what was never sent

Ruled out: a late election, a lost link to the others. The caller now goes on with the next host, also in the next call, and waits at most 450 ms for one. The test failed before.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -66,6 +66,11 @@
  * is cut off from control goes on with what it knows.
  */
 const evidenceLimit = 120_000;
+/**
+ * Longest wait for one control host, in milliseconds; several times the round
+ * trip between regions, and a third of what a question for the routes may take.
+ */
+const controlAttemptTimeout = 450;
 /** Time between two tries to form the system, in milliseconds. */
 const bootstrapPause = 300;
 /** Events that are kept in memory for the time line. */
@@ -279,6 +284,7 @@
     },
     transport,
     replicaHosts: () => replicaHosts(settings, membership),
+    attemptTimeout: controlAttemptTimeout,
     onFailure: ({ group, error }) =>
       events.note("group_failed", { group, error: error.message }, "error"),
   });
--- a/packages/rhubarbstage-host/src/seat_operations.ts
+++ b/packages/rhubarbstage-host/src/seat_operations.ts
@@ -56,6 +56,8 @@
    * default.
    */
   readonly replicaHosts?: () => readonly HostId[];
+  /** Longest wait for one of them, in milliseconds; defaults to 1,500. */
+  readonly attemptTimeout?: number;
   readonly onFailure: (failure: { group: GroupName; error: Error }) => void;
 }
 
@@ -181,7 +183,13 @@
     }
     const { transport, process, replicaHosts } = this.#options;
     if (replicaHosts !== undefined) {
-      return new GroupClient({ transport, group: name, hosts: replicaHosts });
+      const { attemptTimeout } = this.#options;
+      return new GroupClient({
+        transport,
+        group: name,
+        hosts: replicaHosts,
+        ...(attemptTimeout === undefined ? {} : { attemptTimeout }),
+      });
     }
     const hosts = process.peers
       .filter(({ replica }) => replica)
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -28,6 +28,8 @@
     effects.push(...markCrash(state, attempt.entry, now));
   }
   endAttempt(state, attempt, now);
+  // A connection that was never made has sent the request nowhere.
+  if (failure.connectionLost && !crashed) record.starts -= 1;
   record.failedOn.add(attempt.entry.server.id);
   record.delivered = Math.max(record.delivered, failure.deliveredTokens);
   if (record.attempts.size > 0) return effects; // A hedge still runs.
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -10,7 +10,12 @@
   paceOf,
   startAttempt,
 } from "./attempts.ts";
-import { type Attempt, type FleetState, routingView } from "./fleet_state.ts";
+import {
+  type Attempt,
+  type FleetState,
+  type RequestRecord,
+  routingView,
+} from "./fleet_state.ts";
 import { chooseRoute, type Route } from "./routing.ts";
 import { dequeue, mayHaveRun, routingDemand, waitingIn } from "./scheduling.ts";
 import { isCancellable, type PolicyEffect } from "./types.ts";
@@ -90,6 +95,7 @@
 ): PolicyEffect[] {
   const { record } = attempt;
   if (!record.work.repeatable || record.attempts.size > 1) return [];
+  if (followsQueues(state, record)) return [];
   if (!mayStartAnother(record)) return [];
   if (waitingIn(record.pool) > 0 || now >= record.work.deadlineAt) return [];
   const route = betterRoute(state, attempt, now);
@@ -118,6 +124,7 @@
   const { record } = attempt;
   const { work, pool } = record;
   if (!work.repeatable || !work.resumable) return false;
+  if (followsQueues(state, record)) return false;
   if (!mayStartAnother(record)) return false;
   if (attempt.firstTokenAt === undefined || record.attempts.size !== 1) {
     return false;
@@ -177,3 +184,11 @@
   const slow = record.pool.slow.weight(route.entry.server.id) < 1;
   return slow ? undefined : route;
 }
+
+/**
+ * Whether engines are chosen by their queues. A second prompt on another engine
+ * would then add to the queue that makes the first one late.
+ */
+function followsQueues(state: FleetState, record: RequestRecord): boolean {
+  return state.settings.sharedEngines && record.work.model !== undefined;
+}
--- a/packages/rhubarbstage-replica/src/leader_caller.ts
+++ b/packages/rhubarbstage-replica/src/leader_caller.ts
@@ -47,6 +47,11 @@
 export class LeaderCaller {
   readonly #options: LeaderCallerOptions;
   #leader: HostId | undefined;
+  /**
+   * Host to ask when no leader is known. Kept between calls, so that a call
+   * does not begin with the silent host on which the last one ended.
+   */
+  #turn = 0;
 
   constructor(options: LeaderCallerOptions) {
     this.#options = options;
@@ -156,7 +161,6 @@
 
   /** The known leader whenever there is one, else every host in turn. */
   *#candidates(): Generator<HostId | undefined, never> {
-    let turn = 0;
     let hinted: HostId | undefined;
     while (true) {
       // The same hint twice in a row may come from replicas that are behind.
@@ -167,8 +171,8 @@
       }
       hinted = undefined;
       const hosts = this.#options.hosts();
-      yield hosts.length === 0 ? undefined : hosts[turn % hosts.length];
-      turn += 1;
+      yield hosts.length === 0 ? undefined : hosts[this.#turn % hosts.length];
+      this.#turn += 1;
     }
   }
 }
