Keep the result of the stopped reader's test whole

Cause: the child writes its result in place and was killed between truncating and writing. It now renames a whole file; the bounds are as before.

--- a/packages/rhubarbstage-telemetry/__tests__/integration/stopped_reader_test.ts
+++ b/packages/rhubarbstage-telemetry/__tests__/integration/stopped_reader_test.ts
@@ -9,7 +9,7 @@
 
 /** Logs without end and writes how often its timer has run. */
 const program = `
-import { writeFileSync } from "node:fs";
+import { renameSync, writeFileSync } from "node:fs";
 import { createLogger } from ${
   JSON.stringify(join(__dirname, "../../src/mod.ts"))
 };
@@ -21,7 +21,10 @@
   }
   turns += 1;
   const pending = process.stdout.writableLength;
-  writeFileSync(process.argv[2], JSON.stringify({ turns, pending }));
+  // The rename keeps the result whole when the process is killed meanwhile.
+  const result = process.argv[2];
+  writeFileSync(result + ".new", JSON.stringify({ turns, pending }));
+  renameSync(result + ".new", result);
 }, 20);
 `;
 
