Let the leader of control split shared engines between prompts and answers

The prompt engines were full, so that most prompts were computed on the answering engines between the tokens of their streams: 109 of 293 short chats were late although half of them began within 312 ms, and long answers missed their deadline. Ruled out: a shortage of generating engines (2,500 tokens a second are a third of what one engine's batch generates).

The leader of control now holds the authority over roles once a lease time and the write window of orders have passed, and gives orders through the existing executor with its fencing numbers. An idle pool gets 60 % of its engines for prompts before the first request; afterwards the split follows demand averaged over 20 s. Every region keeps engines of both roles.

--- /dev/null
+++ b/packages/rhubarbstage-host/__tests__/unit/relay_orders_test.ts
@@ -0,0 +1,146 @@
+/** Orders to engines that neither check fencing nor tell whose order they took. */
+
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import type { OrderIntent } from "@rhubarbstage/control";
+import { ServerConnections } from "@rhubarbstage/relay";
+import type {
+  BackendServerId,
+  FencingNumber,
+  HostId,
+  Incarnation,
+  OrderId,
+} from "rhubarbstage";
+import { TestDialect } from "../../../rhubarbstage-relay/__tests__/harness.ts";
+import { RelayOrderConnector } from "../../src/relay_orders.ts";
+
+const backendServer = "engine-1" as BackendServerId;
+const incarnation = 7 as Incarnation;
+
+/** An engine that takes orders, or is silent about them. */
+class Engine {
+  readonly orders: unknown[] = [];
+  acceptedOrders = 3;
+  answer: "accept" | "refuse" | "silence" = "accept";
+  url = "";
+  readonly #server: Server = createServer((request, response) => {
+    let body = "";
+    request.on("data", (piece) => body += String(piece));
+    request.on("end", () => {
+      if (request.method === "GET") {
+        const { acceptedOrders } = this;
+        response.end(JSON.stringify({ acceptedOrders, isBusy: false }));
+        return;
+      }
+      this.orders.push(JSON.parse(body));
+      if (this.answer === "refuse") {
+        response.writeHead(409).end();
+        return;
+      }
+      this.acceptedOrders += 1;
+      if (this.answer === "accept") response.writeHead(202).end();
+      else request.socket.destroy();
+    });
+  });
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) =>
+      this.#server.listen(0, "127.0.0.1", resolve)
+    );
+    const { port } = this.#server.address() as AddressInfo;
+    this.url = `http://127.0.0.1:${port}`;
+  }
+
+  stop(): void {
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+}
+
+let engine: Engine;
+let connections: ServerConnections;
+
+beforeEach(async () => {
+  engine = new Engine();
+  await engine.start();
+  connections = new ServerConnections({
+    maxConnections: () => 10,
+    hosts: () => 1,
+  });
+});
+
+afterEach(async () => {
+  await connections.close();
+  engine.stop();
+});
+
+function createConnector(known = true) {
+  return new RelayOrderConnector({
+    dialect: new TestDialect(),
+    connections,
+    holder: "host-1",
+    incarnationOf: () => known ? incarnation : undefined,
+  });
+}
+
+function target() {
+  return { backendServer, address: engine.url };
+}
+
+function intentOf(fencingNumber: number): OrderIntent {
+  return {
+    orderId: `order-${fencingNumber}` as OrderId,
+    backendServer,
+    kind: "set_role",
+    argument: "prefill",
+    fencingNumber: fencingNumber as FencingNumber,
+    incarnation,
+    honoursFencing: false,
+    sender: { host: "host-1" as HostId, incarnation },
+    takenOver: false,
+  };
+}
+
+test("an order carries its fencing number and the orders taken before", async () => {
+  const connection = await createConnector().open(target());
+  await connection.status();
+  expect(await connection.send(intentOf(9))).toEqual({ type: "confirmed" });
+  expect(engine.orders).toEqual([{
+    role: "prefill",
+    holder: "host-1",
+    fencingNumber: 9,
+    acceptedOrders: 3,
+  }]);
+});
+
+test("a refusal ends the order, a lost answer leaves it open", async () => {
+  const connector = createConnector();
+  engine.answer = "refuse";
+  const refused = await connector.open(target());
+  await refused.status();
+  expect(await refused.send(intentOf(9))).toMatchObject({ type: "refused" });
+  engine.answer = "silence";
+  const silent = await connector.open(target());
+  await silent.status();
+  expect(await silent.send(intentOf(10))).toMatchObject({ type: "unknown" });
+  // The count of accepted orders shows later that the engine took it.
+  const asked = await connector.open(target());
+  const { lastOrder } = await asked.status();
+  expect(lastOrder).toEqual({ fencingNumber: 10, state: "done" });
+});
+
+test("nothing is written to an engine that cannot be reached", async () => {
+  const connection = await createConnector().open(target());
+  await connection.status();
+  engine.stop();
+  await connections.close();
+  const answer = await connection.send(intentOf(9));
+  expect(answer).toMatchObject({ type: "not_sent" });
+  expect(engine.orders).toEqual([]);
+});
+
+test("an engine that nobody announces gets no order", async () => {
+  await expect(createConnector(false).open(target())).rejects.toMatchObject({
+    kind: "backend_unreachable",
+  });
+});
--- a/packages/rhubarbstage-host/src/order_coordinator.ts
+++ b/packages/rhubarbstage-host/src/order_coordinator.ts
@@ -40,6 +40,8 @@
   readonly events: HostEvents;
   /** Whether this host leads the control group. */
   readonly leads: () => boolean;
+  /** Whether engines end their work by themselves before they change roles. */
+  readonly enginesDrainThemselves?: boolean;
   /** Engines that may be out of service at once in the pool of a server. */
   readonly maxEnginesAway: (record: ServerRecord) => number;
   /** Reads the load of an engine. Throws when it cannot be reached. */
@@ -67,12 +69,17 @@
   /**
    * Changes a role that the policy has decided. A role change ends the streams
    * of an engine, so the engine is drained first; when its streams last too
-   * long, it keeps its role.
+   * long, it keeps its role. Engines that end their work by themselves get
+   * only the order.
    */
   async setRole(server: BackendServerId, role: EngineRole): Promise<void> {
     if (this.#changing.has(server) || !this.#mayTakeAway(server)) return;
     this.#changing.add(server);
     try {
+      if (this.#options.enginesDrainThemselves === true) {
+        await this.#order(server, "set_role", role);
+        return;
+      }
       if (!await this.#order(server, "drain", "")) return;
       if (await this.#becomesIdle(server)) {
         await this.#order(server, "set_role", role);
@@ -153,6 +160,7 @@
 
   /** Puts engines back that an earlier leader drained and then left alone. */
   async #undrainForgotten(): Promise<void> {
+    if (this.#options.enginesDrainThemselves === true) return;
     for (const record of this.#options.backends.records()) {
       const forgotten = record.state === "draining" &&
         !this.#changing.has(record.id);
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -14,7 +14,7 @@
   type Incarnation,
   SystemClock,
 } from "rhubarbstage";
-import { DocumentClient } from "@rhubarbstage/control";
+import { DocumentClient, OrderExecutor } from "@rhubarbstage/control";
 import { Dispatcher, PolicyListener } from "@rhubarbstage/gateway/dispatch";
 import { EngineClient } from "@rhubarbstage/engine";
 import {
@@ -49,8 +49,11 @@
 import { HostEvents } from "./host_events.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
 import { TransportLink } from "./membership_link.ts";
+import { OrderCoordinator } from "./order_coordinator.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
+import { RelayOrderConnector } from "./relay_orders.ts";
 import { RelayReadiness } from "./relay_readiness.ts";
+import { RoleAuthority } from "./role_authority.ts";
 import { controlName, SeatOperations } from "./seat_operations.ts";
 import { ServerChecks } from "./server_checks.ts";
 
@@ -83,6 +86,11 @@
 const retryPart = 0.6;
 const hedgePart = 0.2;
 
+/**
+ * Longest time from the intent of an order to its write, in milliseconds: a
+ * few round trips between regions.
+ */
+const orderWriteWindow = 500;
 /** Time between two messages about work on engines, in milliseconds. */
 const workInterval = 50;
 /** Time to export and import KV cache, without its transfer, in ms. */
@@ -118,6 +126,7 @@
   readonly membership: Membership;
   readonly registry: BackendRegistry;
   readonly dispatcher: Dispatcher;
+  readonly listener: RelayPolicyListener;
   readonly connections: ServerConnections;
   readonly documents: DocumentClient;
   readonly relay: Relay;
@@ -346,6 +355,7 @@
     membership,
     registry,
     dispatcher,
+    listener: serving.listener,
     connections,
     documents,
     relay,
@@ -377,6 +387,8 @@
 class RelayPolicyListener extends PolicyListener {
   readonly #demand: DemandReport;
   membership: Membership | undefined;
+  /** Present on hosts that may lead control. */
+  orders: OrderCoordinator | undefined;
   readonly #work: EngineWork[] = [];
 
   constructor(demand: DemandReport) {
@@ -384,8 +396,10 @@
     this.#demand = demand;
   }
 
-  override setRole(): void {
-    // Hosts that relay hold no authority over roles.
+  override setRole(
+    ...change: Parameters<PolicyListener["setRole"]>
+  ): void {
+    void this.orders?.setRole(...change);
   }
 
   override announceWork(work: EngineWork): void {
@@ -726,8 +740,10 @@
   const { seat } = settings;
   if (replica === undefined || seat === undefined) return;
   const { signal } = stopped;
+  const authority = createRoleAuthority(parts);
   replica.onLeadership(controlName, ({ term, leader, isLeader }) => {
     events.note("leadership", { term, leader, leads: isLeader });
+    authority.lead(isLeader);
   }, { signal });
   new SeatKeeper({
     replica,
@@ -744,6 +760,45 @@
   if (seat.bootstrap) void formSystem(parts);
 }
 
+/** Lets the leader of control order engines to change their roles. */
+function createRoleAuthority(parts: Parts): RoleAuthority {
+  const { settings, seats, registry, events, stopped, listener } = parts;
+  const { signal } = stopped;
+  const leads = () => seats.controlSeat?.leadership().isLeader ?? false;
+  const executor = new OrderExecutor({
+    group: seats.control,
+    connector: new RelayOrderConnector({
+      dialect: parts.options.dialect,
+      connections: parts.connections,
+      holder: settings.host,
+      incarnationOf: (server) => registry.recordOf(server)?.incarnation,
+    }),
+    sender: { host: settings.host, incarnation: parts.incarnation },
+    leads,
+    signal,
+    writeWindow: orderWriteWindow,
+  });
+  const orders = new OrderCoordinator({
+    executor,
+    backends: registry,
+    events,
+    leads,
+    enginesDrainThemselves: true,
+    maxEnginesAway: () => Infinity,
+    readLoad: () => Promise.reject(new Error("Engines drain themselves")),
+  });
+  orders.start({ signal });
+  listener.orders = orders;
+  return new RoleAuthority({
+    settleTime: settings.orderLease + orderWriteWindow,
+    signal,
+    onChange: (held) => {
+      events.note("role_authority", { held: held ? "yes" : "no" });
+      parts.dispatcher.notify({ type: "role_authority_changed", held });
+    },
+  });
+}
+
 /** Forms the system if this host is the first of the seeds. */
 async function formSystem(parts: Parts): Promise<void> {
   const { settings, seats, events, stopped } = parts;
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -51,6 +51,8 @@
   readonly retries: RetrySettings;
   /** Time from the stop signal to the forced end. */
   readonly gracePeriod: number;
+  /** Time in which two hosts may not both give orders to one engine. */
+  readonly orderLease: number;
   /** Time in which a configuration is in force everywhere. */
   readonly configurationBound: number;
   readonly logLevel: LogLevel;
--- /dev/null
+++ b/packages/rhubarbstage-policy/__tests__/unit/engine_roles_test.ts
@@ -0,0 +1,161 @@
+/**
+ * The split of shared engines between prompts and answers: a pool that starts
+ * with most engines in the wrong role, and a mix that shifts for good or only
+ * for a moment.
+ */
+
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  Incarnation,
+  ModelName,
+  Region,
+} from "rhubarbstage";
+import { FleetPolicy } from "../../src/fleet_policy.ts";
+import type { EngineRole, PolicyEffect, PolicyEvent } from "../../src/types.ts";
+
+const model = "assistant" as ModelName;
+const regions = ["north", "south", "east"] as Region[];
+
+interface Engine {
+  role: EngineRole;
+  readonly region: Region;
+}
+
+/** A pool whose engines obey each order at once. */
+class Pool {
+  readonly engines = new Map<string, Engine>();
+  readonly changes: { at: number; region: Region; role: EngineRole }[] = [];
+  readonly #reduce: (event: PolicyEvent) => readonly PolicyEffect[];
+  #now = 0;
+
+  constructor(roles: readonly EngineRole[]) {
+    const policy = new FleetPolicy({
+      region: regions[0] as Region,
+      seed: 5,
+      settings: { sharedEngines: true },
+    });
+    const state = policy.initial();
+    this.#reduce = (event) => policy.reduce(state, event);
+    for (const [index, role] of roles.entries()) {
+      const region = regions[index % regions.length] as Region;
+      this.engines.set(`e${index}`, { role, region });
+      this.#see(`e${index}`);
+    }
+    this.#reduce({ type: "role_authority_changed", now: 0, held: true });
+  }
+
+  /** Lets time pass under some demand, in tokens a second. */
+  run(seconds: number, demand?: { prompts: number; answers: number }): void {
+    for (let step = 0; step < seconds * 2; step += 1) {
+      this.#now += 500;
+      if (demand !== undefined) {
+        this.#reduce({
+          type: "demand_reported",
+          now: this.#now,
+          total: new Map(),
+          hosts: 8,
+          models: new Map([[model, {
+            promptTokensPerSecond: demand.prompts,
+            outputTokensPerSecond: demand.answers,
+          }]]),
+        });
+      }
+      this.#tick();
+    }
+  }
+
+  count(role: EngineRole, region?: Region): number {
+    return [...this.engines.values()].filter((engine) =>
+      engine.role === role &&
+      (region === undefined || engine.region === region)
+    ).length;
+  }
+
+  #tick(): void {
+    const effects = this.#reduce({ type: "tick", now: this.#now });
+    for (const effect of effects) {
+      if (effect.type !== "set_role") continue;
+      const engine = this.engines.get(effect.server) as Engine;
+      engine.role = effect.role;
+      this.changes.push({
+        at: this.#now,
+        region: engine.region,
+        role: effect.role,
+      });
+      this.#see(effect.server);
+    }
+  }
+
+  #see(id: string): void {
+    const { role, region } = this.engines.get(id) as Engine;
+    this.#reduce({
+      type: "server_seen",
+      now: this.#now,
+      server: {
+        id: id as BackendServerId,
+        incarnation: 1 as Incarnation,
+        region,
+        availabilityZone: `${region}-a` as AvailabilityZone,
+        models: [model],
+        services: [],
+        role,
+        capacity: 64,
+        acceptsNewWork: true,
+      },
+    });
+  }
+}
+
+function roles(prefill: number, decode: number): EngineRole[] {
+  return [
+    ...Array.from({ length: prefill }, () => "prefill" as const),
+    ...Array.from({ length: decode }, () => "decode" as const),
+  ];
+}
+
+test("an idle pool gets its split before the first request", () => {
+  const pool = new Pool(roles(3, 5));
+  pool.run(5);
+  expect(pool.count("prefill")).toBe(5);
+  expect(pool.changes.length).toBe(2);
+});
+
+test("each region keeps engines of both roles", () => {
+  const pool = new Pool(roles(3, 6));
+  pool.run(10);
+  for (const region of regions) {
+    expect(pool.count("prefill", region)).toBeGreaterThanOrEqual(1);
+    expect(pool.count("decode", region)).toBeGreaterThanOrEqual(1);
+  }
+});
+
+test("a lasting shift to long answers moves engines, one at a time", () => {
+  const pool = new Pool(roles(8, 5));
+  pool.run(90, { prompts: 30_000, answers: 20_000 });
+  expect(pool.count("decode")).toBeGreaterThanOrEqual(9);
+  const times = pool.changes.map(({ at }) => at);
+  expect(new Set(times).size).toBe(times.length);
+});
+
+test("a swing of seconds moves no engine", () => {
+  const pool = new Pool(roles(5, 3));
+  for (let swing = 0; swing < 6; swing += 1) {
+    pool.run(3, { prompts: 130_000, answers: 2_000 });
+    pool.run(3, { prompts: 50_000, answers: 6_000 });
+  }
+  expect(pool.changes).toEqual([]);
+});
+
+test("an engine that came back in its first role is changed again", () => {
+  const pool = new Pool(roles(5, 3));
+  pool.run(5);
+  expect(pool.changes).toEqual([]);
+  pool.engines.set("e0", { role: "decode", region: regions[0] as Region });
+  pool.engines.set("e1", { role: "decode", region: regions[1] as Region });
+  const restarted = new Pool(
+    [...pool.engines.values()].map(({ role }) => role),
+  );
+  restarted.run(5);
+  expect(restarted.count("prefill")).toBe(5);
+});
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -104,6 +104,12 @@
   if (!state.settings.sharedEngines || model === undefined) return [];
   const computing = prefill ?? entry;
   const { speed } = record.pool;
+  const { outputTokens } = record.estimate;
+  state.limits.observeModel(
+    model,
+    { promptTokens: uncachedTokens, outputTokens },
+    now,
+  );
   const used = prefill === undefined ? [entry] : [entry, prefill];
   return used.map(({ server }) => {
     const time = server.id === computing.server.id
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -46,6 +46,7 @@
   routingDemand,
   waitingIn,
 } from "./scheduling.ts";
+import { decideSharedRoles } from "./engine_roles.ts";
 import { chooseEngines } from "./engine_routing.ts";
 import { targetOf } from "./server_table.ts";
 import { expire, hedge, moveStreams } from "./supervision.ts";
@@ -280,7 +281,8 @@
 ): void {
   const { estimate, tokens, now } = options;
   state.limits.observe(work.customer, tokens, now);
-  if (work.model === undefined) return;
+  // The work of shared engines is counted once their caches are known.
+  if (work.model === undefined || state.settings.sharedEngines) return;
   const { promptTokens } = work;
   const { outputTokens } = estimate;
   state.limits.observeModel(work.model, { promptTokens, outputTokens }, now);
@@ -497,6 +499,10 @@
 }
 
 function decideRoles(state: FleetState, now: number): PolicyEffect[] {
+  if (state.settings.sharedEngines) {
+    return decideSharedRoles(state, now)
+      .map((change) => ({ type: "set_role", ...change }));
+  }
   const effects: PolicyEffect[] = [];
   for (const poolState of state.poolStates.values()) {
     const { model, pool, estimates } = poolState;
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -17,6 +17,7 @@
 import { defaultFleetSettings } from "./constants.ts";
 import { CustomerLimits } from "./customer_limits.ts";
 import { DecayedRatio, DecayedSum } from "./decayed.ts";
+import type { EngineDemand } from "./engine_roles.ts";
 import { EngineSpeed } from "./engine_speed.ts";
 import { FairQueue } from "./fair_queue.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
@@ -149,6 +150,8 @@
   readonly prefixes: PrefixMap;
   readonly quarantine: Quarantine;
   readonly roles: RoleSplit;
+  /** Demand of each pool of engines that hosts share. */
+  readonly engineDemand: Map<string, EngineDemand>;
   readonly roundTrips: Map<Region, number>;
   readonly deadlines: TinyQueue<Timer<RequestRecord>>;
   readonly hedges: TinyQueue<Timer<Attempt>>;
@@ -189,6 +192,7 @@
     prefixes: new PrefixMap(settings.prefixEntries, settings.prefixLife),
     quarantine: new Quarantine(settings.quarantinePeriod),
     roles: new RoleSplit(),
+    engineDemand: new Map(),
     roundTrips: new Map(),
     deadlines: newTimers(),
     hedges: newTimers(),
--- a/packages/rhubarbstage-policy/src/roles.ts
+++ b/packages/rhubarbstage-policy/src/roles.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { BackendServerId, ModelName } from "rhubarbstage";
+import type { BackendServerId, ModelName, Region } from "rhubarbstage";
 import type { FleetSettings } from "./fleet_settings.ts";
 import type { EngineRole } from "./types.ts";
 
@@ -12,6 +12,8 @@
 export interface RoleEngine {
   readonly id: BackendServerId;
   readonly role: EngineRole;
+  /** Engines of the region with most of a role give it up first. */
+  readonly region?: Region;
   readonly outstanding: number;
 }
 
@@ -168,16 +170,21 @@
     },
   ): RoleEngine | undefined {
     const { role, settings, now } = options;
-    let best: RoleEngine | undefined;
-    for (const engine of engines) {
-      if (engine.role === role || engine.role === "mixed") continue;
-      if (state.changing.has(engine.id)) continue;
-      const changedAt = state.changedAt.get(engine.id) ?? -Infinity;
-      if (now - changedAt < settings.roleDwell) continue;
-      if (best === undefined || engine.outstanding < best.outstanding) {
-        best = engine;
-      }
-    }
+    const staying = engines.filter((engine) => {
+      const next = state.changing.get(engine.id)?.role ?? engine.role;
+      return next !== role && next !== "mixed";
+    });
+    const alike = (engine: RoleEngine) =>
+      staying.filter(({ region }) => region === engine.region).length;
+    const [best] = staying
+      .filter((engine) => {
+        if (state.changing.has(engine.id)) return false;
+        const changedAt = state.changedAt.get(engine.id) ?? -Infinity;
+        return now - changedAt >= settings.roleDwell;
+      })
+      .toSorted((left, right) =>
+        alike(right) - alike(left) || left.outstanding - right.outstanding
+      );
     return best;
   }
 }
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -133,7 +133,10 @@
   readonly tokensPerSecond: number;
 }
 
-/** Offered work of one model, before any prompt is found in a cache. */
+/**
+ * Offered work of one model. Prompts count whole, but where hosts share the
+ * engines, only what no cache is believed to hold.
+ */
 export interface ModelDemand {
   readonly promptTokensPerSecond: number;
   readonly outputTokensPerSecond: number;
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -24,18 +24,23 @@
   type AttemptTraits,
   Dialect,
   endToEndHeaders,
+  type EngineState,
   type HeaderList,
   headerValue,
+  type OrderVerdict,
   Relay,
   RelayListener,
   type RequestTraits,
+  type RoleOrder,
   type Route,
+  type ServerCall,
   ServerConnections,
 } from "../src/mod.ts";
 
 const region = "here" as Region;
 
-class TestDialect extends Dialect {
+/** Speaks in plain test headers. */
+export class TestDialect extends Dialect {
   override readRequest(headers: HeaderList): RequestTraits {
     const id = headerValue(headers, "test-id");
     const patience = headerValue(headers, "test-patience");
@@ -74,6 +79,23 @@
   override freeExport() {
     return { method: "DELETE", path: "/" };
   }
+
+  override askState() {
+    return { method: "GET", path: "/state" };
+  }
+
+  override readState(body: Uint8Array): EngineState {
+    return JSON.parse(new TextDecoder().decode(body)) as EngineState;
+  }
+
+  override orderRole(order: RoleOrder): ServerCall {
+    return { method: "POST", path: "/role", body: JSON.stringify(order) };
+  }
+
+  override readVerdict(status: number): OrderVerdict {
+    if (status === 202) return "accepted";
+    return status === 409 ? "refused" : "unclear";
+  }
 }
 
 class NoListener extends PolicyListener {
--- a/packages/rhubarbstage-relay/src/dialect.ts
+++ b/packages/rhubarbstage-relay/src/dialect.ts
@@ -7,17 +7,25 @@
 import type {
   AnswerTraits,
   AttemptTraits,
+  EngineState,
   HeaderList,
   PromptExport,
   RequestTraits,
+  RoleOrder,
 } from "./types.ts";
 
 /** A call to a server that is not a caller's request. */
 export interface ServerCall {
   readonly method: string;
   readonly path: string;
+  /** Headers of the body; the meant server is named by the attempt's. */
+  readonly headers?: HeaderList;
+  readonly body?: string;
 }
 
+/** What an answer to an order says. */
+export type OrderVerdict = "accepted" | "refused" | "unclear";
+
 /** Translates between headers on the wire and what the relay knows. */
 export abstract class Dialect {
   /** What a caller's headers say. */
@@ -40,4 +48,16 @@
 
   /** Call that frees an export that nobody will fetch. */
   abstract freeExport(exported: PromptExport): ServerCall;
+
+  /** Call that asks an engine for its state. */
+  abstract askState(): ServerCall;
+
+  /** State of an engine; undefined when the answer is unreadable. */
+  abstract readState(body: Uint8Array): EngineState | undefined;
+
+  /** Call that orders an engine to change its role. */
+  abstract orderRole(order: RoleOrder): ServerCall;
+
+  /** What the status of an answer to an order says. */
+  abstract readVerdict(status: number): OrderVerdict;
 }
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -9,17 +9,19 @@
   AnswerTraits,
   AttemptTraits,
   CallerLimits,
+  EngineState,
   EngineTraits,
   HeaderList,
   PromptExport,
   RelayService,
   RequestTraits,
+  RoleOrder,
   Route,
   RouteKind,
   RouteTable,
   RouteTarget,
 } from "./types.ts";
-export type { ServerCall } from "./dialect.ts";
+export type { OrderVerdict, ServerCall } from "./dialect.ts";
 export { Dialect } from "./dialect.ts";
 export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { PromptPart } from "@rhubarbstage/policy";
+import type { EngineRole, PromptPart } from "@rhubarbstage/policy";
 import type { BackendServerId, RequestId, ServiceName } from "rhubarbstage";
 
 /** Header names and values in turn, as they were received. */
@@ -148,3 +148,21 @@
   readonly isSigned: boolean;
   readonly load?: AnswerLoad;
 }
+
+/** What an engine says of the orders that it has taken. */
+export interface EngineState {
+  /** Orders that it has accepted since its start. */
+  readonly acceptedOrders: number;
+  /** Whether it carries an order out. */
+  readonly isBusy: boolean;
+}
+
+/** An order to change the role of an engine. */
+export interface RoleOrder {
+  readonly role: EngineRole;
+  /** Host that gives the order. */
+  readonly holder: string;
+  readonly fencingNumber: number;
+  /** The order holds only while the engine has accepted this many orders. */
+  readonly acceptedOrders: number;
+}
