Follow each prompt on shared engines until its end is told

Cause: times of exports in the log show that an engine computes one prompt after the other, by rank and then in order, and finishes what it has begun. The backlog was one sum that shrank with time: urgent prompts seemed to wait for late ones, wrong forecasts were never corrected, and prompts that were cancelled counted as cached. Long prompts computed on answering engines stopped all of their streams: 0.9 s from an export to the first event instead of 0.02 s.

Hosts now tell each other of each prompt with its rank and of its end; late work goes behind and is not counted before what can be on time; a prompt that was not computed leaves the belief of the cache; the speed of engines is learned from prompts alone. A stream that a prompt on its engine holds up counts in full.

--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -227,6 +227,8 @@
         return this.#listener.publishDemand(effect.own, effect.ownModels);
       case "announce_work":
         return this.#listener.announceWork(effect.work);
+      case "announce_work_end":
+        return this.#listener.announceWork(effect.end);
       case "note":
         return this.telemetry.note(effect.event, effect.fields);
     }
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -14,6 +14,7 @@
   Demand,
   EngineRole,
   EngineWork,
+  EngineWorkEnd,
   ModelDemand,
   QuarantineMark,
   WorkSettings,
@@ -272,8 +273,8 @@
 /** Carries out the effects of the policy that the dispatcher does not. */
 export abstract class PolicyListener {
   abstract setRole(server: BackendServerId, role: EngineRole): void;
-  /** Tells other hosts what this host has sent to an engine. */
-  abstract announceWork(work: EngineWork): void;
+  /** Tells other hosts what this host has sent to an engine, and its end. */
+  abstract announceWork(work: EngineWork | EngineWorkEnd): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
   /** Demand that this host sees, for exchange with other hosts. */
   abstract publishDemand(
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -24,6 +24,7 @@
 } from "@rhubarbstage/membership";
 import {
   type EngineWork,
+  type EngineWorkEnd,
   FleetPolicy,
   type FleetSettings,
 } from "@rhubarbstage/policy";
@@ -92,7 +93,7 @@
  */
 const orderWriteWindow = 500;
 /** Time between two messages about work on engines, in milliseconds. */
-const workInterval = 50;
+const workInterval = 10;
 /** Time to export and import KV cache, without its transfer, in ms. */
 const kvFixedCost = 12;
 /**
@@ -389,7 +390,7 @@
   membership: Membership | undefined;
   /** Present on hosts that may lead control. */
   orders: OrderCoordinator | undefined;
-  readonly #work: EngineWork[] = [];
+  readonly #work: (EngineWork | EngineWorkEnd)[] = [];
 
   constructor(demand: DemandReport) {
     super();
@@ -402,12 +403,12 @@
     void this.orders?.setRole(...change);
   }
 
-  override announceWork(work: EngineWork): void {
+  override announceWork(work: EngineWork | EngineWorkEnd): void {
     this.#work.push(work);
   }
 
   /** Work since the last call, for other hosts. */
-  takeWork(): readonly EngineWork[] {
+  takeWork(): readonly (EngineWork | EngineWorkEnd)[] {
     return this.#work.splice(0);
   }
 
@@ -472,7 +473,9 @@
   return serving;
 }
 
-const workMessage = messageType<readonly EngineWork[]>("engine_work");
+const workMessage = messageType<readonly (EngineWork | EngineWorkEnd)[]>(
+  "engine_work",
+);
 
 /** Exchanges what hosts send to engines, so that all know their queues. */
 function shareWork(
@@ -487,7 +490,11 @@
   const { transport, membership, dispatcher, listener } = parts;
   transport.onMessage(workMessage, (works) => {
     for (const work of works) {
-      dispatcher.notify({ type: "work_announced", work });
+      dispatcher.notify(
+        "isComputed" in work
+          ? { type: "work_ended", end: work }
+          : { type: "work_announced", work },
+      );
     }
   });
   every(workInterval, () => {
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -8,7 +8,8 @@
 import { promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
-import type { CancelReason, EngineWork, PolicyEffect } from "./types.ts";
+import { endWork, shareWork } from "./shared_work.ts";
+import type { CancelReason, PolicyEffect } from "./types.ts";
 
 /** Tokens or time after which the speed of a stream is judged anew. */
 const speedWindowTokens = 16;
@@ -50,6 +51,7 @@
     server: attempt.entry.server.id,
     ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
     priority: work.settings.priority * 2 + (record.long ? 0 : 1),
+    rank: attempt.rank,
     resumeFrom: record.delivered,
     forecast: {
       firstToken: attempt.expectedFirstToken,
@@ -68,6 +70,7 @@
   const { route, now } = options;
   const { entry, prefill, uncachedTokens, expectedFirstToken } = route;
   const { request, fingerprint } = record.work;
+  const rank = route.rank ?? record.work.rank ?? 0;
   const computing = prefill ?? entry;
   state.attemptCount += 1;
   return {
@@ -82,9 +85,12 @@
     resumeFrom: record.delivered,
     suspect: state.quarantine.isSuspect(fingerprint, now),
     queued: state.table.used(computing) >= computing.server.capacity,
-    expectedWait: computing.backlog.value(now),
+    rank,
+    work: undefined,
+    expectedWait: computing.queue.wait(now, rank),
     pendingPrefill: Math.max(0, expectedFirstToken - entry.pendingPrefill),
     countedLong: record.long,
+    computedAt: undefined,
     firstTokenAt: undefined,
     tokens: 0,
     windowTokens: 0,
@@ -93,50 +99,6 @@
   };
 }
 
-/** Counts the prompt on the engine that computes it, here and elsewhere. */
-function shareWork(
-  state: FleetState,
-  attempt: Attempt,
-  now: number,
-): PolicyEffect[] {
-  const { record, entry, prefill, uncachedTokens } = attempt;
-  const { model, promptParts: parts = [] } = record.work;
-  if (!state.settings.sharedEngines || model === undefined) return [];
-  const computing = prefill ?? entry;
-  const { speed } = record.pool;
-  const { outputTokens } = record.estimate;
-  state.limits.observeModel(
-    model,
-    { promptTokens: uncachedTokens, outputTokens },
-    now,
-  );
-  const used = prefill === undefined ? [entry] : [entry, prefill];
-  return used.map(({ server }) => {
-    const time = server.id === computing.server.id
-      ? speed.promptTime(uncachedTokens, server.role)
-      : 0;
-    const work = {
-      server: server.id,
-      milliseconds: Math.round(time),
-      parts,
-    };
-    takeWork(state, work, now);
-    return { type: "announce_work", work };
-  });
-}
-
-/** Counts prompt work of any host on an engine. */
-export function takeWork(
-  state: FleetState,
-  work: EngineWork,
-  now: number,
-): void {
-  const entry = state.table.servers.get(work.server);
-  if (entry === undefined) return;
-  entry.backlog.add(work.milliseconds, now);
-  entry.cache?.store(work.parts);
-}
-
 /** Learns where the prompt is computed and will be cached. */
 function learnRoute(state: FleetState, attempt: Attempt, now: number): void {
   const { record, entry, prefill, uncachedTokens } = attempt;
@@ -173,6 +135,10 @@
     attempt.resumeFrom + attempt.tokens,
   );
   releasePrefill(attempt);
+  endWork(state, attempt, { isComputed: false, now });
+  if (prefill !== undefined && attempt.computedAt === undefined) {
+    entry.ownAwaited -= 1;
+  }
   release(state, { entry, attempt, now });
   if (prefill !== undefined && attempt.firstTokenAt === undefined) {
     release(state, { entry: prefill, attempt, now });
@@ -198,6 +164,27 @@
   };
 }
 
+/** The prompt of an attempt is computed: learns the engine's speed. */
+export function takePromptComputed(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): void {
+  const { record, entry, prefill, uncachedTokens } = attempt;
+  const elapsed = endWork(state, attempt, { isComputed: true, now });
+  if (prefill !== undefined && attempt.computedAt === undefined) {
+    entry.ownAwaited -= 1;
+  }
+  attempt.computedAt = now;
+  if (elapsed === undefined) return;
+  const { role, region } = (prefill ?? entry).server;
+  record.pool.speed.learn({
+    tokens: uncachedTokens,
+    role,
+    elapsed: elapsed - (state.roundTrips.get(region) ?? 0),
+  });
+}
+
 /** Takes the first token: learns, and ends hedges that lost. */
 export function takeFirstToken(
   state: FleetState,
@@ -229,7 +216,10 @@
       slow.observe((prefill ?? entry).server.id, sample, now);
     }
     estimates.learnFirstToken(tokens, elapsed, now);
-    learnEngine(attempt, elapsed, now);
+    if (prefill === undefined) takePromptComputed(state, attempt, now);
+    else if (attempt.computedAt !== undefined) {
+      record.pool.speed.learnFixedTime(now - attempt.computedAt - path);
+    }
     const onPrefillEngine = prefill?.server.role === "prefill";
     estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
   }
@@ -369,6 +359,7 @@
   computing.pendingPrefill += attempt.pendingPrefill;
   if (attempt.countedLong) entry.ownLong += 1;
   if (attempt.suspect) entry.ownSuspects += 1;
+  if (prefill !== undefined) entry.ownAwaited += 1;
   record.pool.pool.own += 1;
   for (const used of prefill === undefined ? [entry] : [entry, prefill]) {
     state.table.count(used, 1, now);
@@ -427,15 +418,3 @@
 export function mayStartAnother(record: RequestRecord): boolean {
   return record.starts < (record.work.maxAttempts ?? Infinity);
 }
-
-/** Learns the speed and the queue of the engine that computed the prompt. */
-function learnEngine(attempt: Attempt, elapsed: number, now: number): void {
-  const { record, entry, prefill, uncachedTokens, expectedWait } = attempt;
-  const computing = prefill ?? entry;
-  computing.backlog.correct(elapsed - attempt.expectedFirstToken, now);
-  record.pool.speed.learn({
-    tokens: uncachedTokens,
-    role: computing.server.role,
-    elapsed: elapsed - expectedWait,
-  });
-}
--- a/packages/rhubarbstage-policy/src/cache_belief.ts
+++ b/packages/rhubarbstage-policy/src/cache_belief.ts
@@ -46,6 +46,11 @@
     }
   }
 
+  /** Takes back a prompt that was not computed after all. */
+  forget(parts: readonly PromptPart[]): void {
+    for (const name of blockNames(parts)) this.#blocks.delete(name);
+  }
+
   #touch(name: string): void {
     this.#blocks.delete(name);
     this.#blocks.add(name);
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -7,6 +7,7 @@
  * @module
  */
 
+import { lastRank } from "./engine_queue.ts";
 import type { EngineSpeed } from "./engine_speed.ts";
 import { kvTransferTime } from "./kv_transfer.ts";
 import {
@@ -28,7 +29,7 @@
  * Weight of a stream that waits while its engine computes a prompt for another
  * request, beside that request's own time.
  */
-const interferenceWeight = 0.2;
+const interferenceWeight = 1;
 /** Part of an engine's backlog that a stream on it is slowed by. */
 const backlogWeight = 0.5;
 /**
@@ -38,6 +39,13 @@
 const crowdingTime = 0.15;
 /** Routes this close to the best one are as good, in milliseconds. */
 const equalMargin = 8;
+/**
+ * Ranks by which requests that will be late go behind others, so that what can
+ * be on time does not wait for what cannot.
+ */
+const lateRankOffset = 5;
+/** Forecasts are this much too long or short before a request counts as late. */
+const latenessSlack = 1.1;
 
 interface Option extends Route {
   readonly score: number;
@@ -86,12 +94,14 @@
     const uncachedTokens = uncachedOn(demand, entry);
     const compute = speed.promptTime(uncachedTokens, entry.server.role) *
       slowness(view, entry);
-    const wait = entry.backlog.value(view.now);
-    const expectedFirstToken = wait + compute + speed.fixedTime +
-      pathCost(view, entry);
+    const { rank, expectedFirstToken } = queued(view, demand, {
+      engine: entry,
+      afterWait: compute + speed.fixedTime + pathCost(view, entry),
+    });
     yield {
       entry,
       uncachedTokens,
+      rank,
       expectedFirstToken,
       score: expectedFirstToken +
         compute * (occupancyWeight + interference(entry)) +
@@ -116,27 +126,51 @@
     const uncachedTokens = uncachedOn(demand, prefill);
     const compute = speed.promptTime(uncachedTokens, "prefill") *
       slowness(view, prefill);
-    const wait = prefill.backlog.value(view.now);
     for (const entry of generating) {
       const crossRegion = prefill.server.region !== entry.server.region;
       const transfer = kvTransferTime(view.settings, promptTokens, {
         crossRegion,
       });
-      const expectedFirstToken = wait + compute + transfer + speed.fixedTime +
-        pathCost(view, prefill) + pathCost(view, entry);
+      const { rank, expectedFirstToken } = queued(view, demand, {
+        engine: prefill,
+        afterWait: compute + transfer + speed.fixedTime +
+          pathCost(view, prefill) + pathCost(view, entry),
+      });
       yield {
         entry,
         prefill,
         uncachedTokens,
+        rank,
         expectedFirstToken,
         score: expectedFirstToken + compute * occupancyWeight +
-          entry.backlog.value(view.now) * backlogWeight +
+          entry.queue.wait(view.now) * backlogWeight +
           crowding(view, demand, entry),
       };
     }
   }
 }
 
+/** Rank and first token of a request in the queue of an engine. */
+function queued(
+  view: RoutingView,
+  demand: RoutingDemand,
+  options: { readonly engine: ServerEntry; readonly afterWait: number },
+): { readonly rank: number; readonly expectedFirstToken: number } {
+  const { engine, afterWait } = options;
+  const { work } = demand;
+  const rank = work.rank ?? 0;
+  const first = engine.queue.wait(view.now, rank) + afterWait;
+  const limit = work.settings.firstTokenTarget * latenessSlack;
+  if (view.now - work.arrivedAt + first <= limit) {
+    return { rank, expectedFirstToken: first };
+  }
+  const lateRank = Math.min(lastRank, rank + lateRankOffset);
+  return {
+    rank: lateRank,
+    expectedFirstToken: engine.queue.wait(view.now, lateRank) + afterWait,
+  };
+}
+
 function uncachedOn(demand: RoutingDemand, entry: ServerEntry): number {
   const { promptTokens, promptParts = [] } = demand.work;
   const cached = entry.cache?.cachedTokens(promptParts) ?? 0;
@@ -165,7 +199,7 @@
 
 /** Streams of all hosts on an engine in the last report, or the own ones. */
 function runningOn(entry: ServerEntry): number {
-  return Math.max(entry.own, entry.reported ?? 0);
+  return Math.max(entry.own - entry.ownAwaited, entry.reported ?? 0);
 }
 
 /** Round trip and price of the way to an engine, in milliseconds. */
--- a/packages/rhubarbstage-policy/src/engine_speed.ts
+++ b/packages/rhubarbstage-policy/src/engine_speed.ts
@@ -23,7 +23,7 @@
 const smoothing = 0.05;
 /** Weight of the first observations, which fades with their number. */
 const firstWeight = 0.3;
-/** Shorter prompts tell of the fixed time, longer ones of the token time. */
+/** The time of shorter prompts is mostly that of the path and of one step. */
 const tellingTokens = 1_500;
 
 /** Speed of the engines of one pool. */
@@ -47,7 +47,15 @@
     return this.#fixedTime;
   }
 
-  /** Takes the time that a first event took beyond the expected wait. */
+  /** Takes the time from a computed prompt to the first event. */
+  learnFixedTime(elapsed: number): void {
+    this.#fixedTime = moved(this.#fixedTime, elapsed, {
+      initial: initialFixedTime,
+      weight: this.#weight("fixed"),
+    });
+  }
+
+  /** Takes the time in which an engine has computed tokens of a prompt. */
   learn(
     observation: {
       readonly tokens: number;
@@ -56,15 +64,8 @@
     },
   ): void {
     const { tokens, role, elapsed } = observation;
-    if (tokens < tellingTokens) {
-      const fixed = elapsed - this.promptTime(tokens, role);
-      this.#fixedTime = moved(this.#fixedTime, fixed, {
-        initial: initialFixedTime,
-        weight: this.#weight("fixed"),
-      });
-      return;
-    }
-    const time = (elapsed - this.#fixedTime) / tokens;
+    if (tokens < tellingTokens) return;
+    const time = elapsed / tokens;
     this.#tokenTime[role] = moved(this.#tokenTime[role], time, {
       initial: initialTokenTime[role],
       weight: this.#weight(role),
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -17,9 +17,10 @@
   findAttempt,
   finishAttempt,
   takeFirstToken,
+  takePromptComputed,
   takeTokens,
-  takeWork,
 } from "./attempts.ts";
+import { takeWork, takeWorkEnd } from "./shared_work.ts";
 import {
   demandPeriod,
   samplesForAdmission,
@@ -97,6 +98,15 @@
     state: FleetState,
     event: PolicyEvent,
   ): readonly PolicyEffect[] {
+    const effects = this.#reduce(state, event);
+    if (state.endedWork.length === 0) return effects;
+    const ends = state.endedWork.splice(0).map((end) =>
+      ({ type: "announce_work_end", end }) as const
+    );
+    return [...effects, ...ends];
+  }
+
+  #reduce(state: FleetState, event: PolicyEvent): readonly PolicyEffect[] {
     switch (event.type) {
       case "arrived":
         return arrive(state, event.work, event.now);
@@ -121,6 +131,11 @@
       case "work_announced":
         takeWork(state, event.work, event.now);
         return [];
+      case "work_ended":
+        takeWorkEnd(state, event.end, event.now);
+        return [];
+      case "prompt_computed":
+        return computePrompt(state, event);
       case "path_measured":
         state.roundTrips.set(event.region, event.roundTrip);
         return [];
@@ -243,7 +258,7 @@
     pool.speed,
   );
   if (route === undefined) return undefined;
-  const wait = (route.prefill ?? route.entry).backlog.value(now);
+  const wait = (route.prefill ?? route.entry).queue.wait(now, route.rank);
   const excess = Math.max(
     wait - patience * largestWaitPart,
     route.expectedFirstToken - patience,
@@ -395,6 +410,15 @@
   return [...effects, ...dispatchPool(state, attempt.record.pool, event.now)];
 }
 
+function computePrompt(
+  state: FleetState,
+  event: EventOf<"prompt_computed">,
+): PolicyEffect[] {
+  const attempt = findAttempt(state, event.request, event.attempt);
+  if (attempt !== undefined) takePromptComputed(state, attempt, event.now);
+  return [];
+}
+
 function finish(state: FleetState, event: EventOf<"finished">): PolicyEffect[] {
   const attempt = findAttempt(state, event.request, event.attempt);
   if (attempt === undefined) return [];
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -28,7 +28,13 @@
 import type { RoutingView } from "./routing.ts";
 import { type Pool, type ServerEntry, ServerTable } from "./server_table.ts";
 import { SlowServers } from "./slow_servers.ts";
-import type { ModelDemand, PolicyEffect, Work } from "./types.ts";
+import type {
+  EngineWork,
+  EngineWorkEnd,
+  ModelDemand,
+  PolicyEffect,
+  Work,
+} from "./types.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
 /** Servers are drawn from each region; deployments have three. */
@@ -89,6 +95,10 @@
   readonly startedAt: number;
   readonly uncachedTokens: number;
   readonly expectedFirstToken: number;
+  /** Rank in the queues of engines, 0 first. */
+  readonly rank: number;
+  /** Prompt work in the queue of the computing engine, until it has ended. */
+  work: EngineWork | undefined;
   /** Prompt work that the computing engine was expected to do first. */
   readonly expectedWait: number;
   readonly resumeFrom: number;
@@ -99,6 +109,8 @@
   pendingPrefill: number;
   /** Whether it is counted among the long work of its server. */
   countedLong: boolean;
+  /** When a prefill engine had computed the prompt. */
+  computedAt: number | undefined;
   firstTokenAt: number | undefined;
   tokens: number;
   /** Tokens and start of the window over which speed is measured. */
@@ -153,6 +165,8 @@
   /** Demand of each pool of engines that hosts share. */
   readonly engineDemand: Map<string, EngineDemand>;
   readonly roundTrips: Map<Region, number>;
+  /** Own prompt work that has ended since the last event, for other hosts. */
+  readonly endedWork: EngineWorkEnd[];
   readonly deadlines: TinyQueue<Timer<RequestRecord>>;
   readonly hedges: TinyQueue<Timer<Attempt>>;
   readonly refusals: TinyQueue<Timer<DelayedRefusal>>;
@@ -194,6 +208,7 @@
     roles: new RoleSplit(),
     engineDemand: new Map(),
     roundTrips: new Map(),
+    endedWork: [],
     deadlines: newTimers(),
     hedges: newTimers(),
     refusals: newTimers(),
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -20,6 +20,7 @@
   Demand,
   EngineRole,
   EngineWork,
+  EngineWorkEnd,
   ModelDemand,
   PolicyEffect,
   PolicyEvent,
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -53,6 +53,8 @@
   readonly uncachedTokens: number;
   /** Expected time to the first token, in milliseconds. */
   readonly expectedFirstToken: number;
+  /** Rank in the queue of the engine that computes the prompt, 0 first. */
+  readonly rank?: number;
 }
 
 interface Candidate extends Route {
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -5,7 +5,7 @@
  */
 
 import { CacheBelief } from "./cache_belief.ts";
-import { EngineBacklog } from "./engine_backlog.ts";
+import { EngineQueue } from "./engine_queue.ts";
 import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
 import { SampledSet } from "./sampled_set.ts";
 import type { BackendServer, Work } from "./types.ts";
@@ -24,8 +24,10 @@
   ownSuspects: number;
   /** Expected time of own prompts that have no first token yet. */
   pendingPrefill: number;
+  /** Own attempts whose prompt a prefill engine has not computed yet. */
+  ownAwaited: number;
   /** Prompt work of all hosts that the engine has not done. */
-  readonly backlog: EngineBacklog;
+  readonly queue: EngineQueue;
   /** Prompts that the engine probably has cached, if its memory is known. */
   cache: CacheBelief | undefined;
   /** Requests of all hosts in the last load report, if there was one. */
@@ -136,6 +138,7 @@
     this.#close(known);
     known.server = server;
     const isRestarted = server.incarnation > before.incarnation;
+    if (isRestarted) known.queue.clear();
     if (isRestarted || known.cache === undefined) {
       known.cache = beliefOf(server);
     }
@@ -338,7 +341,8 @@
     ownLong: 0,
     ownSuspects: 0,
     pendingPrefill: 0,
-    backlog: new EngineBacklog(),
+    ownAwaited: 0,
+    queue: new EngineQueue(),
     cache: beliefOf(server),
     reported: undefined,
     ownAtReport: 0,
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -19,6 +19,7 @@
   ServiceName,
   WorkKind,
 } from "rhubarbstage";
+import type { PromptWorkId } from "./engine_queue.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 
 /** Role of a model engine in its pool. */
@@ -90,6 +91,8 @@
    * until its deadline when absent.
    */
   readonly firstTokenPatience?: number;
+  /** Rank in the queues of engines, 0 first, while it can be on time. */
+  readonly rank?: number;
   readonly settings: WorkSettings;
 }
 
@@ -156,12 +159,23 @@
 /** Prompt work that one host has sent to an engine. */
 export interface EngineWork {
   readonly server: BackendServerId;
+  readonly id: PromptWorkId;
   /** Expected time of the engine for it, in milliseconds. */
   readonly milliseconds: number;
+  /** Rank at which the engine takes it, 0 first. */
+  readonly rank: number;
   /** Parts of the prompt that the engine will have in its cache. */
   readonly parts: readonly PromptPart[];
 }
 
+/** End of prompt work that was announced. */
+export interface EngineWorkEnd {
+  readonly server: BackendServerId;
+  readonly id: PromptWorkId;
+  /** Whether the engine has computed the prompt and has it in its cache. */
+  readonly isComputed: boolean;
+}
+
 /** What happened. */
 export type PolicyEvent =
   | { readonly type: "arrived"; readonly now: number; readonly work: Work }
@@ -231,6 +245,18 @@
     readonly now: number;
     readonly work: EngineWork;
   }
+  | {
+    readonly type: "work_ended";
+    readonly now: number;
+    readonly end: EngineWorkEnd;
+  }
+  | {
+    /** A prefill engine has computed the prompt of an attempt. */
+    readonly type: "prompt_computed";
+    readonly now: number;
+    readonly request: RequestId;
+    readonly attempt: AttemptId;
+  }
   | {
     readonly type: "path_measured";
     readonly now: number;
@@ -307,6 +333,8 @@
     readonly prefillServer?: BackendServerId;
     /** Priority for the engine; larger is served first. */
     readonly priority: number;
+    /** Rank for engines that know ranks; smaller is served first. */
+    readonly rank?: number;
     /**
      * Tokens that the caller already has as far as the policy knows. The host
      * resumes from its own count, which may be larger.
@@ -349,6 +377,10 @@
     readonly type: "announce_work";
     readonly work: EngineWork;
   }
+  | {
+    readonly type: "announce_work_end";
+    readonly end: EngineWorkEnd;
+  }
   | {
     readonly type: "note";
     /** Event name for log and time line. */
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -39,9 +39,3 @@
 
 /** Seconds of `Retry-After` where nothing better is known. */
 export const defaultRetryAfter = 0.5;
-
-/** Ranks by which requests that will be late go behind others. */
-export const lateRankOffset = 5;
-
-/** Forecasts are this much too long or short before a request counts as late. */
-export const latenessSlack = 1.2;
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -254,6 +254,7 @@
       ...(route.firstEventPatience === undefined
         ? {}
         : { firstTokenPatience: route.firstEventPatience }),
+      rank: route.rank,
       settings: this.#workSettings(route),
     };
   }
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -13,11 +13,7 @@
 } from "@rhubarbstage/gateway/dispatch";
 import type { Work } from "@rhubarbstage/policy";
 import { type BackendServerId, RhubarbstageError } from "rhubarbstage";
-import {
-  latenessSlack,
-  lateRankOffset,
-  wholeAnswerBytes,
-} from "./constants.ts";
+import { wholeAnswerBytes } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { type ExchangeAnswer, ExchangeError } from "./exchange.ts";
@@ -125,6 +121,7 @@
     if (prefillServer === undefined) return undefined;
     const server = this.context.backendServers.addressOf(prefillServer);
     if (server === undefined) return undefined;
+    const startedAt = this.context.clock.monotonicMilliseconds();
     try {
       const answer = await this.#send(attempt, { prefillAt: server });
       const body = await readWhole(answer.body);
@@ -132,6 +129,17 @@
         ? this.#options.dialect.readExport(body)
         : undefined;
       if (handle !== undefined) {
+        const now = this.context.clock.monotonicMilliseconds();
+        this.#note("prompt_exported", {
+          attempt: attempt.id,
+          server: server.id,
+          milliseconds: Math.round(now - startedAt),
+        });
+        this.context.notify({
+          type: "prompt_computed",
+          request: this.work.request,
+          attempt: attempt.id,
+        });
         return { address: new URL(server.url).host, handle };
       }
       this.#note("prefill_refused", {
@@ -164,7 +172,9 @@
       server: server.id,
       timeLeft: Math.max(1, work.deadlineAt - now),
       step: prefillAt === undefined ? "run" : "prefill",
-      ...(work.model === undefined ? {} : { rank: this.#rank(attempt) }),
+      ...(work.model === undefined || attempt.effect.rank === undefined
+        ? {}
+        : { rank: attempt.effect.rank }),
       ...(promptExport === undefined ? {} : { promptExport }),
       ...(this.#lastEventId === undefined || prefillAt !== undefined
         ? {}
@@ -176,16 +186,6 @@
     });
   }
 
-  /** What will be late in any case goes behind what can be on time. */
-  #rank(attempt: Attempt): number {
-    const { work, route } = this.#options.request;
-    const expected = attempt.effect.forecast?.firstToken ?? 0;
-    const now = this.context.clock.monotonicMilliseconds();
-    const isLate = now - work.arrivedAt + expected >
-      route.latencyTarget * latenessSlack;
-    return route.rank + (isLate ? lateRankOffset : 0);
-  }
-
   async #take(
     attempt: Attempt,
     answer: ExchangeAnswer,
