Serve from stored copies of the routes and gossip at once after a restart

Ruled out: the disks and the start of the process.

A relay without routes now asks the replicas for what they have stored and takes the newest version that a majority has; the leader's answers go on from there. A link that comes up starts an exchange of gossip, and records become usable with the first heartbeat of their owner.

Found by the new test: a remaining time of a fraction of a millisecond was passed on as a time limit and refused by the timer.

--- a/packages/rhubarbstage-control/__tests__/unit/flaky_group.ts
+++ b/packages/rhubarbstage-control/__tests__/unit/flaky_group.ts
@@ -77,6 +77,13 @@
     return answer;
   }
 
+  override queryStored<Answer>(
+    name: string,
+    argument: unknown,
+  ): Promise<readonly Answer[]> {
+    return this.inner.queryStored<Answer>(name, argument);
+  }
+
   /** Applies the commands that are still on their way. */
   async settleAll(): Promise<void> {
     while (this.#late.length > 0) {
--- a/packages/rhubarbstage-control/src/document_client.ts
+++ b/packages/rhubarbstage-control/src/document_client.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { type Clock, every, SystemClock } from "rhubarbstage";
+import { type Clock, delay, every, SystemClock } from "rhubarbstage";
 import { callRepeatedly } from "./group_calls.ts";
 import type {
   CallOptions,
@@ -17,6 +17,10 @@
 const followInterval = 700;
 /** Longest wait for the answer to such a question, in milliseconds. */
 const followTimeout = 1_500;
+/** Time between two questions for stored copies, in milliseconds. */
+const recallInterval = 100;
+/** Longest wait for the copies, in milliseconds: a trip between regions. */
+const recallTimeout = 300;
 
 /** Options of a {@linkcode DocumentClient}. */
 export interface DocumentClientOptions {
@@ -31,6 +35,11 @@
   readonly onDocument: (document: VersionedDocument) => void;
   /** Called with each question that got no answer. */
   readonly onFailure?: (error: unknown) => void;
+  /**
+   * Replicas that must have a version, or a newer one, before it is used while
+   * no leader can confirm it; without a number, unconfirmed ones are not used.
+   */
+  readonly copies?: number;
 }
 
 /** One versioned document of the control group. */
@@ -86,6 +95,36 @@
     const ask = () => void this.#followOnce(follower);
     every(followInterval, ask, { signal: follower.signal });
     ask();
+    if (follower.copies !== undefined) void this.#recall(follower);
+  }
+
+  /**
+   * Looks for stored copies until some version is known, so that a host that
+   * starts while there is no leader need not wait for one.
+   */
+  async #recall(follower: DocumentFollower): Promise<void> {
+    const { group, name } = this.#options;
+    const { signal, copies = Infinity } = follower;
+    while (this.#version === undefined && !signal.aborted) {
+      const answers = await group.queryStored<DocumentAnswer>(
+        "document",
+        { name },
+        { signal, timeout: recallTimeout },
+      );
+      const document = pickStored(answers, copies);
+      if (document !== undefined) this.#take(document, follower);
+      // An aborted wait ends the loop.
+      await delay(recallInterval, { signal }).catch(() => {});
+    }
+  }
+
+  /** Answers may overtake each other; a version never goes back. */
+  #take(document: VersionedDocument, follower: DocumentFollower): void {
+    if (this.#version !== undefined && document.version <= this.#version) {
+      return;
+    }
+    this.#version = document.version;
+    follower.onDocument(document);
   }
 
   async #followOnce(follower: DocumentFollower): Promise<void> {
@@ -99,13 +138,7 @@
         timeout: followTimeout,
       });
       this.#confirmedAt = sentAt;
-      // Answers may overtake each other; a version never goes back.
-      if (document === undefined) return;
-      if (this.#version !== undefined && document.version <= this.#version) {
-        return;
-      }
-      this.#version = document.version;
-      follower.onDocument(document);
+      if (document !== undefined) this.#take(document, follower);
     } catch (error) {
       if (!follower.signal.aborted) follower.onFailure?.(error);
     } finally {
@@ -125,3 +158,14 @@
     );
   }
 }
+
+/** The newest document that enough replicas have, or have a newer one of. */
+function pickStored(
+  answers: readonly DocumentAnswer[],
+  copies: number,
+): VersionedDocument | undefined {
+  return answers
+    .flatMap(({ document }) => document === undefined ? [] : [document])
+    .toSorted((left, right) => right.version - left.version)
+    .at(copies - 1);
+}
--- a/packages/rhubarbstage-host/__tests__/integration/orders_test.ts
+++ b/packages/rhubarbstage-host/__tests__/integration/orders_test.ts
@@ -75,6 +75,7 @@
       new OrderExecutor({
         group: {
           query: (...call) => group.query(...call),
+          queryStored: (...call) => group.queryStored(...call),
           propose: async (command, options) => {
             const result = await group.propose(command, options);
             if (command.type === "intend") await this.afterIntent();
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -281,6 +281,7 @@
   });
   transport.onLink(({ kind, peer, reason }) => {
     events.note(`link_${kind}`, { peer: peer.host, reason });
+    if (kind === "up") membership.greet(peer.host);
   }, { signal: base.stopped.signal });
   const seats = await SeatOperations.open({
     process: {
@@ -702,7 +703,7 @@
   const { settings, seats, documents, membership, events } = parts;
   const { replica } = seats;
   if (settings.seat === undefined || replica === undefined) return undefined;
-  const safeVoters = 2 * settings.seat.tolerance + 1;
+  const safeVoters = 2 * settings.tolerance + 1;
   return new ControlDesk({
     documents,
     membership,
@@ -720,6 +721,8 @@
   if (settings.callers !== undefined) {
     documents.follow({
       signal,
+      // A majority of the voters; a new leader is chosen from among them.
+      copies: settings.tolerance + 1,
       onDocument: ({ version, content }) => {
         const table = parts.options.readTable(content);
         relay.take(table);
@@ -756,7 +759,7 @@
     replica,
     transport,
     groups: [controlName],
-    target: 2 * seat.tolerance + 1,
+    target: 2 * settings.tolerance + 1,
     hosts: () =>
       membership.listHosts()
         .filter((record) => record.replica)
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -22,8 +22,6 @@
   readonly dataFolder: string;
   /** Whether the whole system starts for the first time. */
   readonly bootstrap: boolean;
-  /** Hosts with a disk that may be lost at once. */
-  readonly tolerance: number;
 }
 
 /** Settings of one relay host, read at its start. */
@@ -48,6 +46,8 @@
   /** Address of the metrics. */
   readonly metrics?: Endpoint;
   readonly seat?: SeatSettings;
+  /** Hosts with a disk that may be lost at once. */
+  readonly tolerance: number;
   readonly retries: RetrySettings;
   /** Time from the stop signal to the forced end. */
   readonly gracePeriod: number;
--- a/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -26,6 +26,23 @@
     expect(countUsable(network)).toBe(hostCount);
   });
 
+  // Guards against a restarted host that knows no server until the rounds of
+  // gossip reach it by chance.
+  test("a restarted host knows all servers once a link comes up", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    const restarted = "host-5" as HostId;
+    network.start(restarted, 2);
+    expect(network.usable(5, "engine")).toBe(false);
+    const owner = "host-0" as HostId;
+    const { now } = network;
+    network.dispatch(restarted, { type: "linked", now, host: owner });
+    network.dispatch(owner, { type: "linked", now, host: restarted });
+    network.run(400);
+    expect(network.usable(5, "engine")).toBe(true);
+  });
+
   // Guards against new work for a leaving server (invariant 7).
   test("stops new work on all hosts within 5 s of a leave", () => {
     const network = new Network(hostCount);
--- a/packages/rhubarbstage-membership/src/gossip_exchange.ts
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -118,7 +118,15 @@
   }
   if (!delta.complete) return;
   log.version = Math.max(log.version, digest.version);
-  if (log.version === digest.version) advanceHeartbeat(log, digest, now);
+  if (log.version !== digest.version) return;
+  const isFirst = log.heartbeatAt === -Infinity;
+  advanceHeartbeat(log, digest, now);
+  if (!isFirst) return;
+  // Records came before the evidence that makes them usable.
+  for (const server of state.servers.values()) {
+    if (server.owner !== digest.host) continue;
+    refreshServer(state, server, { now, changed: false }, effects);
+  }
 }
 
 /** The log that a delta extends; a newer incarnation starts an empty one. */
--- a/packages/rhubarbstage-membership/src/gossip_round.ts
+++ b/packages/rhubarbstage-membership/src/gossip_round.ts
@@ -46,6 +46,16 @@
   }
 }
 
+/** Gossips at once with a host to which a link has come up. */
+export function greet(
+  state: MembershipState,
+  event: { readonly host: HostId; readonly now: number },
+  effects: Effects,
+): void {
+  const { host: to, now } = event;
+  effects.push({ type: "send", to, message: buildRoundMessage(state, now) });
+}
+
 /**
  * Sends the newest changes of the own log before the next round: to all living
  * hosts while they are few, else to the neighbours. What is lost on the way,
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -172,6 +172,11 @@
     }
   }
 
+  /** A link to a host has come up: both exchange what they know. */
+  greet(host: HostId): void {
+    this.#dispatch({ type: "linked", now: this.#now(), host });
+  }
+
   /** Spreads quarantine marks to all hosts. */
   publishMarks(marks: readonly SharedMark[]): void {
     this.#dispatch({ type: "marks_published", now: this.#now(), marks });
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -8,7 +8,7 @@
 import { Reducer, SeededRandom } from "rhubarbstage";
 import { evidenceLimit, probeAge } from "./constants.ts";
 import { publishMarks, receive } from "./gossip_exchange.ts";
-import { pushChanges, tick } from "./gossip_round.ts";
+import { greet, pushChanges, tick } from "./gossip_round.ts";
 import { hashText } from "rhubarbstage";
 import { createLog, ownLog, writeEntry } from "./host_logs.ts";
 import { announce, type Effects, leave, takeCheck } from "./server_records.ts";
@@ -99,6 +99,9 @@
         writeEntry(state, "revision", { type: "revision", revision }, now);
         break;
       }
+      case "linked":
+        greet(state, event, effects);
+        break;
       case "tick":
         tick(state, event.now, effects);
         break;
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -191,6 +191,11 @@
     readonly now: number;
     readonly revision: Revision;
   }
+  | {
+    readonly type: "linked";
+    readonly now: number;
+    readonly host: HostId;
+  }
   | { readonly type: "tick"; readonly now: number };
 
 /** What has to be done. */
--- a/packages/rhubarbstage-replica/src/forward.ts
+++ b/packages/rhubarbstage-replica/src/forward.ts
@@ -24,6 +24,13 @@
       /** Encoded argument. */
       readonly argument: Uint8Array;
     }
+    | {
+      /** A query over what one replica has stored, committed or not. */
+      readonly kind: "stored";
+      readonly name: string;
+      /** Encoded argument. */
+      readonly argument: Uint8Array;
+    }
     | { readonly kind: "status" }
     | { readonly kind: "change_seats"; readonly change: SeatChange }
   );
--- a/packages/rhubarbstage-replica/src/group_client.ts
+++ b/packages/rhubarbstage-replica/src/group_client.ts
@@ -53,4 +53,18 @@
     }, options);
     return answer as Answer;
   }
+
+  override async queryStored<Answer>(
+    name: string,
+    argument: unknown,
+    options: GroupCallOptions = {},
+  ): Promise<readonly Answer[]> {
+    const answers = await this.#caller.callEach({
+      kind: "stored",
+      group: this.#group,
+      name,
+      argument: encode(argument),
+    }, options);
+    return answers as readonly Answer[];
+  }
 }
--- a/packages/rhubarbstage-replica/src/in_memory_group.ts
+++ b/packages/rhubarbstage-replica/src/in_memory_group.ts
@@ -77,6 +77,14 @@
     return decode(encode(result)) as Result;
   }
 
+  override async queryStored<Answer>(
+    name: string,
+    argument: unknown,
+    options: GroupCallOptions = {},
+  ): Promise<readonly Answer[]> {
+    return [await this.query<Answer>(name, argument, options)];
+  }
+
   override async query<Answer>(
     name: string,
     argument: unknown,
--- a/packages/rhubarbstage-replica/src/leader_caller.ts
+++ b/packages/rhubarbstage-replica/src/leader_caller.ts
@@ -97,6 +97,28 @@
     });
   }
 
+  /** Answers of all replicas that can be reached, whoever leads. */
+  async callEach(
+    call: ForwardedCall,
+    options: GroupCallOptions = {},
+  ): Promise<readonly unknown[]> {
+    const { attemptTimeout = defaultAttemptTimeout } = this.#options;
+    const { signal } = options;
+    const timeout = Math.min(options.timeout ?? Infinity, attemptTimeout);
+    const hosts = new Set(this.#options.hosts());
+    const answers = await Promise.all([...hosts].map(async (to) => {
+      try {
+        return await this.#send(to, { call, timeout, signal });
+      } catch {
+        // Replicas that cannot be reached have no answer.
+        return undefined;
+      }
+    }));
+    return answers.flatMap((answer) =>
+      answer?.kind === "done" ? [answer.value] : []
+    );
+  }
+
   /** Answer of one replica; undefined when another may do better. */
   async #attempt(
     to: HostId,
@@ -104,7 +126,9 @@
   ): Promise<ForwardedAnswer | undefined> {
     const { call, deadline, signal } = attempts;
     const { attemptTimeout = defaultAttemptTimeout } = this.#options;
-    const timeout = Math.min(deadline - performance.now(), attemptTimeout);
+    // The deadline may have passed since it was checked.
+    const left = Math.max(1, Math.ceil(deadline - performance.now()));
+    const timeout = Math.min(left, attemptTimeout);
     try {
       return await this.#send(to, { call, timeout, signal });
     } catch (thrown) {
--- a/packages/rhubarbstage-replica/src/local_group.ts
+++ b/packages/rhubarbstage-replica/src/local_group.ts
@@ -48,6 +48,7 @@
   GroupDefinition,
   GroupStatus,
   Leadership,
+  Query,
 } from "./types.ts";
 
 /** What a group needs from the replica that runs it. */
@@ -134,6 +135,14 @@
     return this.#client.query<Answer>(name, argument, options);
   }
 
+  override queryStored<Answer>(
+    name: string,
+    argument: unknown,
+    options: GroupCallOptions = {},
+  ): Promise<readonly Answer[]> {
+    return this.#client.queryStored<Answer>(name, argument, options);
+  }
+
   override leadership(): Leadership {
     return this.#leadership;
   }
@@ -170,17 +179,17 @@
     signal: AbortSignal,
   ): Promise<ForwardedAnswer> {
     if (this.#end !== undefined) throw this.#end;
+    if (call.kind === "stored") {
+      const query = this.#query(call.name);
+      const value = query(this.#storedState(), decode(call.argument));
+      return { kind: "done", value: copy(value) };
+    }
     if (this.#consensus.role !== "leader") return this.#notLeader();
     switch (call.kind) {
       case "propose":
         return await this.#propose(call.command, signal);
       case "query": {
-        const query = this.#options.definition.queries?.[call.name];
-        if (query === undefined) {
-          throw new RhubarbstageError("not_found", {
-            message: `Group "${this.name}" has no query "${call.name}"`,
-          });
-        }
+        const query = this.#query(call.name);
         if (await this.#read(signal) === undefined) return this.#notLeader();
         const value = query(this.#state, decode(call.argument));
         return { kind: "done", value: copy(value) };
@@ -289,6 +298,33 @@
     this.#finish(new RhubarbstageError("shutting_down"));
   }
 
+  #query(name: string): Query<State> {
+    const query = this.#options.definition.queries?.[name];
+    if (query !== undefined) return query;
+    throw new RhubarbstageError("not_found", {
+      message: `Group "${this.name}" has no query "${name}"`,
+    });
+  }
+
+  /**
+   * The state as if all stored entries were committed. After a restart, what is
+   * committed is not known before there is a leader.
+   */
+  #storedState(): State {
+    const { log, appliedIndex } = this.#consensus;
+    const from = appliedIndex + 1;
+    if (log.last.index < from) return this.#state;
+    const { stateMachine } = this.#options.definition;
+    const state = stateMachine.restore(
+      copy(stateMachine.snapshot(this.#state)),
+    );
+    for (const entry of log.range(from, log.last.index)) {
+      if (entry.kind !== "command") continue;
+      stateMachine.apply(state, decode(entry.data) as Command, entry.index);
+    }
+    return state;
+  }
+
   async #propose(
     command: Uint8Array,
     signal: AbortSignal,
--- a/packages/rhubarbstage-replica/src/replicated_group.ts
+++ b/packages/rhubarbstage-replica/src/replicated_group.ts
@@ -33,4 +33,15 @@
     argument: unknown,
     options?: GroupCallOptions,
   ): Promise<Answer>;
+
+  /**
+   * Asks each replica for its answer to a query over all that it has stored,
+   * committed or not, without a leader. Resolves with the answers that came in
+   * time; there may be none, and they may be out of date.
+   */
+  abstract queryStored<Answer>(
+    name: string,
+    argument: unknown,
+    options?: GroupCallOptions,
+  ): Promise<readonly Answer[]>;
 }
