Compute short prompts where they are answered while prefill engines are busy

Cause: a prefill engine finishes the long prompt that it has begun (up to 0.9 s), so that short urgent prompts waited 0.3 to 0.5 s on all of them, with a forecast of 0.1 s: a prompt that had run for longer than expected counted as done.

The streams on an answering engine now weigh against a prompt there by the pause that callers would notice, and an overdue prompt still counts with a part.

--- a/packages/rhubarbstage-policy/src/engine_queue.ts
+++ b/packages/rhubarbstage-policy/src/engine_queue.ts
@@ -12,6 +12,11 @@
  */
 const overdueFactor = 3;
 const overdueMargin = 1_000;
+/**
+ * Part of its expected time that a running prompt is still expected to take
+ * when that time is nearly or all over.
+ */
+const overduePart = 0.2;
 
 /** Name of one prompt among those of all hosts; drawn at random. */
 export type PromptWorkId = number;
@@ -53,7 +58,9 @@
     let wait = 0;
     for (const [id, prompt] of this.#prompts) {
       if (id === running.id) {
-        wait += Math.max(0, prompt.milliseconds - (now - running.startedAt));
+        const { milliseconds } = prompt;
+        const left = milliseconds - (now - running.startedAt);
+        wait += Math.max(left, milliseconds * overduePart);
       } else if (prompt.rank <= rank) wait += prompt.milliseconds;
     }
     return wait;
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -37,6 +37,11 @@
  * growth of a batch's step with its size on current accelerators.
  */
 const crowdingTime = 0.15;
+/**
+ * A prompt that takes an engine this long, in milliseconds, stops its streams
+ * for a pause that callers notice; shorter ones only slow them down.
+ */
+const noticedPause = 250;
 /** Routes this close to the best one are as good, in milliseconds. */
 const equalMargin = 8;
 /**
@@ -104,7 +109,7 @@
       rank,
       expectedFirstToken,
       score: expectedFirstToken +
-        compute * (occupancyWeight + interference(entry)) +
+        compute * (occupancyWeight + interference(entry, compute)) +
         crowding(view, demand, entry),
     };
   }
@@ -182,8 +187,10 @@
   return view.slow.isSlow(id, view.now) ? view.slow.factor(id, view.now) : 1;
 }
 
-function interference(entry: ServerEntry): number {
-  return runningOn(entry) * interferenceWeight;
+/** Weight of the streams that a prompt on their engine holds up. */
+function interference(entry: ServerEntry, compute: number): number {
+  const noticed = Math.min(1, compute / noticedPause);
+  return runningOn(entry) * interferenceWeight * noticed;
 }
 
 function crowding(
