Tell all hosts of the streams on each answering engine

Hosts now announce a stream when they choose its engine and when it ends; the choice counts all streams and the memory that their prompts take. A prompt of up to 80 ms does not count as a pause of the streams beside it.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -95,7 +95,7 @@
 /** Time between two messages about work on engines, in milliseconds. */
 const workInterval = 10;
 /** Time to export and import KV cache, without its transfer, in ms. */
-const kvFixedCost = 12;
+const kvFixedCost = 6;
 /**
  * Time to transfer the KV cache of one token, in milliseconds: 18 KB over
  * 370 Gbit/s take 0.0004 ms; the rest weighs the price of the path.
@@ -492,7 +492,7 @@
   transport.onMessage(workMessage, (works) => {
     for (const work of works) {
       dispatcher.notify(
-        "isComputed" in work
+        "ended" in work
           ? { type: "work_ended", end: work }
           : { type: "work_announced", work },
       );
--- a/packages/rhubarbstage-policy/__tests__/unit/shared_engines_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/shared_engines_test.ts
@@ -15,6 +15,7 @@
   WorkKind,
 } from "rhubarbstage";
 import { CacheBelief } from "../../src/cache_belief.ts";
+import { EngineStreams } from "../../src/engine_streams.ts";
 import { EngineQueue } from "../../src/engine_queue.ts";
 import { EngineSpeed } from "../../src/engine_speed.ts";
 import { FleetPolicy } from "../../src/fleet_policy.ts";
@@ -29,10 +30,10 @@
 const region = "here" as Region;
 const model = "assistant" as ModelName;
 
-function createPolicy() {
+function createPolicy(seed = 3) {
   const policy = new FleetPolicy({
     region,
-    seed: 3,
+    seed,
     hosts: 8,
     settings: {
       sharedEngines: true,
@@ -130,7 +131,14 @@
   reduce({
     type: "work_announced",
     now: 5,
-    work: { server, id: 1, milliseconds: 900, rank: 0, parts: prompt("other") },
+    work: {
+      server,
+      id: 1,
+      milliseconds: 900,
+      answers: false,
+      rank: 0,
+      parts: prompt("other"),
+    },
   });
   expect(dispatchOf(reduce(arrival("a", { now: 10 })))?.server).toBe("d2");
 });
@@ -146,6 +154,7 @@
       server,
       id: 1,
       milliseconds: 100,
+      answers: true,
       rank: 0,
       parts: prompt("ledger"),
     },
@@ -162,7 +171,14 @@
   for (const id of ["d1", "d2"]) reduce(engine(id, "decode"));
   for (const id of ["p1", "p2"]) {
     const server = id as BackendServerId;
-    const work = { server, id: 1, milliseconds: 900, rank: 2, parts: [] };
+    const work = {
+      server,
+      id: 1,
+      milliseconds: 900,
+      answers: false,
+      rank: 2,
+      parts: [],
+    };
     reduce({ type: "work_announced", now: 5, work });
   }
   const short = arrival("short", {
@@ -186,7 +202,14 @@
   }
   const server = "p1" as BackendServerId;
   for (let id = 0; id < 5; id += 1) {
-    const work = { server, id, milliseconds: 400, rank: 7, parts: [] };
+    const work = {
+      server,
+      id,
+      milliseconds: 400,
+      answers: false,
+      rank: 7,
+      parts: [],
+    };
     reduce({ type: "work_announced", now: 5, work });
   }
   // Only the running one is waited for; the next long prompt comes too late.
@@ -204,7 +227,14 @@
   reduce({
     type: "work_announced",
     now: 5,
-    work: { server, id: 1, milliseconds: 5_000, rank: 0, parts: [] },
+    work: {
+      server,
+      id: 1,
+      milliseconds: 5_000,
+      answers: false,
+      rank: 0,
+      parts: [],
+    },
   });
   const effects = reduce(arrival("a", { now: 10 }));
   expect(effects[0]).toMatchObject({
@@ -278,6 +308,55 @@
   expect(queue.size).toBe(0);
 });
 
+test("streams count until their end is told or their callers have left", () => {
+  const streams = new EngineStreams();
+  streams.add(1, 17_000, 0);
+  streams.add(2, 2_000, 1_000);
+  expect(streams.count(2_000)).toBe(2);
+  expect(streams.tokens(2_000)).toBe(19_000);
+  streams.end(1);
+  expect(streams.tokens(2_000)).toBe(2_000);
+  expect(streams.count(40_000)).toBe(0);
+  expect(streams.tokens(40_000)).toBe(0);
+});
+
+test("hosts do not send all streams to the engine that each finds idle", () => {
+  const hosts = Array.from(
+    { length: 8 },
+    (_, seed) => createPolicy(seed + 1),
+  );
+  const counts = new Map<string, number>();
+  for (const reduce of hosts) {
+    reduce(engine("p1", "prefill"));
+    for (const id of ["d1", "d2", "d3"]) reduce(engine(id, "decode"));
+  }
+  for (let round = 0; round < 24; round += 1) {
+    const reduce = hosts[round % 8] as ReturnType<typeof createPolicy>;
+    const effects = reduce(
+      arrival(`r${round}`, {
+        now: 10 + round,
+        promptTokens: 1_000,
+        promptParts: [{ id: "own", tokens: 1_000 }],
+        expectedOutputTokens: 200,
+      }),
+    );
+    const server = dispatchOf(effects)?.server ?? "none";
+    counts.set(server, (counts.get(server) ?? 0) + 1);
+    for (const effect of effects) {
+      if (effect.type !== "announce_work") continue;
+      for (const other of hosts) {
+        if (other === reduce) continue;
+        const { work } = effect;
+        other({ type: "work_announced", now: 10 + round, work });
+      }
+    }
+  }
+  for (const id of ["d1", "d2", "d3"]) {
+    expect(counts.get(id)).toBeGreaterThanOrEqual(6);
+    expect(counts.get(id)).toBeLessThanOrEqual(10);
+  }
+});
+
 test("a belief forgets what was used least recently", () => {
   const belief = new CacheBelief(40_000);
   belief.store(prompt("first"));
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -8,7 +8,7 @@
 import { promptOverhead } from "./constants.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
-import { endWork, shareWork } from "./shared_work.ts";
+import { endAnswer, endPrompt, shareWork } from "./shared_work.ts";
 import type { CancelReason, PolicyEffect } from "./types.ts";
 
 /** Tokens or time after which the speed of a stream is judged anew. */
@@ -86,7 +86,8 @@
     suspect: state.quarantine.isSuspect(fingerprint, now),
     queued: state.table.used(computing) >= computing.server.capacity,
     rank,
-    work: undefined,
+    promptWork: undefined,
+    answerWork: undefined,
     expectedWait: computing.queue.wait(now, rank),
     pendingPrefill: Math.max(0, expectedFirstToken - entry.pendingPrefill),
     countedLong: record.long,
@@ -135,10 +136,8 @@
     attempt.resumeFrom + attempt.tokens,
   );
   releasePrefill(attempt);
-  endWork(state, attempt, { isComputed: false, now });
-  if (prefill !== undefined && attempt.computedAt === undefined) {
-    entry.ownAwaited -= 1;
-  }
+  endPrompt(state, attempt, { isComputed: false, now });
+  endAnswer(state, attempt, now);
   release(state, { entry, attempt, now });
   if (prefill !== undefined && attempt.firstTokenAt === undefined) {
     release(state, { entry: prefill, attempt, now });
@@ -171,10 +170,7 @@
   now: number,
 ): void {
   const { record, entry, prefill, uncachedTokens } = attempt;
-  const elapsed = endWork(state, attempt, { isComputed: true, now });
-  if (prefill !== undefined && attempt.computedAt === undefined) {
-    entry.ownAwaited -= 1;
-  }
+  const elapsed = endPrompt(state, attempt, { isComputed: true, now });
   attempt.computedAt = now;
   if (elapsed === undefined) return;
   const { role, region } = (prefill ?? entry).server;
@@ -359,7 +355,6 @@
   computing.pendingPrefill += attempt.pendingPrefill;
   if (attempt.countedLong) entry.ownLong += 1;
   if (attempt.suspect) entry.ownSuspects += 1;
-  if (prefill !== undefined) entry.ownAwaited += 1;
   record.pool.pool.own += 1;
   for (const used of prefill === undefined ? [entry] : [entry, prefill]) {
     state.table.count(used, 1, now);
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -38,10 +38,21 @@
  */
 const crowdingTime = 0.15;
 /**
- * A prompt that takes an engine this long, in milliseconds, stops its streams
- * for a pause that callers notice; shorter ones only slow them down.
+ * Part of an engine's memory that prompts of streams may fill; the rest is for
+ * what they generate.
  */
-const noticedPause = 250;
+const fullMemory = 0.85;
+/**
+ * Cost of a stream that finds the memory full, in milliseconds: it waits for
+ * the end of another one.
+ */
+const shortageCost = 2_000;
+/**
+ * A prompt that takes an engine longer than the first time, in milliseconds,
+ * slows its streams so that callers may notice; from the second time on they
+ * do. The steps of an engine alone make pauses of some tens of milliseconds.
+ */
+const noticedPause = { from: 80, certain: 250 } as const;
 /** Routes this close to the best one are as good, in milliseconds. */
 const equalMargin = 8;
 /**
@@ -109,7 +120,7 @@
       rank,
       expectedFirstToken,
       score: expectedFirstToken +
-        compute * (occupancyWeight + interference(entry, compute)) +
+        compute * (occupancyWeight + interference(view, entry, compute)) +
         crowding(view, demand, entry),
     };
   }
@@ -188,9 +199,15 @@
 }
 
 /** Weight of the streams that a prompt on their engine holds up. */
-function interference(entry: ServerEntry, compute: number): number {
-  const noticed = Math.min(1, compute / noticedPause);
-  return runningOn(entry) * interferenceWeight * noticed;
+function interference(
+  view: RoutingView,
+  entry: ServerEntry,
+  compute: number,
+): number {
+  const { from, certain } = noticedPause;
+  const part = (compute - from) / (certain - from);
+  const noticed = Math.min(1, Math.max(0, part));
+  return runningOn(view, entry) * interferenceWeight * noticed;
 }
 
 function crowding(
@@ -201,12 +218,24 @@
   const { work } = demand;
   const tokens = work.expectedOutputTokens ??
     view.estimates.estimate(work, view.now).outputTokens;
-  return runningOn(entry) * tokens * crowdingTime;
+  const delay = entry.streams.count(view.now) * tokens * crowdingTime;
+  return delay + memoryShortage(view, demand, entry);
+}
+
+/** Cost of a prompt for which the engine's memory is probably too small. */
+function memoryShortage(
+  view: RoutingView,
+  demand: RoutingDemand,
+  entry: ServerEntry,
+): number {
+  const { cacheTokens = Infinity } = entry.server;
+  const held = entry.streams.tokens(view.now) + demand.work.promptTokens;
+  return held > cacheTokens * fullMemory ? shortageCost : 0;
 }
 
-/** Streams of all hosts on an engine in the last report, or the own ones. */
-function runningOn(entry: ServerEntry): number {
-  return Math.max(entry.own - entry.ownAwaited, entry.reported ?? 0);
+/** Streams that run on an engine, as far as hosts and reports tell. */
+function runningOn(view: RoutingView, entry: ServerEntry): number {
+  return Math.max(entry.streams.running(view.now), entry.reported ?? 0);
 }
 
 /** Round trip and price of the way to an engine, in milliseconds. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -97,8 +97,10 @@
   readonly expectedFirstToken: number;
   /** Rank in the queues of engines, 0 first. */
   readonly rank: number;
-  /** Prompt work in the queue of the computing engine, until it has ended. */
-  work: EngineWork | undefined;
+  /** Prompt in the queue of the computing engine, until it has ended. */
+  promptWork: EngineWork | undefined;
+  /** Stream on the answering engine, until it has ended. */
+  answerWork: EngineWork | undefined;
   /** Prompt work that the computing engine was expected to do first. */
   readonly expectedWait: number;
   readonly resumeFrom: number;
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -6,6 +6,7 @@
 
 import { CacheBelief } from "./cache_belief.ts";
 import { EngineQueue } from "./engine_queue.ts";
+import { EngineStreams } from "./engine_streams.ts";
 import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
 import { SampledSet } from "./sampled_set.ts";
 import type { BackendServer, Work } from "./types.ts";
@@ -24,10 +25,10 @@
   ownSuspects: number;
   /** Expected time of own prompts that have no first token yet. */
   pendingPrefill: number;
-  /** Own attempts whose prompt a prefill engine has not computed yet. */
-  ownAwaited: number;
   /** Prompt work of all hosts that the engine has not done. */
   readonly queue: EngineQueue;
+  /** Streams of all hosts, where hosts tell each other of them. */
+  readonly streams: EngineStreams;
   /** Prompts that the engine probably has cached, if its memory is known. */
   cache: CacheBelief | undefined;
   /** Requests of all hosts in the last load report, if there was one. */
@@ -138,7 +139,10 @@
     this.#close(known);
     known.server = server;
     const isRestarted = server.incarnation > before.incarnation;
-    if (isRestarted) known.queue.clear();
+    if (isRestarted) {
+      known.queue.clear();
+      known.streams.clear();
+    }
     if (isRestarted || known.cache === undefined) {
       known.cache = beliefOf(server);
     }
@@ -341,8 +345,8 @@
     ownLong: 0,
     ownSuspects: 0,
     pendingPrefill: 0,
-    ownAwaited: 0,
     queue: new EngineQueue(),
+    streams: new EngineStreams(),
     cache: beliefOf(server),
     reported: undefined,
     ownAtReport: 0,
--- a/packages/rhubarbstage-policy/src/shared_work.ts
+++ b/packages/rhubarbstage-policy/src/shared_work.ts
@@ -35,14 +35,16 @@
       ? Math.round(speed.promptTime(uncachedTokens, server.role))
       : 0;
     const id = state.random.integer(workIds);
-    const work = { server: server.id, id, milliseconds, rank, parts };
-    if (isComputing) attempt.work = work;
+    const answers = server.id === entry.server.id;
+    const work = { server: server.id, id, milliseconds, answers, rank, parts };
+    if (isComputing) attempt.promptWork = work;
+    if (answers) attempt.answerWork = work;
     takeWork(state, work, now);
     return { type: "announce_work", work };
   });
 }
 
-/** Counts prompt work of any host on an engine. */
+/** Counts work of any host on an engine. */
 export function takeWork(
   state: FleetState,
   work: EngineWork,
@@ -50,40 +52,85 @@
 ): void {
   const entry = state.table.servers.get(work.server);
   if (entry === undefined) return;
-  if (work.milliseconds > 0) entry.queue.add(work.id, work, now);
-  entry.cache?.store(work.parts);
+  const { id, parts } = work;
+  if (work.milliseconds > 0) entry.queue.add(id, work, now);
+  if (work.answers) entry.streams.add(id, tokensOf(parts), now);
+  entry.cache?.store(parts);
 }
 
-/** Takes the end of prompt work of any host. */
+function tokensOf(parts: EngineWork["parts"]): number {
+  let sum = 0;
+  for (const { tokens } of parts) sum += tokens;
+  return sum;
+}
+
+/**
+ * Takes what has become of work of any host. Returns how long the engine has
+ * computed a prompt, if that is known.
+ */
 export function takeWorkEnd(
   state: FleetState,
   end: EngineWorkEnd,
   now: number,
 ): number | undefined {
-  const queue = state.table.servers.get(end.server)?.queue;
-  if (end.isComputed) return queue?.end(end.id, now);
-  queue?.drop(end.id, now);
-  return undefined;
+  const entry = state.table.servers.get(end.server);
+  switch (end.ended) {
+    case "computed":
+      entry?.streams.start(end.id);
+      return entry?.queue.end(end.id, now);
+    case "dropped":
+      entry?.queue.drop(end.id, now);
+      return undefined;
+    case "answered":
+      entry?.streams.end(end.id);
+      return undefined;
+  }
 }
 
 /**
  * Ends the prompt work of an attempt, here and elsewhere. Returns how long the
  * engine has computed it, if that is known.
  */
-export function endWork(
+export function endPrompt(
   state: FleetState,
   attempt: Attempt,
   options: { readonly isComputed: boolean; readonly now: number },
 ): number | undefined {
-  const { work } = attempt;
-  if (work === undefined) return undefined;
-  attempt.work = undefined;
+  const { promptWork } = attempt;
+  if (promptWork === undefined) return undefined;
+  attempt.promptWork = undefined;
   const { isComputed, now } = options;
-  const { server, id, parts } = work;
+  const { server, id, parts } = promptWork;
   if (!isComputed) {
     state.table.servers.get(server)?.cache?.forget(parts);
   }
-  const end = { server, id, isComputed };
+  const ended = isComputed ? "computed" : "dropped";
+  const { answerWork } = attempt;
+  if (isComputed && answerWork !== undefined && answerWork.id !== id) {
+    const { server, id } = answerWork;
+    publishEnd(state, { server, id, ended }, now);
+  }
+  return publishEnd(state, { server, id, ended }, now);
+}
+
+/** Ends the stream of an attempt, here and elsewhere. */
+export function endAnswer(
+  state: FleetState,
+  attempt: Attempt,
+  now: number,
+): void {
+  const { answerWork } = attempt;
+  if (answerWork === undefined) return;
+  attempt.answerWork = undefined;
+  const { server, id } = answerWork;
+  publishEnd(state, { server, id, ended: "answered" }, now);
+}
+
+function publishEnd(
+  state: FleetState,
+  end: EngineWorkEnd,
+  now: number,
+): number | undefined {
   state.endedWork.push(end);
   return takeWorkEnd(state, end, now);
 }
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -156,24 +156,28 @@
   readonly age: number;
 }
 
-/** Prompt work that one host has sent to an engine. */
+/** Work that one host has sent to an engine. */
 export interface EngineWork {
   readonly server: BackendServerId;
   readonly id: PromptWorkId;
-  /** Expected time of the engine for it, in milliseconds. */
+  /** Expected time for the prompt, in milliseconds; 0 if it comes computed. */
   readonly milliseconds: number;
+  /** Whether the engine generates the answer. */
+  readonly answers: boolean;
   /** Rank at which the engine takes it, 0 first. */
   readonly rank: number;
   /** Parts of the prompt that the engine will have in its cache. */
   readonly parts: readonly PromptPart[];
 }
 
-/** End of prompt work that was announced. */
+/**
+ * What has become of announced work: the prompt is computed and in the cache of
+ * the engine, it was given up before, or the answer has ended.
+ */
 export interface EngineWorkEnd {
   readonly server: BackendServerId;
   readonly id: PromptWorkId;
-  /** Whether the engine has computed the prompt and has it in its cache. */
-  readonly isComputed: boolean;
+  readonly ended: "computed" | "dropped" | "answered";
 }
 
 /** What happened. */
