Split the composition of relay hosts and decode a request's headers once

The relay decoded the headers of each request twice. Ids of requests in the log name the process, so that a search finds one request after a restart. Settings that nothing read are gone. No behaviour changes but the ids.

--- /dev/null
+++ b/packages/rhubarbstage-host/src/plain_listener.ts
@@ -0,0 +1,31 @@
+/**
+ * Listener for readiness and metrics.
+ *
+ * @module
+ */
+
+import { createServer, type Server } from "node:http";
+
+/** Answers every request alike. Throws when the address is in use. */
+export async function listenPlain(
+  endpoint: { readonly address: string; readonly port: number },
+  answer: () =>
+    | { status: number; body: string }
+    | Promise<{ status: number; body: string }>,
+): Promise<{ close(): Promise<void> }> {
+  const server: Server = createServer(async (_request, response) => {
+    const { status, body } = await answer();
+    response.writeHead(status, { "content-type": "text/plain" }).end(body);
+  });
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(endpoint.port, endpoint.address, resolve);
+  });
+  return {
+    close: () =>
+      new Promise((resolve) => {
+        server.closeAllConnections();
+        server.close(() => resolve());
+      }),
+  };
+}
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -5,57 +5,38 @@
  */
 
 import { randomBytes } from "node:crypto";
-import { createServer, type Server } from "node:http";
 import {
-  type Clock,
   delay,
-  every,
   type HostId,
   type Incarnation,
   SystemClock,
 } from "rhubarbstage";
-import { DocumentClient, OrderExecutor } from "@rhubarbstage/control";
-import { Dispatcher, PolicyListener } from "@rhubarbstage/gateway/dispatch";
+import { DocumentClient } from "@rhubarbstage/control";
+import { Dispatcher } from "@rhubarbstage/gateway/dispatch";
 import { EngineClient } from "@rhubarbstage/engine";
+import type { Membership, ServerRecord } from "@rhubarbstage/membership";
+import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
 import {
-  type HostRecord,
-  Membership,
-  type ServerRecord,
-} from "@rhubarbstage/membership";
-import {
-  type EngineWork,
-  type EngineWorkEnd,
-  FleetPolicy,
-  type FleetSettings,
-} from "@rhubarbstage/policy";
-import {
-  type Dialect,
   Relay,
   RelayListener,
   type RelayService,
-  type RouteTable,
   ServerConnections,
 } from "@rhubarbstage/relay";
-import { SeatKeeper } from "@rhubarbstage/replica";
-import {
-  createLogger,
-  type Logger,
-  Metrics,
-  Timeline,
-} from "@rhubarbstage/telemetry";
-import { messageType, PeerTransport } from "@rhubarbstage/transport";
+import { createLogger, Metrics, Timeline } from "@rhubarbstage/telemetry";
+import { PeerTransport } from "@rhubarbstage/transport";
 import { BackendRegistry } from "./backend_registry.ts";
-import { ControlDesk } from "./control_desk.ts";
+import type { ControlDesk } from "./control_desk.ts";
 import { DemandReport } from "./demand_report.ts";
 import { HostEvents } from "./host_events.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
-import { TransportLink } from "./membership_link.ts";
-import { OrderCoordinator } from "./order_coordinator.ts";
+import { listenPlain } from "./plain_listener.ts";
+import { createDesk, startSeat } from "./relay_control.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
-import { RelayOrderConnector } from "./relay_orders.ts";
+import { createMembership } from "./relay_membership.ts";
+import type { Base, Parts, RelayHostOptions } from "./relay_parts.ts";
 import { RelayReadiness } from "./relay_readiness.ts";
-import { RoleAuthority } from "./role_authority.ts";
-import { controlName, SeatOperations } from "./seat_operations.ts";
+import { RelayPolicyListener, shareWork } from "./relay_work.ts";
+import { SeatOperations } from "./seat_operations.ts";
 import { ServerChecks } from "./server_checks.ts";
 
 /** Name of the document with the table of routes. */
@@ -64,19 +45,11 @@
 const linkHeartbeat = 700;
 /** Longest wait before a lost host is dialled again, in milliseconds. */
 const linkBackoff = 500;
-/**
- * Oldest evidence on which a server gets work. Attempts name the process that
- * they are meant for and own failures tell of lost servers, so that a host that
- * is cut off from control goes on with what it knows.
- */
-const evidenceLimit = 120_000;
 /**
  * Longest wait for one control host, in milliseconds; several times the round
  * trip between regions, and a third of what a question for the routes may take.
  */
 const controlAttemptTimeout = 450;
-/** Time between two tries to form the system, in milliseconds. */
-const bootstrapPause = 300;
 /** Events that are kept in memory for the time line. */
 const ringEvents = 2_000;
 /** Time from the stop signal until the balancer sends no new connection. */
@@ -87,13 +60,6 @@
 const retryPart = 0.6;
 const hedgePart = 0.2;
 
-/**
- * Longest time from the intent of an order to its write, in milliseconds: a
- * few round trips between regions.
- */
-const orderWriteWindow = 500;
-/** Time between two messages about work on engines, in milliseconds. */
-const workInterval = 10;
 /** Time to export and import KV cache, without its transfer, in ms. */
 const kvFixedCost = 6;
 /**
@@ -102,38 +68,6 @@
  */
 const kvCostPerToken = 0.001;
 
-/** Options of {@linkcode RelayHost.start}. */
-export interface RelayHostOptions {
-  readonly dialect: Dialect;
-  /** Reads a table of routes from a published document. */
-  readonly readTable: (content: unknown) => RouteTable;
-}
-
-interface Base {
-  readonly settings: RelayHostSettings;
-  readonly options: RelayHostOptions;
-  readonly clock: Clock;
-  readonly logger: Logger;
-  readonly timeline: Timeline;
-  readonly events: HostEvents;
-  readonly metrics: Metrics;
-  readonly stopped: AbortController;
-  readonly incarnation: Incarnation;
-}
-
-interface Parts extends Base {
-  readonly transport: PeerTransport;
-  readonly seats: SeatOperations;
-  readonly membership: Membership;
-  readonly registry: BackendRegistry;
-  readonly dispatcher: Dispatcher;
-  readonly listener: RelayPolicyListener;
-  readonly connections: ServerConnections;
-  readonly documents: DocumentClient;
-  readonly relay: Relay;
-  readonly readiness: RelayReadiness;
-}
-
 /** A running relay host. */
 export class RelayHost {
   /** Present on hosts with a seat for control. */
@@ -332,7 +266,6 @@
     connections,
     telemetry: serving.telemetry,
     readiness,
-    backendServers: registry,
     retryRatio: settings.retries.ratio * retryPart,
     onLoad: (server, load) =>
       registry.takeLoad(server, {
@@ -385,47 +318,6 @@
   return [...new Set([...known, ...settings.seeds.map(({ host }) => host)])];
 }
 
-/** Carries out the effects of the policy that concern other hosts. */
-class RelayPolicyListener extends PolicyListener {
-  readonly #demand: DemandReport;
-  membership: Membership | undefined;
-  /** Present on hosts that may lead control. */
-  orders: OrderCoordinator | undefined;
-  readonly #work: (EngineWork | EngineWorkEnd)[] = [];
-
-  constructor(demand: DemandReport) {
-    super();
-    this.#demand = demand;
-  }
-
-  override setRole(
-    ...change: Parameters<PolicyListener["setRole"]>
-  ): void {
-    void this.orders?.setRole(...change);
-  }
-
-  override announceWork(work: EngineWork | EngineWorkEnd): void {
-    this.#work.push(work);
-  }
-
-  /** Work since the last call, for other hosts. */
-  takeWork(): readonly (EngineWork | EngineWorkEnd)[] {
-    return this.#work.splice(0);
-  }
-
-  override publishQuarantine(
-    marks: Parameters<PolicyListener["publishQuarantine"]>[0],
-  ): void {
-    this.membership?.publishMarks(marks);
-  }
-
-  override publishDemand(
-    ...demand: Parameters<PolicyListener["publishDemand"]>
-  ): void {
-    this.#demand.publish(...demand);
-  }
-}
-
 interface ServingParts {
   /** Service of a server in the table in force; set with the relay. */
   serviceOf: (record: ServerRecord) => RelayService | undefined;
@@ -474,40 +366,6 @@
   return serving;
 }
 
-const workMessage = messageType<readonly (EngineWork | EngineWorkEnd)[]>(
-  "engine_work",
-);
-
-/** Exchanges what hosts send to engines, so that all know their queues. */
-function shareWork(
-  base: Base,
-  parts: {
-    readonly transport: PeerTransport;
-    readonly membership: Membership;
-    readonly dispatcher: Dispatcher;
-    readonly listener: RelayPolicyListener;
-  },
-): void {
-  const { transport, membership, dispatcher, listener } = parts;
-  transport.onMessage(workMessage, (works) => {
-    for (const work of works) {
-      dispatcher.notify(
-        "ended" in work
-          ? { type: "work_ended", end: work }
-          : { type: "work_announced", work },
-      );
-    }
-  });
-  every(workInterval, () => {
-    const body = listener.takeWork();
-    if (body.length === 0) return;
-    for (const { host, servesCallers } of membership.listHosts()) {
-      if (servesCallers === false || host === base.settings.host) continue;
-      transport.send(workMessage, { to: host, body });
-    }
-  }, { signal: base.stopped.signal });
-}
-
 /** Settings of the policy for servers that other hosts use as well. */
 function policySettings(settings: RelayHostSettings): Partial<FleetSettings> {
   const { burst } = settings.retries;
@@ -526,113 +384,6 @@
   };
 }
 
-function createMembership(
-  base: Base,
-  parts: {
-    readonly transport: PeerTransport;
-    readonly registry: BackendRegistry;
-    readonly dispatcher: Dispatcher;
-    readonly demand: DemandReport;
-  },
-): Membership {
-  const { settings, incarnation, stopped, clock, events } = base;
-  const { transport, registry, dispatcher, demand } = parts;
-  const self = selfRecord(settings);
-  const membership: Membership = new Membership({
-    self,
-    incarnation,
-    seeds: settings.seeds
-      .filter(({ host }) => host !== settings.host)
-      .map((seed) => seedRecord(settings, seed)),
-    link: new TransportLink(transport),
-    listener: {
-      serverSeen: (record, { load, usable }) => {
-        if (registry.recordOf(record.id) === undefined) {
-          events.note("server_joined", {
-            server: record.id,
-            address: record.address,
-            role: record.role,
-            zone: record.availabilityZone,
-          });
-        }
-        loseOthersAt(registry, record);
-        registry.see({ record, load, usable });
-      },
-      serverGone: (id, gone) => {
-        events.note("server_gone", { server: id, crashed: gone.crashed });
-        registry.lose(id, gone);
-      },
-      hostSeen: (record) => {
-        if (record.host === settings.host) return;
-        const [address = "", port] = record.peerAddress.split(":");
-        transport.setAddress(record.host, { address, port: Number(port) });
-      },
-      hostGone: (host) => events.note("host_gone", { peer: host }),
-      marksHeard: (marks) =>
-        dispatcher.notify({ type: "quarantine_reported", marks }),
-      demandHeard: (totals) => {
-        const hosts = membership.listHosts()
-          .filter(({ servesCallers }) => servesCallers !== false)
-          .map(({ host }) => host);
-        dispatcher.notify({
-          type: "demand_reported",
-          ...demand.toEvent(totals, hosts),
-        });
-      },
-    },
-    check: () => Promise.reject(new Error("Servers are checked by use")),
-    demand: () => demand.rates(),
-    evidenceLimit,
-    probeAge: evidenceLimit,
-    signal: stopped.signal,
-    clock,
-  });
-  return membership;
-}
-
-/** An address belongs to the process that started last. */
-function loseOthersAt(registry: BackendRegistry, record: ServerRecord): void {
-  for (const other of registry.records()) {
-    if (other.id === record.id || other.address !== record.address) continue;
-    if (other.incarnation > record.incarnation) continue;
-    registry.lose(other.id, { crashed: true });
-  }
-}
-
-function selfRecord(settings: RelayHostSettings): HostRecord {
-  const { host, region, availabilityZone, peer, control } = settings;
-  return {
-    host,
-    region,
-    availabilityZone,
-    peerAddress: `${peer.address}:${peer.port}`,
-    httpAddress: control === undefined
-      ? ""
-      : `${control.address}:${control.port}`,
-    replica: settings.seat !== undefined,
-    registrar: control !== undefined,
-    servesCallers: settings.callers !== undefined,
-  };
-}
-
-/** A seed as it is assumed until gossip brings its own record. */
-function seedRecord(
-  settings: RelayHostSettings,
-  seed: RelayHostSettings["seeds"][number],
-): HostRecord {
-  const { region, availabilityZone } = settings;
-  return {
-    host: seed.host,
-    region,
-    availabilityZone,
-    peerAddress: `${seed.peer.address}:${seed.peer.port}`,
-    httpAddress: "",
-    replica: true,
-    registrar: true,
-    servesCallers: false,
-  };
-}
-
 function createConnections(
   parts: {
     readonly registry: BackendRegistry;
@@ -699,20 +450,6 @@
   });
 }
 
-function createDesk(parts: Parts): ControlDesk | undefined {
-  const { settings, seats, documents, membership, events } = parts;
-  const { replica } = seats;
-  if (settings.seat === undefined || replica === undefined) return undefined;
-  const safeVoters = 2 * settings.tolerance + 1;
-  return new ControlDesk({
-    documents,
-    membership,
-    replica,
-    safeVoters,
-    events,
-  });
-}
-
 function startParts(parts: Parts): void {
   const { settings, documents, events, stopped, readiness, relay } = parts;
   const { signal } = stopped;
@@ -743,108 +480,3 @@
   }
   if (settings.seat !== undefined) startSeat(parts);
 }
-
-function startSeat(parts: Parts): void {
-  const { settings, seats, transport, membership, events, stopped } = parts;
-  const { replica } = seats;
-  const { seat } = settings;
-  if (replica === undefined || seat === undefined) return;
-  const { signal } = stopped;
-  const authority = createRoleAuthority(parts);
-  replica.onLeadership(controlName, ({ term, leader, isLeader }) => {
-    events.note("leadership", { term, leader, leads: isLeader });
-    authority.lead(isLeader);
-  }, { signal });
-  new SeatKeeper({
-    replica,
-    transport,
-    groups: [controlName],
-    target: 2 * settings.tolerance + 1,
-    hosts: () =>
-      membership.listHosts()
-        .filter((record) => record.replica)
-        .map(({ host }) => host),
-    signal,
-    onNote: (event, fields) => events.note(event, fields),
-  }).start();
-  if (seat.bootstrap) void formSystem(parts);
-}
-
-/** Lets the leader of control order engines to change their roles. */
-function createRoleAuthority(parts: Parts): RoleAuthority {
-  const { settings, seats, registry, events, stopped, listener } = parts;
-  const { signal } = stopped;
-  const leads = () => seats.controlSeat?.leadership().isLeader ?? false;
-  const executor = new OrderExecutor({
-    group: seats.control,
-    connector: new RelayOrderConnector({
-      dialect: parts.options.dialect,
-      connections: parts.connections,
-      holder: settings.host,
-      incarnationOf: (server) => registry.recordOf(server)?.incarnation,
-    }),
-    sender: { host: settings.host, incarnation: parts.incarnation },
-    leads,
-    signal,
-    writeWindow: orderWriteWindow,
-  });
-  const orders = new OrderCoordinator({
-    executor,
-    backends: registry,
-    events,
-    leads,
-    enginesDrainThemselves: true,
-    maxEnginesAway: () => Infinity,
-    readLoad: () => Promise.reject(new Error("Engines drain themselves")),
-  });
-  orders.start({ signal });
-  listener.orders = orders;
-  return new RoleAuthority({
-    settleTime: settings.orderLease + orderWriteWindow,
-    signal,
-    onChange: (held) => {
-      events.note("role_authority", { held: held ? "yes" : "no" });
-      parts.dispatcher.notify({ type: "role_authority_changed", held });
-    },
-  });
-}
-
-/** Forms the system if this host is the first of the seeds. */
-async function formSystem(parts: Parts): Promise<void> {
-  const { settings, seats, events, stopped } = parts;
-  const hosts = settings.seeds.map(({ host }) => host).toSorted();
-  if (hosts[0] !== settings.host) return;
-  while (!stopped.signal.aborted && !seats.isBootstrapped) {
-    try {
-      await seats.replica?.bootstrap({ hosts, timeout: 1_000 });
-      events.note("system_formed", { seats: hosts.length });
-    } catch (thrown) {
-      const cause = thrown instanceof Error ? thrown.message : String(thrown);
-      events.note("system_not_formed", { cause });
-      await delay(bootstrapPause);
-    }
-  }
-}
-
-async function listenPlain(
-  endpoint: { readonly address: string; readonly port: number },
-  answer: () =>
-    | { status: number; body: string }
-    | Promise<{ status: number; body: string }>,
-): Promise<{ close(): Promise<void> }> {
-  const server: Server = createServer(async (_request, response) => {
-    const { status, body } = await answer();
-    response.writeHead(status, { "content-type": "text/plain" }).end(body);
-  });
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(endpoint.port, endpoint.address, resolve);
-  });
-  return {
-    close: () =>
-      new Promise((resolve) => {
-        server.closeAllConnections();
-        server.close(() => resolve());
-      }),
-  };
-}
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -53,7 +53,5 @@
   readonly gracePeriod: number;
   /** Time in which two hosts may not both give orders to one engine. */
   readonly orderLease: number;
-  /** Time in which a configuration is in force everywhere. */
-  readonly configurationBound: number;
   readonly logLevel: LogLevel;
 }
--- a/packages/rhubarbstage-host/src/relay_mod.ts
+++ b/packages/rhubarbstage-host/src/relay_mod.ts
@@ -6,6 +6,6 @@
  */
 
 export type { RelayHostSettings } from "./relay_host_settings.ts";
-export type { RelayHostOptions } from "./relay_host.ts";
+export type { RelayHostOptions } from "./relay_parts.ts";
 export { RelayHost } from "./relay_host.ts";
 export { ControlDesk } from "./control_desk.ts";
--- /dev/null
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -0,0 +1,58 @@
+/**
+ * Parts of a relay host.
+ *
+ * @module
+ */
+
+import type { DocumentClient } from "@rhubarbstage/control";
+import type { Dispatcher } from "@rhubarbstage/gateway/dispatch";
+import type { Membership } from "@rhubarbstage/membership";
+import type {
+  Dialect,
+  Relay,
+  RouteTable,
+  ServerConnections,
+} from "@rhubarbstage/relay";
+import type { Logger, Metrics, Timeline } from "@rhubarbstage/telemetry";
+import type { PeerTransport } from "@rhubarbstage/transport";
+import type { Clock, Incarnation } from "rhubarbstage";
+import type { BackendRegistry } from "./backend_registry.ts";
+import type { HostEvents } from "./host_events.ts";
+import type { RelayHostSettings } from "./relay_host_settings.ts";
+import type { RelayReadiness } from "./relay_readiness.ts";
+import type { RelayPolicyListener } from "./relay_work.ts";
+import type { SeatOperations } from "./seat_operations.ts";
+
+/** Options of `RelayHost.start`. */
+export interface RelayHostOptions {
+  readonly dialect: Dialect;
+  /** Reads a table of routes from a published document. */
+  readonly readTable: (content: unknown) => RouteTable;
+}
+
+/** What all parts share. */
+export interface Base {
+  readonly settings: RelayHostSettings;
+  readonly options: RelayHostOptions;
+  readonly clock: Clock;
+  readonly logger: Logger;
+  readonly timeline: Timeline;
+  readonly events: HostEvents;
+  readonly metrics: Metrics;
+  readonly stopped: AbortController;
+  readonly incarnation: Incarnation;
+}
+
+/** The parts of a running host. */
+export interface Parts extends Base {
+  readonly transport: PeerTransport;
+  readonly seats: SeatOperations;
+  readonly membership: Membership;
+  readonly registry: BackendRegistry;
+  readonly dispatcher: Dispatcher;
+  readonly listener: RelayPolicyListener;
+  readonly connections: ServerConnections;
+  readonly documents: DocumentClient;
+  readonly relay: Relay;
+  readonly readiness: RelayReadiness;
+}
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -218,7 +218,6 @@
     connections,
     telemetry: new NoTelemetry(),
     readiness: new AlwaysReady(),
-    backendServers,
     retryRatio: 1,
     onLoad: () => {},
     onLost: () => {},
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -8,7 +8,6 @@
 import { Buffer } from "node:buffer";
 import type { IncomingMessage, ServerResponse } from "node:http";
 import {
-  type BackendServers,
   CallerGone,
   type Dispatcher,
   type GatewayTelemetry,
@@ -49,7 +48,6 @@
   readonly connections: ServerConnections;
   readonly telemetry: GatewayTelemetry;
   readonly readiness: Readiness;
-  readonly backendServers: Pick<BackendServers, "addressOf">;
   /** Retries for each first try. */
   readonly retryRatio: number;
   readonly onLoad: (server: BackendServerId, load: AnswerLoad) => void;
@@ -73,6 +71,8 @@
   readonly #options: RelayOptions;
   readonly #clock: Clock;
   readonly #requests = new RequestRegister();
+  /** Tells the ids of this process from those of an earlier one. */
+  readonly #start = Date.now().toString(36);
   #index: RouteIndex | undefined;
   #count = 0;
 
@@ -146,8 +146,8 @@
     if (!this.#options.readiness.acceptsWork()) {
       throw new RhubarbstageError("shutting_down");
     }
-    const { route, service } = this.#route(incoming, request);
     const traits = dialect.readRequest(incoming.rawHeaders);
+    const { route, service } = this.#route(incoming, { request, traits });
     const limit = this.#index?.table.limits.maxBodyBytes ?? Infinity;
     const body = await readBody(incoming, { limit, signal });
     const relayed = this.#toRelayRequest(request, {
@@ -178,8 +178,9 @@
 
   #route(
     incoming: IncomingMessage,
-    request: RequestId,
+    call: { readonly request: RequestId; readonly traits: RequestTraits },
   ): { route: Route; service: RelayService } {
+    const { request, traits } = call;
     const index = this.#index;
     if (index === undefined) {
       throw new RhubarbstageError("isolated", {
@@ -196,9 +197,7 @@
     }
     this.#options.telemetry.note("request_routed", {
       request,
-      caller_request: incoming.rawHeaders.length > 0
-        ? this.#options.dialect.readRequest(incoming.rawHeaders).id ?? ""
-        : "",
+      caller_request: traits.id ?? "",
       route: route.name,
       service: name,
       version: index.table.version,
@@ -353,7 +352,7 @@
 
   #nextId(): RequestId {
     this.#count += 1;
-    return `relay-${this.#count}` as RequestId;
+    return `relay-${this.#start}-${this.#count}` as RequestId;
   }
 }
 
