Check an answering engine again when the prompt is computed

Ruled out: late news of the departure, which all relays had within 0.1 s.

An engine that takes no new work any more when the prompt is computed is left out; nothing was sent to it, so another one is chosen and the prompt is found in the cache of the prefill engine. The test fails without the check.

--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -39,7 +39,7 @@
 export interface DispatcherOptions {
   readonly policy: Policy;
   readonly engines: EngineClient;
-  readonly backendServers: Pick<BackendServers, "addressOf">;
+  readonly backendServers: Pick<BackendServers, "addressOf" | "takesNewWork">;
   readonly listener: PolicyListener;
   readonly telemetry: GatewayTelemetry;
   readonly clock?: Clock;
@@ -65,7 +65,7 @@
 /** Leads requests through the policy to backend servers. */
 export class Dispatcher implements RunContext {
   readonly engines: EngineClient;
-  readonly backendServers: Pick<BackendServers, "addressOf">;
+  readonly backendServers: Pick<BackendServers, "addressOf" | "takesNewWork">;
   readonly telemetry: GatewayTelemetry;
   readonly clock: Clock;
   #policy: Policy;
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -195,6 +195,11 @@
   abstract changeCache(events: CacheEvents): void;
   /** Address of a backend server, or nothing if it is unknown. */
   abstract addressOf(server: BackendServerId): EngineAddress | undefined;
+
+  /** Whether a backend server takes new work, as far as is known now. */
+  takesNewWork(server: BackendServerId): boolean {
+    return this.addressOf(server) !== undefined;
+  }
 }
 
 /**
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -30,7 +30,7 @@
 /** What runs need of whoever leads them through the policy. */
 export interface RunContext {
   readonly engines: EngineClient;
-  readonly backendServers: Pick<BackendServers, "addressOf">;
+  readonly backendServers: Pick<BackendServers, "addressOf" | "takesNewWork">;
   readonly telemetry: GatewayTelemetry;
   readonly clock: Clock;
   /** Tells the policy what happened. */
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -94,6 +94,11 @@
       : { id: server, url: seen.record.address };
   }
 
+  override takesNewWork(server: BackendServerId): boolean {
+    const seen = this.#seen.get(server);
+    return seen !== undefined && this.#acceptsNewWork(seen);
+  }
+
   /** Record of a server, if it is known. */
   recordOf(server: BackendServerId): ServerRecord | undefined {
     return this.#seen.get(server)?.record;
@@ -162,6 +167,10 @@
     return cacheTokens === undefined ? {} : { cacheTokens };
   }
 
+  #acceptsNewWork({ record, usable }: SeenServer): boolean {
+    return usable && record.state === "serving" && !this.isDrained(record.id);
+  }
+
   #tell(seen: SeenServer): void {
     const { record, load } = seen;
     const { id, incarnation, region, availabilityZone } = record;
@@ -178,8 +187,7 @@
         role,
         capacity,
         ...this.#memoryOf(record),
-        acceptsNewWork: seen.usable && record.state === "serving" &&
-          !this.isDrained(id),
+        acceptsNewWork: this.#acceptsNewWork(seen),
         load,
       },
     });
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -10,11 +10,16 @@
   PolicyListener,
   Readiness,
 } from "@rhubarbstage/gateway/dispatch";
-import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
+import {
+  type EngineRole,
+  FleetPolicy,
+  type FleetSettings,
+} from "@rhubarbstage/policy";
 import type {
   AvailabilityZone,
   BackendServerId,
   Incarnation,
+  ModelName,
   Region,
   RequestId,
   ServiceName,
@@ -45,7 +50,7 @@
     const id = headerValue(headers, "test-id");
     const patience = headerValue(headers, "test-patience");
     return {
-      promptTokens: 0,
+      promptTokens: Number(headerValue(headers, "test-tokens") ?? 0),
       outputTokenLimit: 0,
       promptParts: [],
       ...(id === undefined ? {} : { id: id as RequestId }),
@@ -56,6 +61,10 @@
   override attemptHeaders(headers: HeaderList, attempt: AttemptTraits) {
     const sent = endToEndHeaders(headers);
     sent.push("test-server", attempt.server);
+    if (attempt.step === "prefill") sent.push("test-step", "prefill");
+    if (attempt.promptExport !== undefined) {
+      sent.push("test-export", attempt.promptExport.handle);
+    }
     if (attempt.resumeAfter !== undefined) {
       sent.push("test-resume", attempt.resumeAfter);
     }
@@ -72,8 +81,8 @@
     };
   }
 
-  override readExport(): undefined {
-    return undefined;
+  override readExport(body: Uint8Array): string {
+    return new TextDecoder().decode(body);
   }
 
   override freeExport() {
@@ -179,6 +188,13 @@
   };
 }
 
+const engine = {
+  slots: 8,
+  cacheTokens: 400_000,
+  tokensPerEvent: 1,
+  exportLifetime: 5_000,
+};
+
 export interface TestRelay {
   readonly port: number;
   readonly relay: Relay;
@@ -190,7 +206,12 @@
   readonly servers: readonly TestServer[];
   readonly route?: Partial<Route>;
   readonly settings?: Partial<FleetSettings>;
+  /** Roles of the servers, if they are engines. */
+  readonly roles?: readonly EngineRole[];
+  /** Whether a server still takes work when its prompt is computed. */
+  readonly takesNewWork?: (server: BackendServerId) => boolean;
 }): Promise<TestRelay> {
+  const { roles } = options;
   const service = "store" as ServiceName;
   const addresses = options.servers.map(({ url }, index) => ({
     id: `server-${index}` as BackendServerId,
@@ -200,6 +221,7 @@
   const backendServers = {
     addressOf: (id: BackendServerId) =>
       addresses.find((address) => address.id === id),
+    takesNewWork: options.takesNewWork ?? (() => true),
   };
   const dispatcher = new Dispatcher({
     policy: new FleetPolicy({ region, settings: options.settings ?? {} }),
@@ -238,7 +260,12 @@
       resumable: false,
       ...options.route,
     }],
-    services: [{ name: service, healthPath: "/health", maxConnections: 10 }],
+    services: [{
+      name: service,
+      healthPath: "/health",
+      maxConnections: 10,
+      ...(roles === undefined ? {} : { engine }),
+    }],
     limits: {
       maxHeaderBytes: 16_384,
       maxBodyBytes: 1_000_000,
@@ -246,7 +273,7 @@
       idleTimeout: 15_000,
     },
   });
-  for (const { id } of addresses) {
+  for (const [index, { id }] of addresses.entries()) {
     dispatcher.notify({
       type: "server_seen",
       server: {
@@ -254,9 +281,9 @@
         incarnation: 1 as Incarnation,
         region,
         availabilityZone: "here-a" as AvailabilityZone,
-        models: [],
-        services: [service],
-        role: "mixed",
+        models: roles === undefined ? [] : [service as string as ModelName],
+        services: roles === undefined ? [service] : [],
+        role: roles?.[index] ?? "mixed",
         capacity: 8,
         acceptsNewWork: true,
       },
--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -287,3 +287,61 @@
   expect(seen).toMatch(/^HTTP\/1\.1 413 /);
   expect(receivedCount()).toBe(0);
 });
+
+describe("A prompt that is computed apart", () => {
+  const route: Partial<Route> = { kind: "stream", maxAttempts: 1 };
+  const prompt = request({ headers: ["test-tokens: 9000"] });
+
+  /** One prefill engine and two answering ones. */
+  async function startEngines(
+    takesNewWork: (server: string) => boolean,
+  ): Promise<number> {
+    const script: Script = ({ head, socket }) => {
+      if (/test-step: prefill/.test(head)) {
+        socket.write(answer("200 OK", [], "handle"));
+        return;
+      }
+      socket.write(streamHead + chunk("id: 1\ndata: x\n\n") + chunk(""));
+    };
+    servers = await Promise.all([script, script, script].map(startServer));
+    relay = await startRelay({
+      servers,
+      route,
+      settings: { sharedEngines: true },
+      roles: ["prefill", "decode", "decode"],
+      takesNewWork,
+    });
+    return relay.port;
+  }
+
+  /** Names of the engines that were told to fetch the prompt. */
+  function fetchers(): string[] {
+    return servers
+      .map(({ received }, index) => ({ received, name: `server-${index}` }))
+      .filter(({ received }) =>
+        received.some(({ head }) => /test-export: handle/.test(head))
+      )
+      .map(({ name }) => name);
+  }
+
+  test("is answered by an engine that fetches it", async () => {
+    const port = await startEngines(() => true);
+    expect(await exchange(port, prompt)).toMatch(/data: x/);
+    expect(servers[0]!.received).toHaveLength(1);
+    expect(fetchers()).toHaveLength(1);
+  });
+
+  // Guards against work for a server that has announced meanwhile that it
+  // leaves, seconds after the choice.
+  test("goes to another engine when the chosen one leaves", async () => {
+    let chosen: string | undefined;
+    const port = await startEngines((server) => {
+      chosen ??= server;
+      return server !== chosen;
+    });
+    expect(await exchange(port, prompt)).toMatch(/data: x/);
+    expect(fetchers()).toHaveLength(1);
+    expect(chosen).toBeDefined();
+    expect(fetchers()).not.toContain(chosen);
+  });
+});
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -107,6 +107,7 @@
 
   protected override async run(attempt: Attempt): Promise<RelayResult> {
     const promptExport = await this.#prefill(attempt);
+    if (promptExport !== undefined) this.#checkStillServing(attempt);
     try {
       const answer = await this.#send(attempt, { promptExport });
       return await this.#take(attempt, answer);
@@ -115,6 +116,18 @@
     }
   }
 
+  /** A server may have begun to leave while the prompt was computed. */
+  #checkStillServing({ address: { id } }: Attempt): void {
+    if (this.context.backendServers.takesNewWork(id)) return;
+    // Nothing was sent to it, so that another server may take its place.
+    throw connectionLoss(
+      new RhubarbstageError("backend_unreachable", {
+        outcome: "not_run",
+        cause: "The server leaves",
+      }),
+    );
+  }
+
   /** Has the prompt computed elsewhere; without success, the server does it. */
   async #prefill(attempt: Attempt): Promise<PromptExport | undefined> {
     const { prefillServer } = attempt.effect;
