--- a/packages/rhubarbstage-policy/src/engine_roles.ts
+++ b/packages/rhubarbstage-policy/src/engine_roles.ts
@@ -32,7 +32,7 @@
  * the mix, because a change of role takes an engine away for seconds.
  */
 const demandMemory = 20_000;
-/** An engine that is loaded less than this takes no part in any change. */
+/** Part of a pool's engines that work keeps busy below which it is idle. */
 const idlePool = 0.05;
 
 /** Demand of a pool, averaged over a long time. */
