--- a/packages/rhubarbstage-bench/src/main.ts
+++ b/packages/rhubarbstage-bench/src/main.ts
@@ -2,8 +2,9 @@
  * Command line program of the experiments.
  *
  * `bench [experiment...] [--seeds=N]` runs experiments and prints a table;
- * `bench decisions` measures the time of a routing decision; `bench host` and
- * `bench caller` are started as the processes of a run.
+ * `bench decisions` measures the time of a routing decision and `bench placement`
+ * that of a placement by the number of engines; `bench host` and `bench caller`
+ * are started as the processes of a run.
  *
  * @module
  */
@@ -16,6 +17,7 @@
 import { measureDecisions } from "./decision_time.ts";
 import { ExperimentHost } from "./experiment_host.ts";
 import { experiments, type Figure } from "./experiments.ts";
+import { measurePlacementCosts } from "./placement_cost.ts";
 import { type FigureSummary, formatTable, summarise } from "./report.ts";
 
 /** Result file of the last experiments; ignored by git. */
@@ -37,6 +39,12 @@
     console.log(formatTable(summarise("decisions", [measureDecisions()])));
     return;
   }
+  if (command === "placement") {
+    for (const { engines, microseconds } of measurePlacementCosts()) {
+      console.log(`${engines} engines: ${Math.round(microseconds)} µs`);
+    }
+    return;
+  }
   await runExperiments(process.argv.slice(2));
 }
 
--- a/packages/rhubarbstage-bench/src/relay_servers.ts
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -222,7 +222,7 @@
 }
 
 class NoEffects extends PolicyEffectHandler {
-  override announceWork(): void {}
+  override shareEngineWork(): void {}
   override setRole() {}
   override publishQuarantine() {}
   override publishDemand() {}
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -186,7 +186,7 @@
 }
 
 class NoopEffectHandler extends PolicyEffectHandler {
-  override announceWork(): void {}
+  override shareEngineWork(): void {}
   override setRole() {}
   override publishQuarantine() {}
   override publishDemand() {}
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -234,9 +234,10 @@
           effect.localModelDemand,
         );
       case "announce_work":
-        return this.#effectHandler.announceWork(effect.work);
       case "announce_work_end":
-        return this.#effectHandler.announceWork(effect.end);
+      case "request_placement":
+      case "answer_placement":
+        return this.#effectHandler.shareEngineWork(effect);
       case "note":
         return this.telemetry.recordEvent(effect.event, effect.fields);
     }
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -13,8 +13,7 @@
 import type {
   CustomerDemand,
   EngineRole,
-  EngineWork,
-  EngineWorkEnd,
+  EngineWorkEffect,
   ModelDemand,
   QuarantineMark,
   WorkSettings,
@@ -283,8 +282,11 @@
 /** Executes the policy effects that the dispatcher does not execute itself. */
 export abstract class PolicyEffectHandler {
   abstract setRole(server: BackendServerId, role: EngineRole): void;
-  /** Announces the start or the end of work on an engine to the other hosts. */
-  abstract announceWork(work: EngineWork | EngineWorkEnd): void;
+  /**
+   * Exchanges work on engines with the host that places the region's work.
+   * `placement_received` or `placement_unanswered` must follow each query.
+   */
+  abstract shareEngineWork(effect: EngineWorkEffect): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
   /** Publishes this host's demand to the other hosts. */
   abstract publishDemand(
--- a/packages/rhubarbstage-host/src/demand_report.ts
+++ b/packages/rhubarbstage-host/src/demand_report.ts
@@ -10,6 +10,7 @@
 
 const customerPrefix = "customer/";
 const modelPrefix = "model/";
+const engineTimePrefix = "engine/";
 
 /** Fields of the policy's `demand_reported` event. */
 export interface ReportedDemand {
@@ -19,13 +20,23 @@
   readonly position: number;
 }
 
+/** Options of a {@linkcode DemandReport}. */
+export interface DemandReportOptions {
+  readonly host: HostId;
+  /**
+   * Models whose total demand this host needs even if it has none itself, as the
+   * host that decides on engine roles does.
+   */
+  readonly models?: () => Iterable<ModelName>;
+}
+
 /** Stores the demand last published by the policy, in the exchange format. */
 export class DemandReport {
-  #host: HostId;
+  readonly #options: DemandReportOptions;
   #rates = new Map<DemandSubject, DemandRates>();
 
-  constructor(options: { readonly host: HostId }) {
-    this.#host = options.host;
+  constructor(options: DemandReportOptions) {
+    this.#options = options;
   }
 
   /** Replaces the demand of this host. */
@@ -47,11 +58,22 @@
         promptTokensPerSecond,
         outputTokensPerSecond,
       ]);
+      const { promptTimePerSecond = 0, streamTimePerSecond = 0 } = demand;
+      this.#rates.set(`${engineTimePrefix}${model}`, [
+        promptTimePerSecond,
+        streamTimePerSecond,
+      ]);
     }
   }
 
   /** Returns the demand of this host by subject. */
   rates(): ReadonlyMap<DemandSubject, DemandRates> {
+    for (const model of this.#options.models?.() ?? []) {
+      for (const prefix of [modelPrefix, engineTimePrefix]) {
+        const subject = `${prefix}${model}`;
+        if (!this.#rates.has(subject)) this.#rates.set(subject, [0, 0]);
+      }
+    }
     return this.#rates;
   }
 
@@ -69,12 +91,18 @@
         total.set(customer, demand);
         continue;
       }
-      models.set(subject.slice(modelPrefix.length) as ModelName, {
+      if (!subject.startsWith(modelPrefix)) continue;
+      const model = subject.slice(modelPrefix.length) as ModelName;
+      const [promptTimePerSecond, streamTimePerSecond] =
+        totals.get(`${engineTimePrefix}${model}`) ?? [0, 0];
+      models.set(model, {
         promptTokensPerSecond: first,
         outputTokensPerSecond: second,
+        promptTimePerSecond,
+        streamTimePerSecond,
       });
     }
-    const position = [...hosts].sort().indexOf(this.#host);
+    const position = [...hosts].sort().indexOf(this.#options.host);
     return { total, models, hosts: hosts.length, position };
   }
 }
--- a/packages/rhubarbstage-host/src/host_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/host_policy_effect_handler.ts
@@ -44,7 +44,7 @@
     void this.#options.orders.setRole(server, role);
   }
 
-  override announceWork(): void {
+  override shareEngineWork(): void {
     // Engines report their caches and queues themselves.
   }
 
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -5,6 +5,7 @@
  */
 
 import { randomBytes } from "node:crypto";
+import { setMaxListeners } from "node:events";
 import {
   delay,
   type HostId,
@@ -32,17 +33,15 @@
 import { listenPlainText } from "./plain_listener.ts";
 import { createControlApi, startControlSeat } from "./relay_control.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
+import { PlacementExchange } from "./placement_exchange.ts";
 import { createMembership } from "./relay_membership.ts";
 import type {
   RelayHostComponents,
   RelayHostContext,
   RelayHostOptions,
 } from "./relay_parts.ts";
+import { RelayPolicyEffectHandler } from "./relay_policy_effect_handler.ts";
 import { RelayReadiness } from "./relay_readiness.ts";
-import {
-  exchangeWorkAnnouncements,
-  RelayPolicyEffectHandler,
-} from "./relay_work.ts";
 import { ReplicatedGroups } from "./seat_operations.ts";
 import { ServerHealthChecks } from "./server_checks.ts";
 
@@ -208,11 +207,18 @@
     timeline,
     events: new HostEvents({ logger, timeline }),
     metrics: new Metrics(),
-    stopController: new AbortController(),
+    stopController: createStopController(),
     incarnation,
   };
 }
 
+/** All components of the host listen to one signal. */
+function createStopController(): AbortController {
+  const controller = new AbortController();
+  setMaxListeners(0, controller.signal);
+  return controller;
+}
+
 async function createComponents(
   context: RelayHostContext,
 ): Promise<RelayHostComponents> {
@@ -298,12 +304,16 @@
     onWrongServer: (server) =>
       registry.removeServer(server, { crashed: false }),
   });
-  exchangeWorkAnnouncements(context, {
+  const placement = new PlacementExchange({
+    host: settings.host,
+    region: settings.region,
     transport,
     membership,
     dispatcher,
-    effectHandler: serving.effectHandler,
+    signal: context.stopController.signal,
+    onHostChange: (host) => events.record("placement_host", { peer: host }),
   });
+  serving.effectHandler.placement = placement;
   return {
     ...context,
     transport,
@@ -312,6 +322,7 @@
     registry,
     dispatcher,
     effectHandler: serving.effectHandler,
+    placement,
     connections,
     documents,
     relay,
@@ -356,7 +367,10 @@
     cacheTokensOf: (record): number | undefined =>
       serving.serviceOf(record)?.engine?.cacheTokens,
   });
-  const demand = new DemandReport({ host: settings.host });
+  const demand = new DemandReport({
+    host: settings.host,
+    models: () => new Set(registry.records().flatMap(({ models }) => models)),
+  });
   const effectHandler = new RelayPolicyEffectHandler(demand);
   const telemetry = new HostTelemetry({ metrics, events, sample: () => {} });
   const policy = new FleetPolicy({
@@ -484,28 +498,27 @@
   const { signal } = stopController;
   components.membership.start();
   components.dispatcher.start({ signal });
-  if (settings.callers !== undefined) {
-    documents.follow({
-      signal,
-      // A majority of the voters, so every later leader has the document.
-      requiredCopies: settings.toleratedDiskLosses + 1,
-      onDocument: ({ version, content }) => {
-        const table = components.options.parseRouteTable(content);
-        relay.setRouteTable(table);
-        readiness.setRouteTable(table);
-        // The properties of engines depend on their services.
-        components.registry.refresh();
-        events.record("revision_in_force", {
-          version,
-          routes: table.routes.length,
-        });
-      },
-      onFailure: (error) =>
-        events.record("configuration_unconfirmed", {
-          age: Math.round(documents.confirmationAge),
-          cause: error instanceof Error ? error.message : String(error),
-        }, "warn"),
-    });
-  }
+  components.placement.start();
+  // Hosts without callers place work, which depends on the engines' services.
+  documents.follow({
+    signal,
+    // A majority of the voters, so every later leader has the document.
+    requiredCopies: settings.toleratedDiskLosses + 1,
+    onDocument: ({ version, content }) => {
+      const table = components.options.parseRouteTable(content);
+      relay.setRouteTable(table);
+      readiness.setRouteTable(table);
+      components.registry.refresh();
+      events.record("revision_in_force", {
+        version,
+        routes: table.routes.length,
+      });
+    },
+    onFailure: (error) =>
+      events.record("configuration_unconfirmed", {
+        age: Math.round(documents.confirmationAge),
+        cause: error instanceof Error ? error.message : String(error),
+      }, "warn"),
+  });
   if (settings.seat !== undefined) startControlSeat(components);
 }
--- a/packages/rhubarbstage-host/src/relay_parts.ts
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -18,9 +18,10 @@
 import type { Clock, Incarnation } from "rhubarbstage";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { HostEvents } from "./host_events.ts";
+import type { PlacementExchange } from "./placement_exchange.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
+import type { RelayPolicyEffectHandler } from "./relay_policy_effect_handler.ts";
 import type { RelayReadiness } from "./relay_readiness.ts";
-import type { RelayPolicyEffectHandler } from "./relay_work.ts";
 import type { ReplicatedGroups } from "./seat_operations.ts";
 
 /** Options of `RelayHost.start`. */
@@ -51,6 +52,7 @@
   readonly registry: BackendRegistry;
   readonly dispatcher: Dispatcher;
   readonly effectHandler: RelayPolicyEffectHandler;
+  readonly placement: PlacementExchange;
   readonly connections: ServerConnections;
   readonly documents: DocumentClient;
   readonly relay: Relay;
--- a/packages/rhubarbstage-policy/__tests__/unit/engine_roles_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/engine_roles_test.ts
@@ -21,14 +21,20 @@
   readonly region: Region;
 }
 
-/** A pool whose engines change roles as soon as they are ordered to. */
+/** A pool whose engines change roles `changeTime` ms after the order. */
 class TestPool {
   readonly engines = new Map<string, Engine>();
   readonly changes: { at: number; region: Region; role: EngineRole }[] = [];
   readonly #reduce: (event: PolicyEvent) => readonly PolicyEffect[];
+  readonly #changeTime: number;
+  #pending: { at: number; server: string; role: EngineRole }[] = [];
   #now = 0;
 
-  constructor(roles: readonly EngineRole[]) {
+  constructor(
+    roles: readonly EngineRole[],
+    options: { readonly changeTime?: number } = {},
+  ) {
+    this.#changeTime = options.changeTime ?? 0;
     const policy = new FleetPolicy({
       region: regions[0] as Region,
       seed: 5,
@@ -75,15 +81,19 @@
     const effects = this.#reduce({ type: "tick", now: this.#now });
     for (const effect of effects) {
       if (effect.type !== "set_role") continue;
-      const engine = this.engines.get(effect.server) as Engine;
-      engine.role = effect.role;
-      this.changes.push({
-        at: this.#now,
-        region: engine.region,
-        role: effect.role,
-      });
-      this.#reportServer(effect.server);
+      const { server, role } = effect;
+      this.#pending.push({ at: this.#now + this.#changeTime, server, role });
     }
+    const due = this.#pending.filter(({ at }) => at <= this.#now);
+    this.#pending = this.#pending.filter(({ at }) => at > this.#now);
+    for (const { server, role } of due) this.#changeRole(server, role);
+  }
+
+  #changeRole(server: string, role: EngineRole): void {
+    const engine = this.engines.get(server) as Engine;
+    engine.role = role;
+    this.changes.push({ at: this.#now, region: engine.region, role });
+    this.#reportServer(server);
   }
 
   #reportServer(id: string): void {
@@ -158,3 +168,19 @@
   restarted.run(5);
   expect(restarted.count("prefill")).toBe(5);
 });
+
+test("the last engine of a role in a region keeps it", () => {
+  const pool = new TestPool(roles(3, 3));
+  pool.run(90, { prompts: 200_000, answers: 100 });
+  for (const region of regions) {
+    expect(pool.count("decode", region)).toBeGreaterThanOrEqual(1);
+  }
+});
+
+test("a large pool changes several engines at a time", () => {
+  const changeTime = 4_000;
+  const pool = new TestPool(roles(70, 39), { changeTime });
+  pool.run(60, { prompts: 200_000, answers: 100_000 });
+  // One at a time, 60 s allow 15 changes at most.
+  expect(pool.changes.length).toBeGreaterThan(15);
+});
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -44,7 +44,7 @@
     state.hedges.push({ at, subject: attempt });
   }
   if (work.model !== undefined) recordPlacement(state, attempt, now);
-  const effects = announceWork(state, attempt, now);
+  const effects = announceWork(state, attempt, { route, now });
   pool.slowServers.recordDispatch(attempt.entry.server.id, now);
   const { prefill } = attempt;
   effects.push({
@@ -90,15 +90,17 @@
     queuedOnServer:
       state.table.estimatedRequests(computing) >= computing.server.capacity,
     rank,
+    isPlacedRemotely: route.works !== undefined,
     promptWork: undefined,
     answerWork: undefined,
-    expectedWait: computing.queue.waitTime(now, rank),
+    expectedWait: route.wait ?? computing.queue.waitTime(now, rank),
     pendingPrefillTime: Math.max(
       0,
       expectedFirstToken - entry.pendingPrefillTime,
     ),
     countedLong: record.long,
     computedAt: undefined,
+    fixedTime: undefined,
     firstTokenAt: undefined,
     generatedTokens: 0,
     windowTokens: 0,
@@ -183,13 +185,12 @@
   const { record, entry, prefill, uncachedTokens } = attempt;
   const elapsed = endPrompt(state, attempt, { isComputed: true, now });
   attempt.computedAt = now;
-  if (elapsed === undefined) return;
+  // Only the host that placed the prompt knows when its engine began it.
+  if (elapsed === undefined || attempt.isPlacedRemotely) return;
   const { role, region } = (prefill ?? entry).server;
-  record.pool.speed.learnPromptTime({
-    tokens: uncachedTokens,
-    role,
-    elapsed: elapsed - (state.roundTrips.get(region) ?? 0),
-  });
+  if (region !== state.region) return;
+  const tokens = uncachedTokens;
+  record.pool.speed.learnPromptTime({ tokens, role, elapsed });
 }
 
 /** Handles the first token: updates estimates and cancels other attempts. */
@@ -225,7 +226,10 @@
     estimates.learnFirstToken(tokens, elapsed, now);
     if (prefill === undefined) handlePromptComputed(state, attempt, now);
     else if (attempt.computedAt !== undefined) {
-      record.pool.speed.learnFixedTime(now - attempt.computedAt - roundTrip);
+      attempt.fixedTime = now - attempt.computedAt - roundTrip;
+      if (entry.server.region === state.region) {
+        record.pool.speed.learnFixedTime(attempt.fixedTime);
+      }
     }
     const onPrefillEngine = prefill?.server.role === "prefill";
     estimates.learnPromptSpeed({ tokens, elapsed, onPrefillEngine });
--- a/packages/rhubarbstage-policy/src/customer_limits.ts
+++ b/packages/rhubarbstage-policy/src/customer_limits.ts
@@ -18,6 +18,13 @@
   readonly tokens: DecayedSum;
 }
 
+interface ModelCounters {
+  readonly prompt: DecayedSum;
+  readonly output: DecayedSum;
+  readonly promptTime: DecayedSum;
+  readonly streamTime: DecayedSum;
+}
+
 interface Bucket {
   level: number;
   at: number;
@@ -51,7 +58,7 @@
   #demand = new Map<CustomerId, DemandCounters>();
   #modelDemand = new Map<
     ModelName,
-    { prompt: DecayedSum; output: DecayedSum }
+    ModelCounters
   >();
   #published = new Map<CustomerId, CustomerDemand>();
   #fractions = new Map<CustomerId, number>();
@@ -79,7 +86,14 @@
   /** Records offered work of a model, for the assignment of engine roles. */
   observeModel(
     model: ModelName,
-    work: { readonly promptTokens: number; readonly outputTokens: number },
+    work: {
+      readonly promptTokens: number;
+      readonly outputTokens: number;
+      /** Engine time of the prompt in milliseconds; 0 if unknown. */
+      readonly promptTime?: number;
+      /** Duration of the stream in milliseconds; 0 if unknown. */
+      readonly streamTime?: number;
+    },
     now: number,
   ): void {
     let counters = this.#modelDemand.get(model);
@@ -87,11 +101,15 @@
       counters = {
         prompt: new DecayedSum(demandTimeConstant),
         output: new DecayedSum(demandTimeConstant),
+        promptTime: new DecayedSum(demandTimeConstant),
+        streamTime: new DecayedSum(demandTimeConstant),
       };
       this.#modelDemand.set(model, counters);
     }
     counters.prompt.add(work.promptTokens, now);
     counters.output.add(work.outputTokens, now);
+    counters.promptTime.add(work.promptTime ?? 0, now);
+    counters.streamTime.add(work.streamTime ?? 0, now);
   }
 
   /** Returns this host's demand to be gossiped. */
@@ -113,6 +131,8 @@
       modelDemand.set(model, {
         promptTokensPerSecond: demand.prompt.rate(now),
         outputTokensPerSecond: demand.output.rate(now),
+        promptTimePerSecond: demand.promptTime.rate(now),
+        streamTimePerSecond: demand.streamTime.rate(now),
       });
     }
     this.#published = customerDemand;
--- a/packages/rhubarbstage-policy/src/engine_queue.ts
+++ b/packages/rhubarbstage-policy/src/engine_queue.ts
@@ -4,8 +4,19 @@
  * @module
  */
 
+import { DecayedSum } from "./decayed.ts";
+
 /** Last rank, served after all others. */
 export const lastRank = 9;
+/**
+ * Added to the rank of requests that will miss their target, so that they do
+ * not delay requests that can still meet theirs.
+ */
+export const lateRankOffset = 5;
+/** Time constant of the load by urgent prompts, in milliseconds. */
+const loadTimeConstant = 1_000;
+/** Largest load that is assumed to leave time for late prompts. */
+const maxUrgentLoad = 0.95;
 /**
  * A prompt counts as lost once it has run for this many times its expected time
  * plus the margin, in milliseconds: its host has died or a message was lost.
@@ -18,9 +29,12 @@
 /** Random id of announced engine work, the same on all hosts. */
 export type EngineWorkId = number;
 
-interface QueuedPrompt {
+/** A prompt that an engine computes or will compute. */
+export interface QueuedPrompt {
   readonly rank: number;
   readonly milliseconds: number;
+  /** Tokens to be computed; 0 if unknown. */
+  readonly uncachedTokens: number;
 }
 
 interface RunningPrompt {
@@ -37,6 +51,8 @@
   /** In order of arrival. */
   readonly #prompts = new Map<EngineWorkId, QueuedPrompt>();
   #running: RunningPrompt | undefined;
+  /** Compute time of urgent prompts that were computed recently. */
+  readonly #urgentTime = new DecayedSum(loadTimeConstant);
 
   /** Prompts that run or wait, as of the last update. */
   get size(): number {
@@ -62,14 +78,36 @@
     return wait;
   }
 
+  /** Returns a queued or running prompt; undefined once it has ended. */
+  find(id: EngineWorkId): QueuedPrompt | undefined {
+    return this.#prompts.get(id);
+  }
+
+  /**
+   * Milliseconds until a late prompt that is sent now would start, if urgent
+   * prompts keep taking the part of the engine's time that they took recently.
+   */
+  lateWaitTime(now: number, rank: number = lastRank): number {
+    const load = this.#urgentTime.value(now) / loadTimeConstant;
+    return this.waitTime(now, rank) / (1 - Math.min(load, maxUrgentLoad));
+  }
+
   /** Adds a prompt with its expected compute time in milliseconds. */
   add(
     id: EngineWorkId,
-    prompt: { readonly milliseconds: number; readonly rank: number },
+    prompt: {
+      readonly milliseconds: number;
+      readonly rank: number;
+      readonly uncachedTokens?: number;
+    },
     now: number,
   ): void {
-    const { milliseconds, rank } = prompt;
-    this.#prompts.set(id, { milliseconds, rank: Math.min(rank, lastRank) });
+    const { milliseconds, rank, uncachedTokens = 0 } = prompt;
+    this.#prompts.set(id, {
+      milliseconds,
+      rank: Math.min(rank, lastRank),
+      uncachedTokens,
+    });
     this.#advance(now);
   }
 
@@ -78,7 +116,11 @@
    * was the prompt estimated to be running.
    */
   complete(id: EngineWorkId, now: number): number | undefined {
-    if (!this.#prompts.delete(id)) return undefined;
+    const prompt = this.#prompts.get(id);
+    if (prompt === undefined) return undefined;
+    this.#prompts.delete(id);
+    const { rank, milliseconds } = prompt;
+    if (rank < lateRankOffset) this.#urgentTime.add(milliseconds, now);
     const running = this.#running;
     // Whichever prompt was estimated to be running, the completed one was: an
     // engine computes one at a time. The next one starts now.
--- a/packages/rhubarbstage-policy/src/engine_roles.ts
+++ b/packages/rhubarbstage-policy/src/engine_roles.ts
@@ -6,7 +6,7 @@
  */
 
 import type { FleetState } from "./fleet_state.ts";
-import type { RoleChange, RoleDemand } from "./roles.ts";
+import { type RoleChange, roleChangeStep, type RoleDemand } from "./roles.ts";
 import type { Pool, ServerEntry } from "./server_table.ts";
 import type { ModelDemand } from "./types.ts";
 import type { ModelName, Region } from "rhubarbstage";
@@ -17,10 +17,10 @@
  * needs far more engine time than an output token.
  */
 const initialPrefillFraction = 0.6;
-/** Engine time for one uncached prompt token, in milliseconds. */
-const prefillTimePerToken = 0.035;
-/** Time between tokens of a stream in a moderate batch, in milliseconds. */
-const decodeTimePerToken = 8;
+/** Engine time for an uncached prompt token until hosts measured it, in ms. */
+const initialPromptTokenTime = 0.035;
+/** Time between tokens of a stream until hosts measured it, in milliseconds. */
+const initialTokenInterval = 8;
 /**
  * Assumed batch size of a decode engine, as a fraction of its slots: larger
  * ones raise throughput, but also the time between tokens.
@@ -47,11 +47,13 @@
     options: { readonly slots: number; readonly now: number },
   ): void {
     const { slots, now } = options;
-    const prefillEngines = demand.promptTokensPerSecond / 1_000 *
-      prefillTimePerToken;
-    const decodeEngines = demand.outputTokensPerSecond / 1_000 *
-      decodeTimePerToken /
-      Math.max(1, slots * moderateBatchFraction);
+    const promptTime = demand.promptTimePerSecond ||
+      demand.promptTokensPerSecond * initialPromptTokenTime;
+    const streamTime = demand.streamTimePerSecond ||
+      demand.outputTokensPerSecond * initialTokenInterval;
+    const batch = Math.max(1, slots * moderateBatchFraction);
+    const prefillEngines = promptTime / 1_000;
+    const decodeEngines = streamTime / 1_000 / batch;
     const engines = prefillEngines + decodeEngines;
     const elapsed = this.#at === undefined ? 0 : now - this.#at;
     this.#at = now;
@@ -121,9 +123,10 @@
       ...state.settings,
       roleFloor: roleFloor(size, regions),
       // In an idle pool all engines may change at the same time.
-      maxConcurrentRoleChanges: isIdle
-        ? size
-        : state.settings.maxConcurrentRoleChanges,
+      maxConcurrentRoleChanges: isIdle ? size : Math.max(
+        state.settings.maxConcurrentRoleChanges,
+        roleChangeStep(size),
+      ),
     },
     now,
   );
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -1,25 +1,30 @@
 /**
  * Choice of the engines that compute a prompt and generate its answer, where
- * hosts share the engines. Each host tracks the work of all hosts on an engine,
- * so that a decision weighs the engine's queue and cache, the transfer of KV
- * cache and the cost of the network path.
+ * hosts share the engines. The host that places the work of a region tracks the
+ * work of all hosts on each engine, so that a decision weighs the engine's
+ * queue and cache, the transfer of KV cache and the cost of the network path.
+ *
+ * The cost of an engine is computed once for each decision. Pairs of engines
+ * are scored only among the best few of each region, because all that depends
+ * on a pair is whether the transfer crosses regions.
  *
  * @module
  */
 
-import { lastRank } from "./engine_queue.ts";
+import type { BackendServerId, Region } from "rhubarbstage";
+import { lastRank, lateRankOffset } from "./engine_queue.ts";
 import type { EngineSpeed } from "./engine_speed.ts";
 import { kvTransferTime } from "./kv_transfer.ts";
-import {
-  isEligible,
-  type Route,
-  type RoutingRequirements,
-  type RoutingView,
-} from "./routing.ts";
-import { isAvailable, type ServerEntry } from "./server_table.ts";
+import { promptBlocks } from "./prompt_cache_estimate.ts";
+import { isEligible, type Route, type RoutingView } from "./routing.ts";
+import type { ServerEntry } from "./server_table.ts";
+import type { PromptPart, Work } from "./types.ts";
 
-/** Most engines scored for one decision; larger pools are sampled. */
-const maxConsideredEngines = 128;
+/** Most engines of the own region scored for one decision, and of the others. */
+const maxLocalEngines = 64;
+const maxRemoteEngines = 24;
+/** Engines of each role and region that are paired with each other. */
+const pairedEnginesPerRegion = 3;
 /**
  * Weight of a prompt's engine time relative to the request's latency: others
  * are delayed by as much.
@@ -33,10 +38,13 @@
 /** Part of an engine's prompt backlog by which a stream on it is delayed. */
 const backlogWeight = 0.5;
 /**
- * Milliseconds added to each token by each other stream on the engine: the
- * growth of the decode step with the batch size on current accelerators.
+ * Growth of the time between tokens with each other stream on the engine, as a
+ * part of that time: the growth of the decode step with the batch size on
+ * current accelerators.
  */
-const tokenDelayPerStream = 0.15;
+const tokenDelayPerStream = 0.02;
+/** Time between tokens before any observation, in milliseconds. */
+const initialTokenInterval = 8;
 /**
  * Part of an engine's KV cache that prompts of streams may fill; the rest is
  * reserved for generated tokens.
@@ -47,39 +55,102 @@
  * waits for another stream to end.
  */
 const kvCacheShortageCost = 2_000;
+/** Longest pause that callers accept if their route has no target, in ms. */
+export const defaultTokenGapTarget = 300;
 /**
- * Compute times of a prompt, in milliseconds, up to which (`from`) callers
- * never notice the pause of the streams on its engine, and from which
- * (`certain`) they always do. Decode steps alone cause pauses of some tens of
- * milliseconds.
+ * Compute times of a prompt, as parts of the longest accepted pause, up to
+ * which (`from`) callers never notice the pause of the streams on its engine,
+ * and from which (`certain`) they always do. Decode steps alone cause pauses.
  */
-const noticeablePause = { from: 80, certain: 250 } as const;
+const noticeablePause = { from: 0.27, certain: 0.83 } as const;
 /** Scores up to this far above the best one count as equal, in ms. */
 const equalScoreMargin = 8;
-/**
- * Added to the rank of requests that will miss their target, so that they do
- * not delay requests that can still meet theirs.
- */
-const lateRankOffset = 5;
+/** Largest margin as a part of the best score. */
+const equalScoreFraction = 0.1;
 /** Tolerance for forecast errors, as a factor on the first-token target. */
 const latenessSlack = 1.1;
 
+/** Request as seen by the choice of engines. Times in milliseconds. */
+export interface EngineRequirements {
+  readonly promptTokens: number;
+  readonly promptParts: readonly PromptPart[];
+  /** Expected output in tokens. */
+  readonly outputTokens: number;
+  /** Rank in engine queues, 0 first, while its target can still be met. */
+  readonly rank: number;
+  readonly arrivedAt: number;
+  readonly firstTokenTarget: number;
+  readonly tokenGapTarget: number;
+  /** Servers on which the request has failed or is running. */
+  readonly excludedServers: ReadonlySet<BackendServerId>;
+  readonly suspect: boolean;
+}
+
+/** Options of {@linkcode toEngineRequirements}. */
+export interface EngineRequestOptions {
+  readonly excludedServers: ReadonlySet<BackendServerId>;
+  readonly outputTokens: number;
+  readonly suspect: boolean;
+}
+
+/** Returns the requirements of a request on its engines. */
+export function toEngineRequirements(
+  work: Work,
+  options: EngineRequestOptions,
+): EngineRequirements {
+  const { promptTokens, promptParts = [], rank = 0, arrivedAt } = work;
+  return {
+    promptTokens,
+    promptParts,
+    rank,
+    arrivedAt,
+    firstTokenTarget: work.settings.firstTokenTarget,
+    tokenGapTarget: work.tokenGapTarget ?? defaultTokenGapTarget,
+    ...options,
+  };
+}
+
 interface RouteOption extends Route {
   readonly score: number;
 }
 
+/** An engine with the costs of a prompt on it, in milliseconds. */
+interface EngineCost {
+  readonly entry: ServerEntry;
+  readonly uncachedTokens: number;
+  readonly compute: number;
+  /** Network path between this host and the engine. */
+  readonly path: number;
+  /** Wait for the prompts ahead, at the request's rank. */
+  readonly wait: number;
+  /** Wait at the rank of requests that miss their target. */
+  readonly lateWait: number;
+}
+
+/** A generating engine with the costs of a stream on it, in milliseconds. */
+interface StreamCost extends EngineCost {
+  readonly stream: number;
+  readonly backlog: number;
+}
+
 /** Chooses the engines for a request, or returns undefined. */
 export function chooseEngines(
   view: RoutingView,
-  request: RoutingRequirements,
+  request: EngineRequirements,
   speed: EngineSpeed,
 ): Route | undefined {
-  const generating: ServerEntry[] = [];
-  const prefilling: ServerEntry[] = [];
+  const generating: StreamCost[] = [];
+  const prefilling: EngineCost[] = [];
+  const blocks = promptBlocks(request.promptParts);
+  const requirements = serverRequirements(request);
+  const tokenInterval = view.estimates.tokenInterval(initialTokenInterval);
   for (const entry of consideredMembers(view)) {
-    if (!isAvailable(entry) || !isEligible(view, request, entry)) continue;
-    if (entry.server.role === "prefill") prefilling.push(entry);
-    else if (view.table.freeSlots(entry) > 0) generating.push(entry);
+    if (!isEligible(view, requirements, entry)) continue;
+    const cost = costOn(view, request, { entry, speed, blocks });
+    if (entry.server.role === "prefill") prefilling.push(cost);
+    else if (hasFreeSlot(view, request, entry)) {
+      generating.push(addStreamCost(view, request, { cost, tokenInterval }));
+    }
   }
   const options = [
     ...directOptions(view, request, { generating, speed }),
@@ -88,41 +159,125 @@
   return pickOption(view, options);
 }
 
-function consideredMembers(view: RoutingView): Iterable<ServerEntry> {
+/** Returns the requirements on any server; engines have no long requests. */
+function serverRequirements({ excludedServers, suspect }: EngineRequirements) {
+  return {
+    excludedServers,
+    suspect,
+    long: false,
+    mayUseReservedSlots: false,
+  };
+}
+
+function* consideredMembers(view: RoutingView): Generator<ServerEntry> {
   const { members } = view.pool;
-  if (members.size <= maxConsideredEngines) return members.values();
-  const all = [...members.values()];
-  const start = view.random.integer(all.length);
-  return [...all.slice(start), ...all.slice(0, start)]
-    .slice(0, maxConsideredEngines);
+  if (members.size <= maxRemoteEngines) {
+    yield* members.values();
+    return;
+  }
+  const local: ServerEntry[] = [];
+  const remote: ServerEntry[] = [];
+  for (const entry of members.values()) {
+    (entry.server.region === view.region ? local : remote).push(entry);
+  }
+  yield* sampleRun(view, local, maxLocalEngines);
+  yield* sampleRun(view, remote, maxRemoteEngines);
+}
+
+/** Returns `count` consecutive entries from a random start. */
+function sampleRun(
+  view: RoutingView,
+  entries: readonly ServerEntry[],
+  count: number,
+): ServerEntry[] {
+  if (entries.length <= count) return [...entries];
+  const start = view.random.integer(entries.length);
+  const run = entries.slice(start, start + count);
+  return [...run, ...entries.slice(0, count - run.length)];
+}
+
+function costOn(
+  view: RoutingView,
+  request: EngineRequirements,
+  engine: {
+    readonly entry: ServerEntry;
+    readonly speed: EngineSpeed;
+    readonly blocks: readonly string[];
+  },
+): EngineCost {
+  const { entry, speed, blocks } = engine;
+  const { queue, server } = entry;
+  const cached = entry.cache?.cachedTokensOf(blocks) ?? 0;
+  const uncachedTokens = Math.max(0, request.promptTokens - cached);
+  const compute = speed.promptTime(uncachedTokens, server.role) *
+    slowdownFactor(view, entry);
+  return {
+    entry,
+    uncachedTokens,
+    compute,
+    path: pathCost(view, entry),
+    wait: queue.waitTime(view.now, request.rank),
+    lateWait: queue.lateWaitTime(view.now, lateRankOf(request)),
+  };
+}
+
+function addStreamCost(
+  view: RoutingView,
+  request: EngineRequirements,
+  engine: { readonly cost: EngineCost; readonly tokenInterval: number },
+): StreamCost {
+  const { cost, tokenInterval } = engine;
+  const { entry } = cost;
+  const stream = entry.streams.count(view.now) * request.outputTokens *
+    tokenInterval * tokenDelayPerStream;
+  return {
+    ...cost,
+    stream: stream + kvCacheShortage(view, request, entry),
+    backlog: entry.queue.waitTime(view.now) * backlogWeight,
+  };
+}
+
+/**
+ * Whether an engine may get another stream. Engines queue some more than they
+ * run; the most urgent requests may queue when others may not.
+ */
+function hasFreeSlot(
+  view: RoutingView,
+  request: EngineRequirements,
+  entry: ServerEntry,
+): boolean {
+  const { oversubscriptionFactor, priorityOvercommit } = view.settings;
+  const factor = oversubscriptionFactor +
+    (request.rank === 0 ? priorityOvercommit : 0);
+  const slots = Math.ceil(entry.server.capacity * factor);
+  return entry.streams.count(view.now) < slots;
 }
 
 /** Options in which the generating engine also computes the prompt. */
 function* directOptions(
   view: RoutingView,
-  request: RoutingRequirements,
+  request: EngineRequirements,
   engines: {
-    readonly generating: readonly ServerEntry[];
+    readonly generating: readonly StreamCost[];
     readonly speed: EngineSpeed;
   },
 ): Generator<RouteOption> {
   const { generating, speed } = engines;
-  for (const entry of generating) {
-    const uncachedTokens = uncachedTokensOn(request, entry);
-    const compute = speed.promptTime(uncachedTokens, entry.server.role) *
-      slowdownFactor(view, entry);
-    const { rank, expectedFirstToken } = queueForecast(view, request, {
-      engine: entry,
-      afterWait: compute + speed.fixedTime + pathCost(view, entry),
+  for (const cost of generating) {
+    const { entry, uncachedTokens, compute, path, stream } = cost;
+    const { rank, wait, expectedFirstToken } = queueForecast(view, request, {
+      engine: cost,
+      afterWait: compute + speed.fixedTime + path,
     });
+    const interfered = interference(view, request, cost);
     yield {
       entry,
       uncachedTokens,
       rank,
+      wait,
       expectedFirstToken,
-      score: expectedFirstToken +
-        compute * (occupancyWeight + interference(view, entry, compute)) +
-        streamCost(view, request, entry),
+      score: expectedFirstToken + compute * (occupancyWeight + interfered) +
+        stream,
     };
   }
 }
@@ -130,71 +285,99 @@
 /** Options in which a prefill engine computes the prompt and exports it. */
 function* splitOptions(
   view: RoutingView,
-  request: RoutingRequirements,
+  request: EngineRequirements,
   engines: {
-    readonly generating: readonly ServerEntry[];
-    readonly prefilling: readonly ServerEntry[];
+    readonly generating: readonly StreamCost[];
+    readonly prefilling: readonly EngineCost[];
     readonly speed: EngineSpeed;
   },
 ): Generator<RouteOption> {
-  const { generating, prefilling, speed } = engines;
-  const { promptTokens } = request.work;
+  const { speed } = engines;
+  const generating = bestPerRegion(
+    engines.generating,
+    ({ path, stream, backlog }) => path + stream + backlog,
+  );
+  const prefilling = bestPerRegion(
+    engines.prefilling,
+    ({ path, compute, wait }) => path + compute * (1 + occupancyWeight) + wait,
+  );
   for (const prefill of prefilling) {
-    const uncachedTokens = uncachedTokensOn(request, prefill);
-    const compute = speed.promptTime(uncachedTokens, "prefill") *
-      slowdownFactor(view, prefill);
-    for (const entry of generating) {
-      const crossRegion = prefill.server.region !== entry.server.region;
-      const transfer = kvTransferTime(view.settings, promptTokens, {
+    for (const answering of generating) {
+      const crossRegion = prefill.entry.server.region !==
+        answering.entry.server.region;
+      const transfer = kvTransferTime(view.settings, request.promptTokens, {
         crossRegion,
       });
-      const { rank, expectedFirstToken } = queueForecast(view, request, {
+      const { rank, wait, expectedFirstToken } = queueForecast(view, request, {
         engine: prefill,
-        afterWait: compute + transfer + speed.fixedTime +
-          pathCost(view, prefill) + pathCost(view, entry),
+        afterWait: prefill.compute + transfer + speed.fixedTime +
+          prefill.path + answering.path,
       });
       yield {
-        entry,
-        prefill,
-        uncachedTokens,
+        entry: answering.entry,
+        prefill: prefill.entry,
+        uncachedTokens: prefill.uncachedTokens,
         rank,
+        wait,
         expectedFirstToken,
-        score: expectedFirstToken + compute * occupancyWeight +
-          entry.queue.waitTime(view.now) * backlogWeight +
-          streamCost(view, request, entry),
+        score: expectedFirstToken + prefill.compute * occupancyWeight +
+          answering.backlog + answering.stream,
       };
     }
   }
 }
 
+/** Returns the cheapest engines of each region. */
+function bestPerRegion<Cost extends EngineCost>(
+  costs: readonly Cost[],
+  total: (cost: Cost) => number,
+): Cost[] {
+  const byRegion = new Map<Region, { cost: Cost; total: number }[]>();
+  for (const cost of costs) {
+    const { region } = cost.entry.server;
+    const best = byRegion.get(region) ?? [];
+    byRegion.set(region, best);
+    insertSorted(best, { cost, total: total(cost) });
+  }
+  return [...byRegion.values()].flat().map(({ cost }) => cost);
+}
+
+function insertSorted<Item extends { readonly total: number }>(
+  best: Item[],
+  item: Item,
+): void {
+  const last = best[pairedEnginesPerRegion - 1];
+  if (last !== undefined && last.total <= item.total) return;
+  const index = best.findIndex(({ total }) => total > item.total);
+  best.splice(index < 0 ? best.length : index, 0, item);
+  if (best.length > pairedEnginesPerRegion) best.pop();
+}
+
 /** Forecasts a queued request; it ranks later if it misses its target. */
 function queueForecast(
   view: RoutingView,
-  request: RoutingRequirements,
-  options: { readonly engine: ServerEntry; readonly afterWait: number },
-): { readonly rank: number; readonly expectedFirstToken: number } {
+  request: EngineRequirements,
+  options: { readonly engine: EngineCost; readonly afterWait: number },
+): {
+  readonly rank: number;
+  readonly wait: number;
+  readonly expectedFirstToken: number;
+} {
   const { engine, afterWait } = options;
-  const { work } = request;
-  const rank = work.rank ?? 0;
-  const first = engine.queue.waitTime(view.now, rank) + afterWait;
-  const limit = work.settings.firstTokenTarget * latenessSlack;
-  if (view.now - work.arrivedAt + first <= limit) {
-    return { rank, expectedFirstToken: first };
+  const { rank, arrivedAt, firstTokenTarget } = request;
+  const first = engine.wait + afterWait;
+  if (view.now - arrivedAt + first <= firstTokenTarget * latenessSlack) {
+    return { rank, wait: engine.wait, expectedFirstToken: first };
   }
-  const lateRank = Math.min(lastRank, rank + lateRankOffset);
   return {
-    rank: lateRank,
-    expectedFirstToken: engine.queue.waitTime(view.now, lateRank) + afterWait,
+    rank: lateRankOf(request),
+    wait: engine.lateWait,
+    expectedFirstToken: engine.lateWait + afterWait,
   };
 }
 
-function uncachedTokensOn(
-  request: RoutingRequirements,
-  entry: ServerEntry,
-): number {
-  const { promptTokens, promptParts = [] } = request.work;
-  const cached = entry.cache?.cachedTokens(promptParts) ?? 0;
-  return Math.max(0, promptTokens - cached);
+function lateRankOf({ rank }: EngineRequirements): number {
+  return Math.min(lastRank, rank + lateRankOffset);
 }
 
 function slowdownFactor(view: RoutingView, entry: ServerEntry): number {
@@ -207,36 +390,24 @@
 /** Weight of the running streams that a prompt on their engine stalls. */
 function interference(
   view: RoutingView,
-  entry: ServerEntry,
-  compute: number,
+  request: EngineRequirements,
+  { entry, compute }: EngineCost,
 ): number {
   const { from, certain } = noticeablePause;
-  const part = (compute - from) / (certain - from);
+  const pause = compute / request.tokenGapTarget;
+  const part = (pause - from) / (certain - from);
   const noticedFraction = Math.min(1, Math.max(0, part));
   return runningStreams(view, entry) * interferenceWeight * noticedFraction;
 }
 
-function streamCost(
-  view: RoutingView,
-  request: RoutingRequirements,
-  entry: ServerEntry,
-): number {
-  const { work } = request;
-  const tokens = work.expectedOutputTokens ??
-    view.estimates.estimate(work, view.now).outputTokens;
-  const delay = entry.streams.count(view.now) * tokens * tokenDelayPerStream;
-  return delay + kvCacheShortage(view, request, entry);
-}
-
 /** Cost of a prompt that probably exceeds the engine's free KV cache. */
 function kvCacheShortage(
   view: RoutingView,
-  request: RoutingRequirements,
+  request: EngineRequirements,
   entry: ServerEntry,
 ): number {
   const { cacheTokens = Infinity } = entry.server;
-  const usedTokens = entry.streams.tokens(view.now) +
-    request.work.promptTokens;
+  const usedTokens = entry.streams.tokens(view.now) + request.promptTokens;
   return usedTokens > cacheTokens * maxPromptKvCacheFraction
     ? kvCacheShortageCost
     : 0;
@@ -260,6 +431,7 @@
 ): RouteOption | undefined {
   let best = Infinity;
   for (const { score } of options) best = Math.min(best, score);
-  const good = options.filter(({ score }) => score <= best + equalScoreMargin);
+  const margin = Math.min(equalScoreMargin, best * equalScoreFraction);
+  const good = options.filter(({ score }) => score <= best + margin);
   return good.length === 0 ? undefined : view.random.pick(good);
 }
--- a/packages/rhubarbstage-policy/src/engine_speed.ts
+++ b/packages/rhubarbstage-policy/src/engine_speed.ts
@@ -15,14 +15,20 @@
   decode: 0.085,
   mixed: 0.05,
 } as const;
+const engineRoles = ["prefill", "decode", "mixed"] as const;
 /** Milliseconds to the first token besides the prompt, before observations. */
 const initialFixedTime = 80;
-/** Largest factor by which observations may change an initial value. */
-const maxCorrectionFactor = 4;
+/** Largest factor by which observations may raise an initial value. */
+const maxSlowdownFactor = 4;
+/**
+ * Largest factor by which they may lower it. It is larger, because an engine can
+ * be far faster than expected, while long times mostly have other causes.
+ */
+const maxSpeedupFactor = 64;
 /** Weight of an observation after many others. */
 const minSampleWeight = 0.05;
-/** Weight of the first observation; the nth one counts for 1/n of it. */
-const firstSampleWeight = 0.3;
+/** Factor on the weight of a sample that is longer than the known value. */
+const longSampleFactor = 0.1;
 /** Shorter prompts mostly measure the network path and one engine step. */
 const minInformativeTokens = 1_500;
 
@@ -39,7 +45,24 @@
 
   /** Milliseconds to compute `tokens` tokens of a prompt. */
   promptTime(tokens: number, role: EngineRole): number {
-    return tokens * this.#tokenTime[role];
+    return tokens * this.#promptTokenTime(role);
+  }
+
+  #promptTokenTime(role: EngineRole): number {
+    if (this.#samples[role] > 0) return this.#tokenTime[role];
+    return initialTokenTime[role] * this.#correctionOfOtherRoles();
+  }
+
+  /** Mean ratio of observed to initial token time of the observed roles. */
+  #correctionOfOtherRoles(): number {
+    let product = 1;
+    let count = 0;
+    for (const role of engineRoles) {
+      if (this.#samples[role] === 0) continue;
+      product *= this.#tokenTime[role] / initialTokenTime[role];
+      count += 1;
+    }
+    return count === 0 ? 1 : product ** (1 / count);
   }
 
   /** Milliseconds to the first token, without queueing and the prompt. */
@@ -47,11 +70,15 @@
     return this.#fixedTime;
   }
 
-  /** Learns from the milliseconds from a computed prompt to the first token. */
+  /**
+   * Learns from the milliseconds from a computed prompt to the first token. Longer
+   * times mostly include a wait, which is no part of the fixed time.
+   */
   learnFixedTime(elapsed: number): void {
+    const factor = elapsed > this.#fixedTime ? longSampleFactor : 1;
     this.#fixedTime = moveTowards(this.#fixedTime, elapsed, {
       initial: initialFixedTime,
-      weight: this.#weight("fixed"),
+      weight: this.#weight("fixed") * factor,
     });
   }
 
@@ -66,7 +93,8 @@
     const { tokens, role, elapsed } = observation;
     if (tokens < minInformativeTokens) return;
     const time = elapsed / tokens;
-    this.#tokenTime[role] = moveTowards(this.#tokenTime[role], time, {
+    const known = this.#promptTokenTime(role);
+    this.#tokenTime[role] = moveTowards(known, time, {
       initial: initialTokenTime[role],
       weight: this.#weight(role),
     });
@@ -74,7 +102,8 @@
 
   #weight(kind: EngineRole | "fixed"): number {
     this.#samples[kind] += 1;
-    return Math.max(minSampleWeight, firstSampleWeight / this.#samples[kind]);
+    // The initial value counts as one observation.
+    return Math.max(minSampleWeight, 1 / (this.#samples[kind] + 1));
   }
 }
 
@@ -86,8 +115,8 @@
 ): number {
   const { initial, weight } = options;
   const bounded = Math.min(
-    initial * maxCorrectionFactor,
-    Math.max(initial / maxCorrectionFactor, sample),
+    initial * maxSlowdownFactor,
+    Math.max(initial / maxSpeedupFactor, sample),
   );
   return value + (bounded - value) * weight;
 }
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import type { ErrorKind, RequestId } from "rhubarbstage";
 import {
   type AdmissionView,
   jitteredRetryAfter,
@@ -20,7 +19,7 @@
   handlePromptComputed,
   handleTokens,
 } from "./attempts.ts";
-import { applyEngineWork, applyEngineWorkEnd } from "./shared_work.ts";
+import { applyEngineWork, endSharedWork } from "./shared_work.ts";
 import {
   demandPublishInterval,
   samplesForAdmission,
@@ -36,19 +35,18 @@
   type PoolState,
   poolStateOf,
   type RequestRecord,
-  routingView,
   slotsUsedAbovePriority,
 } from "./fleet_state.ts";
 import { Policy } from "./policy.ts";
-import {
-  dequeue,
-  dispatchPool,
-  enqueue,
-  routingRequirements,
-  waitingCount,
-} from "./scheduling.ts";
+import { dequeue, dispatchPool, enqueue, waitingCount } from "./scheduling.ts";
 import { decideSharedRoles } from "./engine_roles.ts";
-import { chooseEngines } from "./engine_routing.ts";
+import {
+  answerQuery,
+  findInfeasibleRequest,
+  placeLocally,
+  receivePlacement,
+} from "./placement.ts";
+import { createRefusalNote, refuse } from "./refusals.ts";
 import { poolNameOf } from "./server_table.ts";
 import { expire, moveStreams, startDueHedges } from "./supervision.ts";
 import {
@@ -67,13 +65,6 @@
 
 /** Maximum factor by which predicted waits are corrected up or down. */
 const maxWaitCorrection = 4;
-/**
- * Maximum fraction of the first-token (start) timeout that may pass in an
- * engine's queue.
- */
-const maxQueueWaitFraction = 0.5;
-/** Minimum retry delay after a refusal for an engine's queue, in ms. */
-const minRetryAfter = 100;
 /** Interval between decisions on engine roles, in milliseconds. */
 const roleDecisionInterval = 500;
 
@@ -136,7 +127,16 @@
         applyEngineWork(state, event.work, event.now);
         return [];
       case "work_ended":
-        applyEngineWorkEnd(state, event.end, event.now);
+        endSharedWork(state, event, event.now);
+        return [];
+      case "placement_requested":
+        return answerQuery(state, event, event.now);
+      case "placement_received":
+        return receivePlacement(state, event, event.now);
+      case "placement_unanswered":
+        return placeLocally(state, event.request, event.now);
+      case "placement_host_changed":
+        state.isPlacementRemote = event.isRemote;
         return [];
       case "prompt_computed":
         return onPromptComputed(state, event);
@@ -160,17 +160,6 @@
   }
 }
 
-function refuse(
-  request: RequestId,
-  kind: ErrorKind,
-  retryAfterSeconds?: number,
-): PolicyEffect {
-  const effect = { type: "refuse", request, kind, outcome: "not_run" } as const;
-  return retryAfterSeconds === undefined
-    ? effect
-    : { ...effect, retryAfterSeconds };
-}
-
 function onArrived(state: FleetState, work: Work, now: number): PolicyEffect[] {
   const { request, customer, settings } = work;
   if (state.requests.has(request)) return [];
@@ -215,12 +204,14 @@
   }
   const hasQueue = !view.hasFreeSlot || view.costAhead > 0;
   if (hasQueue) record.uncorrectedWait = uncorrectedWait(view);
-  const infeasible = findInfeasibleWait(state, record, now);
+  const infeasible = state.isPlacementRemote
+    ? undefined
+    : findInfeasibleRequest(state, record, now);
   if (infeasible !== undefined) {
-    const { excess, ...inputs } = infeasible;
+    const { retryAfter, ...inputs } = infeasible;
     return [
       createRefusalNote(request, { reason: "engine_queue", ...inputs }),
-      refuse(request, "overloaded", excess / 1_000),
+      refuse(request, "overloaded", retryAfter / 1_000),
     ];
   }
   state.limits.charge(customer, tokens);
@@ -231,72 +222,6 @@
   return dispatchPool(state, poolState, now);
 }
 
-/** Details of a request that would start too late; times in milliseconds. */
-interface InfeasibleWait {
-  /** Larger excess over the two bounds; sent as the retry delay. */
-  readonly excess: number;
-  readonly server: string;
-  readonly expected_wait: number;
-  readonly expected_first_token: number;
-  readonly patience: number;
-}
-
-/**
- * Returns details of a request that would probably start too late for its
- * caller and only waste engine time. The engine's queue may take a fraction of
- * the start timeout, whatever the prompt's length, so that long prompts are not
- * refused before short ones; the expected first token may take all of it.
- */
-function findInfeasibleWait(
-  state: FleetState,
-  record: RequestRecord,
-  now: number,
-): InfeasibleWait | undefined {
-  const { work, pool } = record;
-  if (!state.settings.shareEngineState || work.model === undefined) {
-    return undefined;
-  }
-  const startTimeout = Math.min(
-    work.firstTokenTimeout ?? Infinity,
-    work.deadlineAt - work.arrivedAt,
-  );
-  const requirements = routingRequirements(state, record, {
-    mayUseReservedSlots: false,
-    now,
-  });
-  const route = chooseEngines(
-    routingView(state, pool, now),
-    requirements,
-    pool.speed,
-  );
-  if (route === undefined) return undefined;
-  const wait = (route.prefill ?? route.entry).queue.waitTime(now, route.rank);
-  const excess = Math.max(
-    wait - startTimeout * maxQueueWaitFraction,
-    route.expectedFirstToken - startTimeout,
-  );
-  if (excess <= 0) return undefined;
-  return {
-    excess: Math.max(minRetryAfter, excess),
-    server: (route.prefill ?? route.entry).server.id,
-    expected_wait: Math.round(wait),
-    expected_first_token: Math.round(route.expectedFirstToken),
-    patience: Math.round(startTimeout),
-  };
-}
-
-/** Builds a log note with the inputs of a refusal. */
-function createRefusalNote(
-  request: RequestId,
-  inputs: Readonly<Record<string, string | number>>,
-): PolicyEffect {
-  return {
-    type: "note",
-    event: "request_refused",
-    fields: { request, ...inputs },
-  };
-}
-
 function observeDemand(
   state: FleetState,
   work: Work,
@@ -342,6 +267,7 @@
     queueDispatches: 0,
     starts: 0,
     entitledByFloor: false,
+    isPlacedLocally: false,
   };
 }
 
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -89,6 +89,8 @@
   /** Attempts that may have reached a server, including hedges and moves. */
   starts: number;
   entitledByFloor: boolean;
+  /** Whether this host places it, because a placement query failed. */
+  isPlacedLocally: boolean;
 }
 
 /** One run of a request on a server. */
@@ -103,6 +105,8 @@
   readonly expectedFirstToken: number;
   /** Rank in engine queues, 0 first. */
   readonly rank: number;
+  /** Whether another host chose the engines. */
+  readonly isPlacedRemotely: boolean;
   /** Prompt queued on the engine that computes it, until it ends. */
   promptWork: EngineWork | undefined;
   /** Stream on the engine that generates the answer, until it ends. */
@@ -119,6 +123,8 @@
   countedLong: boolean;
   /** Time at which the prompt was computed. */
   computedAt: number | undefined;
+  /** Milliseconds from the computed prompt to the first token. */
+  fixedTime: number | undefined;
   firstTokenAt: number | undefined;
   generatedTokens: number;
   /** Tokens and start of the current speed-measurement window. */
@@ -173,6 +179,10 @@
   /** Demand of each pool when hosts share engine state. */
   readonly engineDemand: Map<string, EngineDemand>;
   readonly roundTrips: Map<Region, number>;
+  /** Whether another host places the work of this host's region. */
+  isPlacementRemote: boolean;
+  /** Requests that wait for an answer to their placement query. */
+  readonly placing: Map<RequestId, RequestRecord>;
   /** Ends of local engine work to announce to other hosts after this event. */
   readonly endedWork: EngineWorkEnd[];
   readonly deadlines: TinyQueue<Timer<RequestRecord>>;
@@ -217,6 +227,8 @@
     roles: new RolePlanner(),
     engineDemand: new Map(),
     roundTrips: new Map(),
+    isPlacementRemote: false,
+    placing: new Map(),
     endedWork: [],
     deadlines: newTimerQueue(),
     hedges: newTimerQueue(),
--- a/packages/rhubarbstage-policy/src/prompt_cache_estimate.ts
+++ b/packages/rhubarbstage-policy/src/prompt_cache_estimate.ts
@@ -28,9 +28,14 @@
 
   /** Tokens of a prompt's prefix that are probably cached. */
   cachedTokens(parts: readonly PromptPart[]): number {
+    return this.cachedTokensOf([...blockNames(parts)]);
+  }
+
+  /** The same, for the names that `promptBlocks` returns. */
+  cachedTokensOf(blocks: readonly string[]): number {
     let cached = 0;
-    for (const name of blockNames(parts)) {
-      if (!this.#blocks.has(name)) break;
+    while (cached < blocks.length) {
+      if (!this.#blocks.has(blocks[cached] as string)) break;
       cached += 1;
     }
     return cached * blockTokens;
@@ -62,6 +67,11 @@
   }
 }
 
+/** Names of the blocks of a prompt, to look them up on several engines. */
+export function promptBlocks(parts: readonly PromptPart[]): readonly string[] {
+  return [...blockNames(parts)];
+}
+
 /** Yields names of whole blocks of the shared parts, which exclude the last. */
 function* blockNames(parts: readonly PromptPart[]): Generator<string> {
   let tokens = 0;
--- a/packages/rhubarbstage-policy/src/roles.ts
+++ b/packages/rhubarbstage-policy/src/roles.ts
@@ -48,11 +48,22 @@
 
 /** Utilisation of a role's engines from which a change may pay. */
 const busyFraction = 0.7;
+/**
+ * Fraction of a pool's engines that may change their role at the same time, and
+ * by which splits are compared, so that a large pool follows a shift of the mix
+ * as fast as a small one.
+ */
+const maxChangingFraction = 1 / 16;
 /** A new split must carry at least this many times the current one's work. */
 const minImprovementFactor = 1.1;
 /** A change counts as lost after this many times its expected duration. */
 const lostChangeFactor = 3;
 
+/** Engines of a pool that may change their role at the same time. */
+export function roleChangeStep(size: number): number {
+  return Math.max(1, Math.floor(size * maxChangingFraction));
+}
+
 /** Capacity of a split as a multiple of the offered work. */
 function capacityRatio(
   demand: RoleDemand,
@@ -154,13 +165,14 @@
     if (prefill + decode < 2) return undefined;
     const before = capacityRatio(demand, { prefill, decode });
     if (before > 1 / busyFraction) return undefined;
+    const step = roleChangeStep(prefill + decode);
     const withMorePrefill = capacityRatio(demand, {
-      prefill: prefill + 1,
-      decode: decode - 1,
+      prefill: prefill + step,
+      decode: decode - step,
     });
     const withFewerPrefill = capacityRatio(demand, {
-      prefill: prefill - 1,
-      decode: decode + 1,
+      prefill: prefill - step,
+      decode: decode + step,
     });
     const role = withMorePrefill > withFewerPrefill ? "prefill" : "decode";
     const after = Math.max(withMorePrefill, withFewerPrefill);
@@ -191,6 +203,10 @@
     const [best] = donors
       .filter((engine) => {
         if (state.changing.has(engine.id)) return false;
+        // Without an engine of each role, a region's KV cache leaves the region.
+        if (engine.region !== undefined && sameRegionCount(engine) < 2) {
+          return false;
+        }
         const changedAt = state.changedAt.get(engine.id) ?? -Infinity;
         return now - changedAt >= settings.roleChangeCooldown;
       })
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -17,7 +17,7 @@
 } from "./server_table.ts";
 import type { SlowServerDetector } from "./slow_servers.ts";
 import type { WorkEstimates } from "./work_estimates.ts";
-import type { Work } from "./types.ts";
+import type { EngineWork, Work } from "./types.ts";
 
 /** Read-only view of the policy state that routing decides on. */
 export interface RoutingView {
@@ -59,6 +59,10 @@
   readonly expectedFirstToken: number;
   /** Rank in the queue of the engine that computes the prompt, 0 first. */
   readonly rank?: number;
+  /** Expected wait for the prompts ahead on that engine, in milliseconds. */
+  readonly wait?: number;
+  /** Work already recorded by the host that placed the request. */
+  readonly works?: readonly EngineWork[];
 }
 
 interface Candidate extends Route {
@@ -94,7 +98,7 @@
 /** Whether a request may run on a server, regardless of its free slots. */
 export function isEligible(
   view: RoutingView,
-  request: RoutingRequirements,
+  request: Omit<RoutingRequirements, "work">,
   entry: ServerEntry,
 ): boolean {
   if (!isAvailable(entry)) return false;
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -5,7 +5,11 @@
  */
 
 import { cancelAttempt, excludedServers, startAttempt } from "./attempts.ts";
-import { chooseEngines } from "./engine_routing.ts";
+import {
+  chooseEngines,
+  type EngineRequirements,
+  toEngineRequirements,
+} from "./engine_routing.ts";
 import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
@@ -24,6 +28,7 @@
 } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
 import type { PolicyEffect } from "./types.ts";
+import type { ModelName } from "rhubarbstage";
 
 interface LaneHead {
   readonly lane: Lane;
@@ -148,6 +153,12 @@
   const record = state.requests.get(item.work.request);
   if (record === undefined) return undefined;
   if (now >= item.work.deadlineAt) return [refuseExpired(state, record)];
+  if (isPlacedRemotely(state, record)) {
+    pool.lanes[head.lane].take(item.work.request, now);
+    record.lane = undefined;
+    record.entitledByFloor = byFloor;
+    return [requestPlacement(state, record, now)];
+  }
   const urgent = byFloor || item.work.settings.priority > 0;
   const mayUseReservedSlots = head.aged || urgent;
   const needs = routingRequirements(state, record, {
@@ -159,7 +170,11 @@
   let route: Route | undefined;
   if (urgent || pool.pool.localAttempts < slotLimit(state, pool)) {
     route = state.settings.shareEngineState && pool.model !== undefined
-      ? chooseEngines(view, needs, pool.speed)
+      ? chooseEngines(
+        view,
+        engineRequirements(state, record, now),
+        pool.speed,
+      )
       : chooseRoute(view, needs);
   }
   if (route === undefined && urgent) {
@@ -173,16 +188,80 @@
   pool.lanes[head.lane].take(item.work.request, now);
   record.lane = undefined;
   record.entitledByFloor = byFloor;
+  effects.push(...dispatchRecord(state, record, { route, now }));
+  return effects;
+}
+
+/** Starts a request that was taken from its lane. */
+export function dispatchRecord(
+  state: FleetState,
+  record: RequestRecord,
+  options: { readonly route: Route; readonly now: number },
+): PolicyEffect[] {
+  const { route, now } = options;
+  const { pool, work, estimate } = record;
   if (record.queueDispatches === 0) {
     pool.waitCorrection.add(now - record.queuedAt, record.uncorrectedWait, now);
-    state.retries.earn(item.work.customer, item.work.settings.retryRatio);
+    state.retries.earn(work.customer, work.settings.retryRatio);
     state.hedgeBudget.earn(state.settings.hedgeRatio);
   }
   record.queueDispatches += 1;
-  const { priority } = item.work.settings;
-  recordSlotTime(pool, { priority, cost: item.cost }, now);
-  effects.push(...startAttempt(state, record, route, now));
-  return effects;
+  const { priority } = work.settings;
+  const cost = Math.max(1, estimate.runTime);
+  recordSlotTime(pool, { priority, cost }, now);
+  return startAttempt(state, record, route, now);
+}
+
+/** Whether another host chooses the engines of a request. */
+function isPlacedRemotely(state: FleetState, record: RequestRecord): boolean {
+  return state.isPlacementRemote && state.settings.shareEngineState &&
+    record.work.model !== undefined && !record.isPlacedLocally;
+}
+
+/** Asks the host that places the region's work for the engines of a request. */
+function requestPlacement(
+  state: FleetState,
+  record: RequestRecord,
+  now: number,
+): PolicyEffect {
+  const { work, estimate } = record;
+  const { request, model, promptTokens, promptParts: parts = [] } = work;
+  const { firstTokenTimeout = Infinity, tokenGapTarget } = work;
+  state.placing.set(request, record);
+  return {
+    type: "request_placement",
+    query: {
+      request,
+      model: model as ModelName,
+      promptTokens,
+      outputTokens: work.expectedOutputTokens ?? estimate.outputTokens,
+      parts,
+      rank: work.rank ?? 0,
+      waited: now - work.arrivedAt,
+      firstTokenTarget: work.settings.firstTokenTarget,
+      startTimeout: Math.min(
+        firstTokenTimeout,
+        work.deadlineAt - work.arrivedAt,
+      ),
+      ...(tokenGapTarget === undefined ? {} : { tokenGapTarget }),
+      excludedServers: [...excludedServers(record)],
+      suspect: state.quarantine.isSuspect(work.fingerprint, now),
+    },
+  };
+}
+
+/** Builds the current requirements of a request on shared engines. */
+export function engineRequirements(
+  state: FleetState,
+  record: RequestRecord,
+  now: number,
+): EngineRequirements {
+  const { work, estimate } = record;
+  return toEngineRequirements(work, {
+    excludedServers: excludedServers(record),
+    outputTokens: work.expectedOutputTokens ?? estimate.outputTokens,
+    suspect: state.quarantine.isSuspect(work.fingerprint, now),
+  });
 }
 
 /** Refuses a waiting request whose deadline passed since the last tick. */
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -11,6 +11,7 @@
   BackendServerId,
   CustomerId,
   ErrorKind,
+  HostId,
   Incarnation,
   ModelName,
   Outcome,
@@ -95,6 +96,8 @@
   readonly firstTokenTimeout?: number;
   /** Rank in engine queues, 0 first, while its target can still be met. */
   readonly rank?: number;
+  /** Longest pause between tokens that the caller accepts, in milliseconds. */
+  readonly tokenGapTarget?: number;
   readonly settings: WorkSettings;
 }
 
@@ -145,6 +148,10 @@
 export interface ModelDemand {
   readonly promptTokensPerSecond: number;
   readonly outputTokensPerSecond: number;
+  /** Engine time of the prompts, in milliseconds per second, if measured. */
+  readonly promptTimePerSecond?: number;
+  /** Duration of the streams, in milliseconds per second, if measured. */
+  readonly streamTimePerSecond?: number;
 }
 
 /** Mark on a request fingerprint suspected of crashing servers. */
@@ -170,6 +177,8 @@
   readonly rank: number;
   /** Parts of the prompt that the engine will have cached. */
   readonly parts: readonly PromptPart[];
+  /** Tokens of the prompt to be computed, if the engine computes it. */
+  readonly uncachedTokens?: number;
 }
 
 /**
@@ -180,8 +189,82 @@
   readonly server: BackendServerId;
   readonly id: EngineWorkId;
   readonly ended: "computed" | "dropped" | "answered";
+  /** Parts that the engine will not have cached after a dropped prompt. */
+  readonly parts?: readonly PromptPart[];
+  readonly observed?: ObservedSpeed;
 }
 
+/** Speeds measured by the host that received an answer, in milliseconds. */
+export interface ObservedSpeed {
+  /** Time from the computed prompt to the first token. */
+  readonly fixedTime?: number;
+  /** Mean time between two tokens. */
+  readonly tokenInterval?: number;
+}
+
+/** Question to the host that places the work of a region: which engines? */
+export interface PlacementQuery {
+  readonly request: RequestId;
+  readonly model: ModelName;
+  readonly promptTokens: number;
+  /** Expected output in tokens. */
+  readonly outputTokens: number;
+  readonly parts: readonly PromptPart[];
+  /** Rank in engine queues, 0 first, while its target can still be met. */
+  readonly rank: number;
+  /** Milliseconds since the request arrived. */
+  readonly waited: number;
+  readonly firstTokenTarget: number;
+  /**
+   * Milliseconds after arrival at which the caller leaves unless the answer has
+   * begun.
+   */
+  readonly startTimeout: number;
+  readonly tokenGapTarget?: number;
+  /** Servers on which the request has failed. */
+  readonly excludedServers: readonly BackendServerId[];
+  /** Whether the request may have crashed a server. */
+  readonly suspect: boolean;
+}
+
+/** Engine work of a placement; the asking host knows rank and parts. */
+export type PlacedWork = Omit<EngineWork, "rank" | "parts">;
+
+/** Answer to a placement query. Times in milliseconds. */
+export type Placement =
+  | {
+    readonly type: "placed";
+    /** Engine that generates the answer. */
+    readonly server: BackendServerId;
+    /** Engine that computes the prompt first and exports its KV cache. */
+    readonly prefillServer?: BackendServerId;
+    readonly rank: number;
+    readonly uncachedTokens: number;
+    readonly expectedWait: number;
+    readonly expectedFirstToken: number;
+    readonly works: readonly PlacedWork[];
+  }
+  | {
+    /** The request would start too late for its caller. */
+    readonly type: "refused";
+    /** Time after which the queues are short enough. */
+    readonly retryAfter: number;
+    readonly expectedWait: number;
+    readonly expectedFirstToken: number;
+  };
+
+/** Effects that concern other hosts' knowledge of the engines' work. */
+export type EngineWorkEffect = Extract<
+  PolicyEffect,
+  {
+    type:
+      | "announce_work"
+      | "announce_work_end"
+      | "request_placement"
+      | "answer_placement";
+  }
+>;
+
 /** Input of the policy. */
 export type PolicyEvent =
   | { readonly type: "arrived"; readonly now: number; readonly work: Work }
@@ -255,6 +338,34 @@
     readonly type: "work_ended";
     readonly now: number;
     readonly end: EngineWorkEnd;
+    /** Whether it comes late, from the placing host of another region. */
+    readonly isForwarded?: boolean;
+  }
+  /** Another host of the region asks this one to place a request. */
+  | {
+    readonly type: "placement_requested";
+    readonly now: number;
+    readonly from: HostId;
+    readonly query: PlacementQuery;
+  }
+  /** Answer to a query of this host, possibly after its timeout. */
+  | {
+    readonly type: "placement_received";
+    readonly now: number;
+    readonly request: RequestId;
+    readonly placement: Placement;
+  }
+  /** A query of this host was not answered in time or could not be sent. */
+  | {
+    readonly type: "placement_unanswered";
+    readonly now: number;
+    readonly request: RequestId;
+  }
+  /** Whether another host places the work of this region. */
+  | {
+    readonly type: "placement_host_changed";
+    readonly now: number;
+    readonly isRemote: boolean;
   }
   | {
     /** A prefill engine has computed the prompt of an attempt. */
@@ -379,9 +490,23 @@
     readonly localModelDemand: ReadonlyMap<ModelName, ModelDemand>;
   }
   | {
-    /** Announces work sent to an engine to the other hosts. */
+    /** Announces work sent to an engine to the host that places work. */
     readonly type: "announce_work";
     readonly work: EngineWork;
+    /** Whether that host has placed the work itself. */
+    readonly isPlaced: boolean;
+  }
+  | {
+    readonly type: "request_placement";
+    readonly query: PlacementQuery;
+  }
+  | {
+    readonly type: "answer_placement";
+    readonly to: HostId;
+    readonly request: RequestId;
+    readonly placement: Placement;
+    /** Work that the placement adds to the engines. */
+    readonly works: readonly EngineWork[];
   }
   | {
     readonly type: "announce_work_end";
--- a/packages/rhubarbstage-policy/src/work_estimates.ts
+++ b/packages/rhubarbstage-policy/src/work_estimates.ts
@@ -171,6 +171,11 @@
     return this.#fastOutputTime.value;
   }
 
+  /** The same, or `fallback` before the first observation. */
+  tokenInterval(fallback: number): number {
+    return this.#outputTime.count === 0 ? fallback : this.#fastOutputTime.value;
+  }
+
   learnTokens(tokens: number, elapsed: number, now: number): void {
     this.#outputTime.add(elapsed, tokens, now);
     this.#fastOutputTime.add(elapsed / tokens);
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -111,7 +111,7 @@
 }
 
 class NoopEffectHandler extends PolicyEffectHandler {
-  override announceWork(): void {}
+  override shareEngineWork(): void {}
   override setRole(): void {}
   override publishQuarantine(): void {}
   override publishDemand(): void {}
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -263,6 +263,9 @@
         ? {}
         : { firstTokenTimeout: route.firstEventTimeout }),
       rank: route.rank,
+      ...(route.gapTarget === undefined
+        ? {}
+        : { tokenGapTarget: route.gapTarget }),
       settings: this.#workSettings(route),
     };
   }
