Bound the bytes of a connection that belong to no response

Cause: undici bounds header fields only.

Ruled out: header lines, trailers and event lines (bounded before), bytes after a whole response (the client closes the connection).

Change: each connection counts what it receives beside the bodies of responses and is destroyed above 256 KiB and 8 bytes for each byte of the body. The caller gets 502 for a charge that may have run.

--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -16,6 +16,15 @@
 /** Largest response that is buffered whole before it is relayed, in bytes. */
 export const bufferedResponseBytes = 262_144;
 
+/**
+ * Bytes that a connection may receive for one response beside its body: the
+ * largest head, and what its buffers hold while the reader pauses.
+ */
+export const maxFramingBytes = 262_144;
+
+/** The same for each byte of the body, whose smallest chunks have one byte. */
+export const maxFramingRatio = 8;
+
 /** Largest incomplete event that is buffered, in bytes. */
 export const maxEventBytes = 1_048_576;
 
--- a/packages/rhubarbstage-relay/src/server_connections.ts
+++ b/packages/rhubarbstage-relay/src/server_connections.ts
@@ -7,7 +7,7 @@
 import { connect } from "node:net";
 import type { BackendServerId } from "rhubarbstage";
 import type { BackendServerAddress } from "@rhubarbstage/engine";
-import { Pool } from "undici";
+import { type Client, Pool } from "undici";
 import {
   connectionShare,
   connectTimeout,
@@ -21,6 +21,7 @@
   type ExchangeResponse,
 } from "./exchange.ts";
 import { ResetDetector } from "./reset_detector.ts";
+import { GuardedClient } from "./response_guard.ts";
 
 /** Options of {@linkcode ServerConnections}. */
 export interface ServerConnectionsOptions {
@@ -79,6 +80,8 @@
     if (existing !== undefined) closeInBackground(existing.pool);
     const detector = new ResetDetector({ timeout: connectTimeout });
     const pool = new Pool(url, {
+      factory: (origin, options) =>
+        new GuardedClient(origin, options as Client.Options),
       connections: this.#connectionsPerHost(id),
       pipelining: 1,
       connect: detector.connector,
