Let the fake engine not finish a stream that it has broken

Cause of the listed red test 'resumes a stream that breaks': when one step of the batch covered the place of the break and the last token, the engine wrote its finish and [DONE] before the socket was destroyed, so that a broken stream looked complete. Ruled out: the gateway, which relayed what it got.

--- a/packages/rhubarbstage-gateway/__tests__/integration/resume_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/resume_test.ts
@@ -63,6 +63,15 @@
     expect(generations[0]?.resumeFrom).toBe(fault.crashOnPrompt ? 0 : 17);
   });
 
+  // Guards against a stand-in that finishes a stream which it has broken.
+  test("resumes a stream of an engine that needs one step for all tokens", async () => {
+    await first.reconfigure({
+      breakAtToken: 17,
+      decodeTokensPerSecond: 2_000_000,
+    });
+    expect(await streamText()).toBe(fakeText("Once", tokens));
+  });
+
   // Guards against complete responses with missing or duplicated tokens.
   test("resumes a response that is not streamed", async () => {
     await first.reconfigure({ breakAtToken: 17 });
--- a/packages/rhubarbstage-test-support/src/fake_engine_stream.ts
+++ b/packages/rhubarbstage-test-support/src/fake_engine_stream.ts
@@ -109,6 +109,8 @@
   onFinish(): void {
     if (this.#stalled || this.#response.destroyed) return;
     const { chat, promptTokens, record } = this.generation;
+    // One step may cover both the place of the fault and the last token.
+    if (record.end !== "running") return;
     const finish = this.#chunk({
       ...(chat ? { delta: {} } : { text: "" }),
       finish_reason: "length",
