--- a/packages/rhubarbstage-policy/__tests__/unit/placement_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/placement_test.ts
@@ -283,6 +283,21 @@
   expect(place(placing, urgent, 10).placement.type).toBe("placed");
 });
 
+test("a stream takes a slot only once its prompt is computed", () => {
+  const placing = createHost({ isPlacing: true });
+  const host = createHost();
+  for (const id of ["p1", "p2", "p3", "p4"]) {
+    addEngine([placing, host], id, { role: "prefill" });
+  }
+  addEngine([placing, host], "d1", { capacity: 6 });
+  // Long prompts queue on the prefill engines while all slots are free.
+  const placements = Array.from({ length: 12 }, (_, index) => {
+    const work = makePrompt(`r${index}`, { rank: 2 });
+    return place(placing, ask(host, work), 10).placement.type;
+  });
+  expect(placements).not.toContain("refused");
+});
+
 test("late prompts wait behind the urgent ones that keep arriving", () => {
   const queue = new EngineQueue();
   let now = 0;
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -239,7 +239,8 @@
 
 /**
  * Whether an engine may get another stream. Engines queue some more than they
- * run; the most urgent requests may queue when others may not.
+ * run; the most urgent requests may queue when others may not. A stream whose
+ * prompt is still computed elsewhere takes no slot yet.
  */
 function hasFreeSlot(
   view: RoutingView,
@@ -250,7 +251,7 @@
   const factor = oversubscriptionFactor +
     (request.rank === 0 ? priorityOvercommit : 0);
   const slots = Math.ceil(entry.server.capacity * factor);
-  return entry.streams.count(view.now) < slots;
+  return entry.streams.running(view.now) + entry.queue.size < slots;
 }
 
 /** Options in which the generating engine also computes the prompt. */
