Leave the refusal of engine requests to their placement

Callers that were refused together got equal delays.

The new test fails without the change. Silent placing hosts are asked again after 2 to 16 s instead of each 2 s: the placing host of a region changed six times in 6 s while one was frozen.

--- a/packages/rhubarbstage-host/src/placement_exchange.ts
+++ b/packages/rhubarbstage-host/src/placement_exchange.ts
@@ -31,8 +31,12 @@
 const queryTimeout = 80;
 /** Unanswered queries in a row after which another host is asked. */
 const maxUnansweredQueries = 2;
-/** Time for which a silent host is not asked, in milliseconds. */
-const suspicionTime = 2_000;
+/**
+ * Time for which a silent host is not asked, in milliseconds. It doubles while
+ * the host stays silent: each change of the placing host costs knowledge.
+ */
+const minSuspicionTime = 2_000;
+const maxSuspicionTime = 16_000;
 /** Interval between checks of which host places work, in milliseconds. */
 const hostCheckInterval = 500;
 /** Time over which work is collected for other regions, in milliseconds. */
@@ -79,12 +83,19 @@
   isComputed: boolean;
 }
 
+/** A host that did not answer. Times in milliseconds. */
+interface Suspicion {
+  /** Monotonic time before which it is not asked. */
+  readonly until: number;
+  readonly duration: number;
+}
+
 /** Connects the policies of hosts that share engines. */
 export class PlacementExchange {
   readonly #options: PlacementExchangeOptions;
   /** Host that places the region's work; undefined until the first check. */
   #placingHost: HostId | undefined;
-  readonly #suspectedUntil = new Map<HostId, number>();
+  readonly #suspicions = new Map<HostId, Suspicion>();
   readonly #queries = new Map<RequestId, ReturnType<typeof setTimeout>>();
   #unansweredQueries = 0;
   readonly #activeWork = new Map<EngineWork["id"], ActiveWork>();
@@ -144,6 +155,7 @@
       clearTimeout(this.#queries.get(request));
       this.#queries.delete(request);
       if (host === this.#placingHost) this.#unansweredQueries = 0;
+      this.#suspicions.delete(host);
       dispatcher.notify({ type: "placement_received", request, placement });
     });
     transport.onMessage(workMessage, ({ works, isForwarded }) => {
@@ -235,12 +247,16 @@
   }
 
   #suspect(host: HostId): void {
-    this.#suspectedUntil.set(host, performance.now() + suspicionTime);
+    const { duration = minSuspicionTime / 2 } = this.#suspicions.get(host) ??
+      {};
+    const next = Math.min(maxSuspicionTime, duration * 2);
+    const until = performance.now() + next;
+    this.#suspicions.set(host, { until, duration: next });
     if (host === this.#placingHost) this.#updatePlacingHost();
   }
 
   #handleLinkChange({ kind, peer }: LinkChange): void {
-    if (kind === "up") this.#suspectedUntil.delete(peer.host);
+    if (kind === "up") this.#suspicions.delete(peer.host);
     else this.#suspect(peer.host);
   }
 
@@ -249,7 +265,7 @@
     const now = performance.now();
     const placingHost = listPlacementHosts(membership.listLiveHosts(), region)
       .find((host) =>
-        host === self || (this.#suspectedUntil.get(host) ?? 0) <= now
+        host === self || (this.#suspicions.get(host)?.until ?? 0) <= now
       ) ?? self;
     if (placingHost === this.#placingHost) return;
     this.#sendWork();
--- a/packages/rhubarbstage-policy/__tests__/unit/placement_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/placement_test.ts
@@ -266,6 +266,42 @@
   expect(place(placing, back, 14 + wait).placement.type).toBe("placed");
 });
 
+test("an old load report does not refuse a request before it is placed", () => {
+  const placing = createHost({ isPlacing: true });
+  const host = createHost();
+  addEngine([placing, host], "d1", { capacity: 6 });
+  for (let index = 0; index < 30; index += 1) {
+    const now = 10 + index * 100;
+    const work = makePrompt(`r${index}`, { arrivedAt: now });
+    const answer = place(placing, ask(host, work), now);
+    const dispatch = find(receive(host, answer, now), "dispatch");
+    // The last one keeps running.
+    if (dispatch === undefined || index === 29) continue;
+    for (const effect of host.finish(dispatch, now + 90)) {
+      if (effect.type !== "announce_work_end") continue;
+      placing.send({ type: "work_ended", now: now + 90, end: effect.end });
+    }
+  }
+  host.seeServer(
+    makeServer("d1", {
+      models: [model],
+      role: "decode",
+      region,
+      capacity: 6,
+      load: {
+        runningRequests: 6,
+        queuedRequests: 12,
+        cacheTokensUsed: 0,
+        cacheTokensTotal: 0,
+      },
+    }),
+    3_100,
+  );
+  const late = host.arrive(makePrompt("late", { arrivedAt: 3_200 }));
+  expect(find(late, "refuse")).toBeUndefined();
+  expect(find(late, "request_placement")).toBeDefined();
+});
+
 test("urgent requests get slots that others may not use", () => {
   const placing = createHost({ isPlacing: true });
   const host = createHost();
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -187,9 +187,12 @@
   const withinFloor = state.limits.tryConsumeFloor(customer, settings, now);
   const view = admissionView(state, record, now);
   const full = state.requests.size >= state.settings.queueLimit;
-  if (
-    full || (!withinFloor && wouldMissDeadlineOrTarget(work, estimate, view))
-  ) {
+  // The queues of shared engines are forecast by the placement instead.
+  const isForecast = state.settings.shareEngineState &&
+    work.model !== undefined;
+  const wouldBeLate = !withinFloor && !isForecast &&
+    wouldMissDeadlineOrTarget(work, estimate, view);
+  if (full || wouldBeLate) {
     const wait = jitteredRetryAfter(predictWait(view), state.random);
     const reason = full ? "queue_limit" : "predicted_wait";
     return [
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -41,6 +41,8 @@
  * engine's queue.
  */
 const maxQueueWaitFraction = 0.5;
+/** Largest part by which retry delays are lengthened at random. */
+const maxRetrySpread = 0.5;
 /** Minimum retry delay after a refusal for an engine's queue, in ms. */
 const minRetryAfter = 100;
 
@@ -257,7 +259,9 @@
     expected_first_token: expectedFirstToken,
     patience: Math.round(startTimeoutOf(record)),
   });
-  const effect = refuse(request, "overloaded", retryAfter / 1_000);
+  // Callers that are refused together must not return together.
+  const spread = 1 + state.random.next() * maxRetrySpread;
+  const effect = refuse(request, "overloaded", retryAfter * spread / 1_000);
   if (!mayHaveRun(record)) return [note, effect];
   return [note, { ...effect, outcome: "may_have_run" }];
 }
