Answer requests that are half read when the listener closes

Now idle connections are closed, and the others have 400 ms of the time reserved for the exit. A request without a whole head may still be closed: no server has got it.

--- /dev/null
+++ b/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
@@ -0,0 +1,121 @@
+/**
+ * Servers that send a second copy of a response on a connection that is or will
+ * be in use again. No caller may get a response that is not its own.
+ */
+
+import type { Socket } from "node:net";
+import {
+  answer,
+  exchange,
+  request,
+  type Script,
+  startRelay,
+  startServer,
+  type TestRelay,
+  type TestServer,
+} from "../harness.ts";
+
+let server: TestServer | undefined;
+let relay: TestRelay | undefined;
+
+afterEach(async () => {
+  await relay?.close();
+  await server?.close();
+});
+
+const interim = "HTTP/1.1 103 Early Hints\r\nx-hint: 1\r\n\r\n";
+/** Delay of a late copy, in milliseconds. */
+const copyDelay = 30;
+/** Time between two callers, in milliseconds; longer than the delay. */
+const callerInterval = 60;
+
+function delayMilliseconds(milliseconds: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, milliseconds));
+}
+
+function idOf(head: string): string {
+  return /test-id: (\w+)/.exec(head)?.[1] ?? "";
+}
+
+function responseTo(id: string): string {
+  return answer("200 OK", [`test-id: ${id}`], `for ${id}`);
+}
+
+/** Responses that each socket has got, to repeat them later. */
+const lastResponses = new WeakMap<Socket, string>();
+
+function respond(socket: Socket, head: string): string {
+  const response = responseTo(idOf(head));
+  socket.write(response);
+  lastResponses.set(socket, response);
+  return response;
+}
+
+const shapes: { name: string; script: Script }[] = [
+  {
+    name: "with the response",
+    script: ({ socket, head }) => {
+      const response = responseTo(idOf(head));
+      socket.write(response + response);
+    },
+  },
+  {
+    name: "while the connection is idle",
+    script: ({ socket, head }) => {
+      const response = respond(socket, head);
+      setTimeout(() => socket.write(response), copyDelay);
+    },
+  },
+  {
+    name: "when the next request has arrived",
+    script: ({ socket, head }) => {
+      const copy = lastResponses.get(socket);
+      if (copy !== undefined) socket.write(copy);
+      respond(socket, head);
+    },
+  },
+  {
+    name: "split over two packets around the next request",
+    script: ({ socket, head }) => {
+      const copy = lastResponses.get(socket);
+      if (copy !== undefined) socket.write(copy.slice(20));
+      const response = respond(socket, head);
+      setTimeout(() => socket.write(response.slice(0, 20)), copyDelay);
+    },
+  },
+  {
+    name: "after an interim response",
+    script: ({ socket, head }) => {
+      const copy = lastResponses.get(socket);
+      if (copy !== undefined) socket.write(interim + copy);
+      respond(socket, head);
+    },
+  },
+];
+
+test.each(shapes)("a copy $name reaches no other caller", async (shape) => {
+  server = await startServer(shape.script);
+  relay = await startRelay({
+    servers: [server],
+    route: { kind: "at_most_once" },
+  });
+  const { port } = relay;
+  let ownResponses = 0;
+  for (const id of ["a", "b", "c", "d", "e"]) {
+    const text = request({
+      method: "POST",
+      body: "charge",
+      headers: [`test-id: ${id}`],
+    });
+    const seen = await exchange(port, text);
+    // A failed charge may have run: 502, and never another caller's body.
+    expect(seen).toMatch(/^HTTP\/1\.1 (200|502) /);
+    if (seen.startsWith("HTTP/1.1 200")) {
+      expect(seen).toMatch(new RegExp(`for ${id}$`));
+      ownResponses += 1;
+    } else expect(seen).not.toContain("for ");
+    await delayMilliseconds(callerInterval);
+  }
+  // A copy may cost a request, but not those after it.
+  expect(ownResponses).toBeGreaterThanOrEqual(3);
+});
--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -20,6 +20,12 @@
  */
 const timeoutMargin = 1_000;
 
+/**
+ * Time in which requests that have begun to arrive at the stop may end, in
+ * milliseconds.
+ */
+const lastRequestTimeout = 400;
+
 /** Accepts callers' HTTP requests and passes them to a relay. */
 export class RelayListener {
   readonly #server: FastifyInstance;
@@ -29,7 +35,7 @@
       routerOptions: { ignoreTrailingSlash: false },
       // The path is relayed byte for byte, so the router must not parse it.
       rewriteUrl: () => catchAllPath,
-      forceCloseConnections: true,
+      forceCloseConnections: "idle",
       return503OnClosing: false,
       bodyLimit: Number.MAX_SAFE_INTEGER,
       keepAliveTimeout: 15_000 + timeoutMargin,
@@ -67,8 +73,20 @@
     return await this.#server.listen({ host, port });
   }
 
-  /** Stops listening and closes all connections. */
+  /**
+   * Stops listening and closes all connections. Requests that have begun to
+   * arrive are answered first, within `lastRequestTimeout`.
+   */
   async close(): Promise<void> {
-    await this.#server.close();
+    const server = this.#server.server as Server;
+    const timer = setTimeout(
+      () => server.closeAllConnections(),
+      lastRequestTimeout,
+    );
+    try {
+      await this.#server.close();
+    } finally {
+      clearTimeout(timer);
+    }
   }
 }
