Test that a server that left stays unused after restarts

Three tests of membership: the owner restarts, another host restarts, a host that missed the leave comes back. All pass; with isOutdated off they still pass, while three others fail, so none of them was seen to fail yet.

--- a/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -159,6 +159,44 @@
     expect(countUsable(network)).toBe(0);
   });
 
+  // Guards against a server that left and is in use again after a restart.
+  test.each(["its owner", "another host"])(
+    "a server that left stays unused after a restart of %s",
+    (restarted) => {
+      const network = new Network(hostCount);
+      network.announce(0, makeServer("engine"));
+      network.run(4_000, renewEvery(network, () => 0));
+      const owner = network.ownerOf("engine");
+      leave(network, owner);
+      network.run(2_000);
+      expect(countUsable(network)).toBe(0);
+      const index = restarted === "its owner" ? owner : (owner + 1) % hostCount;
+      network.start(`host-${index}` as HostId, 2);
+      network.run(30_000, () => expect(countUsable(network)).toBe(0));
+    },
+  );
+
+  // Guards against a stale copy of a record that outlives the server's leave.
+  test("a host that missed a leave does not bring the server back", () => {
+    const network = new Network(hostCount);
+    network.announce(0, makeServer("engine"));
+    network.run(4_000, renewEvery(network, () => 0));
+    const owner = network.ownerOf("engine");
+    const isolated = (owner + 1) % hostCount;
+    network.isolate(isolated);
+    leave(network, owner);
+    network.run(3_000);
+    network.start(`host-${owner}` as HostId, 2);
+    network.droppedPairs.clear();
+    network.run(30_000, () => {
+      const others = network.hosts.filter((_, index) =>
+        index !== isolated && network.isUsable(index, "engine")
+      );
+      expect(others).toEqual([]);
+    });
+    expect(countUsable(network)).toBe(0);
+  });
+
   // Guards against a restarted host that drops records which arrive before the
   // first heartbeat of their owner and never receives them again.
   test("learns of all servers again after a restart", () => {
@@ -258,3 +296,12 @@
     fc.assert(property, { numRuns: 60, seed: 20_261_204 });
   });
 });
+
+function leave(network: Network, owner: number): void {
+  network.dispatch(`host-${owner}` as HostId, {
+    type: "left",
+    now: network.now,
+    id: "engine" as BackendServerId,
+    incarnation: 1 as Incarnation,
+  });
+}
