--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -72,8 +72,8 @@
  * Policy of one of many hosts that share servers. It learns of others' activity
  * only from load reports and gossip. An event's cost is independent of the
  * number of servers, except that membership and settings changes and role
- * decisions scan whole pools, and shared engine routing scores up to
- * `maxConsideredEngines`.
+ * decisions scan whole pools, and the placement of engine work scores up to
+ * `maxLocalEngines` and `maxRemoteEngines`.
  */
 export class FleetPolicy extends Policy<FleetState> {
   #options: FleetOptions;
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -36,8 +36,8 @@
   /** Maximum number of remembered prefixes. */
   readonly prefixEntries: number;
   /**
-   * Whether hosts announce the work they send to engines, so that each host can
-   * track the queue and the cache of every engine.
+   * Whether hosts share engines through one placing host of each region, which
+   * tracks the queue and the cache of every engine.
    */
   readonly shareEngineState: boolean;
   /** Age at which a cached-prefix hint expires. */
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -93,8 +93,8 @@
   /** Servers sampled for one decision. */
   readonly sampled: number;
   /**
-   * Whether hosts announce work for engines: then contention is not assumed and
-   * plain services may be oversubscribed.
+   * Whether one host of each region places engine work: then contention is not
+   * assumed and plain services may be oversubscribed.
    */
   readonly shareEngineState: boolean;
 }
