Keep the initial split of roles where engines refuse queued work

Cause: since the deciding host learns the demand, it orders engines to change their roles under load.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -411,6 +411,8 @@
     // Engines batch continuously, so a long request blocks no others.
     longCostFactor: 1e6,
     shareEngineState: true,
+    // An engine that gets an order refuses the work that it has queued.
+    rolesFollowDemand: false,
     kvFixedCost,
     kvCostPerToken,
     // A request that crashed servers is refused without waiting until its
--- a/packages/rhubarbstage-policy/__tests__/unit/engine_roles_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/engine_roles_test.ts
@@ -11,6 +11,7 @@
   Region,
 } from "rhubarbstage";
 import { FleetPolicy } from "../../src/fleet_policy.ts";
+import type { FleetSettings } from "../../src/fleet_settings.ts";
 import type { EngineRole, PolicyEffect, PolicyEvent } from "../../src/types.ts";
 
 const model = "assistant" as ModelName;
@@ -32,13 +33,16 @@
 
   constructor(
     roles: readonly EngineRole[],
-    options: { readonly changeTime?: number } = {},
+    options: {
+      readonly changeTime?: number;
+      readonly settings?: Partial<FleetSettings>;
+    } = {},
   ) {
     this.#changeTime = options.changeTime ?? 0;
     const policy = new FleetPolicy({
       region: regions[0] as Region,
       seed: 5,
-      settings: { shareEngineState: true },
+      settings: { shareEngineState: true, ...options.settings },
     });
     const state = policy.initial();
     this.#reduce = (event) => policy.reduce(state, event);
@@ -177,6 +181,13 @@
   }
 });
 
+test("no role changes under load where engines refuse queued work", () => {
+  const settings = { rolesFollowDemand: false };
+  const pool = new TestPool(roles(5, 3), { settings });
+  pool.run(90, { prompts: 30_000, answers: 40_000 });
+  expect(pool.changes).toEqual([]);
+});
+
 test("a large pool changes several engines at a time", () => {
   const changeTime = 4_000;
   const pool = new TestPool(roles(70, 39), { changeTime });
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -37,6 +37,7 @@
   kvCostPerToken: 0.01,
   kvCrossRegionFactor: 10,
   kvBreakEven: 1.5,
+  rolesFollowDemand: true,
   roleFloor: 1,
   maxConcurrentRoleChanges: 1,
   roleChangeCost: 4_000,
--- a/packages/rhubarbstage-policy/src/engine_roles.ts
+++ b/packages/rhubarbstage-policy/src/engine_roles.ts
@@ -103,7 +103,7 @@
   state.engineDemand.set(pool.name, engineDemand);
   const size = members.length;
   const offered = state.modelDemand.get(members[0]?.server.models[0] ?? model);
-  if (offered !== undefined) {
+  if (offered !== undefined && state.settings.rolesFollowDemand) {
     engineDemand.observe(offered, { slots: pool.capacity / size, now });
   }
   const regions = new Set(members.map(({ server }) => server.region));
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -66,6 +66,11 @@
   readonly kvCrossRegionFactor: number;
   /** Minimum saved prefill time for a move, as a multiple of its cost. */
   readonly kvBreakEven: number;
+  /**
+   * Whether the split of shared engines follows the demand. Otherwise a pool keeps
+   * its initial split.
+   */
+  readonly rolesFollowDemand: boolean;
   /** Minimum engines of each role in a pool split into prefill and decode. */
   readonly roleFloor: number;
   /** Maximum number of engines of a pool that change role concurrently. */
