Log crashes of servers with the suspects' shared prompt parts

Each crash that a host notices now leaves one line with the server, the requests on it that had not begun to answer, and the shared parts of their prompts.

Two tests compared all effects of a crash with a list; the list now holds the new line as well.

--- a/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/fleet_policy_test.ts
@@ -307,7 +307,10 @@
     driver.arrive(makeWork("1", { repeatable: false }));
     const [dispatch] = driver.dispatches();
     const effects = fail(driver, dispatch!, { connectionLost: true }, 10);
-    expect(effects).toMatchObject([{ type: "publish_quarantine" }]);
+    expect(effects).toMatchObject([
+      { type: "note", event: "server_crashed" },
+      { type: "publish_quarantine" },
+    ]);
     expect(driver.refusals(driver.tick(1_000))).toEqual([]);
     expect(driver.refusals(driver.tick(1_600)))
       .toMatchObject([{ request: "1", outcome: "may_have_run" }]);
@@ -323,6 +326,9 @@
     driver.arrive(makeWork("2", { ...work, fingerprint: "f2", arrivedAt: 20 }));
     const last = driver.dispatches()[1]!;
     expect(fail(driver, last, { connectionLost: true }, 30)).toMatchObject([{
+      type: "note",
+      event: "server_crashed",
+    }, {
       type: "publish_quarantine",
       marks: [
         { fingerprint: "f1", crashes: 1, age: 20 },
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -9,10 +9,18 @@
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import { enqueue } from "./scheduling.ts";
 import type { ServerEntry } from "./server_table.ts";
-import type { PolicyEffect, PolicyEvent, QuarantineMark } from "./types.ts";
+import {
+  type PolicyEffect,
+  type PolicyEvent,
+  type QuarantineMark,
+  sharedPartsOf,
+} from "./types.ts";
 
 type Failure = Extract<PolicyEvent, { type: "failed" }>;
 
+/** Maximum prompt parts in the log line of a crash. */
+const maxLoggedParts = 32;
+
 /** Retries the request of a failed attempt or refuses it with the failure. */
 export function handleFailure(
   state: FleetState,
@@ -65,8 +73,35 @@
   const incarnation = running[0]?.incarnation ?? entry.server.incarnation;
   const crash = { id: entry.server.id, incarnation };
   const marks = state.quarantine.recordCrash(crash, fingerprints, now);
-  if (marks.length === 0) return [];
-  return [{ type: "publish_quarantine", marks }, ...blockedNotes(marks)];
+  if (running.length === 0) return [];
+  const note = createCrashNote(entry, running);
+  if (marks.length === 0) return [note];
+  return [note, { type: "publish_quarantine", marks }, ...blockedNotes(marks)];
+}
+
+/** Describes a crash by the work on the server that had not begun to answer. */
+function createCrashNote(
+  { server }: ServerEntry,
+  running: readonly Attempt[],
+): PolicyEffect {
+  const unstarted = running.filter((attempt) =>
+    attempt.firstTokenAt === undefined
+  );
+  const parts = new Set(
+    unstarted.flatMap(({ record }) =>
+      sharedPartsOf(record.work).map(({ id }) => id)
+    ),
+  );
+  return {
+    type: "note",
+    event: "server_crashed",
+    fields: {
+      server: server.id,
+      running: running.length,
+      unstarted: unstarted.length,
+      parts: [...parts].slice(0, maxLoggedParts).join(","),
+    },
+  };
 }
 
 /** Returns delayed refusals whose marks have had time to spread. */
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -106,6 +106,11 @@
   return work.cancellable ?? work.repeatable;
 }
 
+/** Returns the parts of the prompt that other requests may have as well. */
+export function sharedPartsOf({ promptParts = [] }: Work): PromptPart[] {
+  return promptParts.slice(0, -1);
+}
+
 /** Load report of a backend server; may be seconds old when read. */
 export interface BackendServerLoad {
   readonly runningRequests: number;
