Refuse requests by the prompt part that crashes servers

Cause: the quarantine compared whole requests (method, path, body). Requests that share nothing but a part never met the same mark twice. The class of the fault: evidence was keyed by the carrier instead of by what it carries.

Ruled out as the cause: marks lost on the way. A second fault was in the way all the same: marks live in the log of the host that noticed the crash and go with its restart.

Change: each crash counts against the shared parts of the requests that the server had not begun to answer; an answer that begins clears the parts of its prompt on all hosts. Hosts gossip sets of crashes, merged in any order, and each publishes the parts that it refuses; requests that have not reached the answering server are refused when a part is blocked.

--- a/packages/rhubarbstage-bench/src/relay_servers.ts
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -225,6 +225,7 @@
   override shareEngineWork(): void {}
   override setRole() {}
   override publishQuarantine() {}
+  override publishPartMarks() {}
   override publishDemand() {}
 }
 
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -189,6 +189,7 @@
   override shareEngineWork(): void {}
   override setRole() {}
   override publishQuarantine() {}
+  override publishPartMarks() {}
   override publishDemand() {}
 }
 
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -15,6 +15,7 @@
   EngineRole,
   EngineWorkEffect,
   ModelDemand,
+  PartMark,
   QuarantineMark,
   WorkSettings,
 } from "@rhubarbstage/policy";
@@ -288,6 +289,8 @@
    */
   abstract shareEngineWork(effect: EngineWorkEffect): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
+  /** Publishes this host's evidence about prompt parts that crash servers. */
+  abstract publishPartMarks(marks: readonly PartMark[]): void;
   /** Publishes this host's demand to the other hosts. */
   abstract publishDemand(
     localDemand: ReadonlyMap<CustomerId, CustomerDemand>,
--- a/packages/rhubarbstage-host/src/host_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/host_policy_effect_handler.ts
@@ -11,6 +11,7 @@
   CustomerDemand,
   EngineRole,
   ModelDemand,
+  PartMark,
   QuarantineMark,
 } from "@rhubarbstage/policy";
 import type { Metrics } from "@rhubarbstage/telemetry";
@@ -52,6 +53,10 @@
     this.#membership?.publishQuarantineMarks(marks);
   }
 
+  override publishPartMarks(marks: readonly PartMark[]): void {
+    this.#membership?.publishPartMarks(marks);
+  }
+
   override publishDemand(
     localDemand: ReadonlyMap<CustomerId, CustomerDemand>,
     localModelDemand: ReadonlyMap<ModelName, ModelDemand>,
--- a/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
@@ -41,6 +41,12 @@
     this.membership?.publishQuarantineMarks(marks);
   }
 
+  override publishPartMarks(
+    marks: Parameters<PolicyEffectHandler["publishPartMarks"]>[0],
+  ): void {
+    this.membership?.publishPartMarks(marks);
+  }
+
   override publishDemand(
     ...demand: Parameters<PolicyEffectHandler["publishDemand"]>
   ): void {
--- a/packages/rhubarbstage-membership/src/gossip_exchange.ts
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -168,6 +168,9 @@
     case "marks":
       effects.push({ type: "marks_heard", marks: value.marks });
       break;
+    case "part_marks":
+      effects.push({ type: "part_marks_heard", marks: value.marks });
+      break;
     case "revision":
       break;
     case "server_gone":
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -41,6 +41,7 @@
   MembershipEvent,
   ServerLoad,
   ServerRecord,
+  SharedPartMark,
   SharedQuarantineMark,
 } from "./types.ts";
 
@@ -76,6 +77,7 @@
   hostUpdated?(record: HostRecord): void;
   hostGone?(host: HostId): void;
   quarantineMarksReceived?(marks: readonly SharedQuarantineMark[]): void;
+  partMarksReceived?(marks: readonly SharedPartMark[]): void;
   cacheChanged?(change: CacheChange): void;
   /** Called with all hosts' demand for this host's subjects. */
   totalDemandUpdated?(total: ReadonlyMap<DemandSubject, DemandRates>): void;
@@ -186,6 +188,11 @@
     this.#dispatch({ type: "marks_published", now: this.#now(), marks });
   }
 
+  /** Publishes evidence about prompt parts to all hosts through gossip. */
+  publishPartMarks(marks: readonly SharedPartMark[]): void {
+    this.#dispatch({ type: "part_marks_published", now: this.#now(), marks });
+  }
+
   /** Lists all known servers, for operators. */
   listServers(): readonly ServerView[] {
     const now = this.#now();
@@ -300,6 +307,9 @@
       case "marks_heard":
         listener.quarantineMarksReceived?.(effect.marks);
         break;
+      case "part_marks_heard":
+        listener.partMarksReceived?.(effect.marks);
+        break;
     }
   }
 
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -99,6 +99,11 @@
       case "marks_published":
         publishQuarantineMarks(state, event.marks, event.now);
         break;
+      case "part_marks_published": {
+        const { marks, now } = event;
+        writeEntry(state, "part_marks", { type: "part_marks", marks }, now);
+        break;
+      }
       case "revision_changed": {
         const { revision, now } = event;
         writeEntry(state, "revision", { type: "revision", revision }, now);
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -33,6 +33,7 @@
   MembershipEvent,
   ServerLoad,
   ServerRecord,
+  SharedPartMark,
   SharedQuarantineMark,
 } from "./types.ts";
 export type { WireGossipMessage } from "./wire.ts";
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -85,6 +85,20 @@
   readonly age: number;
 }
 
+/** Evidence that a prompt part crashes servers; see the policy. */
+export interface SharedPartMark {
+  readonly part: string;
+  /** Whether an answer with the part has ever begun. */
+  readonly sound: boolean;
+  readonly crashes: readonly {
+    readonly crash: string;
+    /** Age in milliseconds when the message was sent. */
+    readonly age: number;
+    /** Whether an answer with the part has begun since. */
+    readonly cleared: boolean;
+  }[];
+}
+
 /** Value of one entry of a host's log. */
 export type LogValue =
   | { readonly type: "host"; readonly record: HostRecord }
@@ -99,6 +113,7 @@
     readonly left: boolean;
   }
   | { readonly type: "marks"; readonly marks: readonly SharedQuarantineMark[] }
+  | { readonly type: "part_marks"; readonly marks: readonly SharedPartMark[] }
   | { readonly type: "revision"; readonly revision: Revision };
 
 /** State of the sender's copy of one host's log. */
@@ -186,6 +201,11 @@
     readonly now: number;
     readonly marks: readonly SharedQuarantineMark[];
   }
+  | {
+    readonly type: "part_marks_published";
+    readonly now: number;
+    readonly marks: readonly SharedPartMark[];
+  }
   | {
     readonly type: "revision_changed";
     readonly now: number;
@@ -235,4 +255,8 @@
   | {
     readonly type: "marks_heard";
     readonly marks: readonly SharedQuarantineMark[];
+  }
+  | {
+    readonly type: "part_marks_heard";
+    readonly marks: readonly SharedPartMark[];
   };
--- a/packages/rhubarbstage-policy/__tests__/unit/crashing_part_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/crashing_part_test.ts
@@ -26,7 +26,7 @@
   begun: boolean;
 }
 
-type Publication = Extract<PolicyEffect, { type: "publish_quarantine" }>;
+type Publication = Extract<PolicyEffect, { type: "publish_part_marks" }>;
 
 /** Options of {@linkcode FleetDay}. */
 interface FleetDayOptions {
@@ -146,7 +146,7 @@
 
   #report(host: number, { marks }: Publication, now: number): void {
     const driver = this.#hosts[host]!;
-    const event = { type: "quarantine_reported", now, marks } as const;
+    const event = { type: "part_marks_reported", now, marks } as const;
     this.#apply(host, driver.send(event), now);
   }
 
@@ -229,7 +229,7 @@
     now: number,
   ): void {
     for (const effect of effects) {
-      if (effect.type === "publish_quarantine") {
+      if (effect.type === "publish_part_marks") {
         this.#published.set(host, { at: now, publication: effect });
       }
       if (effect.type !== "dispatch") continue;
@@ -265,11 +265,13 @@
     const day = new FleetDay({
       deadlyInterval: 700,
       freeze: { host: 0, from: 2_000, to: 5_000 },
-      restarts: [8_000, 12_000, 16_000, 20_000, 24_000, 28_000].map(
-        (at, index) => ({ host: index % 3, at }),
-      ),
+      // Three rounds over all hosts.
+      restarts: Array.from({ length: 9 }, (_, index) => ({
+        host: index % 3,
+        at: 8_000 + index * 4_000,
+      })),
     });
-    day.play(40_000);
+    day.play(60_000);
     expect(day.crashes.length).toBeGreaterThan(2);
     expect(day.lateSends).toBeLessThanOrEqual(3);
     expect(day.soundShare(15_000)).toBeGreaterThan(0.9);
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -9,7 +9,11 @@
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
 import { announceWork, endAnswer, endPrompt } from "./shared_work.ts";
-import type { CancelReason, PolicyEffect } from "./types.ts";
+import {
+  type CancelReason,
+  type PolicyEffect,
+  sharedPartsOf,
+} from "./types.ts";
 
 /** Window over which the speed of a stream is measured, in tokens or time. */
 const speedWindowTokens = 16;
@@ -204,6 +208,7 @@
   const { estimates, slowServers: slow } = record.pool;
   attempt.firstTokenAt = now;
   attempt.windowAt = now;
+  clearParts(state, record);
   releasePendingPrefill(attempt);
   if (prefill !== undefined) {
     releaseSlot(state, { entry: prefill, attempt, now });
@@ -305,11 +310,17 @@
   }
   const used = result.promptTokens + outputTokens;
   state.limits.settle(work.customer, used - record.chargedTokens);
+  if (attempt.firstTokenAt === undefined) clearParts(state, record);
   const marks = state.quarantine.recordCompletion(work.fingerprint, now);
   if (marks.length > 0) effects.push({ type: "publish_quarantine", marks });
   return effects;
 }
 
+/** Records that a server has begun to answer a prompt without crashing. */
+function clearParts(state: FleetState, { work }: RequestRecord): void {
+  state.partQuarantine.recordAnswer(sharedPartsOf(work).map(({ id }) => id));
+}
+
 /** Learns from tokens outside completed windows, as in answers not streamed. */
 function learnRemainingTokens(
   attempt: Attempt,
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -33,6 +33,7 @@
   hedgeDelayFactor: 3,
   quarantinePeriod: 600_000,
   quarantinePropagationTime: 1_500,
+  partQuarantinePeriod: 600_000,
   kvFixedCost: 10,
   kvCostPerToken: 0.01,
   kvCrossRegionFactor: 10,
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -5,11 +5,21 @@
  */
 
 import { errorKinds } from "rhubarbstage";
-import { canStartAnotherAttempt, endAttempt } from "./attempts.ts";
-import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
-import { enqueue } from "./scheduling.ts";
+import {
+  cancelAttempt,
+  canStartAnotherAttempt,
+  endAttempt,
+} from "./attempts.ts";
+import {
+  type Attempt,
+  type FleetState,
+  isQuarantined,
+  type RequestRecord,
+} from "./fleet_state.ts";
+import { dequeue, enqueue, mayHaveRun } from "./scheduling.ts";
 import type { ServerEntry } from "./server_table.ts";
 import {
+  type PartMark,
   type PolicyEffect,
   type PolicyEvent,
   type QuarantineMark,
@@ -74,34 +84,100 @@
   const crash = { id: entry.server.id, incarnation };
   const marks = state.quarantine.recordCrash(crash, fingerprints, now);
   if (running.length === 0) return [];
-  const note = createCrashNote(entry, running);
-  if (marks.length === 0) return [note];
-  return [note, { type: "publish_quarantine", marks }, ...blockedNotes(marks)];
-}
-
-/** Describes a crash by the work on the server that had not begun to answer. */
-function createCrashNote(
-  { server }: ServerEntry,
-  running: readonly Attempt[],
-): PolicyEffect {
-  const unstarted = running.filter((attempt) =>
-    attempt.firstTokenAt === undefined
-  );
+  const unstarted = running.filter((attempt) => isUnstarted(attempt, entry));
   const parts = new Set(
     unstarted.flatMap(({ record }) =>
       sharedPartsOf(record.work).map(({ id }) => id)
     ),
   );
-  return {
+  const blockedParts = state.partQuarantine.recordCrash(
+    `${crash.id}/${crash.incarnation}`,
+    parts,
+    now,
+  );
+  const effects: PolicyEffect[] = [{
     type: "note",
     event: "server_crashed",
     fields: {
-      server: server.id,
+      server: crash.id,
       running: running.length,
       unstarted: unstarted.length,
       parts: [...parts].slice(0, maxLoggedParts).join(","),
     },
-  };
+  }];
+  if (marks.length > 0) {
+    effects.push({ type: "publish_quarantine", marks }, ...blockedNotes(marks));
+  }
+  effects.push(...publishPartMarks(state, now));
+  effects.push(...refuseBlockedParts(state, blockedParts, now));
+  return effects;
+}
+
+/** Whether a server works on an attempt that has not begun to answer. */
+function isUnstarted(attempt: Attempt, entry: ServerEntry): boolean {
+  if (attempt.firstTokenAt !== undefined) return false;
+  const { prefill, computedAt } = attempt;
+  if (prefill === undefined) return true;
+  return (computedAt === undefined ? prefill : attempt.entry) === entry;
+}
+
+/** Merges other hosts' evidence about prompt parts. */
+export function mergePartMarks(
+  state: FleetState,
+  marks: readonly PartMark[],
+  now: number,
+): PolicyEffect[] {
+  const blockedParts = state.partQuarantine.mergeMarks(marks, now);
+  return refuseBlockedParts(state, blockedParts, now);
+}
+
+/** Publishes this host's evidence about prompt parts if it has changed. */
+export function publishPartMarks(
+  state: FleetState,
+  now: number,
+): PolicyEffect[] {
+  const marks = state.partQuarantine.takeChangedMarks(now);
+  if (marks === undefined) return [];
+  state.partMarksPublishedAt = now;
+  return [{ type: "publish_part_marks", marks }];
+}
+
+/**
+ * Refuses requests with newly blocked parts that have not reached the server that
+ * would answer them. Others may still prove by an answer that a part is sound.
+ */
+function refuseBlockedParts(
+  state: FleetState,
+  parts: readonly string[],
+  now: number,
+): PolicyEffect[] {
+  if (parts.length === 0) return [];
+  const effects: PolicyEffect[] = parts.map((part) => ({
+    type: "note",
+    event: "part_quarantined",
+    fields: { part },
+  }));
+  for (const record of [...state.requests.values()]) {
+    const { work, attempts } = record;
+    const isSent = [...attempts.values()].some(hasReachedAnsweringServer);
+    if (isSent || !isQuarantined(state, work, now)) continue;
+    for (const attempt of [...attempts.values()]) {
+      effects.push(cancelAttempt(state, attempt, "quarantined", now));
+    }
+    dequeue(record);
+    state.requests.delete(work.request);
+    effects.push({
+      type: "refuse",
+      request: work.request,
+      kind: "request_quarantined",
+      outcome: mayHaveRun(record) ? "may_have_run" : "not_run",
+    });
+  }
+  return effects;
+}
+
+function hasReachedAnsweringServer({ prefill, computedAt }: Attempt): boolean {
+  return prefill === undefined || computedAt !== undefined;
 }
 
 /** Returns delayed refusals whose marks have had time to spread. */
@@ -148,7 +224,7 @@
       ? "may_have_run"
       : failure.outcome,
   };
-  if (state.quarantine.isBlocked(work.fingerprint, now)) {
+  if (isQuarantined(state, work, now)) {
     return { ...refusal, kind: "request_quarantined" };
   }
   if (!errorKinds[kind].retryable) return refusal;
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -25,13 +25,20 @@
   samplesForAdmission,
   samplesForRoles,
 } from "./constants.ts";
-import { handleFailure, markCrash, popDueRefusals } from "./failures.ts";
+import {
+  handleFailure,
+  markCrash,
+  mergePartMarks,
+  popDueRefusals,
+  publishPartMarks,
+} from "./failures.ts";
 import {
   applyBudgetLimits,
   applySettings,
   createFleetState,
   type FleetOptions,
   type FleetState,
+  isQuarantined,
   type PoolState,
   poolStateOf,
   type RequestRecord,
@@ -65,6 +72,11 @@
 
 /** Maximum factor by which predicted waits are corrected up or down. */
 const maxWaitCorrection = 4;
+/**
+ * Minimum interval between publications of evidence about prompt parts, except
+ * of crashes, which are published at once, in milliseconds.
+ */
+const partMarksInterval = 500;
 /** Interval between decisions on engine roles, in milliseconds. */
 const roleDecisionInterval = 500;
 
@@ -148,6 +160,8 @@
       case "quarantine_reported":
         state.quarantine.mergeMarks(event.marks, event.now);
         return [];
+      case "part_marks_reported":
+        return mergePartMarks(state, event.marks, event.now);
       case "role_authority_changed":
         state.holdsRoleAuthority = event.held;
         return [];
@@ -172,7 +186,7 @@
   const tokens = work.promptTokens + Math.ceil(estimate.outputTokens);
   observeDemand(state, work, { estimate, tokens, now });
   if (now >= work.deadlineAt) return [refuse(request, "deadline_exceeded")];
-  if (state.quarantine.isBlocked(work.fingerprint, now)) {
+  if (isQuarantined(state, work, now)) {
     return [refuse(request, "request_quarantined")];
   }
   const exceeded = state.limits.check(customer, { tokens, settings }, now);
@@ -457,6 +471,9 @@
   for (const pool of state.poolStates.values()) {
     if (waitingCount(pool) > 0) effects.push(...dispatchPool(state, pool, now));
   }
+  if (now - state.partMarksPublishedAt >= partMarksInterval) {
+    effects.push(...publishPartMarks(state, now));
+  }
   if (now - state.publishedAt >= demandPublishInterval) {
     state.publishedAt = now;
     const published = state.limits.publish(now);
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -58,6 +58,8 @@
   readonly quarantinePeriod: number;
   /** Time in which marks reach all hosts. */
   readonly quarantinePropagationTime: number;
+  /** Time for which a prompt part that crashed servers stays refused. */
+  readonly partQuarantinePeriod: number;
   /** Fixed cost of exporting and importing KV cache. */
   readonly kvFixedCost: number;
   /** Cost of moving the KV cache of one token within a region. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -22,18 +22,20 @@
 import { FairQueue } from "./fair_queue.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { PrefixMap } from "./prefix_map.ts";
+import { PartQuarantine } from "./part_quarantine.ts";
 import { Quarantine } from "./quarantine.ts";
 import { AttemptBudget, RetryBudgets } from "./retry_budget.ts";
 import { RolePlanner } from "./roles.ts";
 import type { RoutingView } from "./routing.ts";
 import { type Pool, type ServerEntry, ServerTable } from "./server_table.ts";
 import { SlowServerDetector } from "./slow_servers.ts";
-import type {
-  EngineWork,
-  EngineWorkEnd,
-  ModelDemand,
-  PolicyEffect,
-  Work,
+import {
+  type EngineWork,
+  type EngineWorkEnd,
+  type ModelDemand,
+  type PolicyEffect,
+  sharedPartsOf,
+  type Work,
 } from "./types.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
@@ -175,6 +177,7 @@
   readonly hedgeBudget: AttemptBudget;
   readonly prefixes: PrefixMap;
   readonly quarantine: Quarantine;
+  readonly partQuarantine: PartQuarantine;
   readonly roles: RolePlanner;
   /** Demand of each pool when hosts share engine state. */
   readonly engineDemand: Map<string, EngineDemand>;
@@ -193,6 +196,7 @@
   localModelDemand: ReadonlyMap<ModelName, ModelDemand>;
   holdsRoleAuthority: boolean;
   publishedAt: number;
+  partMarksPublishedAt: number;
   rolesDecidedAt: number;
   attemptCount: number;
 }
@@ -224,6 +228,7 @@
     hedgeBudget: new AttemptBudget(),
     prefixes: new PrefixMap(settings.prefixEntries, settings.prefixTimeToLive),
     quarantine: new Quarantine(settings.quarantinePeriod),
+    partQuarantine: new PartQuarantine(settings.partQuarantinePeriod),
     roles: new RolePlanner(),
     engineDemand: new Map(),
     roundTrips: new Map(),
@@ -237,11 +242,23 @@
     localModelDemand: new Map(),
     holdsRoleAuthority: false,
     publishedAt: 0,
+    partMarksPublishedAt: 0,
     rolesDecidedAt: 0,
     attemptCount: 0,
   };
 }
 
+/** Whether a request would probably crash the server that runs it. */
+export function isQuarantined(
+  state: FleetState,
+  work: Work,
+  now: number,
+): boolean {
+  if (state.quarantine.isBlocked(work.fingerprint, now)) return true;
+  const parts = sharedPartsOf(work).map(({ id }) => id);
+  return state.partQuarantine.isBlocked(parts, now);
+}
+
 function tableOptions(settings: FleetSettings) {
   return {
     oversubscriptionFactor: settings.oversubscriptionFactor,
@@ -263,6 +280,7 @@
   state.settings = settings;
   state.table.configure(tableOptions(settings));
   state.quarantine.configure(settings.quarantinePeriod);
+  state.partQuarantine.configure(settings.partQuarantinePeriod);
   applyBudgetLimits(state);
   for (const pool of state.poolStates.values()) {
     pool.slowServers.configure({ threshold, probeInterval });
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -23,6 +23,7 @@
   EngineWorkEffect,
   EngineWorkEnd,
   ModelDemand,
+  PartMark,
   Placement,
   PlacementQuery,
   PolicyEffect,
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -170,6 +170,24 @@
   readonly age: number;
 }
 
+/** Evidence of one host that a prompt part crashes servers. */
+export interface PartMark {
+  readonly part: string;
+  /** Whether an answer with the part has ever begun. */
+  readonly sound: boolean;
+  readonly crashes: readonly PartCrash[];
+}
+
+/** A crash of a server on which a request with the part had not begun. */
+export interface PartCrash {
+  /** Names the server process. */
+  readonly crash: string;
+  /** Age at sending time, in milliseconds. */
+  readonly age: number;
+  /** Whether an answer with the part has begun since. */
+  readonly cleared: boolean;
+}
+
 /** Work that one host has sent to an engine. */
 export interface EngineWork {
   readonly server: BackendServerId;
@@ -405,6 +423,12 @@
     readonly now: number;
     readonly marks: readonly QuarantineMark[];
   }
+  /** Another host's evidence about prompt parts. */
+  | {
+    readonly type: "part_marks_reported";
+    readonly now: number;
+    readonly marks: readonly PartMark[];
+  }
   | {
     readonly type: "role_authority_changed";
     readonly now: number;
@@ -438,6 +462,7 @@
   | "moved"
   | "hedged"
   | "caller_gone"
+  | "quarantined"
   | "deadline";
 
 /**
@@ -488,6 +513,11 @@
     /** All marks set by this host, newest last; replaces earlier ones. */
     readonly marks: readonly QuarantineMark[];
   }
+  | {
+    readonly type: "publish_part_marks";
+    /** This host's evidence about prompt parts; replaces earlier evidence. */
+    readonly marks: readonly PartMark[];
+  }
   | {
     readonly type: "publish_demand";
     /** Demand of each customer on this host, to be gossiped. */
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -114,6 +114,7 @@
   override shareEngineWork(): void {}
   override setRole(): void {}
   override publishQuarantine(): void {}
+  override publishPartMarks(): void {}
   override publishDemand(): void {}
 }
 
