Break off streams that end inside an event

What callers saw: a stream without length that its server broke off inside an event, with a connection that closed in order, arrived as complete (MIXED or ORDER): the half event was passed on and the response ended.

Cause: only resumable routes treated the rest of an event as a broken stream. The new test failed for routes that are not resumable and passed for others.

Such a stream now fails like one whose connection was lost, so that a server that refuses connections afterwards counts as crashed.

--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -201,6 +201,25 @@
   expect(seen).not.toMatch(/\r\n0\r\n\r\n$/);
 });
 
+// Guards against a stream that its server broke off inside an event, but whose
+// connection closed in order, being passed on as complete.
+test.each([true, false])(
+  "a stream without length that ends inside an event is broken off (resumable: %p)",
+  async (resumable) => {
+    const port = await start([
+      ({ socket }) =>
+        socket.end(
+          "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+            "Content-Type: text/event-stream\r\n\r\n" +
+            "id: 1\ndata: a\n\nid: 2\nda",
+        ),
+    ], { ...stream, resumable, maxAttempts: 1 });
+    const seen = await exchange(port, request({ method: "POST", body: "x" }));
+    expect(seen).toMatch(/data: a/);
+    expect(seen).not.toMatch(/\r\n0\r\n\r\n$/);
+  },
+);
+
 test("a resumable stream resumes after its last complete event", async () => {
   const breakMidEvent: Script = ({ socket }) => {
     socket.write(
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -277,7 +277,7 @@
     attempt: Attempt,
     response: ExchangeResponse,
   ): Promise<RelayResult> {
-    const { reply, request } = this.#options;
+    const { reply } = this.#options;
     const splitter = new EventSplitter();
     for await (const chunk of response.body) {
       const block = splitter.push(chunk);
@@ -293,13 +293,13 @@
     if (!this.#acquireReply(attempt)) {
       return this.#result(attempt, response.status);
     }
-    this.#begin(attempt, response);
+    // Without a length, a stream that breaks off may end in order.
     if (splitter.partialEvent.length > 0) {
-      if (request.route.resumable) {
-        throw new RhubarbstageError("stream_interrupted");
-      }
-      await reply.write(splitter.partialEvent, attempt.controller.signal);
+      throw new ExchangeError("The stream ended inside an event", {
+        maybeDelivered: true,
+      });
     }
+    this.#begin(attempt, response);
     reply.end();
     return this.#result(attempt, response.status);
   }
