Log the request limits that servers name

The limit of an answer's Server-Limit now reaches the policy, which logs when a host first hears of one, when it changes by a tenth or more, and when answers name none any more. It is not obeyed yet.

--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -160,6 +160,8 @@
       case "quarantine_reported":
         state.quarantine.mergeMarks(event.marks, event.now);
         return [];
+      case "request_limit_observed":
+        return onRequestLimitObserved(state, event);
       case "part_marks_reported":
         return mergePartMarks(state, event.marks, event.now);
       case "role_authority_changed":
@@ -440,12 +442,28 @@
   now: number,
 ): void {
   state.prefixes.forget(server.id, now);
+  state.requestLimits.forget(server.id);
   const entry = state.table.servers.get(server.id);
   for (const pool of entry?.pools ?? []) {
     state.poolStates.get(pool.name)?.slowServers.forget(server.id);
   }
 }
 
+function onRequestLimitObserved(
+  state: FleetState,
+  { server, limit, now }: EventOf<"request_limit_observed">,
+): PolicyEffect[] {
+  if (!state.table.servers.has(server)) return [];
+  const change = state.requestLimits.observe(server, limit, now);
+  return change === undefined ? [] : [{
+    type: "note",
+    event: change.limit === undefined
+      ? "request_limit_ended"
+      : "request_limit_named",
+    fields: { server, ...change },
+  }];
+}
+
 function onDemandReported(
   state: FleetState,
   event: EventOf<"demand_reported">,
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -25,6 +25,7 @@
 import { PartQuarantine } from "./part_quarantine.ts";
 import { Quarantine } from "./quarantine.ts";
 import { AttemptBudget, RetryBudgets } from "./retry_budget.ts";
+import { RequestLimits } from "./request_limits.ts";
 import { RolePlanner } from "./roles.ts";
 import type { RoutingView } from "./routing.ts";
 import { type Pool, type ServerEntry, ServerTable } from "./server_table.ts";
@@ -178,6 +179,7 @@
   readonly prefixes: PrefixMap;
   readonly quarantine: Quarantine;
   readonly partQuarantine: PartQuarantine;
+  readonly requestLimits: RequestLimits;
   readonly roles: RolePlanner;
   /** Demand of each pool when hosts share engine state. */
   readonly engineDemand: Map<string, EngineDemand>;
@@ -229,6 +231,7 @@
     prefixes: new PrefixMap(settings.prefixEntries, settings.prefixTimeToLive),
     quarantine: new Quarantine(settings.quarantinePeriod),
     partQuarantine: new PartQuarantine(settings.partQuarantinePeriod),
+    requestLimits: new RequestLimits(),
     roles: new RolePlanner(),
     engineDemand: new Map(),
     roundTrips: new Map(),
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -423,6 +423,14 @@
     readonly now: number;
     readonly marks: readonly QuarantineMark[];
   }
+  /** A server has answered, with or without a limit on its requests. */
+  | {
+    readonly type: "request_limit_observed";
+    readonly now: number;
+    readonly server: BackendServerId;
+    /** Requests a second that it takes from all hosts together. */
+    readonly limit?: number;
+  }
   /** Another host's evidence about prompt parts. */
   | {
     readonly type: "part_marks_reported";
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -137,6 +137,9 @@
     const startedAt = this.context.clock.monotonicMilliseconds();
     try {
       const response = await this.#send(attempt, { prefillAt: server });
+      const { status, headers } = response;
+      const metadata = this.#options.dialect.parseResponse(status, headers);
+      this.#reportRequestLimit(server.id, metadata);
       const body = await readBody(response.body);
       const handle = response.status === 200
         ? this.#options.dialect.parseExportHandle(body)
@@ -207,6 +210,7 @@
     const { id } = attempt.address;
     const metadata = dialect.parseResponse(response.status, response.headers);
     if (metadata.load !== undefined) onLoad(id, metadata.load);
+    this.#reportRequestLimit(id, metadata);
     if (metadata.isWrongServer) onWrongServer(id);
     if (metadata.isNotRun) {
       await readBody(response.body).catch(() => undefined);
@@ -222,6 +226,18 @@
       : await this.#relayResponse(attempt, response);
   }
 
+  /** Reports the limit that a server names, or that it names none. */
+  #reportRequestLimit(
+    server: BackendServerId,
+    { requestLimit: limit }: ResponseMetadata,
+  ): void {
+    this.context.notify({
+      type: "request_limit_observed",
+      server,
+      ...(limit === undefined ? {} : { limit }),
+    });
+  }
+
   /** Throws if the response is to another request or lacks a signature. */
   #verifyResponse(metadata: ResponseMetadata, status: number): void {
     const { callerRequestId: callerId } = this.#options.request;
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -149,6 +149,8 @@
   /** Whether the response carries the server's signature. */
   readonly isSigned: boolean;
   readonly load?: ReportedLoad;
+  /** Requests a second that the server takes from all hosts together. */
+  readonly requestLimit?: number;
 }
 
 /** Progress of an engine with its orders. */
