Keep to the request limits that servers name, over all hosts

What callers saw: nothing yet; servers in need got up to 2.3 times the requests that they had said they take.

The class of the fault: a promise to a server that holds for the sum over all hosts and that no host can keep by itself.

Change: hosts gossip the limits that they hear of, the newest evidence wins, and each keeps to a part of a limit. Engines belong to the host that places their region's work (80%, the other regions share the rest), plain services to all hosts evenly. Placing counts both engines of a prompt that is computed apart.

--- a/packages/rhubarbstage-bench/src/relay_servers.ts
+++ b/packages/rhubarbstage-bench/src/relay_servers.ts
@@ -226,6 +226,7 @@
   override setRole() {}
   override publishQuarantine() {}
   override publishPartMarks() {}
+  override publishRequestLimits() {}
   override publishDemand() {}
 }
 
--- a/packages/rhubarbstage-gateway/__tests__/harness.ts
+++ b/packages/rhubarbstage-gateway/__tests__/harness.ts
@@ -190,6 +190,7 @@
   override setRole() {}
   override publishQuarantine() {}
   override publishPartMarks() {}
+  override publishRequestLimits() {}
   override publishDemand() {}
 }
 
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -228,6 +228,8 @@
         return this.#effectHandler.setRole(effect.server, effect.role);
       case "publish_quarantine":
         return this.#effectHandler.publishQuarantine(effect.marks);
+      case "publish_request_limits":
+        return this.#effectHandler.publishRequestLimits(effect.limits);
       case "publish_part_marks":
         return this.#effectHandler.publishPartMarks(effect.marks);
       case "publish_demand":
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -17,6 +17,7 @@
   ModelDemand,
   PartMark,
   QuarantineMark,
+  RequestLimitReport,
   WorkSettings,
 } from "@rhubarbstage/policy";
 import type {
@@ -289,6 +290,8 @@
    */
   abstract shareEngineWork(effect: EngineWorkEffect): void;
   abstract publishQuarantine(marks: readonly QuarantineMark[]): void;
+  /** Publishes the request limits of servers that this host has noticed. */
+  abstract publishRequestLimits(limits: readonly RequestLimitReport[]): void;
   /** Publishes this host's evidence about prompt parts that crash servers. */
   abstract publishPartMarks(marks: readonly PartMark[]): void;
   /** Publishes this host's demand to the other hosts. */
--- a/packages/rhubarbstage-host/src/host_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/host_policy_effect_handler.ts
@@ -13,6 +13,7 @@
   ModelDemand,
   PartMark,
   QuarantineMark,
+  RequestLimitReport,
 } from "@rhubarbstage/policy";
 import type { Metrics } from "@rhubarbstage/telemetry";
 import type { DemandReport } from "./demand_report.ts";
@@ -53,6 +54,10 @@
     this.#membership?.publishQuarantineMarks(marks);
   }
 
+  override publishRequestLimits(limits: readonly RequestLimitReport[]): void {
+    this.#membership?.publishRequestLimits(limits);
+  }
+
   override publishPartMarks(marks: readonly PartMark[]): void {
     this.#membership?.publishPartMarks(marks);
   }
--- a/packages/rhubarbstage-host/src/relay_membership.ts
+++ b/packages/rhubarbstage-host/src/relay_membership.ts
@@ -70,6 +70,8 @@
       hostGone: (host) => events.record("host_gone", { peer: host }),
       quarantineMarksReceived: (marks) =>
         dispatcher.notify({ type: "quarantine_reported", marks }),
+      requestLimitsReceived: (limits) =>
+        dispatcher.notify({ type: "request_limits_reported", limits }),
       partMarksReceived: (marks) =>
         dispatcher.notify({ type: "part_marks_reported", marks }),
       totalDemandUpdated: (totals) => {
--- a/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
@@ -41,6 +41,12 @@
     this.membership?.publishQuarantineMarks(marks);
   }
 
+  override publishRequestLimits(
+    limits: Parameters<PolicyEffectHandler["publishRequestLimits"]>[0],
+  ): void {
+    this.membership?.publishRequestLimits(limits);
+  }
+
   override publishPartMarks(
     marks: Parameters<PolicyEffectHandler["publishPartMarks"]>[0],
   ): void {
--- a/packages/rhubarbstage-host/src/serving.ts
+++ b/packages/rhubarbstage-host/src/serving.ts
@@ -185,6 +185,8 @@
       hostUpdated: (record) => updatePeerAddress(transport, process, record),
       quarantineMarksReceived: (marks) =>
         dispatcher.notify({ type: "quarantine_reported", marks }),
+      requestLimitsReceived: (limits) =>
+        dispatcher.notify({ type: "request_limits_reported", limits }),
       partMarksReceived: (marks) =>
         dispatcher.notify({ type: "part_marks_reported", marks }),
       cacheChanged: (change) => backends.applyCacheChange(change),
--- a/packages/rhubarbstage-membership/src/gossip_exchange.ts
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -168,6 +168,9 @@
     case "marks":
       effects.push({ type: "marks_heard", marks: value.marks });
       break;
+    case "request_limits":
+      effects.push({ type: "request_limits_heard", limits: value.limits });
+      break;
     case "part_marks":
       effects.push({ type: "part_marks_heard", marks: value.marks });
       break;
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -43,6 +43,7 @@
   ServerRecord,
   SharedPartMark,
   SharedQuarantineMark,
+  SharedRequestLimit,
 } from "./types.ts";
 
 /** Timeout of a forwarded renewal, in milliseconds. */
@@ -77,6 +78,7 @@
   hostUpdated?(record: HostRecord): void;
   hostGone?(host: HostId): void;
   quarantineMarksReceived?(marks: readonly SharedQuarantineMark[]): void;
+  requestLimitsReceived?(limits: readonly SharedRequestLimit[]): void;
   partMarksReceived?(marks: readonly SharedPartMark[]): void;
   cacheChanged?(change: CacheChange): void;
   /** Called with all hosts' demand for this host's subjects. */
@@ -188,6 +190,12 @@
     this.#dispatch({ type: "marks_published", now: this.#now(), marks });
   }
 
+  /** Publishes servers' request limits to all hosts through gossip. */
+  publishRequestLimits(limits: readonly SharedRequestLimit[]): void {
+    const now = this.#now();
+    this.#dispatch({ type: "request_limits_published", now, limits });
+  }
+
   /** Publishes evidence about prompt parts to all hosts through gossip. */
   publishPartMarks(marks: readonly SharedPartMark[]): void {
     this.#dispatch({ type: "part_marks_published", now: this.#now(), marks });
@@ -307,6 +315,9 @@
       case "marks_heard":
         listener.quarantineMarksReceived?.(effect.marks);
         break;
+      case "request_limits_heard":
+        listener.requestLimitsReceived?.(effect.limits);
+        break;
       case "part_marks_heard":
         listener.partMarksReceived?.(effect.marks);
         break;
--- a/packages/rhubarbstage-membership/src/membership_reducer.ts
+++ b/packages/rhubarbstage-membership/src/membership_reducer.ts
@@ -99,6 +99,12 @@
       case "marks_published":
         publishQuarantineMarks(state, event.marks, event.now);
         break;
+      case "request_limits_published": {
+        const { limits, now } = event;
+        const value = { type: "request_limits", limits } as const;
+        writeEntry(state, "request_limits", value, now);
+        break;
+      }
       case "part_marks_published": {
         const { marks, now } = event;
         writeEntry(state, "part_marks", { type: "part_marks", marks }, now);
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -35,6 +35,7 @@
   ServerRecord,
   SharedPartMark,
   SharedQuarantineMark,
+  SharedRequestLimit,
 } from "./types.ts";
 export type { WireGossipMessage } from "./wire.ts";
 export { decodeGossipMessage, encodeGossipMessage } from "./wire.ts";
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -85,6 +85,16 @@
   readonly age: number;
 }
 
+/** Limit that a server names for its requests; see the policy. */
+export interface SharedRequestLimit {
+  readonly server: BackendServerId;
+  readonly incarnation: Incarnation;
+  /** Requests a second for all hosts together; absent once it has ended. */
+  readonly limit?: number;
+  /** Age in milliseconds when the message was sent. */
+  readonly age: number;
+}
+
 /** Evidence that a prompt part crashes servers; see the policy. */
 export interface SharedPartMark {
   readonly part: string;
@@ -114,6 +124,10 @@
   }
   | { readonly type: "marks"; readonly marks: readonly SharedQuarantineMark[] }
   | { readonly type: "part_marks"; readonly marks: readonly SharedPartMark[] }
+  | {
+    readonly type: "request_limits";
+    readonly limits: readonly SharedRequestLimit[];
+  }
   | { readonly type: "revision"; readonly revision: Revision };
 
 /** State of the sender's copy of one host's log. */
@@ -201,6 +215,11 @@
     readonly now: number;
     readonly marks: readonly SharedQuarantineMark[];
   }
+  | {
+    readonly type: "request_limits_published";
+    readonly now: number;
+    readonly limits: readonly SharedRequestLimit[];
+  }
   | {
     readonly type: "part_marks_published";
     readonly now: number;
@@ -256,6 +275,10 @@
     readonly type: "marks_heard";
     readonly marks: readonly SharedQuarantineMark[];
   }
+  | {
+    readonly type: "request_limits_heard";
+    readonly limits: readonly SharedRequestLimit[];
+  }
   | {
     readonly type: "part_marks_heard";
     readonly marks: readonly SharedPartMark[];
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -47,6 +47,7 @@
     const at = now + hedgeDelayOf(state, attempt);
     state.hedges.push({ at, subject: attempt });
   }
+  if (!attempt.isPlacedRemotely) recordSends(state, attempt, now);
   if (work.model !== undefined) recordPlacement(state, attempt, now);
   const effects = announceWork(state, attempt, { route, now });
   pool.slowServers.recordDispatch(attempt.entry.server.id, now);
@@ -69,6 +70,17 @@
   return effects;
 }
 
+/** Counts the requests of an attempt against its servers' limits. */
+function recordSends(
+  state: FleetState,
+  { entry, prefill }: Attempt,
+  now: number,
+): void {
+  state.requestLimits.recordSend(entry.server, now);
+  if (prefill === undefined) return;
+  state.requestLimits.recordSend(prefill.server, now);
+}
+
 function createAttempt(
   state: FleetState,
   record: RequestRecord,
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { BackendServerId } from "rhubarbstage";
 import {
   type AdmissionView,
   jitteredRetryAfter,
@@ -54,6 +55,7 @@
   receivePlacement,
 } from "./placement.ts";
 import { createRefusalNote, refuse } from "./refusals.ts";
+import type { LimitChange } from "./request_limits.ts";
 import { poolNameOf } from "./server_table.ts";
 import { expire, moveStreams, startDueHedges } from "./supervision.ts";
 import {
@@ -162,6 +164,8 @@
         return [];
       case "request_limit_observed":
         return onRequestLimitObserved(state, event);
+      case "request_limits_reported":
+        return onRequestLimitsReported(state, event);
       case "part_marks_reported":
         return mergePartMarks(state, event.marks, event.now);
       case "role_authority_changed":
@@ -451,19 +455,57 @@
 
 function onRequestLimitObserved(
   state: FleetState,
-  { server, limit, now }: EventOf<"request_limit_observed">,
+  event: EventOf<"request_limit_observed">,
 ): PolicyEffect[] {
-  if (!state.table.servers.has(server)) return [];
-  const change = state.requestLimits.observe(server, limit, now);
-  return change === undefined ? [] : [{
+  const entry = state.table.servers.get(event.server);
+  if (entry === undefined) return [];
+  const { limit, now } = event;
+  const change = state.requestLimits.observe(entry.server, limit, now);
+  return [
+    ...limitNotes(event.server, change, true),
+    ...publishRequestLimits(state, now),
+  ];
+}
+
+function onRequestLimitsReported(
+  state: FleetState,
+  { limits, now }: EventOf<"request_limits_reported">,
+): PolicyEffect[] {
+  const effects: PolicyEffect[] = [];
+  for (const report of limits) {
+    const entry = state.table.servers.get(report.server);
+    if (entry === undefined) continue;
+    const change = state.requestLimits.merge(entry.server, report, now);
+    effects.push(...limitNotes(report.server, change, false));
+  }
+  return [...effects, ...publishRequestLimits(state, now)];
+}
+
+function limitNotes(
+  server: BackendServerId,
+  change: LimitChange | undefined,
+  noticedHere: boolean,
+): PolicyEffect[] {
+  if (change === undefined) return [];
+  return [{
     type: "note",
     event: change.limit === undefined
       ? "request_limit_ended"
       : "request_limit_named",
-    fields: { server, ...change },
+    fields: { server, ...change, noticed_here: noticedHere },
   }];
 }
 
+function publishRequestLimits(
+  state: FleetState,
+  now: number,
+): PolicyEffect[] {
+  const limits = state.requestLimits.takeChangedReports(now);
+  return limits === undefined
+    ? []
+    : [{ type: "publish_request_limits", limits }];
+}
+
 function onDemandReported(
   state: FleetState,
   event: EventOf<"demand_reported">,
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -31,6 +31,7 @@
 import { type Pool, type ServerEntry, ServerTable } from "./server_table.ts";
 import { SlowServerDetector } from "./slow_servers.ts";
 import {
+  type BackendServer,
   type EngineWork,
   type EngineWorkEnd,
   type ModelDemand,
@@ -216,10 +217,11 @@
   const table = new ServerTable(tableOptions(settings));
   const hosts = options.hosts ?? 1;
   table.setHosts(hosts, options.position ?? 0);
-  return {
+  const random = new SeededRandom(options.seed ?? 1);
+  const state: FleetState = {
     settings,
     region: options.region,
-    random: new SeededRandom(options.seed ?? 1),
+    random,
     table,
     poolStates: new Map(),
     requests: new Map(),
@@ -231,7 +233,10 @@
     prefixes: new PrefixMap(settings.prefixEntries, settings.prefixTimeToLive),
     quarantine: new Quarantine(settings.quarantinePeriod),
     partQuarantine: new PartQuarantine(settings.partQuarantinePeriod),
-    requestLimits: new RequestLimits(),
+    requestLimits: new RequestLimits(
+      random,
+      (server) => requestLimitShare(state, server),
+    ),
     roles: new RolePlanner(),
     engineDemand: new Map(),
     roundTrips: new Map(),
@@ -249,6 +254,22 @@
     rolesDecidedAt: 0,
     attemptCount: 0,
   };
+  return state;
+}
+
+/**
+ * Returns this host's part of the requests that a server takes from all hosts.
+ * The parts of engines go to the hosts that place the regions' work, most to the
+ * server's own region.
+ */
+function requestLimitShare(state: FleetState, server: BackendServer): number {
+  const isShared = state.settings.shareEngineState && server.models.length > 0;
+  if (!isShared || state.isPlacementRemote) return 1 / state.limits.hosts;
+  const regions = new Set([...state.roundTrips.keys(), state.region]);
+  if (regions.size === 1) return 1;
+  return server.region === state.region
+    ? ownRegionShare
+    : (1 - ownRegionShare) / (regions.size - 1);
 }
 
 /** Whether a request would probably crash the server that runs it. */
@@ -262,6 +283,9 @@
   return state.partQuarantine.isBlocked(parts, now);
 }
 
+/** Part of a server's request limit that its own region gets. */
+const ownRegionShare = 0.8;
+
 function tableOptions(settings: FleetSettings) {
   return {
     oversubscriptionFactor: settings.oversubscriptionFactor,
@@ -366,6 +390,7 @@
     prefixes: state.prefixes,
     roundTrips: state.roundTrips,
     random: state.random,
+    requestLimits: state.requestLimits,
     settings: state.settings,
     region: state.region,
     now,
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -30,6 +30,7 @@
   PolicyEvent,
   PromptPart,
   QuarantineMark,
+  RequestLimitReport,
   Work,
   WorkSettings,
 } from "./types.ts";
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -147,6 +147,9 @@
     parts: query.parts,
   });
   for (const work of works) applyEngineWork(state, work, now);
+  for (const { server } of [route.entry, route.prefill ?? route.entry]) {
+    state.requestLimits.recordSend(server, now);
+  }
   const placement = toPlacement(route, { works, rank: query.rank });
   return [{ type: "answer_placement", to, request, placement, works }];
 }
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -15,6 +15,7 @@
   type ServerEntry,
   type ServerTable,
 } from "./server_table.ts";
+import type { RequestLimits } from "./request_limits.ts";
 import type { SlowServerDetector } from "./slow_servers.ts";
 import type { WorkEstimates } from "./work_estimates.ts";
 import type { EngineWork, Work } from "./types.ts";
@@ -28,6 +29,7 @@
   readonly prefixes: PrefixMap;
   readonly roundTrips: ReadonlyMap<Region, number>;
   readonly random: SeededRandom;
+  readonly requestLimits: RequestLimits;
   readonly settings: FleetSettings;
   readonly region: Region;
   readonly now: number;
@@ -103,6 +105,7 @@
 ): boolean {
   if (!isAvailable(entry)) return false;
   if (request.excludedServers.has(entry.server.id)) return false;
+  if (!view.requestLimits.allows(entry.server, view.now)) return false;
   if (request.suspect && entry.localSuspectAttempts > 0) return false;
   if (!request.long) return true;
   const { capacity } = entry.server;
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -170,6 +170,16 @@
   readonly age: number;
 }
 
+/** Request limit of a server that one host has noticed. */
+export interface RequestLimitReport {
+  readonly server: BackendServerId;
+  readonly incarnation: Incarnation;
+  /** Requests a second for all hosts together; absent once it has ended. */
+  readonly limit?: number;
+  /** Age at sending time, in milliseconds. */
+  readonly age: number;
+}
+
 /** Evidence of one host that a prompt part crashes servers. */
 export interface PartMark {
   readonly part: string;
@@ -431,6 +441,12 @@
     /** Requests a second that it takes from all hosts together. */
     readonly limit?: number;
   }
+  /** Request limits that another host has noticed. */
+  | {
+    readonly type: "request_limits_reported";
+    readonly now: number;
+    readonly limits: readonly RequestLimitReport[];
+  }
   /** Another host's evidence about prompt parts. */
   | {
     readonly type: "part_marks_reported";
@@ -521,6 +537,11 @@
     /** All marks set by this host, newest last; replaces earlier ones. */
     readonly marks: readonly QuarantineMark[];
   }
+  | {
+    readonly type: "publish_request_limits";
+    /** Limits that this host has noticed; replaces earlier ones. */
+    readonly limits: readonly RequestLimitReport[];
+  }
   | {
     readonly type: "publish_part_marks";
     /** This host's evidence about prompt parts; replaces earlier evidence. */
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -115,6 +115,7 @@
   override setRole(): void {}
   override publishQuarantine(): void {}
   override publishPartMarks(): void {}
+  override publishRequestLimits(): void {}
   override publishDemand(): void {}
 }
 
