Refuse at once what limited servers can't take in time

A request for servers that all name a limit waited until its deadline when more were waiting than the servers take by then. It is refused at once now, with the time at which there is room; a server that names 0 still gets a request every ten seconds, or its answers could never end the limit.

--- a/packages/rhubarbstage-policy/__tests__/unit/request_limits_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/request_limits_test.ts
@@ -59,6 +59,27 @@
     expect(limits.takeChangedReports(5_200)).toBeUndefined();
   });
 
+  // Guards against a server that is never asked again.
+  test("still sends a request now and then to a server that takes none", () => {
+    const limits = newLimits();
+    limits.observe(server, 0, 0);
+    const sends = countSends(limits, { from: 0, to: 60_000 });
+    expect(sends).toBeGreaterThan(0);
+    expect(sends).toBeLessThanOrEqual(7);
+  });
+
+  // Guards against callers that wait until their deadline for a full server.
+  test("forecasts the wait for servers that all have limits", () => {
+    const limits = newLimits();
+    const other = makeServer("b");
+    limits.observe(server, 2, 0);
+    expect(limits.waitTime([server, other], 9, 0)).toBe(0);
+    limits.observe(other, 2, 0);
+    const wait = limits.waitTime([server, other], 9, 0);
+    expect(wait).toBeGreaterThan(2_000);
+    expect(wait).toBeLessThanOrEqual(2_500);
+  });
+
   // Guards against a limit that outlives the process that named it.
   test("ignores reports about another process of the server", () => {
     const limits = newLimits();
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -42,6 +42,7 @@
   isQuarantined,
   type PoolState,
   poolStateOf,
+  requestLimitWait,
   type RequestRecord,
   slotsUsedAbovePriority,
 } from "./fleet_state.ts";
@@ -225,6 +226,17 @@
       refuse(request, "overloaded", wait),
     ];
   }
+  const limitWait = requestLimitWait(state, poolState, now);
+  if (now + limitWait + estimate.runTime > work.deadlineAt && limitWait > 0) {
+    const wait = Math.min(limitWait, work.deadlineAt - now);
+    return [
+      createRefusalNote(request, {
+        reason: "request_limit",
+        expected_wait: Math.round(wait),
+      }),
+      refuse(request, "overloaded", jitteredRetryAfter(wait, state.random)),
+    ];
+  }
   const hasQueue = !view.hasFreeSlot || view.costAhead > 0;
   if (hasQueue) record.uncorrectedWait = uncorrectedWait(view);
   const infeasible = state.isPlacementRemote
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -28,7 +28,12 @@
 import { RequestLimits } from "./request_limits.ts";
 import { RolePlanner } from "./roles.ts";
 import type { RoutingView } from "./routing.ts";
-import { type Pool, type ServerEntry, ServerTable } from "./server_table.ts";
+import {
+  isAvailable,
+  type Pool,
+  type ServerEntry,
+  ServerTable,
+} from "./server_table.ts";
 import { SlowServerDetector } from "./slow_servers.ts";
 import {
   type BackendServer,
@@ -283,6 +288,28 @@
   return state.partQuarantine.isBlocked(parts, now);
 }
 
+/**
+ * Returns the time until a pool's servers take one more request than waits for
+ * them; 0 if the servers are chosen elsewhere or one of them has no limit.
+ */
+export function requestLimitWait(
+  state: FleetState,
+  { pool, model, lanes }: PoolState,
+  now: number,
+): number {
+  const isShared = state.settings.shareEngineState && model !== undefined;
+  if (isShared && state.isPlacementRemote) return 0;
+  const { short, long, retry } = lanes;
+  const waiting = short.size + long.size + retry.size;
+  return state.requestLimits.waitTime(availableServers(pool), waiting, now);
+}
+
+function* availableServers(pool: Pool): Generator<BackendServer> {
+  for (const entry of pool.members.values()) {
+    if (isAvailable(entry)) yield entry.server;
+  }
+}
+
 /** Part of a server's request limit that its own region gets. */
 const ownRegionShare = 0.8;
 
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -15,6 +15,7 @@
   type FleetState,
   type PoolState,
   poolStateOf,
+  requestLimitWait,
   type RequestRecord,
   routingView,
 } from "./fleet_state.ts";
@@ -126,8 +127,13 @@
   if (route === undefined) {
     const { estimates } = poolState;
     const slotTime = query.outputTokens * estimates.tokenInterval(0);
+    const limitWait = requestLimitWait(state, poolState, now);
     const placement = refusedPlacement({
-      retryAfter: Math.max(minRetryAfter, slotTime),
+      retryAfter: Math.max(
+        minRetryAfter,
+        slotTime,
+        Math.min(limitWait, query.startTimeout),
+      ),
     });
     return [{ type: "answer_placement", to, request, placement, works: [] }];
   }
--- a/packages/rhubarbstage-policy/src/request_limits.ts
+++ b/packages/rhubarbstage-policy/src/request_limits.ts
@@ -14,6 +14,11 @@
 const endDelay = 1_000;
 /** Relative change from which a limit counts as changed. */
 const noticeableChange = 0.1;
+/**
+ * Requests a second that a server gets even if it takes none, so that its answers
+ * can end its limit.
+ */
+const minRate = 0.1;
 /** Time of saved-up requests that may be sent at once, in milliseconds. */
 const maxBurstTime = 500;
 /** Time for which the end of a limit is gossiped, in milliseconds. */
@@ -130,10 +135,10 @@
       const named = this.#limits.get(server.id);
       if (named?.limit === undefined) return 0;
       this.#refill(named, server, now);
-      rate += named.limit * this.#share(server) / 1_000;
+      rate += this.#rate(named, server);
       level += named.level;
     }
-    return Math.max(0, queued + 1 - level) / rate;
+    return rate === 0 ? 0 : Math.max(0, queued + 1 - level) / rate;
   }
 
   /** Forgets the limit of a server whose process has ended. */
@@ -176,8 +181,13 @@
     });
   }
 
+  /** Returns the requests a millisecond that this host may send the server. */
+  #rate({ limit = 0 }: NamedLimit, server: BackendServer): number {
+    return Math.max(limit, minRate) * this.#share(server) / 1_000;
+  }
+
   #refill(named: NamedLimit, server: BackendServer, now: number): void {
-    const rate = (named.limit ?? 0) * this.#share(server) / 1_000;
+    const rate = this.#rate(named, server);
     const elapsed = Math.max(0, now - named.refilledAt);
     const capacity = Math.max(1, rate * maxBurstTime);
     named.level = Math.min(capacity, named.level + elapsed * rate);
