Keep prompt parts that crash servers on the disks of control hosts

Evidence about prompt parts lived in gossip only. When all hosts lose power together, a part that had been refused was in use again, and three more servers had to crash for it. Control hosts now write the evidence that they publish, which includes every part that is refused, into their data folder and feed it to the policy when they start; gossip takes it to the entry hosts.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -33,6 +33,7 @@
 import { listenPlainText } from "./plain_listener.ts";
 import { createControlApi, startControlSeat } from "./relay_control.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
+import { PartMarksFile } from "./part_marks_file.ts";
 import { PlacementExchange } from "./placement_exchange.ts";
 import { createMembership } from "./relay_membership.ts";
 import type {
@@ -522,5 +523,24 @@
         cause: error instanceof Error ? error.message : String(error),
       }, "warn"),
   });
-  if (settings.seat !== undefined) startControlSeat(components);
+  if (settings.seat === undefined) return;
+  void restorePartMarks(components, settings.seat.dataFolder);
+  startControlSeat(components);
+}
+
+/** Restores the evidence about prompt parts, and keeps it from now on. */
+async function restorePartMarks(
+  { dispatcher, effectHandler, events }: RelayHostComponents,
+  dataFolder: string,
+): Promise<void> {
+  const file = new PartMarksFile({
+    dataFolder,
+    onFailure: (error) =>
+      events.record("part_marks_unavailable", { cause: String(error) }, "warn"),
+  });
+  const marks = await file.read();
+  if (marks.length > 0) {
+    dispatcher.notify({ type: "part_marks_reported", marks });
+  }
+  effectHandler.partMarksFile = file;
 }
--- a/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
@@ -9,6 +9,7 @@
 import type { EngineWorkEffect } from "@rhubarbstage/policy";
 import type { DemandReport } from "./demand_report.ts";
 import type { OrderCoordinator } from "./order_coordinator.ts";
+import type { PartMarksFile } from "./part_marks_file.ts";
 import type { PlacementExchange } from "./placement_exchange.ts";
 
 /** Handles the policy's effects that concern orders and other hosts. */
@@ -17,6 +18,8 @@
   membership: Membership | undefined;
   /** Set after construction, because it notifies the policy. */
   placement: PlacementExchange | undefined;
+  /** Present on hosts with a data folder. */
+  partMarksFile: PartMarksFile | undefined;
   /** Present on hosts that may lead the control group. */
   orders: OrderCoordinator | undefined;
 
@@ -51,6 +54,7 @@
     marks: Parameters<PolicyEffectHandler["publishPartMarks"]>[0],
   ): void {
     this.membership?.publishPartMarks(marks);
+    this.partMarksFile?.write(marks);
   }
 
   override publishDemand(
--- a/packages/rhubarbstage-storage/src/mod.ts
+++ b/packages/rhubarbstage-storage/src/mod.ts
@@ -19,3 +19,4 @@
 export { CorruptionError, FolderInUseError } from "./errors.ts";
 export { DataFolder } from "./data_folder.ts";
 export { DurableLog } from "./durable_log.ts";
+export { readRecordFile, writeRecordFile } from "./files.ts";
