Publish prompt parts that are not refused for a minute only

Each crash published all suspects of the last twenty minutes again, up to 64 parts. Parts that are refused are published as long as they are; the others reach every host at once and need no repetition.

--- a/packages/rhubarbstage-policy/__tests__/unit/part_quarantine_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/part_quarantine_test.ts
@@ -66,6 +66,16 @@
     expect(hosts[0]!.isBlocked(["part"], 9_500)).toBe(true);
   });
 
+  // Guards against gossip that grows with each crash.
+  test("publishes parts that are not refused for a minute only", () => {
+    const quarantine = new PartQuarantine(period);
+    crashWith(quarantine, [["deadly", "a"], ["deadly", "b"], ["deadly", "c"]]);
+    expect(quarantine.takeChangedMarks(3_000)).toHaveLength(4);
+    quarantine.recordCrash("server/3", ["d"], 100_000);
+    expect(quarantine.takeChangedMarks(100_000)?.map(({ part }) => part).sort())
+      .toEqual(["d", "deadly"]);
+  });
+
   test("refuses a part again after one more crash once its period has ended", () => {
     const quarantine = new PartQuarantine(period);
     crashWith(quarantine, [["deadly"], ["deadly"], ["deadly"]]);
--- a/packages/rhubarbstage-policy/src/part_quarantine.ts
+++ b/packages/rhubarbstage-policy/src/part_quarantine.ts
@@ -18,6 +18,8 @@
 /** Crashes kept for each part, newest last. */
 const maxCrashesPerPart = 16;
 const maxParts = 10_000;
+/** Time for which parts that are not refused are published, in milliseconds. */
+const publicationTime = 60_000;
 /** Maximum number of parts that gossip keeps per host. */
 const maxPublishedParts = 64;
 
@@ -138,7 +140,7 @@
     this.#isChanged = false;
     this.#dropExpired(now);
     return [...this.#parts]
-      .filter(([, { local }]) => local)
+      .filter(([, suspect]) => isPublished(suspect, now))
       .map(([part, suspect]) => ({ part, suspect }))
       .sort((left, right) =>
         uncleared(left.suspect).length - uncleared(right.suspect).length
@@ -219,6 +221,11 @@
   }
 }
 
+function isPublished(suspect: SuspectPart, now: number): boolean {
+  if (!suspect.local) return false;
+  return suspect.blocked || now - lastCrashAt(suspect) < publicationTime;
+}
+
 function addCrash(suspect: SuspectPart, id: string, crash: Crash): void {
   suspect.crashes.set(id, crash);
   if (suspect.crashes.size <= maxCrashesPerPart) return;
