Count a prompt once against the limit of the engine that answers it

Cause: the placing host counted the answering engine twice when it computes the prompt itself. Found by reading; the new test of the placing host failed with 25 placed of 50.

--- a/packages/rhubarbstage-policy/__tests__/unit/placement_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/placement_test.ts
@@ -437,3 +437,28 @@
   const engine = placing.state.table.servers.get("d1" as BackendServerId);
   expect(engine?.queue.size).toBe(0);
 });
+
+// Guards against an engine that gets half of the requests that it takes, because
+// a prompt that it computes itself counts twice.
+test("an engine with a limit gets all the requests that it takes", () => {
+  const limit = 5;
+  const seconds = 10;
+  const placing = createHost({ isPlacing: true });
+  const host = createHost();
+  const server = "d1" as BackendServerId;
+  addEngine([placing, host], server);
+  placing.send({ type: "request_limit_observed", now: 0, server, limit });
+  let placed = 0;
+  for (let now = 20; now < seconds * 1_000; now += 20) {
+    const work = makePrompt(`r${now}`, { arrivedAt: now, promptTokens: 10 });
+    const { placement } = place(placing, ask(host, work), now);
+    if (placement.type !== "placed") continue;
+    placed += 1;
+    for (const { id } of placement.works) {
+      const end = { server, id, ended: "answered" } as const;
+      placing.send({ type: "work_ended", now, end });
+    }
+  }
+  expect(placed).toBeLessThanOrEqual(limit * seconds + 5);
+  expect(placed).toBeGreaterThanOrEqual(limit * seconds * 0.9);
+});
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -71,9 +71,11 @@
 }
 
 /** Counts the requests of an attempt against its servers' limits. */
-function recordSends(
+export function recordSends(
   state: FleetState,
-  { entry, prefill }: Attempt,
+  { entry, prefill }:
+    & Pick<Attempt, "entry">
+    & Partial<Pick<Attempt, "prefill">>,
   now: number,
 ): void {
   state.requestLimits.recordSend(entry.server, now);
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -10,6 +10,7 @@
  */
 
 import type { BackendServerId, HostId, RequestId } from "rhubarbstage";
+import { recordSends } from "./attempts.ts";
 import { chooseEngines, defaultTokenGapTarget } from "./engine_routing.ts";
 import {
   type FleetState,
@@ -153,9 +154,7 @@
     parts: query.parts,
   });
   for (const work of works) applyEngineWork(state, work, now);
-  for (const { server } of [route.entry, route.prefill ?? route.entry]) {
-    state.requestLimits.recordSend(server, now);
-  }
+  recordSends(state, route, now);
   const placement = toPlacement(route, { works, rank: query.rank });
   return [{ type: "answer_placement", to, request, placement, works }];
 }
