Name the prompt parts of requests that are refused for them

A refusal could not be led back to the part that it was refused for: the log had the crashes by part and the refusals by request.

--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -64,6 +64,7 @@
   isCancellable,
   type PolicyEffect,
   type PolicyEvent,
+  sharedPartsOf,
   type Work,
 } from "./types.ts";
 import type { WorkEstimate } from "./work_estimates.ts";
@@ -194,7 +195,11 @@
   observeDemand(state, work, { estimate, tokens, now });
   if (now >= work.deadlineAt) return [refuse(request, "deadline_exceeded")];
   if (isQuarantined(state, work, now)) {
-    return [refuse(request, "request_quarantined")];
+    const parts = sharedPartsOf(work).map(({ id }) => id).join(",");
+    return [
+      createRefusalNote(request, { reason: "crashes_servers", parts }),
+      refuse(request, "request_quarantined"),
+    ];
   }
   const exceeded = state.limits.check(customer, { tokens, settings }, now);
   if (exceeded !== undefined) {
