--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -261,10 +261,13 @@
     const right = await listen(second);
     left.setAddress(second, right.address);
     let aborted = 0;
-    right.onRequest(echo, (_body, { signal }) => {
+    right.onRequest(echo, (body, { signal }) => {
+      if (body === "linked") return body;
       signal.addEventListener("abort", () => aborted += 1);
       return new Promise(() => {});
     });
+    // The timeout below may not pass before the link is up.
+    await left.request(echo, { to: second, body: "linked" });
     const late = left.request(echo, { to: second, body: 1, timeout: 60 });
     await expect(late).rejects.toMatchObject({
       failure: "timeout",
