--- a/packages/rhubarbstage-engine/src/schema.ts
+++ b/packages/rhubarbstage-engine/src/schema.ts
@@ -13,6 +13,7 @@
   OrderId,
   Region,
   ServiceName,
+  SoftwareVersion,
 } from "rhubarbstage";
 import { RhubarbstageError } from "rhubarbstage";
 import type {
@@ -65,6 +66,12 @@
     adapters: readStrings(fields, "adapters"),
     services: readStrings(fields, "services") as readonly ServiceName[],
     role: readEnum(fields, "role", roles, "mixed"),
+    ...(fields.software_version === undefined ? {} : {
+      softwareVersion: readString(
+        fields,
+        "software_version",
+      ) as SoftwareVersion,
+    }),
     capacity: readNumber(fields, "capacity"),
     fencing: readEnum(fields, "fencing", fencingModes, "ignored"),
     state: readEnum(fields, "state", states, "serving"),
--- a/packages/rhubarbstage-engine/src/types.ts
+++ b/packages/rhubarbstage-engine/src/types.ts
@@ -16,6 +16,7 @@
   Region,
   RequestId,
   ServiceName,
+  SoftwareVersion,
 } from "rhubarbstage";
 
 /** Endpoint that a caller used. */
@@ -173,6 +174,7 @@
   readonly adapters: readonly string[];
   readonly services: readonly ServiceName[];
   readonly role: EngineRole;
+  readonly softwareVersion?: SoftwareVersion;
   readonly capacity: number;
   readonly fencing: FencingMode;
   /** Servers that do not report a state are serving. */
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -84,13 +84,17 @@
   dispatch(effect: DispatchEffect): void {
     this.attempts += 1;
     this.onAttemptStart?.();
-    const { attempt: id, server, priority, resumeFrom } = effect;
+    const { attempt: id, server, priority, resumeFrom, softwareVersion } =
+      effect;
     this.context.telemetry.recordEvent("attempt_started", {
       request: this.work.request,
       attempt: id,
       server,
       priority,
       resume_from: resumeFrom,
+      ...(softwareVersion === undefined
+        ? {}
+        : { software_version: softwareVersion }),
       ...forecastFields(effect),
     });
     const address = this.context.backendServers.addressOf(server);
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -186,7 +186,7 @@
   #notifyPolicy(server: RegisteredServer): void {
     const { record, load } = server;
     const { id, incarnation, region, availabilityZone } = record;
-    const { models, services, role, capacity } = record;
+    const { models, services, role, capacity, softwareVersion } = record;
     this.#dispatcher?.notify({
       type: "server_seen",
       server: {
@@ -198,6 +198,7 @@
         services,
         role,
         capacity,
+        ...(softwareVersion === undefined ? {} : { softwareVersion }),
         ...this.#cacheCapacityOf(record),
         acceptsNewWork: this.#acceptsNewWork(server),
         load,
@@ -208,7 +209,8 @@
 
 function toServerRecord(announcement: Announcement): ServerRecord {
   const { id, incarnation, sequence, url, region } = announcement;
-  const { availabilityZone, models, services, role } = announcement;
+  const { availabilityZone, models, services, role, softwareVersion } =
+    announcement;
   return {
     id,
     incarnation,
@@ -220,6 +222,7 @@
     models,
     services,
     role,
+    ...(softwareVersion === undefined ? {} : { softwareVersion }),
     capacity: announcement.capacity,
     honoursFencing: announcement.fencing === "checked",
     state: announcement.state,
--- a/packages/rhubarbstage-host/src/relay_membership.ts
+++ b/packages/rhubarbstage-host/src/relay_membership.ts
@@ -52,6 +52,7 @@
             server: record.id,
             address: record.address,
             role: record.role,
+            software_version: record.softwareVersion ?? "",
             zone: record.availabilityZone,
           });
         }
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -14,6 +14,7 @@
   Region,
   Revision,
   ServiceName,
+  SoftwareVersion,
 } from "rhubarbstage";
 
 /** Description that a backend server sends when it announces or renews. */
@@ -36,6 +37,8 @@
   /** Plain services that the server runs; empty for engines. */
   readonly services: readonly ServiceName[];
   readonly role: "prefill" | "decode" | "mixed";
+  /** Absent if the server names none. */
+  readonly softwareVersion?: SoftwareVersion;
   /** Requests that the server can run at the same time. */
   readonly capacity: number;
   /** Whether the server refuses orders with an outdated fencing number. */
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -52,11 +52,13 @@
   const effects = announceWork(state, attempt, { route, now });
   pool.slowServers.recordDispatch(attempt.entry.server.id, now);
   const { prefill } = attempt;
+  const { softwareVersion } = attempt.entry.server;
   effects.push({
     type: "dispatch",
     request: work.request,
     attempt: attempt.id,
     server: attempt.entry.server.id,
+    ...(softwareVersion === undefined ? {} : { softwareVersion }),
     ...(prefill === undefined ? {} : { prefillServer: prefill.server.id }),
     priority: work.settings.priority * 2 + (record.long ? 0 : 1),
     rank: attempt.rank,
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -18,6 +18,7 @@
   Region,
   RequestId,
   ServiceName,
+  SoftwareVersion,
   WorkKind,
 } from "rhubarbstage";
 import type { EngineWorkId } from "./engine_queue.ts";
@@ -131,6 +132,8 @@
   /** Plain services that the server runs; empty for engines. */
   readonly services: readonly ServiceName[];
   readonly role: EngineRole;
+  /** Absent if the server names none. */
+  readonly softwareVersion?: SoftwareVersion;
   /** Requests that the server can run concurrently. */
   readonly capacity: number;
   /** KV cache capacity of an engine, in tokens, if known. */
@@ -500,6 +503,8 @@
     readonly attempt: AttemptId;
     /** Server that generates the answer. */
     readonly server: BackendServerId;
+    /** Software version of that server; absent if it names none. */
+    readonly softwareVersion?: SoftwareVersion;
     /** Server that computes the prompt first and exports its KV cache. */
     readonly prefillServer?: BackendServerId;
     /** Priority passed to the engine; larger is served first. */
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -211,6 +211,10 @@
       route: route.name,
       service: name,
       version: index.table.version,
+      ...(metadata.lastEventId === undefined ? {} : {
+        resumes: metadata.resumedRequest ?? "",
+        last_event: metadata.lastEventId,
+      }),
     });
     return { route, service };
   }
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -107,6 +107,8 @@
   readonly promptParts: readonly PromptPart[];
   /** Id of the last event that the caller received in an earlier attempt. */
   readonly lastEventId?: string;
+  /** Id of the caller's attempt that brought the first event of the stream. */
+  readonly resumedRequest?: RequestId;
 }
 
 /** Location of the KV cache of an exported prompt. */
--- a/packages/rhubarbstage/src/ids.ts
+++ b/packages/rhubarbstage/src/ids.ts
@@ -23,6 +23,11 @@
 export type BackendServerId = Brand<string, "BackendServerId">;
 /** A model that callers ask for by name. */
 export type ModelName = Brand<string, "ModelName">;
+/**
+ * Version of the software that a backend server runs, not of its model. What two
+ * versions write does not fit together in one answer.
+ */
+export type SoftwareVersion = Brand<string, "SoftwareVersion">;
 /** A plain service that callers ask for by name. */
 export type ServiceName = Brand<string, "ServiceName">;
 /** A kind of work below a customer in the settings tree. */
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -24,6 +24,7 @@
   RequestId,
   Revision,
   ServiceName,
+  SoftwareVersion,
   WorkKind,
 } from "./ids.ts";
 export type { ErrorKind, ErrorKindDefinition, Outcome } from "./error_kinds.ts";
