Break off streams without length that end before their first event

Reading the path once more showed one that it left.

Cause: of a stream without length, only a half event was taken as a sign of a broken stream. A server that crashes after the head and before the first event, and whose connection closes in order, left none: the caller got a 200 with an empty chunked body and its end. The class: absence of evidence of a failure taken as evidence of success.

Evidence: the new test got '200 ... 0' before the change and 502 after it. Ruled out: streams with a length or chunks may be empty (a take-up after the last event), and resets are found by the reset detector.

--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -220,6 +220,20 @@
   },
 );
 
+// Guards against the head of a stream, whose server crashed before the first
+// event and whose connection closed in order, being passed on as a whole answer.
+test("a stream without length and without any event is broken off", async () => {
+  const port = await start([
+    ({ socket }) =>
+      socket.end(
+        "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+          "Content-Type: text/event-stream\r\n\r\n",
+      ),
+  ], { ...stream, maxAttempts: 1 });
+  const seen = await exchange(port, request({ method: "POST", body: "x" }));
+  expect(seen).toMatch(/^HTTP\/1\.1 502 /);
+});
+
 test("a resumable stream resumes after its last complete event", async () => {
   const breakMidEvent: Script = ({ socket }) => {
     socket.write(
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -6,7 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import type { Dispatcher, Pool } from "undici";
-import { headerValue } from "./headers.ts";
+import { isCloseDelimited } from "./headers.ts";
 import type { ResetDetector } from "./reset_detector.ts";
 import type { HeaderList } from "./types.ts";
 
@@ -205,8 +205,3 @@
     this.#wakeReader();
   }
 }
-
-function isCloseDelimited(headers: HeaderList): boolean {
-  return headerValue(headers, "content-length") === undefined &&
-    headerValue(headers, "transfer-encoding") === undefined;
-}
--- a/packages/rhubarbstage-relay/src/headers.ts
+++ b/packages/rhubarbstage-relay/src/headers.ts
@@ -70,3 +70,9 @@
   }
   return tokens;
 }
+
+/** Whether a response with these headers ends with its connection. */
+export function isCloseDelimited(headers: HeaderList): boolean {
+  return headerValue(headers, "content-length") === undefined &&
+    headerValue(headers, "transfer-encoding") === undefined;
+}
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -17,6 +17,7 @@
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { ExchangeError, type ExchangeResponse } from "./exchange.ts";
+import { isCloseDelimited } from "./headers.ts";
 import type { Reply } from "./reply.ts";
 import {
   refusesConnections,
@@ -295,6 +296,9 @@
   ): Promise<RelayResult> {
     const { reply } = this.#options;
     const splitter = new EventSplitter();
+    // Without a length, a stream that breaks off may end in order; only events
+    // show that its server has written it.
+    let mayBeTruncated = isCloseDelimited(response.headers);
     for await (const chunk of response.body) {
       const block = splitter.push(chunk);
       if (block === undefined) continue;
@@ -302,6 +306,7 @@
         return this.#result(attempt, response.status);
       }
       this.#begin(attempt, response);
+      mayBeTruncated = false;
       this.#lastEventId = block.lastId ?? this.#lastEventId;
       this.#reportEvents(attempt, block.count);
       await reply.write(block.bytes, attempt.controller.signal);
@@ -309,9 +314,9 @@
     if (!this.#acquireReply(attempt)) {
       return this.#result(attempt, response.status);
     }
-    // Without a length, a stream that breaks off may end in order.
-    if (splitter.partialEvent.length > 0) {
-      throw new ExchangeError("The stream ended inside an event", {
+    if (mayBeTruncated || splitter.partialEvent.length > 0) {
+      const place = mayBeTruncated ? "before its first" : "inside an";
+      throw new ExchangeError(`The stream ended ${place} event`, {
         maybeDelivered: true,
       });
     }
