Continue streams only at the software version that began them

What callers saw: while two software versions of a service served, streams that were taken up, or that went on within one answer after an engine had crashed, got the rest from another version than the one that began them (ORDER).

Cause: nothing compared versions. The version of a server was not read, nor the attempt that a request takes up; and what a host knows of a stream ended with its process, so that no other host could have compared either. The class: a continuation without the identity of what it continues.

Change: the policy remembers where an answer began and sends what follows only to servers of that version; a request that finds none of them free is refused rather than hold up others. Each host that relays tells three hosts with a data folder, one of its own region first, which version began a stream, as it relays the first event, and again all of it after a link to them was lost. A take-up asks all of those hosts. It is refused at once, as not run, if nobody knows its version or none of its servers is left.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -25,6 +25,7 @@
 } from "@rhubarbstage/relay";
 import { createLogger, Metrics, Timeline } from "@rhubarbstage/telemetry";
 import { PeerTransport } from "@rhubarbstage/transport";
+import { AnswerOriginExchange } from "./answer_origin_exchange.ts";
 import { BackendRegistry } from "./backend_registry.ts";
 import type { ControlApi } from "./control_api.ts";
 import { DemandReport } from "./demand_report.ts";
@@ -304,6 +305,20 @@
     onServerUnreachable: (server) => checks.start(server),
     onWrongServer: (server) =>
       registry.removeServer(server, { crashed: false }),
+    origins: new AnswerOriginExchange({
+      host: settings.host,
+      region: settings.region,
+      transport,
+      membership,
+      seeds: settings.seeds.map(({ host }) => host),
+      signal: context.stopController.signal,
+    }),
+    softwareVersionsOf: (service) =>
+      new Set(
+        registry.records()
+          .filter((record) => serviceNameOf(record) === service as string)
+          .map(({ softwareVersion }) => softwareVersion),
+      ),
   });
   const placement = new PlacementExchange({
     host: settings.host,
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -10,6 +10,7 @@
 import type { Route } from "./routing.ts";
 import { announceWork, endAnswer, endPrompt } from "./shared_work.ts";
 import {
+  type AnswerOrigin,
   type CancelReason,
   type PolicyEffect,
   sharedPartsOf,
@@ -52,7 +53,7 @@
   const effects = announceWork(state, attempt, { route, now });
   pool.slowServers.recordDispatch(attempt.entry.server.id, now);
   const { prefill } = attempt;
-  const { softwareVersion } = attempt.entry.server;
+  const { softwareVersion } = attempt;
   effects.push({
     type: "dispatch",
     request: work.request,
@@ -101,6 +102,7 @@
     record,
     entry,
     incarnation: entry.server.incarnation,
+    softwareVersion: entry.server.softwareVersion,
     prefill,
     startedAt: now,
     uncachedTokens,
@@ -224,6 +226,7 @@
   const { estimates, slowServers: slow } = record.pool;
   attempt.firstTokenAt = now;
   attempt.windowAt = now;
+  record.answerOrigin ??= toAnswerOrigin(attempt);
   clearParts(state, record);
   releasePendingPrefill(attempt);
   if (prefill !== undefined) {
@@ -258,6 +261,10 @@
   return cancelOtherAttempts(state, attempt, now);
 }
 
+function toAnswerOrigin({ softwareVersion }: Attempt): AnswerOrigin {
+  return softwareVersion === undefined ? {} : { softwareVersion };
+}
+
 /** Handles generated tokens and measures the speed of the stream. */
 export function handleTokens(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -16,9 +16,14 @@
 import type { EngineSpeed } from "./engine_speed.ts";
 import { kvTransferTime } from "./kv_transfer.ts";
 import { promptBlocks } from "./prompt_cache_estimate.ts";
-import { isEligible, type Route, type RoutingView } from "./routing.ts";
+import {
+  isEligible,
+  mayContinue,
+  type Route,
+  type RoutingView,
+} from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
-import type { PromptPart, Work } from "./types.ts";
+import type { AnswerOrigin, PromptPart, Work } from "./types.ts";
 
 /** Most engines of the own region scored for one decision, and of the others. */
 const maxLocalEngines = 64;
@@ -84,6 +89,8 @@
   /** Servers on which the request has failed or is running. */
   readonly excludedServers: ReadonlySet<BackendServerId>;
   readonly suspect: boolean;
+  /** Present if the answer has begun. */
+  readonly answerOrigin?: AnswerOrigin;
 }
 
 /** Options of {@linkcode toEngineRequirements}. */
@@ -91,6 +98,7 @@
   readonly excludedServers: ReadonlySet<BackendServerId>;
   readonly outputTokens: number;
   readonly suspect: boolean;
+  readonly answerOrigin?: AnswerOrigin;
 }
 
 /** Returns the requirements of a request on its engines. */
@@ -148,6 +156,7 @@
     if (!isEligible(view, requirements, entry)) continue;
     const cost = costOn(view, request, { entry, speed, blocks });
     if (entry.server.role === "prefill") prefilling.push(cost);
+    else if (!mayContinue(entry.server, request.answerOrigin)) continue;
     else if (hasFreeSlot(view, request, entry)) {
       generating.push(addStreamCost(view, request, { cost, tokenInterval }));
     }
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -17,6 +17,7 @@
   type RequestRecord,
 } from "./fleet_state.ts";
 import { dequeue, enqueue, mayHaveRun } from "./scheduling.ts";
+import { mayContinue } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
 import {
   type PartMark,
@@ -238,9 +239,14 @@
   return undefined;
 }
 
-/** Whether the pool has a server on which the request has not failed. */
-function hasOtherServer(record: RequestRecord): boolean {
-  const { members } = record.pool.pool;
-  if (members.size > record.failedOn.size) return true;
-  return [...members.keys()].some((id) => !record.failedOn.has(id));
+/**
+ * Whether the pool has a server on which the request has not failed and that may
+ * go on with its answer.
+ */
+function hasOtherServer({ pool, failedOn, answerOrigin }: RequestRecord) {
+  const { members } = pool.pool;
+  if (answerOrigin === undefined && members.size > failedOn.size) return true;
+  return [...members.values()].some(({ server }) =>
+    !failedOn.has(server.id) && mayContinue(server, answerOrigin)
+  );
 }
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -57,9 +57,11 @@
 } from "./placement.ts";
 import { createRefusalNote, refuse } from "./refusals.ts";
 import type { LimitChange } from "./request_limits.ts";
-import { poolNameOf } from "./server_table.ts";
+import { mayContinue } from "./routing.ts";
+import { type Pool, poolNameOf } from "./server_table.ts";
 import { expire, moveStreams, startDueHedges } from "./supervision.ts";
 import {
+  type AnswerOrigin,
   type BackendServer,
   isCancellable,
   type PolicyEffect,
@@ -189,6 +191,17 @@
   if (pool === undefined || pool.members.size === 0) {
     return [refuse(request, "no_backend_server", 1)];
   }
+  const { answerOrigin } = work;
+  if (answerOrigin !== undefined && !hasVersion(pool, answerOrigin)) {
+    const { softwareVersion = "" } = answerOrigin;
+    return [
+      createRefusalNote(request, {
+        reason: "software_version",
+        software_version: softwareVersion,
+      }),
+      refuse(request, "no_backend_server", 1),
+    ];
+  }
   const poolState = poolStateOf(state, pool, work.model);
   const estimate = poolState.estimates.estimate(work, now);
   const tokens = work.promptTokens + Math.ceil(estimate.outputTokens);
@@ -262,6 +275,12 @@
   return dispatchPool(state, poolState, now);
 }
 
+/** Whether a pool has a server that may go on with an answer. */
+function hasVersion(pool: Pool, origin: AnswerOrigin): boolean {
+  return [...pool.members.values()]
+    .some(({ server }) => mayContinue(server, origin));
+}
+
 function observeDemand(
   state: FleetState,
   work: Work,
@@ -298,6 +317,7 @@
     long,
     attempts: new Map(),
     failedOn: new Set(),
+    answerOrigin: work.answerOrigin,
     deliveredTokens: 0,
     chargedTokens: 0,
     uncorrectedWait: 0,
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -11,6 +11,7 @@
   ModelName,
   Region,
   RequestId,
+  SoftwareVersion,
 } from "rhubarbstage";
 import { SeededRandom } from "rhubarbstage";
 import TinyQueue from "tinyqueue";
@@ -36,6 +37,7 @@
 } from "./server_table.ts";
 import { SlowServerDetector } from "./slow_servers.ts";
 import {
+  type AnswerOrigin,
   type BackendServer,
   type EngineWork,
   type EngineWorkEnd,
@@ -82,6 +84,8 @@
   readonly attempts: Map<AttemptId, Attempt>;
   /** Servers on which the request failed. */
   readonly failedOn: Set<BackendServerId>;
+  /** Where its answer began; undefined before its first token. */
+  answerOrigin: AnswerOrigin | undefined;
   /** Tokens of ended attempts delivered to the caller. */
   deliveredTokens: number;
   /** Tokens charged to the customer's limit. */
@@ -108,6 +112,7 @@
   readonly record: RequestRecord;
   readonly entry: ServerEntry;
   readonly incarnation: Incarnation;
+  readonly softwareVersion: SoftwareVersion | undefined;
   readonly prefill: ServerEntry | undefined;
   readonly startedAt: number;
   readonly uncachedTokens: number;
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -14,6 +14,7 @@
 export { PrefixMap } from "./prefix_map.ts";
 export { isCancellable } from "./types.ts";
 export type {
+  AnswerOrigin,
   BackendServer,
   BackendServerLoad,
   CancelReason,
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -21,7 +21,7 @@
   routingView,
 } from "./fleet_state.ts";
 import { createRefusalNote, refuse } from "./refusals.ts";
-import type { Route } from "./routing.ts";
+import { mayContinue, type Route } from "./routing.ts";
 import {
   dispatchPool,
   dispatchRecord,
@@ -166,7 +166,7 @@
   now: number,
 ): Route | undefined {
   const { promptTokens, outputTokens, parts, rank, suspect } = query;
-  const { firstTokenTarget, tokenGapTarget } = query;
+  const { firstTokenTarget, tokenGapTarget, answerOrigin } = query;
   const requirements = {
     promptTokens,
     outputTokens,
@@ -177,6 +177,7 @@
     arrivedAt: now - query.waited,
     tokenGapTarget: tokenGapTarget ?? defaultTokenGapTarget,
     excludedServers: new Set(query.excludedServers),
+    ...(answerOrigin === undefined ? {} : { answerOrigin }),
   };
   return chooseEngines(routingView(state, pool, now), requirements, pool.speed);
 }
@@ -284,6 +285,7 @@
   const { server, prefillServer, works, rank, ...forecast } = placement;
   const entry = servers.get(server);
   if (entry === undefined || !isAvailable(entry)) return undefined;
+  if (!mayContinue(entry.server, record.answerOrigin)) return undefined;
   const prefill = prefillServer && servers.get(prefillServer);
   if (prefillServer !== undefined && prefill === undefined) return undefined;
   const { promptParts: parts = [] } = record.work;
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -18,7 +18,7 @@
 import type { RequestLimits } from "./request_limits.ts";
 import type { SlowServerDetector } from "./slow_servers.ts";
 import type { WorkEstimates } from "./work_estimates.ts";
-import type { EngineWork, Work } from "./types.ts";
+import type { AnswerOrigin, BackendServer, EngineWork, Work } from "./types.ts";
 
 /** Read-only view of the policy state that routing decides on. */
 export interface RoutingView {
@@ -48,6 +48,8 @@
    */
   readonly mayUseReservedSlots: boolean;
   readonly suspect: boolean;
+  /** Present if the answer has begun. */
+  readonly answerOrigin?: AnswerOrigin;
 }
 
 /** Chosen servers of an attempt, and the forecast behind them. */
@@ -105,6 +107,7 @@
 ): boolean {
   if (!isAvailable(entry)) return false;
   if (request.excludedServers.has(entry.server.id)) return false;
+  if (!mayContinue(entry.server, request.answerOrigin)) return false;
   if (!view.requestLimits.allows(entry.server, view.now)) return false;
   if (request.suspect && entry.localSuspectAttempts > 0) return false;
   if (!request.long) return true;
@@ -119,6 +122,15 @@
     entry.localLongAttempts < view.settings.maxLongRequestsPerServer;
 }
 
+/** Whether a server may go on with an answer, or begin one. */
+export function mayContinue(
+  server: BackendServer,
+  origin: AnswerOrigin | undefined,
+): boolean {
+  return origin === undefined ||
+    server.softwareVersion === origin.softwareVersion;
+}
+
 function cachedTokensByServer(
   view: RoutingView,
   work: Work,
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -10,6 +10,7 @@
   type EngineRequirements,
   toEngineRequirements,
 } from "./engine_routing.ts";
+import { createRefusalNote, refuse } from "./refusals.ts";
 import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
 import {
@@ -23,11 +24,12 @@
 import {
   chooseRoute,
   isEligible,
+  mayContinue,
   type Route,
   type RoutingRequirements,
 } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
-import type { PolicyEffect } from "./types.ts";
+import type { PolicyEffect, Work } from "./types.ts";
 import type { ModelName } from "rhubarbstage";
 
 interface LaneHead {
@@ -43,6 +45,9 @@
 /** Running requests examined for one preemption. */
 const maxPreemptionCandidates = 8;
 
+/** Shortest delay after which a refused request may come back, in ms. */
+const minRetryAfter = 100;
+
 /** Adds a request to the queue of its pool. */
 export function enqueue(
   state: FleetState,
@@ -168,7 +173,8 @@
   const view = routingView(state, pool, now);
   const effects: PolicyEffect[] = [];
   let route: Route | undefined;
-  if (urgent || pool.pool.localAttempts < slotLimit(state, pool)) {
+  const mayStart = urgent || pool.pool.localAttempts < slotLimit(state, pool);
+  if (mayStart) {
     route = state.settings.shareEngineState && pool.model !== undefined
       ? chooseEngines(
         view,
@@ -184,7 +190,11 @@
       route = directRoute(state, record, { entry: freed.entry, now });
     } else route = overcommit(state, { record, needs, now });
   }
-  if (route === undefined) return undefined;
+  if (route === undefined) {
+    return mayStart && isHeldByVersion(record)
+      ? refuseHeld(state, record)
+      : undefined;
+  }
   pool.lanes[head.lane].take(item.work.request, now);
   record.lane = undefined;
   record.entitledByFloor = byFloor;
@@ -192,6 +202,34 @@
   return effects;
 }
 
+/**
+ * Whether a waiting request holds up others, which might start on servers of
+ * another software version than the one that its answer needs.
+ */
+function isHeldByVersion({ pool, answerOrigin }: RequestRecord): boolean {
+  return [...pool.pool.members.values()]
+    .some(({ server }) => !mayContinue(server, answerOrigin));
+}
+
+/** Refuses a request for which no server of its answer's version is free. */
+function refuseHeld(state: FleetState, record: RequestRecord): PolicyEffect[] {
+  const { work, estimate, answerOrigin } = record;
+  const { request } = work;
+  dequeue(record);
+  state.requests.delete(request);
+  const retryAfter = Math.max(minRetryAfter, estimate.runTime);
+  return [
+    createRefusalNote(request, {
+      reason: "software_version",
+      software_version: answerOrigin?.softwareVersion ?? "",
+    }),
+    {
+      ...refuse(request, "overloaded", retryAfter / 1_000),
+      outcome: mayHaveRun(record) ? "may_have_run" : "not_run",
+    },
+  ];
+}
+
 /** Starts a request that was taken from its lane. */
 export function dispatchRecord(
   state: FleetState,
@@ -246,6 +284,7 @@
       ...(tokenGapTarget === undefined ? {} : { tokenGapTarget }),
       excludedServers: [...excludedServers(record)],
       suspect: state.quarantine.isSuspect(work.fingerprint, now),
+      ...answerOriginOf(record),
     },
   };
 }
@@ -261,9 +300,16 @@
     excludedServers: excludedServers(record),
     outputTokens: work.expectedOutputTokens ?? estimate.outputTokens,
     suspect: state.quarantine.isSuspect(work.fingerprint, now),
+    ...answerOriginOf(record),
   });
 }
 
+function answerOriginOf(
+  { answerOrigin }: RequestRecord,
+): Pick<Work, "answerOrigin"> {
+  return answerOrigin === undefined ? {} : { answerOrigin };
+}
+
 /** Refuses a waiting request whose deadline passed since the last tick. */
 function refuseExpired(state: FleetState, record: RequestRecord): PolicyEffect {
   const { request } = record.work;
@@ -291,6 +337,7 @@
     long: record.long,
     mayUseReservedSlots: options.mayUseReservedSlots,
     suspect: state.quarantine.isSuspect(work.fingerprint, options.now),
+    ...answerOriginOf(record),
   };
 }
 
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -53,6 +53,15 @@
   readonly tokens: number;
 }
 
+/**
+ * Where an answer began. It goes on only at servers of the same software
+ * version, because servers do not check what they continue.
+ */
+export interface AnswerOrigin {
+  /** Absent if the server that began it names none. */
+  readonly softwareVersion?: SoftwareVersion;
+}
+
 /** Request as seen by the policy. */
 export interface Work {
   readonly request: RequestId;
@@ -80,6 +89,8 @@
   readonly repeatable: boolean;
   /** Whether the stream may be cancelled and resumed elsewhere. */
   readonly resumable: boolean;
+  /** Present if the request takes up an answer that has begun. */
+  readonly answerOrigin?: AnswerOrigin;
   /**
    * Whether it is cancelled, even while running, at the caller's disconnect or
    * the deadline. Defaults to `repeatable`: other work runs to completion to
@@ -261,6 +272,8 @@
   readonly excludedServers: readonly BackendServerId[];
   /** Whether the request may have crashed a server. */
   readonly suspect: boolean;
+  /** Present if the answer has begun. */
+  readonly answerOrigin?: AnswerOrigin;
 }
 
 /** Engine work of a placement; the asking host knows rank and parts. */
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -25,7 +25,9 @@
   ServiceName,
 } from "rhubarbstage";
 import {
+  AnswerOrigins,
   type AttemptMetadata,
+  type BegunStream,
   Dialect,
   endToEndHeaders,
   type EngineState,
@@ -40,6 +42,8 @@
   type Route,
   type ServerCall,
   ServerConnections,
+  type StreamOrigin,
+  StreamTable,
 } from "../src/mod.ts";
 
 const region = "here" as Region;
@@ -119,6 +123,19 @@
   override publishDemand(): void {}
 }
 
+/** Remembers streams in this process. */
+class LocalAnswerOrigins extends AnswerOrigins {
+  readonly #streams = new StreamTable();
+
+  override record(stream: BegunStream): void {
+    this.#streams.add(stream, performance.now());
+  }
+
+  override find(id: RequestId): Promise<StreamOrigin | undefined> {
+    return Promise.resolve(this.#streams.find(id, performance.now()));
+  }
+}
+
 class NoopTelemetry extends GatewayTelemetry {
   override recordEvent(): void {}
   override recordRequestEnd(): void {}
@@ -254,6 +271,8 @@
     onLoad: () => {},
     onServerUnreachable: () => {},
     onWrongServer: () => {},
+    origins: new LocalAnswerOrigins(),
+    softwareVersionsOf: () => new Set(),
   });
   relay.setRouteTable({
     version: 1,
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -34,6 +34,12 @@
  */
 export const deadlineMargin = 60;
 
+/**
+ * Longest time for which the origin of a stream is kept, in milliseconds,
+ * whatever time a caller names.
+ */
+export const maxStreamLifetime = 600_000;
+
 /** Timeout for receiving a whole request, in milliseconds. */
 export const requestTimeout = 30_000;
 
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -22,6 +22,8 @@
   RouteTarget,
 } from "./types.ts";
 export type { OrderOutcome, ServerCall } from "./dialect.ts";
+export type { BegunStream, StreamOrigin } from "./answer_origins.ts";
+export { AnswerOrigins, StreamTable } from "./answer_origins.ts";
 export { Dialect } from "./dialect.ts";
 export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -23,11 +23,18 @@
   type ModelName,
   type RequestId,
   RhubarbstageError,
+  type ServiceName,
+  type SoftwareVersion,
   SystemClock,
   toRhubarbstageError,
   type WorkKind,
 } from "rhubarbstage";
-import { deadlineMargin, defaultRetryAfter } from "./constants.ts";
+import type { AnswerOrigins, StreamOrigin } from "./answer_origins.ts";
+import {
+  deadlineMargin,
+  defaultRetryAfter,
+  maxStreamLifetime,
+} from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { Reply } from "./reply.ts";
 import { type RelayRequest, RelayRun } from "./relay_run.ts";
@@ -53,6 +60,11 @@
   readonly onLoad: (server: BackendServerId, load: ReportedLoad) => void;
   readonly onServerUnreachable: (server: BackendServerId) => void;
   readonly onWrongServer: (server: BackendServerId) => void;
+  readonly origins: AnswerOrigins;
+  /** Returns the software versions of the known servers of a service. */
+  readonly softwareVersionsOf: (
+    service: ServiceName,
+  ) => ReadonlySet<SoftwareVersion | undefined>;
   readonly clock?: Clock;
 }
 
@@ -64,6 +76,8 @@
   readonly metadata: RequestMetadata;
   readonly body: Buffer;
   readonly arrivedAt: number;
+  /** Present if the request takes up a stream of the same service. */
+  readonly origin?: StreamOrigin;
 }
 
 /** Relays requests by the current route table. */
@@ -147,12 +161,19 @@
       throw new RhubarbstageError("shutting_down");
     }
     const metadata = dialect.parseRequest(incoming.rawHeaders);
-    const { route, service } = this.#findRoute(incoming, {
+    const index = this.#requireIndex();
+    const route = findRoute(index, incoming);
+    const limit = index.table.limits.maxBodyBytes;
+    const [body, origin] = await Promise.all([
+      readBody(incoming, { limit, signal }),
+      this.#findOrigin(route, metadata),
+    ]);
+    const service = this.#selectService(index, {
       request,
+      route,
       metadata,
+      origin,
     });
-    const limit = this.#index?.table.limits.maxBodyBytes ?? Infinity;
-    const body = await readBody(incoming, { limit, signal });
     const relayRequest = this.#toRelayRequest(request, {
       incoming,
       route,
@@ -160,6 +181,7 @@
       metadata,
       body,
       arrivedAt,
+      ...(origin?.service === service.name ? { origin } : {}),
     });
     const reply = new Reply(response);
     const run = new RelayRun(dispatcher, {
@@ -170,6 +192,8 @@
       onLoad: this.#options.onLoad,
       onServerUnreachable: this.#options.onServerUnreachable,
       onWrongServer: this.#options.onWrongServer,
+      onStreamBegun: (softwareVersion) =>
+        this.#recordStream(relayRequest, { metadata, softwareVersion }),
     });
     try {
       const { status, server, events } = await dispatcher.execute(run, {
@@ -186,21 +210,61 @@
     }
   }
 
-  #findRoute(
-    incoming: IncomingMessage,
-    call: { readonly request: RequestId; readonly metadata: RequestMetadata },
-  ): { route: Route; service: RelayService } {
-    const { request, metadata } = call;
-    const index = this.#index;
-    if (index === undefined) {
-      throw new RhubarbstageError("isolated", {
-        message: "This host has not received a route table yet",
-      });
-    }
-    const path = pathOf(incoming.url ?? "/");
-    const route = index.find(incoming.headers.host ?? "", path);
-    if (route === undefined) throw new RhubarbstageError("not_found");
-    const name = pickTarget(route, Math.random());
+  #requireIndex(): RouteIndex {
+    if (this.#index !== undefined) return this.#index;
+    throw new RhubarbstageError("isolated", {
+      message: "This host has not received a route table yet",
+    });
+  }
+
+  /**
+   * Returns where the stream began that a request takes up; undefined if it takes
+   * up none. Throws if that is not known: what two software versions write does
+   * not fit together, and servers do not check what they continue.
+   */
+  async #findOrigin(
+    route: Route,
+    { lastEventId, resumedRequest }: RequestMetadata,
+  ): Promise<StreamOrigin | undefined> {
+    if (route.kind !== "stream" || lastEventId === undefined) return undefined;
+    const origin = resumedRequest === undefined
+      ? this.#onlyOrigin(route)
+      : await this.#options.origins.find(resumedRequest);
+    if (origin !== undefined) return origin;
+    throw new RhubarbstageError("no_backend_server", {
+      message: "The software version that began the stream is not known",
+    });
+  }
+
+  /** Returns the only origin that a stream of a route can have, if any. */
+  #onlyOrigin({ targets }: Route): StreamOrigin | undefined {
+    const [target] = targets;
+    if (target === undefined || targets.length > 1) return undefined;
+    const { service } = target;
+    const versions = [...this.#options.softwareVersionsOf(service)];
+    if (versions.length > 1) return undefined;
+    const [softwareVersion] = versions;
+    return softwareVersion === undefined
+      ? { service }
+      : { service, softwareVersion };
+  }
+
+  /** Selects a service by weight, or the one that began the stream. */
+  #selectService(
+    index: RouteIndex,
+    call: {
+      readonly request: RequestId;
+      readonly route: Route;
+      readonly metadata: RequestMetadata;
+      readonly origin: StreamOrigin | undefined;
+    },
+  ): RelayService {
+    const { request, route, metadata, origin } = call;
+    const isOffered = origin !== undefined &&
+      route.targets.some(({ service, weight }) =>
+        service === origin.service && weight > 0
+      );
+    const name = isOffered ? origin.service : pickTarget(route, Math.random());
     const service = index.service(name);
     if (service === undefined) {
       throw new RhubarbstageError("unknown_service");
@@ -214,9 +278,31 @@
       ...(metadata.lastEventId === undefined ? {} : {
         resumes: metadata.resumedRequest ?? "",
         last_event: metadata.lastEventId,
+        begun_by: origin?.softwareVersion ?? "",
       }),
     });
-    return { route, service };
+    return service;
+  }
+
+  /** Records where a stream began; a stream taken up keeps its origin. */
+  #recordStream(
+    { work, callerRequestId }: RelayRequest,
+    stream: {
+      readonly metadata: RequestMetadata;
+      readonly softwareVersion: SoftwareVersion | undefined;
+    },
+  ): void {
+    if (!work.resumable || callerRequestId === undefined) return;
+    const { service, deadlineAt, arrivedAt } = work;
+    const { softwareVersion, metadata } = stream;
+    const { callerTimeout = deadlineAt - arrivedAt } = metadata;
+    this.#options.origins.record({
+      request: callerRequestId as RequestId,
+      origin: softwareVersion === undefined
+        ? { service }
+        : { service, softwareVersion },
+      lifetime: Math.min(callerTimeout, maxStreamLifetime),
+    });
   }
 
   #toRelayRequest(request: RequestId, routed: RoutedRequest): RelayRequest {
@@ -237,7 +323,8 @@
   }
 
   #toWork(request: RequestId, routed: RoutedRequest): Work {
-    const { incoming, route, service, metadata, body, arrivedAt } = routed;
+    const { incoming, route, service, metadata, body, arrivedAt, origin } =
+      routed;
     const callerTimeout = (metadata.callerTimeout ?? Infinity) - deadlineMargin;
     return {
       request,
@@ -260,6 +347,7 @@
         (route.kind === "stream" && route.resumable),
       resumable: route.kind === "stream" && route.resumable,
       cancellable: true,
+      ...(origin === undefined ? {} : { answerOrigin: origin }),
       maxAttempts: route.maxAttempts,
       arrivedAt,
       deadlineAt: arrivedAt + Math.min(callerTimeout, route.timeout),
@@ -386,6 +474,13 @@
   return status === 500 ? 500 : 502;
 }
 
+function findRoute(index: RouteIndex, incoming: IncomingMessage): Route {
+  const path = pathOf(incoming.url ?? "/");
+  const route = index.find(incoming.headers.host ?? "", path);
+  if (route === undefined) throw new RhubarbstageError("not_found");
+  return route;
+}
+
 function pathOf(url: string): string {
   const query = url.indexOf("?");
   return query < 0 ? url : url.slice(0, query);
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -12,7 +12,11 @@
   type RunContext,
 } from "@rhubarbstage/gateway/dispatch";
 import type { Work } from "@rhubarbstage/policy";
-import { type BackendServerId, RhubarbstageError } from "rhubarbstage";
+import {
+  type BackendServerId,
+  RhubarbstageError,
+  type SoftwareVersion,
+} from "rhubarbstage";
 import { bufferedResponseBytes } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
@@ -59,6 +63,13 @@
   readonly onServerUnreachable: (server: BackendServerId) => void;
   /** Called when a server reports that it is not the intended one. */
   readonly onWrongServer: (server: BackendServerId) => void;
+  /**
+   * Called before the first event of a stream is relayed, with the software
+   * version of its server.
+   */
+  readonly onStreamBegun: (
+    softwareVersion: SoftwareVersion | undefined,
+  ) => void;
 }
 
 /** Result of a relayed request. */
@@ -305,6 +316,9 @@
       if (!this.#acquireReply(attempt)) {
         return this.#result(attempt, response.status);
       }
+      if (!reply.isBegun) {
+        this.#options.onStreamBegun(attempt.effect.softwareVersion);
+      }
       this.#begin(attempt, response);
       mayBeTruncated = false;
       this.#lastEventId = block.lastId ?? this.#lastEventId;
