--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -136,6 +136,30 @@
     expect(left.peers().length).toBe(1);
   });
 
+  // Guards against requests that end with the link that simultaneous dials make
+  // superfluous, such as the grants of a bootstrap that several hosts begin.
+  test("answers requests sent while both ends dial simultaneously", async () => {
+    for (let round = 0; round < 30; round += 1) {
+      const left = await listen(first);
+      const right = await listen(second);
+      left.setAddress(second, right.address);
+      right.setAddress(first, left.address);
+      const answer = async (body: unknown) => {
+        await delay(round % 4);
+        return body;
+      };
+      left.onRequest(echo, answer);
+      right.onRequest(echo, answer);
+      const requests = [
+        left.request(echo, { to: second, body: "from left" }),
+        delay(round % 3).then(() =>
+          right.request(echo, { to: first, body: "from right" })
+        ),
+      ];
+      expect(await Promise.all(requests)).toEqual(["from left", "from right"]);
+    }
+  });
+
   // Guards against a full mesh and loss of the reopening message.
   test("closes an idle link and reopens it for the next message", async () => {
     const left = await listen(first, { idleTimeout: 120 });
