Answer requests on a link that a simultaneous dial replaces

Cause: when two hosts dial each other at once, both keep the link dialled by the smaller id. The other one may be up before and carry requests; it was closed when the second came up, and its requests ended with link_closed. The first call of a host after a start is the one that meets this: grants of a bootstrap, and calls to control hosts.

Ruled out: a lost frame of the handshake, which would end in a timeout instead.

Change: a link that a simultaneous dial replaces still answers what is under way and is closed once idle, after 10 s at the latest. One-way messages on it are dropped as before, since they would overtake those on the new link. Links to another process, or of the same direction, are closed at once as before.

--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -12,6 +12,7 @@
 import { WebSocket } from "ws";
 import {
   messageType,
+  type PeerAddress,
   PeerTransport,
   type PeerTransportOptions,
   requestType,
@@ -137,28 +138,34 @@
   });
 
   // Guards against requests that end with the link that simultaneous dials make
-  // superfluous, such as the grants of a bootstrap that several hosts begin.
-  test("answers requests sent while both ends dial simultaneously", async () => {
-    for (let round = 0; round < 30; round += 1) {
+  // superfluous, such as the grants of a bootstrap that two hosts begin.
+  test.each([0, 40])(
+    "answers requests on a link that a later dial replaces (answers take %i ms)",
+    async (answerTime) => {
       const left = await listen(first);
       const right = await listen(second);
-      left.setAddress(second, right.address);
-      right.setAddress(first, left.address);
-      const answer = async (body: unknown) => {
-        await delay(round % 4);
+      right.onRequest(echo, (body) => body);
+      left.onRequest(echo, async (body) => {
+        await delay(answerTime);
         return body;
-      };
-      left.onRequest(echo, answer);
-      right.onRequest(echo, answer);
-      const requests = [
-        left.request(echo, { to: second, body: "from left" }),
-        delay(round % 3).then(() =>
-          right.request(echo, { to: first, body: "from right" })
-        ),
-      ];
-      expect(await Promise.all(requests)).toEqual(["from left", "from right"]);
-    }
-  });
+      });
+      const dialDelay = 80;
+      const toRight = await startTcpProxy(right.address.port, { dialDelay });
+      const toLeft = await startTcpProxy(left.address.port);
+      left.setAddress(second, toRight.address);
+      right.setAddress(first, toLeft.address);
+      const requests = [left.request(echo, { to: second, body: 0 })];
+      for (let body = 1; body <= 2 * dialDelay; body += 1) {
+        requests.push(right.request(echo, { to: first, body }));
+        await delay(1);
+      }
+      expect(await Promise.all(requests)).toEqual([...requests.keys()]);
+      await waitUntil(() => toLeft.sockets.every(({ closed }) => closed));
+      expect(toRight.sockets.map(({ closed }) => closed))
+        .toEqual([false, false]);
+      for (const { server } of [toLeft, toRight]) server.close();
+    },
+  );
 
   // Guards against a full mesh and loss of the reopening message.
   test("closes an idle link and reopens it for the next message", async () => {
@@ -307,8 +314,12 @@
 });
 
 /** Starts a TCP proxy that records all bytes; its sockets can be paused. */
-async function startTcpProxy(port: number): Promise<{
+async function startTcpProxy(
+  port: number,
+  { dialDelay = 0 }: { readonly dialDelay?: number } = {},
+): Promise<{
   server: Server;
+  address: PeerAddress;
   sockets: Socket[];
   seen: () => string;
 }> {
@@ -321,7 +332,8 @@
       socket.on("error", () => {});
       socket.on("data", (data) => chunks.push(data.toString("latin1")));
     }
-    client.pipe(upstream);
+    client.pause();
+    setTimeout(() => client.pipe(upstream), dialDelay);
     upstream.pipe(client);
     client.on("close", () => upstream.destroy());
     upstream.on("close", () => client.destroy());
@@ -329,5 +341,9 @@
   await new Promise<void>((resolve) =>
     server.listen(0, "127.0.0.1", () => resolve())
   );
-  return { server, sockets, seen: () => chunks.join("") };
+  const address = {
+    address: "127.0.0.1",
+    port: (server.address() as AddressInfo).port,
+  };
+  return { server, address, sockets, seen: () => chunks.join("") };
 }
--- a/packages/rhubarbstage-transport/src/constants.ts
+++ b/packages/rhubarbstage-transport/src/constants.ts
@@ -25,6 +25,15 @@
 /** Timeout of connection and authentication, in milliseconds. */
 export const defaultHandshakeTimeout = 3_000;
 
+/**
+ * Time without frames after which a link that another one has replaced is closed,
+ * in milliseconds: longer than a request may be under way.
+ */
+export const retiredIdleTime = 500;
+
+/** Maximum time for which such a link answers requests, in milliseconds. */
+export const maxRetirement = 10_000;
+
 /** Minimum back-off before reconnecting, in milliseconds. */
 export const defaultMinBackoff = 100;
 
--- a/packages/rhubarbstage-transport/src/link.ts
+++ b/packages/rhubarbstage-transport/src/link.ts
@@ -8,7 +8,12 @@
 import type { HybridLogicalClock } from "rhubarbstage";
 import { WebSocket } from "ws";
 import { decode, encode } from "./codec.ts";
-import { maxClockLead, maxMissedHeartbeats } from "./constants.ts";
+import {
+  maxClockLead,
+  maxMissedHeartbeats,
+  maxRetirement,
+  retiredIdleTime,
+} from "./constants.ts";
 import { TransportError } from "./errors.ts";
 import type { Frame } from "./frames.ts";
 import { frameKinds, readTimestamp, timestampFrame } from "./frames.ts";
@@ -54,6 +59,7 @@
   #missedHeartbeats = 0;
   #lastActivityAt = performance.now();
   #isOpen = true;
+  #isRetired = false;
   #closeReason = "closed by peer";
 
   constructor(socket: WebSocket, options: LinkOptions) {
@@ -124,6 +130,24 @@
     });
   }
 
+  /**
+   * Ends the link once no request is under way at either end; the caller sends
+   * nothing more on it. One-way messages that still arrive are dropped, as they
+   * would overtake those on the link that replaces this one.
+   */
+  retire(): void {
+    this.#isRetired = true;
+    const retiredAt = performance.now();
+    const timer = setInterval(() => {
+      const now = performance.now();
+      const isBusy = this.#hasRequests ||
+        now - this.#lastActivityAt < retiredIdleTime;
+      if (isBusy && now - retiredAt < maxRetirement) return;
+      this.close("replaced");
+    }, retiredIdleTime / 2);
+    this.#socket.once("close", () => clearInterval(timer));
+  }
+
   /** Closes the connection immediately, without waiting for the peer. */
   close(reason: string): void {
     this.#closeReason = reason;
@@ -156,9 +180,13 @@
   }
 
   #isIdle(): boolean {
-    const isBusy = this.#pending.size + this.#activeHandlers.size > 0;
     const idleTime = performance.now() - this.#lastActivityAt;
-    return !isBusy && idleTime > this.#options.idleTimeout;
+    return !this.#hasRequests && idleTime > this.#options.idleTimeout;
+  }
+
+  /** Whether requests of either end are not answered yet. */
+  get #hasRequests(): boolean {
+    return this.#pending.size + this.#activeHandlers.size > 0;
   }
 
   #write(frame: Frame): boolean {
@@ -211,6 +239,10 @@
   #dispatch(frame: Frame): void {
     switch (frame[0]) {
       case frameKinds.message: {
+        if (this.#isRetired) {
+          this.#options.traffic.dropped += 1;
+          return;
+        }
         const [, name, body] = frame;
         const sender = this.peer;
         return this.#options.handlers.deliver({ name, body, sender });
--- a/packages/rhubarbstage-transport/src/peer_transport.ts
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -112,6 +112,8 @@
   readonly #traffic = new TrafficCounters();
   readonly #addresses: Map<HostId, PeerAddress>;
   readonly #links = new Map<HostId, Link>();
+  /** Links that others have replaced and that still answer requests. */
+  readonly #retired = new Set<Link>();
   readonly #dials = new Map<HostId, DialState>();
   readonly #listeners = new Set<(change: LinkChange) => void>();
   readonly #closing = new AbortController();
@@ -254,7 +256,9 @@
     this.#closing.abort(
       new Error(`Transport of host "${this.host}" is closed`),
     );
-    for (const link of [...this.#links.values()]) link.close("closed");
+    for (const link of [...this.#links.values(), ...this.#retired]) {
+      link.close("closed");
+    }
     for (const socket of this.#socketServer.clients) socket.terminate();
     this.#socketServer.close();
     if (!this.#server.listening) return;
@@ -439,36 +443,42 @@
       onClose: (closed, reason) => this.#unregister(closed, reason),
     });
     const known = this.#links.get(peer.host);
-    if (known !== undefined && this.#isPreferred(known, link)) {
+    const isSimultaneous = known !== undefined &&
+      this.#areSimultaneous(known, link);
+    if (isSimultaneous && known.isDialled === (this.host < peer.host)) {
       link.close("duplicate");
       return;
     }
     this.#links.set(peer.host, link);
-    known?.close("replaced");
+    if (isSimultaneous) this.#retire(known);
+    else known?.close("replaced");
     this.#emit({ kind: "up", peer, reason: "" });
     link.start();
   }
 
   /**
-   * Whether a known link is kept when another to the host opens. If both hosts
-   * dial at once, both keep the link dialled by the smaller host id. A known
-   * link with the same direction or older than the handshake timeout is
-   * replaced, as its other end may have lost it. So is one to another process:
-   * the handshake proves that the new process runs, so incarnations, which
-   * follow wall clocks, need not be ordered.
+   * Whether both hosts dialled at once; both then keep the link dialled by the
+   * smaller host id. A known link with the same direction or older than the
+   * handshake timeout is replaced at once, as its other end may have lost it. So
+   * is one to another process: the handshake proves that the new process runs, so
+   * incarnations, which follow wall clocks, need not be ordered.
    */
-  #isPreferred(known: Link, other: Link): boolean {
+  #areSimultaneous(known: Link, other: Link): boolean {
     if (known.peer.incarnation !== other.peer.incarnation) return false;
     const { handshakeTimeout = defaultHandshakeTimeout } = this.#options;
     const age = other.startedAt - known.startedAt;
-    if (known.isDialled === other.isDialled || age > handshakeTimeout) {
-      return false;
-    }
-    return known.isDialled === (this.host < known.peer.host);
+    return known.isDialled !== other.isDialled && age <= handshakeTimeout;
+  }
+
+  /** Lets the requests on a superfluous link end before it is closed. */
+  #retire(link: Link): void {
+    this.#retired.add(link);
+    link.retire();
   }
 
   #unregister(link: Link, reason: string): void {
     const { peer } = link;
+    this.#retired.delete(link);
     if (this.#links.get(peer.host) !== link) return;
     this.#links.delete(peer.host);
     this.#emit({ kind: "down", peer, reason });
