Stop sending to servers that say they leave or ask for a pause

Neither header was read.

Change: the host that hears it sends that server nothing new, until its process ends or the pause is over; of two pauses the later end counts, and none lasts longer than maxServerPause (60 s). Placement queries name such servers as excluded, and a placement that uses one is not followed. If all servers of a pool pause, requests wait for the first of them, or are refused at once with the time left if their deadline is sooner. An answer of an earlier process is ignored. server_leaving and server_paused log each change.

--- a/packages/rhubarbstage-engine/src/types.ts
+++ b/packages/rhubarbstage-engine/src/types.ts
@@ -83,6 +83,8 @@
   readonly id: BackendServerId;
   /** Origin, for example `http://127.0.0.1:8000`. */
   readonly url: string;
+  /** Process at the address, if known. */
+  readonly incarnation?: Incarnation;
 }
 
 /** How an engine treats the fencing number of an order. */
--- a/packages/rhubarbstage-host/src/backend_registry.ts
+++ b/packages/rhubarbstage-host/src/backend_registry.ts
@@ -98,9 +98,11 @@
     server: BackendServerId,
   ): BackendServerAddress | undefined {
     const registered = this.#servers.get(server);
-    return registered === undefined
-      ? undefined
-      : { id: server, url: registered.record.address };
+    return registered === undefined ? undefined : {
+      id: server,
+      url: registered.record.address,
+      incarnation: registered.record.incarnation,
+    };
   }
 
   override acceptsNewWork(server: BackendServerId): boolean {
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -34,6 +34,7 @@
   quarantinePeriod: 600_000,
   quarantinePropagationTime: 1_500,
   partQuarantinePeriod: 600_000,
+  maxServerPause: 60_000,
   kvFixedCost: 10,
   kvCostPerToken: 0.01,
   kvCrossRegionFactor: 10,
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -44,6 +44,7 @@
   poolStateOf,
   requestLimitWait,
   type RequestRecord,
+  serverPause,
   slotsUsedAbovePriority,
 } from "./fleet_state.ts";
 import { Policy } from "./policy.ts";
@@ -168,6 +169,8 @@
         return [];
       case "request_limit_observed":
         return onRequestLimitObserved(state, event);
+      case "server_notice_observed":
+        return onServerNoticeObserved(state, event);
       case "request_limits_reported":
         return onRequestLimitsReported(state, event);
       case "part_marks_reported":
@@ -245,11 +248,13 @@
     ];
   }
   const limitWait = requestLimitWait(state, poolState, now);
-  if (now + limitWait + estimate.runTime > work.deadlineAt && limitWait > 0) {
-    const wait = Math.min(limitWait, work.deadlineAt - now);
+  const pause = serverPause(state, poolState, now);
+  const serverWait = Math.max(limitWait, pause);
+  if (serverWait > 0 && now + serverWait + estimate.runTime > work.deadlineAt) {
+    const wait = Math.min(serverWait, work.deadlineAt - now);
     return [
       createRefusalNote(request, {
-        reason: "request_limit",
+        reason: pause > limitWait ? "server_pause" : "request_limit",
         expected_wait: Math.round(wait),
       }),
       refuse(request, "overloaded", jitteredRetryAfter(wait, state.random)),
@@ -484,6 +489,7 @@
 ): void {
   state.prefixes.forget(server.id, now);
   state.requestLimits.forget(server.id);
+  state.serverNotices.forget(server.id);
   const entry = state.table.servers.get(server.id);
   for (const pool of entry?.pools ?? []) {
     state.poolStates.get(pool.name)?.slowServers.forget(server.id);
@@ -504,6 +510,28 @@
   ];
 }
 
+function onServerNoticeObserved(
+  state: FleetState,
+  event: EventOf<"server_notice_observed">,
+): PolicyEffect[] {
+  const entry = state.table.servers.get(event.server);
+  if (entry?.server.incarnation !== event.incarnation) return [];
+  const { server, incarnation, notice, now } = event;
+  const { serverNotices } = state;
+  const knownWait = serverNotices.waitTime(entry.server, now);
+  serverNotices.observe(entry.server, notice, now);
+  if (serverNotices.waitTime(entry.server, now) <= knownWait) return [];
+  return [{
+    type: "note",
+    event: notice.isLeaving ? "server_leaving" : "server_paused",
+    fields: {
+      server,
+      incarnation,
+      ...(notice.pause === undefined ? {} : { milliseconds: notice.pause }),
+    },
+  }];
+}
+
 function onRequestLimitsReported(
   state: FleetState,
   { limits, now }: EventOf<"request_limits_reported">,
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -60,6 +60,8 @@
   readonly quarantinePropagationTime: number;
   /** Time for which a prompt part that crashed servers stays refused. */
   readonly partQuarantinePeriod: number;
+  /** Longest pause that a server gets when it asks for one. */
+  readonly maxServerPause: number;
   /** Fixed cost of exporting and importing KV cache. */
   readonly kvFixedCost: number;
   /** Cost of moving the KV cache of one token within a region. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -35,6 +35,7 @@
   type ServerEntry,
   ServerTable,
 } from "./server_table.ts";
+import { ServerNotices } from "./server_notices.ts";
 import { SlowServerDetector } from "./slow_servers.ts";
 import {
   type AnswerOrigin,
@@ -191,6 +192,7 @@
   readonly quarantine: Quarantine;
   readonly partQuarantine: PartQuarantine;
   readonly requestLimits: RequestLimits;
+  readonly serverNotices: ServerNotices;
   readonly roles: RolePlanner;
   /** Demand of each pool when hosts share engine state. */
   readonly engineDemand: Map<string, EngineDemand>;
@@ -247,6 +249,7 @@
       random,
       (server) => requestLimitShare(state, server),
     ),
+    serverNotices: new ServerNotices(settings.maxServerPause),
     roles: new RolePlanner(),
     engineDemand: new Map(),
     roundTrips: new Map(),
@@ -309,6 +312,25 @@
   return state.requestLimits.waitTime(availableServers(pool), waiting, now);
 }
 
+/**
+ * Returns the time until one of a pool's servers takes requests from this host
+ * again; 0 if one does, or if none will.
+ */
+export function serverPause(
+  state: FleetState,
+  { pool }: PoolState,
+  now: number,
+): number {
+  const { serverNotices } = state;
+  if (serverNotices.isEmpty) return 0;
+  let shortest = Infinity;
+  for (const server of availableServers(pool)) {
+    shortest = Math.min(shortest, serverNotices.waitTime(server, now));
+    if (shortest === 0) return 0;
+  }
+  return Number.isFinite(shortest) ? shortest : 0;
+}
+
 function* availableServers(pool: Pool): Generator<BackendServer> {
   for (const entry of pool.members.values()) {
     if (isAvailable(entry)) yield entry.server;
@@ -340,6 +362,7 @@
   state.table.configure(tableOptions(settings));
   state.quarantine.configure(settings.quarantinePeriod);
   state.partQuarantine.configure(settings.partQuarantinePeriod);
+  state.serverNotices.configure(settings.maxServerPause);
   applyBudgetLimits(state);
   for (const pool of state.poolStates.values()) {
     pool.slowServers.configure({ threshold, probeInterval });
@@ -423,6 +446,7 @@
     roundTrips: state.roundTrips,
     random: state.random,
     requestLimits: state.requestLimits,
+    serverNotices: state.serverNotices,
     settings: state.settings,
     region: state.region,
     now,
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -32,6 +32,7 @@
   PromptPart,
   QuarantineMark,
   RequestLimitReport,
+  ServerNotice,
   Work,
   WorkSettings,
 } from "./types.ts";
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -224,7 +224,9 @@
   if (placement.type === "refused") {
     return isWaiting ? refusePlacement(state, record, placement) : [];
   }
-  const route = isWaiting ? toRoute(state, record, placement) : undefined;
+  const route = isWaiting
+    ? toRoute(state, record, { placement, now })
+    : undefined;
   if (route === undefined) {
     dropPlacement(state, placement);
     return isWaiting ? retryLocally(state, record, now) : [];
@@ -279,15 +281,23 @@
 function toRoute(
   state: FleetState,
   record: RequestRecord,
-  placement: Extract<Placement, { type: "placed" }>,
+  options: {
+    readonly placement: Extract<Placement, { type: "placed" }>;
+    readonly now: number;
+  },
 ): Route | undefined {
+  const { placement, now } = options;
   const { servers } = state.table;
-  const { server, prefillServer, works, rank, ...forecast } = placement;
-  const entry = servers.get(server);
+  const { prefillServer, works, rank, ...forecast } = placement;
+  const entry = servers.get(placement.server);
   if (entry === undefined || !isAvailable(entry)) return undefined;
   if (!mayContinue(entry.server, record.answerOrigin)) return undefined;
   const prefill = prefillServer && servers.get(prefillServer);
   if (prefillServer !== undefined && prefill === undefined) return undefined;
+  const used = prefill === undefined ? [entry] : [entry, prefill];
+  if (used.some(({ server }) => !state.serverNotices.allows(server, now))) {
+    return undefined;
+  }
   const { promptParts: parts = [] } = record.work;
   return {
     entry,
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -16,6 +16,7 @@
   type ServerTable,
 } from "./server_table.ts";
 import type { RequestLimits } from "./request_limits.ts";
+import type { ServerNotices } from "./server_notices.ts";
 import type { SlowServerDetector } from "./slow_servers.ts";
 import type { WorkEstimates } from "./work_estimates.ts";
 import type { AnswerOrigin, BackendServer, EngineWork, Work } from "./types.ts";
@@ -30,6 +31,7 @@
   readonly roundTrips: ReadonlyMap<Region, number>;
   readonly random: SeededRandom;
   readonly requestLimits: RequestLimits;
+  readonly serverNotices: ServerNotices;
   readonly settings: FleetSettings;
   readonly region: Region;
   readonly now: number;
@@ -108,6 +110,7 @@
   if (!isAvailable(entry)) return false;
   if (request.excludedServers.has(entry.server.id)) return false;
   if (!mayContinue(entry.server, request.answerOrigin)) return false;
+  if (!view.serverNotices.allows(entry.server, view.now)) return false;
   if (!view.requestLimits.allows(entry.server, view.now)) return false;
   if (request.suspect && entry.localSuspectAttempts > 0) return false;
   if (!request.long) return true;
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -20,6 +20,7 @@
   recordSlotTime,
   type RequestRecord,
   routingView,
+  serverPause,
 } from "./fleet_state.ts";
 import {
   chooseRoute,
@@ -158,6 +159,8 @@
   const record = state.requests.get(item.work.request);
   if (record === undefined) return undefined;
   if (now >= item.work.deadlineAt) return [refuseExpired(state, record)];
+  // All servers pause: the request waits for the first to take one again.
+  if (serverPause(state, pool, now) > 0) return undefined;
   if (isPlacedRemotely(state, record)) {
     pool.lanes[head.lane].take(item.work.request, now);
     record.lane = undefined;
@@ -282,7 +285,10 @@
         work.deadlineAt - work.arrivedAt,
       ),
       ...(tokenGapTarget === undefined ? {} : { tokenGapTarget }),
-      excludedServers: [...excludedServers(record)],
+      excludedServers: [
+        ...excludedServers(record),
+        ...state.serverNotices.unusableServers(now),
+      ],
       suspect: state.quarantine.isSuspect(work.fingerprint, now),
       ...answerOriginOf(record),
     },
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -194,6 +194,14 @@
   readonly age: number;
 }
 
+/** What a server says of itself in an answer. */
+export interface ServerNotice {
+  /** Whether it will end and wants no new work. */
+  readonly isLeaving: boolean;
+  /** Time for which it wants no request from this host, in milliseconds. */
+  readonly pause?: number;
+}
+
 /** Evidence of one host that a prompt part crashes servers. */
 export interface PartMark {
   readonly part: string;
@@ -457,6 +465,15 @@
     /** Requests a second that it takes from all hosts together. */
     readonly limit?: number;
   }
+  /** A server has said in an answer that it leaves or wants a pause. */
+  | {
+    readonly type: "server_notice_observed";
+    readonly now: number;
+    readonly server: BackendServerId;
+    /** Process that gave the answer. */
+    readonly incarnation: Incarnation;
+    readonly notice: ServerNotice;
+  }
   /** Request limits that another host has noticed. */
   | {
     readonly type: "request_limits_reported";
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -80,7 +80,11 @@
     headers: HeaderList,
   ): ResponseMetadata {
     const request = headerValue(headers, "test-id");
+    const pause = headerValue(headers, "test-pause");
+    const isLeaving = headerValue(headers, "test-leaving") !== undefined;
+    const notice = { isLeaving, pause: Number(pause ?? 0) };
     return {
+      ...(isLeaving || pause !== undefined ? { notice } : {}),
       isNotRun: headerValue(headers, "test-not-run") !== undefined,
       isWrongServer: false,
       isSigned: headerValue(headers, "test-signature") !== undefined,
@@ -243,6 +247,7 @@
   const addresses = options.servers.map(({ url }, index) => ({
     id: `server-${index}` as BackendServerId,
     url,
+    incarnation: 1 as Incarnation,
   }));
   const stopped = new AbortController();
   const backendServers = {
--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -124,6 +124,24 @@
   expect([...statuses]).toEqual(["200"]);
 });
 
+// Guards against requests to a server whose answers say that it leaves, or that
+// it wants a pause, while its announcement says nothing of it.
+test.each(["test-leaving: 1", "test-pause: 60000"])(
+  "a server that answers %s gets no more requests",
+  async (header) => {
+    const serve: Script = ({ socket }) =>
+      socket.write(answer("200 OK", [], "done"));
+    const port = await start([
+      ({ socket }) => socket.write(answer("200 OK", [header], "done")),
+      serve,
+    ]);
+    for (let count = 0; count < 20; count += 1) {
+      expect(await exchange(port, request({}))).toMatch(/^HTTP\/1\.1 200 /);
+    }
+    expect(servers.map(({ received }) => received.length)).toEqual([1, 19]);
+  },
+);
+
 test("never retries an at-most-once request that may have run", async () => {
   const disconnect: Script = ({ socket }) => socket.destroy();
   const port = await start([disconnect, disconnect], { kind: "at_most_once" });
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -166,7 +166,7 @@
     const limit = index.table.limits.maxBodyBytes;
     const [body, origin] = await Promise.all([
       readBody(incoming, { limit, signal }),
-      this.#findOrigin(route, metadata),
+      this.#findOrigin(route, { request, metadata }),
     ]);
     const service = this.#selectService(index, {
       request,
@@ -224,13 +224,21 @@
    */
   async #findOrigin(
     route: Route,
-    { lastEventId, resumedRequest }: RequestMetadata,
+    call: { readonly request: RequestId; readonly metadata: RequestMetadata },
   ): Promise<StreamOrigin | undefined> {
+    const { request, metadata } = call;
+    const { id = "", lastEventId, resumedRequest } = metadata;
     if (route.kind !== "stream" || lastEventId === undefined) return undefined;
     const origin = resumedRequest === undefined
       ? this.#onlyOrigin(route)
       : await this.#options.origins.find(resumedRequest);
     if (origin !== undefined) return origin;
+    this.#options.telemetry.recordEvent("stream_origin_unknown", {
+      request,
+      caller_request: id,
+      route: route.name,
+      resumes: resumedRequest ?? "",
+    });
     throw new RhubarbstageError("no_backend_server", {
       message: "The software version that began the stream is not known",
     });
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -151,7 +151,7 @@
       const response = await this.#send(attempt, { prefillAt: server });
       const { status, headers } = response;
       const metadata = this.#options.dialect.parseResponse(status, headers);
-      this.#reportRequestLimit(server.id, metadata);
+      this.#reportServerState(server, metadata);
       const body = await readBody(response.body);
       const handle = response.status === 200
         ? this.#options.dialect.parseExportHandle(body)
@@ -222,7 +222,7 @@
     const { id } = attempt.address;
     const metadata = dialect.parseResponse(response.status, response.headers);
     if (metadata.load !== undefined) onLoad(id, metadata.load);
-    this.#reportRequestLimit(id, metadata);
+    this.#reportServerState(attempt.address, metadata);
     if (metadata.isWrongServer) onWrongServer(id);
     if (metadata.isNotRun) {
       await readBody(response.body).catch(() => undefined);
@@ -238,11 +238,15 @@
       : await this.#relayResponse(attempt, response);
   }
 
-  /** Reports the limit that a server names, or that it names none. */
-  #reportRequestLimit(
-    server: BackendServerId,
-    { requestLimit: limit }: ResponseMetadata,
+  /** Reports what a server says of itself: its limit, or that it names none. */
+  #reportServerState(
+    { id: server, incarnation }: BackendServerAddress,
+    { requestLimit: limit, notice }: ResponseMetadata,
   ): void {
+    if (notice !== undefined && incarnation !== undefined) {
+      const type = "server_notice_observed";
+      this.context.notify({ type, server, incarnation, notice });
+    }
     this.context.notify({
       type: "request_limit_observed",
       server,
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import type { EngineRole, PromptPart } from "@rhubarbstage/policy";
+import type {
+  EngineRole,
+  PromptPart,
+  ServerNotice,
+} from "@rhubarbstage/policy";
 import type { BackendServerId, RequestId, ServiceName } from "rhubarbstage";
 
 /** Alternating header names and values, as received. */
@@ -153,6 +157,8 @@
   readonly load?: ReportedLoad;
   /** Requests a second that the server takes from all hosts together. */
   readonly requestLimit?: number;
+  /** What the server says of itself; absent if nothing. */
+  readonly notice?: ServerNotice;
 }
 
 /** Progress of an engine with its orders. */
