Continue a begun reply only with the stream that follows it

Cause: a reply had no owner. Once begun, it got the bytes of whatever attempt came next, and that attempt ended it; statuses were looked at only before.

Ruled out: the detection of broken streams (each had been given up and sent to a second server).

Change: all bytes of a reply pass RelayRun.#acquireReply. A begun reply goes on only with a successful stream that was asked to continue after the last event delivered; another response fails its attempt, and the connection is closed. A begun plain reply is not retried.

--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -79,6 +79,13 @@
   readonly events: number;
 }
 
+/** A server's response to one attempt. */
+interface AttemptResponse extends ExchangeResponse {
+  readonly attempt: Attempt;
+  /** Id of the event after which the server was asked to continue. */
+  readonly resumedAfter?: string;
+}
+
 /** A server's error response, relayed if no retry succeeds. */
 interface FallbackResponse {
   readonly status: number;
@@ -106,7 +113,12 @@
   }
 
   protected override get deliveredTokens(): number {
-    return this.#eventCount * this.#options.request.tokensPerEvent;
+    const { request, reply } = this.#options;
+    // A plain response counts as one token once its head was written, so that it
+    // is not retried: no other response can continue it.
+    return this.#eventCount > 0
+      ? this.#eventCount * request.tokensPerEvent
+      : Number(reply.isBegun);
   }
 
   protected override countTokens(result: RelayResult) {
@@ -120,9 +132,13 @@
   protected override async run(attempt: Attempt): Promise<RelayResult> {
     const promptExport = await this.#prefill(attempt);
     if (promptExport !== undefined) this.#checkStillServing(attempt);
+    const resumedAfter = this.#lastEventId;
     try {
-      const response = await this.#send(attempt, { promptExport });
-      return await this.#handleResponse(attempt, response);
+      const response = await this.#send(attempt, {
+        promptExport,
+        resumedAfter,
+      });
+      return await this.#handleResponse({ ...response, attempt, resumedAfter });
     } catch (thrown) {
       throw await this.#toAttemptError(attempt, thrown);
     }
@@ -189,10 +205,11 @@
     options: {
       readonly promptExport?: PromptExport;
       readonly prefillAt?: BackendServerAddress;
+      readonly resumedAfter?: string;
     },
   ): Promise<ExchangeResponse> {
     const { request, dialect, connections } = this.#options;
-    const { promptExport, prefillAt } = options;
+    const { promptExport, prefillAt, resumedAfter } = options;
     const server = prefillAt ?? attempt.address;
     const { work, method, path, body } = request;
     const now = this.context.clock.monotonicMilliseconds();
@@ -204,9 +221,7 @@
         ? {}
         : { rank: attempt.effect.rank }),
       ...(promptExport === undefined ? {} : { promptExport }),
-      ...(this.#lastEventId === undefined || prefillAt !== undefined
-        ? {}
-        : { resumeAfter: this.#lastEventId }),
+      ...(resumedAfter === undefined ? {} : { resumeAfter: resumedAfter }),
     });
     const { signal } = attempt.controller;
     return connections.send(server, { method, path, headers, body }, {
@@ -214,11 +229,9 @@
     });
   }
 
-  async #handleResponse(
-    attempt: Attempt,
-    response: ExchangeResponse,
-  ): Promise<RelayResult> {
-    const { request, dialect, onLoad, onWrongServer } = this.#options;
+  async #handleResponse(response: AttemptResponse): Promise<RelayResult> {
+    const { dialect, onLoad, onWrongServer } = this.#options;
+    const { attempt } = response;
     const { id } = attempt.address;
     const metadata = dialect.parseResponse(response.status, response.headers);
     if (metadata.load !== undefined) onLoad(id, metadata.load);
@@ -232,10 +245,13 @@
       );
     }
     this.#verifyResponse(metadata, response.status);
-    const isStream = request.route.kind === "stream" && response.status < 300;
-    return isStream
-      ? await this.#relayStream(attempt, response)
-      : await this.#relayResponse(attempt, response);
+    return this.#isStream(response)
+      ? await this.#relayStream(response)
+      : await this.#relayResponse(response);
+  }
+
+  #isStream({ status }: ExchangeResponse): boolean {
+    return this.#options.request.route.kind === "stream" && status < 300;
   }
 
   /** Reports what a server says of itself: its limit, or that it names none. */
@@ -268,28 +284,21 @@
     });
   }
 
-  async #relayResponse(
-    attempt: Attempt,
-    response: ExchangeResponse,
-  ): Promise<RelayResult> {
-    const { reply } = this.#options;
-    const { status, headers } = response;
+  async #relayResponse(response: AttemptResponse): Promise<RelayResult> {
+    const { attempt, status, headers } = response;
     const chunks: Buffer[] = [];
     let size = 0;
     for await (const chunk of response.body) {
       chunks.push(chunk);
       size += chunk.length;
       if (size <= bufferedResponseBytes) continue;
-      if (!reply.isBegun) this.#begin(attempt, response);
       for (const buffered of chunks.splice(0)) {
-        await reply.write(buffered, attempt.controller.signal);
+        await this.#deliver(response, buffered);
       }
     }
-    if (reply.isBegun) {
-      for (const buffered of chunks) {
-        await reply.write(buffered, attempt.controller.signal);
-      }
-      reply.end();
+    if (this.#replyOwner === attempt) {
+      for (const buffered of chunks) await this.#deliver(response, buffered);
+      this.#complete(response);
       return this.#result(attempt, status);
     }
     const body = Buffer.concat(chunks);
@@ -300,16 +309,13 @@
         cause: `status ${status}`,
       });
     }
-    if (!this.#acquireReply(attempt)) return this.#result(attempt, status);
-    reply.send(status, headers, body);
+    this.#acquireReply(response);
+    this.#options.reply.send(status, headers, body);
     return this.#result(attempt, status);
   }
 
-  async #relayStream(
-    attempt: Attempt,
-    response: ExchangeResponse,
-  ): Promise<RelayResult> {
-    const { reply } = this.#options;
+  async #relayStream(response: AttemptResponse): Promise<RelayResult> {
+    const { attempt } = response;
     const splitter = new EventSplitter();
     // Without a length, a stream that breaks off may end in order; only events
     // show that its server has written it.
@@ -317,20 +323,11 @@
     for await (const chunk of response.body) {
       const block = splitter.push(chunk);
       if (block === undefined) continue;
-      if (!this.#acquireReply(attempt)) {
-        return this.#result(attempt, response.status);
-      }
-      if (!reply.isBegun) {
-        this.#options.onStreamBegun(attempt.effect.softwareVersion);
-      }
-      this.#begin(attempt, response);
       mayBeTruncated = false;
-      this.#lastEventId = block.lastId ?? this.#lastEventId;
-      this.#reportEvents(attempt, block.count);
-      await reply.write(block.bytes, attempt.controller.signal);
-    }
-    if (!this.#acquireReply(attempt)) {
-      return this.#result(attempt, response.status);
+      await this.#deliver(response, block.bytes, () => {
+        this.#lastEventId = block.lastId ?? this.#lastEventId;
+        this.#reportEvents(attempt, block.count);
+      });
     }
     if (mayBeTruncated || splitter.partialEvent.length > 0) {
       const place = mayBeTruncated ? "before its first" : "inside an";
@@ -338,14 +335,36 @@
         maybeDelivered: true,
       });
     }
-    this.#begin(attempt, response);
-    reply.end();
+    this.#complete(response);
     return this.#result(attempt, response.status);
   }
 
-  #begin(attempt: Attempt, response: ExchangeResponse): void {
-    const { reply, request } = this.#options;
+  /**
+   * Writes bytes of a response to the caller. `onAcquired` is called before the
+   * first of them is written.
+   */
+  async #deliver(
+    response: AttemptResponse,
+    bytes: Buffer,
+    onAcquired: () => void = () => {},
+  ): Promise<void> {
+    this.#begin(response);
+    onAcquired();
+    await this.#options.reply.write(bytes, response.attempt.controller.signal);
+  }
+
+  /** Ends the reply after the last byte of a complete response. */
+  #complete(response: AttemptResponse): void {
+    this.#begin(response);
+    this.#options.reply.end();
+  }
+
+  #begin(response: AttemptResponse): void {
+    const { reply, request, onStreamBegun } = this.#options;
+    const { attempt } = response;
+    this.#acquireReply(response);
     if (reply.isBegun) return;
+    if (this.#isStream(response)) onStreamBegun(attempt.effect.softwareVersion);
     reply.begin(response.status, response.headers);
     this.#recordEvent("first_event", {
       attempt: attempt.id,
@@ -366,14 +385,34 @@
   }
 
   /**
-   * Acquires the reply for an active attempt unless another active one owns it.
+   * Acquires the reply for a response; all bytes of the reply pass through here.
+   * The owner keeps it while its attempt is active. A reply that was begun goes
+   * on only with a stream that continues after the last event delivered; the
+   * bytes of any other response would be joined to those of the owner.
+   *
+   * @throws {RhubarbstageError} If the response may not be written.
    */
-  #acquireReply(attempt: Attempt): boolean {
-    if (!this.isActive(attempt)) return false;
-    if (this.#replyOwner === undefined || !this.isActive(this.#replyOwner)) {
-      this.#replyOwner = attempt;
+  #acquireReply(response: AttemptResponse): void {
+    const { attempt, status, resumedAfter } = response;
+    if (this.#replyOwner === attempt && this.isActive(attempt)) return;
+    const isTaken = this.#replyOwner !== undefined &&
+      this.isActive(this.#replyOwner);
+    if (isTaken || !this.isActive(attempt)) {
+      throw new RhubarbstageError("backend_failed", {
+        outcome: "ran",
+        cause: `Another attempt than ${attempt.id} is relayed`,
+      });
+    }
+    const mayContinue = this.#isStream(response) &&
+      resumedAfter !== undefined && resumedAfter === this.#lastEventId;
+    if (this.#options.reply.isBegun && !mayContinue) {
+      throw new RhubarbstageError("stream_interrupted", {
+        outcome: "ran",
+        cause: `A response with status ${status} does not continue the ` +
+          `reply after event ${this.#lastEventId ?? "none"}`,
+      });
     }
-    return this.#replyOwner === attempt;
+    this.#replyOwner = attempt;
   }
 
   #reportEvents(attempt: Attempt, count: number): void {
