Read nothing from an answer before its request id

What callers saw: a charge was answered 503, as not run, and its server ran it (REFUSED, review/1).

Cause: a late second copy of a refusal was taken for the answer to the next request on the connection, because not-run, wrong server, load, notices and limits were read before the ids were compared.

Ruled out: servers that run what they refuse, by the record of the stand-in.

Change: the ids are compared first, and an answer without the id of its request counts as another's. A response that is not used closes its connection.

The two new tests failed before (503 instead of 502) and pass now.

--- a/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
@@ -119,3 +119,44 @@
   // A copy may cost a request, but not those after it.
   expect(ownResponses).toBeGreaterThanOrEqual(3);
 });
+
+function refusalOf(id: string): string {
+  return answer("503 Full", [`test-id: ${id}`, "test-not-run: 1"], "");
+}
+
+// Guards against a charge that runs and is answered as not run, by the second
+// copy of the refusal of an earlier request (review/1).
+test.each([1, 2])(
+  "a copy of a refusal is not taken for the next answer (attempts: %i)",
+  async (maxAttempts) => {
+    const ran: string[] = [];
+    let refused: string | undefined;
+    const script: Script = ({ socket, head }) => {
+      const id = idOf(head);
+      if (refused === undefined) {
+        refused = id;
+        socket.write(refusalOf(id));
+        return;
+      }
+      ran.push(id);
+      socket.write(refusalOf(refused) + responseTo(id));
+    };
+    server = await startServer(script);
+    relay = await startRelay({
+      servers: [server],
+      route: { kind: "at_most_once", maxAttempts },
+    });
+    const seen: string[] = [];
+    for (const id of ["a", "b"]) {
+      const text = request({
+        method: "POST",
+        body: "charge",
+        headers: [`test-id: ${id}`],
+      });
+      seen.push(await exchange(relay.port, text));
+    }
+    expect(seen[0]).toMatch(/^HTTP\/1\.1 503 /);
+    expect(seen[1]).toMatch(/^HTTP\/1\.1 502 /);
+    expect(ran).toEqual(["b"]);
+  },
+);
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -24,6 +24,8 @@
   readonly headers: HeaderList;
   /** Throws `ExchangeError` if the response is incomplete. */
   readonly body: AsyncGenerator<Buffer, void, void>;
+  /** Closes the connection unless the response has ended. */
+  discard(): void;
 }
 
 /** Failure of an exchange. */
@@ -135,7 +137,12 @@
         const headers = rawHeaders.map((item) => item.toString("latin1"));
         this.#isCloseDelimited = isCloseDelimited(headers);
         if (this.#isCloseDelimited) this.#detector.closeDelimitedResponses += 1;
-        this.#pendingHead?.resolve({ status, headers, body: this.#readBody() });
+        this.#pendingHead?.resolve({
+          status,
+          headers,
+          body: this.#readBody(),
+          discard: () => this.#discard(),
+        });
         this.#pendingHead = undefined;
         return true;
       },
@@ -180,13 +187,16 @@
         await new Promise<void>((resolve) => this.#wakeReader = resolve);
       }
     } finally {
-      // A partly read response would block its connection.
-      if (!this.#isEnded) {
-        this.#cancel(new Error("The response body was not read to its end"));
-      }
+      this.#discard();
     }
   }
 
+  /** A partly read response would block its connection. */
+  #discard(): void {
+    if (this.#isEnded) return;
+    this.#cancel(new Error("The response body was not read to its end"));
+  }
+
   #cancel(reason: unknown): void {
     const error = reason instanceof Error ? reason : new Error(String(reason));
     const abort = this.#abort;
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -138,7 +138,15 @@
         promptExport,
         resumedAfter,
       });
-      return await this.#handleResponse({ ...response, attempt, resumedAfter });
+      try {
+        return await this.#handleResponse({
+          ...response,
+          attempt,
+          resumedAfter,
+        });
+      } finally {
+        response.discard();
+      }
     } catch (thrown) {
       throw await this.#toAttemptError(attempt, thrown);
     }
@@ -234,6 +242,7 @@
     const { attempt } = response;
     const { id } = attempt.address;
     const metadata = dialect.parseResponse(response.status, response.headers);
+    this.#verifyRequest(metadata);
     if (metadata.load !== undefined) onLoad(id, metadata.load);
     this.#reportServerState(attempt.address, metadata);
     if (metadata.isWrongServer) onWrongServer(id);
@@ -244,7 +253,11 @@
         { outcome: "not_run", cause: `status ${response.status}` },
       );
     }
-    this.#verifyResponse(metadata, response.status);
+    if (response.status < 300 && !metadata.isSigned) {
+      throw new RhubarbstageError("backend_failed", {
+        message: "The server's response is not signed",
+      });
+    }
     return this.#isStream(response)
       ? await this.#relayStream(response)
       : await this.#relayResponse(response);
@@ -270,17 +283,17 @@
     });
   }
 
-  /** Throws if the response is to another request or lacks a signature. */
-  #verifyResponse(metadata: ResponseMetadata, status: number): void {
-    const { callerRequestId: callerId } = this.#options.request;
-    const isMismatched = metadata.request !== undefined &&
-      callerId !== undefined && metadata.request !== callerId;
-    const isUnsigned = status < 300 && !metadata.isSigned;
-    if (!isMismatched && !isUnsigned) return;
+  /**
+   * Throws if a response belongs to another request; nothing that it says may be
+   * used then.
+   */
+  #verifyRequest({ request }: ResponseMetadata): void {
+    const { callerRequestId } = this.#options.request;
+    if (request === callerRequestId) return;
     throw new RhubarbstageError("backend_failed", {
-      message: isMismatched
-        ? "The server answered a different request"
-        : "The server's response is not signed",
+      message: "The server answered a different request",
+      cause: `It answered "${request ?? ""}" instead of ` +
+        `"${callerRequestId ?? ""}"`,
     });
   }
 
