Compare the id of every response in the exchange that reads it

Cause: the id of the answer to a prefill call was never compared, and a response that had been read to its end left its connection one response behind.

Ruled out: wrong handles in the answers themselves, by the record of the stand-in.

Change: Exchange compares the id as the head arrives, for whatever was sent under one, and closes the connection of a foreign response; metadata is parsed once, with the response. The comparison in RelayRun is gone.

The new test failed before (prompt-a for request b) and passes now.

--- a/packages/rhubarbstage-host/__tests__/unit/relay_orders_test.ts
+++ b/packages/rhubarbstage-host/__tests__/unit/relay_orders_test.ts
@@ -67,6 +67,7 @@
   engine = new TestEngine();
   await engine.start();
   connections = new ServerConnections({
+    dialect: new TestDialect(),
     maxConnections: () => 10,
     hosts: () => 1,
   });
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -18,6 +18,7 @@
 import type { Membership, ServerRecord } from "@rhubarbstage/membership";
 import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
 import {
+  type Dialect,
   Relay,
   RelayListener,
   type RelayService,
@@ -275,6 +276,7 @@
   });
   const readiness = new RelayReadiness();
   const connections = createConnections({
+    dialect: context.options.dialect,
     registry,
     membership,
     relay: () => relay,
@@ -440,13 +442,15 @@
 
 function createConnections(
   parts: {
+    readonly dialect: Dialect;
     readonly registry: BackendRegistry;
     readonly membership: Membership;
     readonly relay: () => Relay;
   },
 ): ServerConnections {
-  const { registry, membership, relay } = parts;
+  const { dialect, registry, membership, relay } = parts;
   return new ServerConnections({
+    dialect,
     maxConnections: (server) => {
       const record = registry.recordOf(server);
       const name = record === undefined ? undefined : serviceNameOf(record);
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -263,6 +263,7 @@
     telemetry: new NoopTelemetry(),
   });
   const connections = new ServerConnections({
+    dialect: new TestDialect(),
     maxConnections: () => 10,
     hosts: () => 1,
   });
--- a/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
@@ -15,12 +15,12 @@
   type TestServer,
 } from "../harness.ts";
 
-let server: TestServer | undefined;
+let servers: TestServer[] = [];
 let relay: TestRelay | undefined;
 
 afterEach(async () => {
   await relay?.close();
-  await server?.close();
+  await Promise.all(servers.map((server) => server.close()));
 });
 
 const interim = "HTTP/1.1 103 Early Hints\r\nx-hint: 1\r\n\r\n";
@@ -94,9 +94,9 @@
 ];
 
 test.each(shapes)("a copy $name reaches no other caller", async (shape) => {
-  server = await startServer(shape.script);
+  servers = [await startServer(shape.script)];
   relay = await startRelay({
-    servers: [server],
+    servers,
     route: { kind: "at_most_once" },
   });
   const { port } = relay;
@@ -141,9 +141,9 @@
       ran.push(id);
       socket.write(refusalOf(refused) + responseTo(id));
     };
-    server = await startServer(script);
+    servers = [await startServer(script)];
     relay = await startRelay({
-      servers: [server],
+      servers,
       route: { kind: "at_most_once", maxAttempts },
     });
     const seen: string[] = [];
@@ -160,3 +160,40 @@
     expect(ran).toEqual(["b"]);
   },
 );
+
+// Guards against a stream that goes on from the prompt of another request, by the
+// second copy of the answer to an earlier prefill (review/2).
+test("a copy of a prefill answer hands on no other prompt", async () => {
+  const fetched: [id: string, handle: string][] = [];
+  const prefillServer = await startServer((received) => {
+    const id = idOf(received.head);
+    const response = answer("200 OK", [`test-id: ${id}`], `prompt-${id}`);
+    received.socket.write(
+      (lastResponses.get(received.socket) ?? "") + response,
+    );
+    lastResponses.set(received.socket, response);
+  });
+  const decodeServer = await startServer(({ socket, head }) => {
+    const id = idOf(head);
+    const handle = /test-export: (\S+)/.exec(head)?.[1];
+    if (handle !== undefined) fetched.push([id, handle]);
+    socket.write(
+      answer("200 OK", [`test-id: ${id}`], `id: 1\ndata: ${id}\n\n`),
+    );
+  });
+  servers = [prefillServer, decodeServer];
+  relay = await startRelay({
+    servers,
+    route: { kind: "stream", maxAttempts: 1 },
+    settings: { shareEngineState: true },
+    roles: ["prefill", "decode"],
+  });
+  for (const id of ["a", "b", "c", "d", "e"]) {
+    const headers = [`test-id: ${id}`, "test-tokens: 9000"];
+    const seen = await exchange(relay.port, request({ headers }));
+    expect(seen).toContain(`data: ${id}`);
+  }
+  for (const [id, handle] of fetched) expect(handle).toBe(`prompt-${id}`);
+  // A copy ends its connection, so that the next answer is in step again.
+  expect(fetched.length).toBeGreaterThanOrEqual(3);
+});
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -6,12 +6,15 @@
 
 import { Buffer } from "node:buffer";
 import type { Dispatcher, Pool } from "undici";
+import type { Dialect } from "./dialect.ts";
 import { isCloseDelimited } from "./headers.ts";
 import type { ResetDetector } from "./reset_detector.ts";
-import type { HeaderList } from "./types.ts";
+import type { HeaderList, ResponseMetadata } from "./types.ts";
 
 /** A request to a server. */
 export interface ExchangeRequest {
+  /** Id that the server echoes in its response; absent if none is sent. */
+  readonly id?: string;
   readonly method: string;
   readonly path: string;
   readonly headers: readonly string[];
@@ -22,6 +25,8 @@
 export interface ExchangeResponse {
   readonly status: number;
   readonly headers: HeaderList;
+  /** Parsed from the status and the headers. */
+  readonly metadata: ResponseMetadata;
   /** Throws `ExchangeError` if the response is incomplete. */
   readonly body: AsyncGenerator<Buffer, void, void>;
   /** Closes the connection unless the response has ended. */
@@ -43,6 +48,7 @@
 /** Options of {@linkcode Exchange.start}. */
 export interface ExchangeOptions {
   readonly signal: AbortSignal;
+  readonly dialect: Dialect;
   /** Reset detector of the pool's connections. */
   readonly resetDetector: ResetDetector;
 }
@@ -52,7 +58,9 @@
 
 /** State of one exchange on a connection of a pool. */
 export class Exchange {
+  readonly #request: ExchangeRequest;
   readonly #signal: AbortSignal;
+  readonly #dialect: Dialect;
   readonly #detector: ResetDetector;
   /** Whether the response ends with its connection. */
   #isCloseDelimited = false;
@@ -69,24 +77,27 @@
     reject: (error: Error) => void;
   } | undefined;
 
-  private constructor(options: ExchangeOptions) {
+  private constructor(request: ExchangeRequest, options: ExchangeOptions) {
+    this.#request = request;
     this.#signal = options.signal;
+    this.#dialect = options.dialect;
     this.#detector = options.resetDetector;
   }
 
   /**
    * Sends a request and resolves with the head of its response. Throws
-   * `ExchangeError`; aborting the signal destroys the connection.
+   * `ExchangeError`, also if the response belongs to another request; aborting
+   * the signal destroys the connection.
    */
   static async start(
     pool: Pool,
     request: ExchangeRequest,
     options: ExchangeOptions,
   ): Promise<ExchangeResponse> {
-    return await new Exchange(options).#run(pool, request);
+    return await new Exchange(request, options).#run(pool);
   }
 
-  #run(pool: Pool, request: ExchangeRequest): Promise<ExchangeResponse> {
+  #run(pool: Pool): Promise<ExchangeResponse> {
     const onAbort = () => this.#cancel(this.#signal.reason);
     const response = new Promise<ExchangeResponse>((resolve, reject) => {
       this.#pendingHead = { resolve, reject };
@@ -96,7 +107,7 @@
       return response;
     }
     this.#signal.addEventListener("abort", onAbort, { once: true });
-    const { method, path, headers, body } = request;
+    const { method, path, headers, body } = this.#request;
     try {
       pool.dispatch(
         {
@@ -137,9 +148,12 @@
         const headers = rawHeaders.map((item) => item.toString("latin1"));
         this.#isCloseDelimited = isCloseDelimited(headers);
         if (this.#isCloseDelimited) this.#detector.closeDelimitedResponses += 1;
+        const metadata = this.#dialect.parseResponse(status, headers);
+        if (!this.#isOwnResponse(metadata)) return true;
         this.#pendingHead?.resolve({
           status,
           headers,
+          metadata,
           body: this.#readBody(),
           discard: () => this.#discard(),
         });
@@ -172,6 +186,23 @@
     } as unknown as Dispatcher.DispatchHandler;
   }
 
+  /**
+   * Whether a response echoes the id of the request. A server that sends a
+   * response twice is one response ahead on its connection, so another request's
+   * response ends the connection here, before anything is read from it.
+   */
+  #isOwnResponse(metadata: ResponseMetadata): boolean {
+    const { id } = this.#request;
+    if (id === undefined || metadata.request === id) return true;
+    this.#cancel(
+      new Error(
+        `The server answered request "${metadata.request ?? ""}" instead of ` +
+          `"${id}"`,
+      ),
+    );
+    return false;
+  }
+
   async *#readBody(): AsyncGenerator<Buffer, void, void> {
     try {
       while (true) {
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -173,9 +173,7 @@
     const startedAt = this.context.clock.monotonicMilliseconds();
     try {
       const response = await this.#send(attempt, { prefillAt: server });
-      const { status, headers } = response;
-      const metadata = this.#options.dialect.parseResponse(status, headers);
-      this.#reportServerState(server, metadata);
+      this.#reportServerState(server, response.metadata);
       const body = await readBody(response.body);
       const handle = response.status === 200
         ? this.#options.dialect.parseExportHandle(body)
@@ -219,7 +217,7 @@
     const { request, dialect, connections } = this.#options;
     const { promptExport, prefillAt, resumedAfter } = options;
     const server = prefillAt ?? attempt.address;
-    const { work, method, path, body } = request;
+    const { work, method, path, body, callerRequestId } = request;
     const now = this.context.clock.monotonicMilliseconds();
     const headers = dialect.attemptHeaders(request.headers, {
       server: server.id,
@@ -232,17 +230,19 @@
       ...(resumedAfter === undefined ? {} : { resumeAfter: resumedAfter }),
     });
     const { signal } = attempt.controller;
-    return connections.send(server, { method, path, headers, body }, {
-      signal,
-    });
+    return connections.send(server, {
+      ...(callerRequestId === undefined ? {} : { id: callerRequestId }),
+      method,
+      path,
+      headers,
+      body,
+    }, { signal });
   }
 
   async #handleResponse(response: AttemptResponse): Promise<RelayResult> {
-    const { dialect, onLoad, onWrongServer } = this.#options;
-    const { attempt } = response;
+    const { onLoad, onWrongServer } = this.#options;
+    const { attempt, metadata } = response;
     const { id } = attempt.address;
-    const metadata = dialect.parseResponse(response.status, response.headers);
-    this.#verifyRequest(metadata);
     if (metadata.load !== undefined) onLoad(id, metadata.load);
     this.#reportServerState(attempt.address, metadata);
     if (metadata.isWrongServer) onWrongServer(id);
@@ -283,20 +283,6 @@
     });
   }
 
-  /**
-   * Throws if a response belongs to another request; nothing that it says may be
-   * used then.
-   */
-  #verifyRequest({ request }: ResponseMetadata): void {
-    const { callerRequestId } = this.#options.request;
-    if (request === callerRequestId) return;
-    throw new RhubarbstageError("backend_failed", {
-      message: "The server answered a different request",
-      cause: `It answered "${request ?? ""}" instead of ` +
-        `"${callerRequestId ?? ""}"`,
-    });
-  }
-
   async #relayResponse(response: AttemptResponse): Promise<RelayResult> {
     const { attempt, status, headers } = response;
     const chunks: Buffer[] = [];
--- a/packages/rhubarbstage-relay/src/server_connections.ts
+++ b/packages/rhubarbstage-relay/src/server_connections.ts
@@ -15,6 +15,7 @@
   livenessTimeout,
   minConnections,
 } from "./constants.ts";
+import type { Dialect } from "./dialect.ts";
 import {
   Exchange,
   type ExchangeRequest,
@@ -25,6 +26,7 @@
 
 /** Options of {@linkcode ServerConnections}. */
 export interface ServerConnectionsOptions {
+  readonly dialect: Dialect;
   /** Connections that a server accepts from all hosts together. */
   readonly maxConnections: (server: BackendServerId) => number;
   /** Number of hosts that connect to servers, this one included. */
@@ -55,6 +57,7 @@
     const { pool, detector } = this.#poolOf(server);
     return Exchange.start(pool, request, {
       ...options,
+      dialect: this.#options.dialect,
       resetDetector: detector,
     });
   }
