Send what no id tells apart on a connection of its own

What callers and operators could see: the answer to another request without id, a refusal of the first send taken for the answer to the second, and an order reported as accepted that its engine had refused.

State queries, orders, health checks and requests without id carry none; a second send to the same server carries that of the first.

Evidence: three new tests, which repeat an answer where the next one is due, failed before (for a instead of for b; 503; confirmed) and pass now. Ruled out: an id of our own for such calls, since a server may not run an id that no client sent.

Change: ServerConnections keeps the latest ids of each server. Only a request with a new id uses the pool; others get a connection that is closed after them.

--- a/packages/rhubarbstage-host/__tests__/unit/relay_orders_test.ts
+++ b/packages/rhubarbstage-host/__tests__/unit/relay_orders_test.ts
@@ -4,7 +4,7 @@
  */
 
 import { createServer, type Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { OrderIntent } from "@rhubarbstage/control";
 import { ServerConnections } from "@rhubarbstage/relay";
 import type {
@@ -20,8 +20,14 @@
 const backendServer = "engine-1" as BackendServerId;
 const incarnation = 7 as Incarnation;
 
+/** Answer to an accepted order as it is repeated. */
+const acceptance = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
 /** An engine that accepts orders, refuses them, or accepts and disconnects. */
 class TestEngine {
+  /** Whether answers are repeated where the next one is due. */
+  repeatsAnswers = false;
+  readonly #repeated = new WeakSet<Socket>();
   readonly orders: unknown[] = [];
   acceptedOrders = 3;
   answer: "accept" | "refuse" | "disconnect" = "accept";
@@ -30,6 +36,8 @@
     let body = "";
     request.on("data", (piece) => body += String(piece));
     request.on("end", () => {
+      const { socket } = request;
+      if (this.#repeated.has(socket)) socket.write(acceptance);
       if (request.method === "GET") {
         const { acceptedOrders } = this;
         response.end(JSON.stringify({ acceptedOrders, isBusy: false }));
@@ -41,6 +49,7 @@
         return;
       }
       this.acceptedOrders += 1;
+      if (this.repeatsAnswers) this.#repeated.add(socket);
       if (this.answer === "accept") response.writeHead(202).end();
       else request.socket.destroy();
     });
@@ -150,3 +159,20 @@
     kind: "backend_unreachable",
   });
 });
+
+// Guards against an order that is believed to be accepted because the answer to an
+// earlier one is repeated (review/1, related path).
+test("a copy of an answer does not confirm a later order", async () => {
+  engine.repeatsAnswers = true;
+  // A kept connection is free again in a later turn of the event loop.
+  const waitUntilFree = () => new Promise((resolve) => setTimeout(resolve, 20));
+  const connection = await createConnector().open(target());
+  await connection.status();
+  await waitUntilFree();
+  expect(await connection.send(intentOf(9))).toEqual({ type: "confirmed" });
+  engine.answer = "refuse";
+  await waitUntilFree();
+  expect(await connection.send(intentOf(10))).toMatchObject({
+    type: "refused",
+  });
+});
--- a/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
@@ -197,3 +197,52 @@
   // A copy ends its connection, so that the next answer is in step again.
   expect(fetched.length).toBeGreaterThanOrEqual(3);
 });
+
+/** Repeats the last response of a connection before each new one. */
+function repeatLast(respondTo: (head: string) => string): Script {
+  return ({ socket, head }) => {
+    const response = respondTo(head);
+    socket.write((lastResponses.get(socket) ?? "") + response);
+    lastResponses.set(socket, response);
+  };
+}
+
+// Guards against answers to requests without an id that reach one another: their
+// copies name no request (review/1, related path).
+test("a copy to a request without id reaches no other one", async () => {
+  const script = repeatLast((head) =>
+    answer("200 OK", [], `for ${/test-mark: (\w+)/.exec(head)?.[1]}`)
+  );
+  servers = [await startServer(script)];
+  relay = await startRelay({ servers, route: { kind: "at_most_once" } });
+  for (const mark of ["a", "b", "c"]) {
+    const text = request({ method: "POST", headers: [`test-mark: ${mark}`] });
+    const seen = await exchange(relay.port, text);
+    expect(seen).toMatch(new RegExp(`for ${mark}$`));
+  }
+});
+
+// Guards against a second send that is answered by the copy of the first answer
+// under the same id (review/1, related path).
+test("a copy is not taken for the answer to a second send", async () => {
+  const ran: string[] = [];
+  const script = repeatLast((head) => {
+    const id = idOf(head);
+    if (lastAnswered === id) {
+      ran.push(id);
+      return responseTo(id);
+    }
+    lastAnswered = id;
+    return refusalOf(id);
+  });
+  let lastAnswered: string | undefined;
+  servers = [await startServer(script)];
+  relay = await startRelay({
+    servers,
+    route: { kind: "at_most_once", maxAttempts: 1 },
+  });
+  const text = request({ method: "POST", headers: ["test-id: a"] });
+  expect(await exchange(relay.port, text)).toMatch(/^HTTP\/1\.1 503 /);
+  expect(await exchange(relay.port, text)).toMatch(/for a$/);
+  expect(ran).toEqual(["a"]);
+});
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -52,6 +52,9 @@
  */
 export const minConnections = 4;
 
+/** Request ids remembered for each server, to recognise a second send. */
+export const maxRecentRequestIds = 256;
+
 /** Timeout of the check whether a server still listens, in milliseconds. */
 export const livenessTimeout = 150;
 
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -5,7 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
-import type { Dispatcher, Pool } from "undici";
+import type { Dispatcher } from "undici";
 import type { Dialect } from "./dialect.ts";
 import { isCloseDelimited } from "./headers.ts";
 import type { ResetDetector } from "./reset_detector.ts";
@@ -49,14 +49,14 @@
 export interface ExchangeOptions {
   readonly signal: AbortSignal;
   readonly dialect: Dialect;
-  /** Reset detector of the pool's connections. */
+  /** Reset detector of the connections. */
   readonly resetDetector: ResetDetector;
 }
 
 /** Buffered bytes at which reading from the server pauses. */
 const highWaterBytes = 65_536;
 
-/** State of one exchange on a connection of a pool. */
+/** State of one exchange on a connection. */
 export class Exchange {
   readonly #request: ExchangeRequest;
   readonly #signal: AbortSignal;
@@ -90,14 +90,14 @@
    * the signal destroys the connection.
    */
   static async start(
-    pool: Pool,
+    connections: Dispatcher,
     request: ExchangeRequest,
     options: ExchangeOptions,
   ): Promise<ExchangeResponse> {
-    return await new Exchange(request, options).#run(pool);
+    return await new Exchange(request, options).#run(connections);
   }
 
-  #run(pool: Pool): Promise<ExchangeResponse> {
+  #run(connections: Dispatcher): Promise<ExchangeResponse> {
     const onAbort = () => this.#cancel(this.#signal.reason);
     const response = new Promise<ExchangeResponse>((resolve, reject) => {
       this.#pendingHead = { resolve, reject };
@@ -109,7 +109,7 @@
     this.#signal.addEventListener("abort", onAbort, { once: true });
     const { method, path, headers, body } = this.#request;
     try {
-      pool.dispatch(
+      connections.dispatch(
         {
           method: method as Dispatcher.HttpMethod,
           path,
--- a/packages/rhubarbstage-relay/src/server_connections.ts
+++ b/packages/rhubarbstage-relay/src/server_connections.ts
@@ -13,6 +13,7 @@
   connectTimeout,
   idleConnectionTimeout,
   livenessTimeout,
+  maxRecentRequestIds,
   minConnections,
 } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
@@ -37,12 +38,21 @@
   readonly url: string;
   readonly pool: Pool;
   readonly detector: ResetDetector;
+  /** Ids of the latest requests, oldest first. */
+  readonly recentIds: Set<string>;
 }
 
-/** One connection pool per server, limited to this host's share. */
+/**
+ * One connection pool per server, limited to this host's share. A pooled
+ * connection carries only requests whose id no earlier one has had: a server may
+ * repeat a response late, and only the id tells whose it is. All other requests,
+ * such as state queries and second sends, get a connection of their own.
+ */
 export class ServerConnections {
   #options: ServerConnectionsOptions;
   #pools = new Map<BackendServerId, ServerPool>();
+  /** Connections for one request each. */
+  #singleUse = new Set<Client>();
 
   constructor(options: ServerConnectionsOptions) {
     this.#options = options;
@@ -54,12 +64,28 @@
     request: ExchangeRequest,
     options: { readonly signal: AbortSignal },
   ): Promise<ExchangeResponse> {
-    const { pool, detector } = this.#poolOf(server);
-    return Exchange.start(pool, request, {
+    const { dialect } = this.#options;
+    const { pool, detector, recentIds } = this.#poolOf(server);
+    if (request.id !== undefined && remember(recentIds, request.id)) {
+      const resetDetector = detector;
+      return Exchange.start(pool, request, {
+        ...options,
+        dialect,
+        resetDetector,
+      });
+    }
+    const resetDetector = new ResetDetector({ timeout: connectTimeout });
+    const client = createClient(server.url, resetDetector);
+    this.#singleUse.add(client);
+    const response = Exchange.start(client, request, {
       ...options,
-      dialect: this.#options.dialect,
-      resetDetector: detector,
+      dialect,
+      resetDetector,
     });
+    // Closes the connection once the response has ended.
+    void client.close().catch(() => {})
+      .finally(() => this.#singleUse.delete(client));
+    return response;
   }
 
   /** Closes a server's pool once its running requests have ended. */
@@ -72,9 +98,10 @@
 
   /** Closes all connections at once. */
   async close(): Promise<void> {
-    const pools = [...this.#pools.values()];
+    const pools = [...this.#pools.values()].map(({ pool }) => pool);
     this.#pools.clear();
-    await Promise.all(pools.map(({ pool }) => pool.destroy()));
+    const connections = [...pools, ...this.#singleUse];
+    await Promise.all(connections.map((open) => open.destroy()));
   }
 
   #poolOf({ id, url }: BackendServerAddress): ServerPool {
@@ -83,14 +110,10 @@
     if (existing !== undefined) closeInBackground(existing.pool);
     const detector = new ResetDetector({ timeout: connectTimeout });
     const pool = new Pool(url, {
-      factory: (origin, options) =>
-        new GuardedClient(origin, options as Client.Options),
+      factory: (origin) => createClient(origin, detector),
       connections: this.#connectionsPerHost(id),
-      pipelining: 1,
-      connect: detector.connector,
-      keepAliveTimeout: idleConnectionTimeout,
     });
-    const created = { url, pool, detector };
+    const created = { url, pool, detector, recentIds: new Set<string>() };
     this.#pools.set(id, created);
     return created;
   }
@@ -102,6 +125,25 @@
   }
 }
 
+function createClient(origin: string | URL, detector: ResetDetector): Client {
+  return new GuardedClient(origin, {
+    pipelining: 1,
+    connect: detector.connector,
+    keepAliveTimeout: idleConnectionTimeout,
+  });
+}
+
+/** Adds an id; false if it is already among the latest. */
+function remember(recentIds: Set<string>, id: string): boolean {
+  if (recentIds.has(id)) return false;
+  recentIds.add(id);
+  if (recentIds.size > maxRecentRequestIds) {
+    const [oldest] = recentIds;
+    recentIds.delete(oldest as string);
+  }
+  return true;
+}
+
 function closeInBackground(pool: Pool): void {
   // Running requests report their own errors.
   pool.close().catch(() => {});
