Wait for a disk that refuses writes, and leave hosts that fail

Cause: a refused write counted as a damaged log, so the leader's replica stopped for good while its process kept its seat; and LeaderCaller took the internal error of that host for the group's answer and called it again for ever.

Ruled out: lost entries (the log on disk is whole) and elections (the others elect a leader).

Change: DiskRetry repeats refused operations of logs, of the start of a process and of the evidence about prompt parts; what is not written is not acknowledged. Rewriting a log changes nothing in memory before the file is in place. A host that answers internal is left, and a failed leader is not called twice in a row.

--- a/packages/rhubarbstage-host/src/host_events.ts
+++ b/packages/rhubarbstage-host/src/host_events.ts
@@ -5,6 +5,7 @@
  */
 
 import type { BackendServerId, RequestId, Revision } from "rhubarbstage";
+import type { DiskRetryOptions } from "@rhubarbstage/storage";
 import type {
   Fields,
   Logger,
@@ -40,4 +41,16 @@
       fields: rest,
     });
   }
+
+  /** Returns callbacks that record when the disk refuses and accepts writes. */
+  diskEvents(): DiskRetryOptions {
+    return {
+      onRefused: ({ message }) =>
+        this.record("disk_refused", { cause: message }, "error"),
+      onAccepted: (milliseconds) =>
+        this.record("disk_accepted", {
+          milliseconds: Math.round(milliseconds),
+        }),
+    };
+  }
 }
--- a/packages/rhubarbstage-host/src/part_marks_file.ts
+++ b/packages/rhubarbstage-host/src/part_marks_file.ts
@@ -6,7 +6,12 @@
 
 import { join } from "node:path";
 import type { PartMark } from "@rhubarbstage/policy";
-import { readRecordFile, writeRecordFile } from "@rhubarbstage/storage";
+import {
+  DiskRetry,
+  type DiskRetryOptions,
+  readRecordFile,
+  writeRecordFile,
+} from "@rhubarbstage/storage";
 
 /** Name of the file below the data folder. */
 const fileName = "part-marks";
@@ -16,6 +21,8 @@
   readonly dataFolder: string;
   /** Called when the file cannot be read or written. */
   readonly onFailure: (error: unknown) => void;
+  /** Called when the disk starts or ends to refuse writes. */
+  readonly disk?: DiskRetryOptions;
 }
 
 /**
@@ -24,11 +31,13 @@
  */
 export class PartMarksFile {
   readonly #options: PartMarksFileOptions;
+  readonly #retry: DiskRetry;
   #pending: readonly PartMark[] | undefined;
   #isWriting = false;
 
   constructor(options: PartMarksFileOptions) {
     this.#options = options;
+    this.#retry = new DiskRetry(options.disk);
   }
 
   /** Returns the stored evidence; empty if there is none. Never rejects. */
@@ -55,10 +64,14 @@
   async #writePending(): Promise<void> {
     this.#isWriting = true;
     while (this.#pending !== undefined) {
-      const marks = this.#pending;
-      this.#pending = undefined;
+      let latest = this.#pending;
       try {
-        await writeRecordFile(this.#path, marks);
+        await this.#retry.run(() => {
+          const marks = this.#pending ?? latest;
+          latest = marks;
+          this.#pending = undefined;
+          return writeRecordFile(this.#path, marks);
+        });
       } catch (thrown) {
         this.#options.onFailure(thrown);
       }
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -259,6 +259,7 @@
     attemptTimeout: controlAttemptTimeout,
     onFailure: ({ group, error }) =>
       events.record("group_failed", { group, error: error.message }, "error"),
+    disk: events.diskEvents(),
   });
   const serving = createServing(context);
   const { registry, dispatcher, demand } = serving;
@@ -554,6 +555,7 @@
 ): Promise<void> {
   const file = new PartMarksFile({
     dataFolder,
+    disk: events.diskEvents(),
     onFailure: (error) =>
       events.record("part_marks_unavailable", { cause: String(error) }, "warn"),
   });
--- a/packages/rhubarbstage-host/src/replication.ts
+++ b/packages/rhubarbstage-host/src/replication.ts
@@ -37,6 +37,7 @@
     transport,
     onFailure: ({ group, error }) =>
       events.record("group_failed", { group, error: error.message }, "error"),
+    disk: events.diskEvents(),
   });
   const replication: Replication = {
     transport,
--- a/packages/rhubarbstage-host/src/seat_operations.ts
+++ b/packages/rhubarbstage-host/src/seat_operations.ts
@@ -36,6 +36,7 @@
   ProcessSettings,
   RepairRequest,
 } from "@rhubarbstage/settings";
+import type { DiskRetryOptions } from "@rhubarbstage/storage";
 import type { Transport } from "@rhubarbstage/transport";
 
 /** Name of the group that replicates configuration, orders and drains. */
@@ -60,6 +61,8 @@
   /** Timeout of a call to one host, in milliseconds; defaults to 1,500. */
   readonly attemptTimeout?: number;
   readonly onFailure: (failure: { group: GroupName; error: Error }) => void;
+  /** Called when the disk starts or ends to refuse operations. */
+  readonly disk: DiskRetryOptions;
 }
 
 type ControlSeat = GroupReplica<ControlState, ControlCommand, ControlResult>;
@@ -90,7 +93,7 @@
   static async open(
     options: ReplicatedGroupsOptions,
   ): Promise<ReplicatedGroups> {
-    const { process, transport, onFailure } = options;
+    const { process, transport, onFailure, disk } = options;
     const { dataFolder, journalGroups } = process;
     if (dataFolder === undefined) {
       return new ReplicatedGroups(options, undefined);
@@ -101,6 +104,7 @@
       transport,
       groups,
       onFailure,
+      disk,
     });
     return new ReplicatedGroups(options, replica);
   }
--- a/packages/rhubarbstage-replica/__tests__/unit/leader_caller_test.ts
+++ b/packages/rhubarbstage-replica/__tests__/unit/leader_caller_test.ts
@@ -1,4 +1,4 @@
-import type { GroupName, HostId } from "rhubarbstage";
+import { type GroupName, type HostId, RhubarbstageError } from "rhubarbstage";
 import type { RequestOptions, Transport } from "@rhubarbstage/transport";
 import { TransportError } from "@rhubarbstage/transport";
 import { LeaderCaller } from "../../src/leader_caller.ts";
@@ -49,3 +49,26 @@
   expect(await caller.call(query, { timeout: 400 })).toBe("answer");
   expect(requestedHosts[0]).toBe("a");
 });
+
+// Guards against a host whose group has stopped being called for ever by all that
+// knew it as the leader (review/3).
+test("a call leaves a leader that answers with an internal error", async () => {
+  const requestedHosts: HostId[] = [];
+  let hasFailed = false;
+  const transport = {
+    host: "entry" as HostId,
+    request: (_type: unknown, { to }: RequestOptions<unknown>) => {
+      requestedHosts.push(to);
+      if (to === hosts[0] && hasFailed) {
+        return Promise.reject(new RhubarbstageError("internal"));
+      }
+      return Promise.resolve({ kind: "done", value: to });
+    },
+  } as unknown as Transport;
+  const caller = new LeaderCaller({ transport, hosts: () => hosts });
+  expect(await caller.call(query)).toBe("a");
+  hasFailed = true;
+  expect(await caller.call(query)).toBe("b");
+  expect(await caller.call(query)).toBe("b");
+  expect(requestedHosts).toEqual(["a", "a", "b", "b"]);
+});
--- a/packages/rhubarbstage-replica/src/leader_caller.ts
+++ b/packages/rhubarbstage-replica/src/leader_caller.ts
@@ -5,7 +5,7 @@
  */
 
 import { delay, RhubarbstageError } from "rhubarbstage";
-import type { HostId } from "rhubarbstage";
+import type { ErrorKind, HostId } from "rhubarbstage";
 import { TransportError } from "@rhubarbstage/transport";
 import type { Transport } from "@rhubarbstage/transport";
 import {
@@ -193,21 +193,36 @@
         yield lastHint;
         continue;
       }
-      lastHint = undefined;
       const hosts = this.#options.hosts();
-      yield hosts.length === 0
-        ? undefined
-        : hosts[this.#hostIndex % hosts.length];
+      // The host that was just called as the leader is not called again at once.
+      if (hosts.length > 1 && this.#nextHost(hosts) === lastHint) {
+        this.#hostIndex += 1;
+      }
+      lastHint = undefined;
+      yield this.#nextHost(hosts);
       this.#hostIndex += 1;
     }
   }
+
+  #nextHost(hosts: readonly HostId[]): HostId | undefined {
+    return hosts.length === 0
+      ? undefined
+      : hosts[this.#hostIndex % hosts.length];
+  }
 }
 
+/** Kinds of errors of a replica that cannot handle calls, as others may. */
+const replicaErrorKinds: ReadonlySet<ErrorKind> = new Set([
+  "no_quorum",
+  "shutting_down",
+  "internal",
+]);
+
 /** Whether another replica may answer after this failure. */
 function isRetryable(thrown: unknown): boolean {
   if (thrown instanceof TransportError) return true;
-  if (!(thrown instanceof RhubarbstageError)) return false;
-  return thrown.kind === "no_quorum" || thrown.kind === "shutting_down";
+  return thrown instanceof RhubarbstageError &&
+    replicaErrorKinds.has(thrown.kind);
 }
 
 function mayHaveRun(thrown: unknown): boolean {
--- a/packages/rhubarbstage-replica/src/local_group.ts
+++ b/packages/rhubarbstage-replica/src/local_group.ts
@@ -28,6 +28,7 @@
   Snapshot,
   SnapshotHead,
 } from "@rhubarbstage/consensus";
+import { isDiskRefusal } from "@rhubarbstage/storage";
 import type {
   DurableLog,
   LoadedLog,
@@ -493,8 +494,8 @@
         delivered = await this.#options.sendSnapshot(transfer);
       }
     } catch (thrown) {
-      // An unreadable snapshot is a failure of this replica's disk.
-      return this.#fail(thrown);
+      if (!isDiskRefusal(thrown)) return this.#fail(thrown);
+      // Sent again later, as if it had been lost on its way.
     }
     this.step({ kind: "snapshot_sent", to, index, delivered });
   }
--- a/packages/rhubarbstage-replica/src/options.ts
+++ b/packages/rhubarbstage-replica/src/options.ts
@@ -5,6 +5,7 @@
  */
 
 import type { GroupName, HostId, ReplicaId } from "rhubarbstage";
+import type { DiskRetryOptions } from "@rhubarbstage/storage";
 import type { Transport } from "@rhubarbstage/transport";
 import type { AnyGroupDefinition } from "./types.ts";
 
@@ -29,6 +30,8 @@
   readonly snapshotEntries?: number;
   /** Seed of the random election timeouts; random by default. */
   readonly seed?: number;
+  /** Called when the disk starts or ends to refuse operations. */
+  readonly disk?: DiskRetryOptions;
   /** Called once per group for the error after which it stops serving. */
   readonly onFailure?: (failure: { group: GroupName; error: Error }) => void;
 }
--- a/packages/rhubarbstage-replica/src/replica.ts
+++ b/packages/rhubarbstage-replica/src/replica.ts
@@ -76,7 +76,11 @@
    */
   static async open(options: ReplicaOptions): Promise<Replica> {
     const { host } = options.transport;
-    const folder = await DataFolder.open(options.dataFolder, { host });
+    const { disk } = options;
+    const folder = await DataFolder.open(options.dataFolder, {
+      host,
+      ...(disk === undefined ? {} : { disk }),
+    });
     try {
       const replica = new Replica(options, folder);
       for (const name of options.groups.keys()) await replica.#openGroup(name);
--- a/packages/rhubarbstage-storage/src/constants.ts
+++ b/packages/rhubarbstage-storage/src/constants.ts
@@ -24,5 +24,11 @@
 export const groupsFolder = "groups";
 export const logFile = "log";
 export const snapshotFile = "snapshot";
+/** Shortest pause before an operation that the disk refused is repeated, in ms. */
+export const minRetryDelay = 50;
+
+/** Longest such pause, in milliseconds. */
+export const maxRetryDelay = 500;
+
 /** Suffix of files that may be incomplete. */
 export const temporarySuffix = ".tmp";
--- a/packages/rhubarbstage-storage/src/data_folder.ts
+++ b/packages/rhubarbstage-storage/src/data_folder.ts
@@ -23,6 +23,7 @@
   identityFile,
   lockFile,
 } from "./constants.ts";
+import { DiskRetry, type DiskRetryOptions } from "./disk_retry.ts";
 import { DurableLog } from "./durable_log.ts";
 import { CorruptionError, FolderInUseError } from "./errors.ts";
 import { readRecordFile, syncFolder, writeRecordFile } from "./files.ts";
@@ -32,34 +33,43 @@
 export class DataFolder {
   readonly path: string;
   #identity: Identity;
+  readonly #disk: DiskRetryOptions;
   readonly #logs: DurableLog[] = [];
 
-  private constructor(path: string, identity: Identity) {
+  private constructor(
+    path: string,
+    options: { identity: Identity; disk: DiskRetryOptions },
+  ) {
     this.path = path;
-    this.#identity = identity;
+    this.#identity = options.identity;
+    this.#disk = options.disk;
   }
 
   /**
    * Opens a folder, or creates it with a random replica id. Throws
    * `FolderInUseError` if it is in use, `CorruptionError` if its identity file
-   * is damaged or lost, or an `Error` if it is of another host or format.
+   * is damaged or lost, or an `Error` if it is of another host or format. Waits
+   * while the disk refuses to be written.
    */
   static async open(
     path: string,
     options: DataFolderOptions,
   ): Promise<DataFolder> {
     const folder = resolve(path);
-    await mkdir(join(folder, groupsFolder), { recursive: true });
-    await syncFolder(folder);
-    await syncFolder(dirname(folder));
-    await acquireLock(folder);
-    try {
-      const identity = await loadIdentity(folder, options);
-      return new DataFolder(folder, identity);
-    } catch (thrown) {
-      await rm(join(folder, lockFile), { force: true });
-      throw thrown;
-    }
+    const { disk = {} } = options;
+    return await new DiskRetry(disk).run(async () => {
+      await mkdir(join(folder, groupsFolder), { recursive: true });
+      await syncFolder(folder);
+      await syncFolder(dirname(folder));
+      await acquireLock(folder);
+      try {
+        const identity = await loadIdentity(folder, options);
+        return new DataFolder(folder, { identity, disk });
+      } catch (thrown) {
+        await rm(join(folder, lockFile), { force: true });
+        throw thrown;
+      }
+    });
   }
 
   get identity(): Identity {
@@ -75,11 +85,12 @@
 
   /** Opens the log of a group, or creates an empty one. */
   async openLog(group: GroupName): Promise<DurableLog> {
-    const log = await DurableLog.open({
-      folder: join(this.path, groupsFolder, group),
-      group,
-      replica: this.#identity.replica,
-    });
+    const { replica } = this.#identity;
+    const disk = this.#disk;
+    const folder = join(this.path, groupsFolder, group);
+    const log = await new DiskRetry(disk).run(() =>
+      DurableLog.open({ folder, group, replica, disk })
+    );
     this.#logs.push(log);
     return log;
   }
@@ -142,8 +153,14 @@
   for (let attempt = 0; attempt < 2; attempt += 1) {
     try {
       const handle = await open(file, "wx");
-      await handle.writeFile(ownEntry);
-      await handle.close();
+      try {
+        await handle.writeFile(ownEntry);
+      } catch (thrown) {
+        await rm(file, { force: true });
+        throw thrown;
+      } finally {
+        await handle.close();
+      }
       return;
     } catch (thrown) {
       if ((thrown as { code?: string }).code !== "EEXIST") throw thrown;
--- a/packages/rhubarbstage-storage/src/durable_log.ts
+++ b/packages/rhubarbstage-storage/src/durable_log.ts
@@ -15,6 +15,7 @@
   snapshotFile,
   temporarySuffix,
 } from "./constants.ts";
+import { DiskRetry } from "./disk_retry.ts";
 import { CorruptionError } from "./errors.ts";
 import {
   readIfExists,
@@ -61,9 +62,19 @@
   readonly reject: (error: unknown) => void;
 }
 
-/** A log whose writes are durable when their promises resolve. */
+/** Records that a log file keeps, and the position before the first of them. */
+interface KeptRecords {
+  readonly base: LogPosition;
+  readonly tail: { position: LogPosition; bytes: Buffer }[];
+}
+
+/**
+ * A log whose writes are durable when their promises resolve. While the disk
+ * refuses an operation, it and all later ones wait.
+ */
 export class DurableLog {
   readonly #options: DurableLogOptions;
+  readonly #retry: DiskRetry;
   readonly #file: string;
   #loaded: LoadedLog | undefined;
   #handle: FileHandle;
@@ -71,7 +82,7 @@
   #hardState: HardState;
   #base: LogPosition;
   /** Encoded records after the base, by index; kept for compaction. */
-  #tail: { position: LogPosition; bytes: Buffer }[] = [];
+  #tail: KeptRecords["tail"] = [];
   #queue: QueuedOperation[] = [];
   #isWriting = false;
   #failure: unknown;
@@ -82,6 +93,7 @@
     opened: { loaded: LoadedLog; handle: FileHandle; bytes: number },
   ) {
     this.#options = options;
+    this.#retry = new DiskRetry(options.disk);
     this.#file = join(options.folder, logFile);
     this.#loaded = opened.loaded;
     this.#handle = opened.handle;
@@ -132,7 +144,9 @@
       handle,
       bytes: decoded.completeBytes,
     });
-    if (loaded.base.index === snapshot?.index) await log.#rewriteLog();
+    if (loaded.base.index === snapshot?.index) {
+      await log.#rewriteLog({ base: log.#base, tail: log.#tail });
+    }
     return log;
   }
 
@@ -182,9 +196,10 @@
         );
         const droppedCount = firstKept < 0 ? this.#tail.length : firstKept;
         if (droppedCount === 0) return;
-        this.#base = this.#tail[droppedCount - 1]?.position as LogPosition;
-        this.#tail = this.#tail.slice(droppedCount);
-        await this.#rewriteLog();
+        await this.#rewriteLog({
+          base: this.#tail[droppedCount - 1]?.position as LogPosition,
+          tail: this.#tail.slice(droppedCount),
+        });
       },
     });
   }
@@ -194,9 +209,8 @@
     return this.#enqueue({
       run: async () => {
         await this.#writeSnapshot(snapshot);
-        this.#base = { index: snapshot.index, term: snapshot.term };
-        this.#tail = [];
-        await this.#rewriteLog();
+        const base = { index: snapshot.index, term: snapshot.term };
+        await this.#rewriteLog({ base, tail: [] });
       },
     });
   }
@@ -207,8 +221,12 @@
     return await readRecordFile(file) as SnapshotRecord | undefined;
   }
 
-  /** Finishes queued operations and closes the file. */
+  /**
+   * Finishes queued operations and closes the file. Operations that the disk
+   * refuses fail.
+   */
   async close(): Promise<void> {
+    this.#retry.stop();
     await this.#enqueue({ run: () => Promise.resolve() }).catch(() => {});
     await this.#handle.close();
   }
@@ -225,11 +243,10 @@
     while (this.#queue.length > 0) {
       const batch = this.#dequeueBatch();
       try {
-        // A failed sync may have dropped pages, so all later writes fail too.
+        // The state of the file is unknown, so all later writes fail too.
         if (this.#failure !== undefined) throw this.#failure;
-        const run = batch[0]?.run;
-        if (run === undefined) await this.#appendBatch(batch);
-        else await run();
+        const run = batch[0]?.run ?? this.#encodeAppend(batch);
+        await this.#retry.run(run);
         for (const operation of batch) operation.resolve();
       } catch (thrown) {
         this.#failure = thrown;
@@ -248,7 +265,8 @@
     return this.#queue.splice(0, count);
   }
 
-  async #appendBatch(batch: readonly QueuedOperation[]): Promise<void> {
+  /** Adds a batch to the tail and returns the operation that writes it. */
+  #encodeAppend(batch: readonly QueuedOperation[]): () => Promise<void> {
     const chunks: Buffer[] = [];
     for (const { append } of batch) {
       const { hardState, records } = append as AppendRequest;
@@ -262,23 +280,27 @@
       for (const record of records) chunks.push(this.#addToTail(record));
     }
     const bytes = Buffer.concat(chunks);
-    await this.#writeAll(bytes);
-    await this.#handle.datasync();
-    this.#syncCount += 1;
+    return async () => {
+      // A failed sync may have dropped the pages of these bytes, so a repetition
+      // writes all of them again.
+      await this.#writeAll(bytes);
+      await this.#handle.datasync();
+      this.#bytes += bytes.length;
+      this.#syncCount += 1;
+    };
   }
 
+  /** Writes bytes behind the last durable one. */
   async #writeAll(bytes: Buffer): Promise<void> {
     let written = 0;
     while (written < bytes.length) {
-      const remaining = bytes.length - written;
       const result = await this.#handle.write(
         bytes,
         written,
-        remaining,
-        this.#bytes,
+        bytes.length - written,
+        this.#bytes + written,
       );
       written += result.bytesWritten;
-      this.#bytes += result.bytesWritten;
     }
   }
 
@@ -297,17 +319,23 @@
     return writeRecordFile(file, snapshot);
   }
 
-  /** Replaces the log file: header, hard state and kept records. */
-  async #rewriteLog(): Promise<void> {
-    const chunks = [
-      encodeHeader(this.#options, this.#base),
+  /**
+   * Replaces the log file: header, hard state and kept records. Can be repeated,
+   * as nothing in memory changes before the new file is in place.
+   */
+  async #rewriteLog({ base, tail }: KeptRecords): Promise<void> {
+    const bytes = Buffer.concat([
+      encodeHeader(this.#options, base),
       encodeHardState(this.#hardState),
-      ...this.#tail.map((item) => item.bytes),
-    ];
-    await replaceFile(this.#file, [Buffer.concat(chunks)]);
-    await this.#handle.close();
+      ...tail.map((item) => item.bytes),
+    ]);
+    await replaceFile(this.#file, [bytes]);
+    const replaced = this.#handle;
     this.#handle = await open(this.#file, "r+");
-    this.#bytes = chunks.reduce((sum, chunk) => sum + chunk.length, 0);
+    this.#base = base;
+    this.#tail = tail;
+    this.#bytes = bytes.length;
+    await replaced.close();
   }
 }
 
--- a/packages/rhubarbstage-storage/src/files.ts
+++ b/packages/rhubarbstage-storage/src/files.ts
@@ -5,7 +5,7 @@
  */
 
 import type { Buffer } from "node:buffer";
-import { open, readFile, rename } from "node:fs/promises";
+import { open, readFile, rename, rm } from "node:fs/promises";
 import { basename, dirname } from "node:path";
 import { temporarySuffix } from "./constants.ts";
 import { CorruptionError } from "./errors.ts";
@@ -34,6 +34,10 @@
   try {
     for (const chunk of chunks) await handle.writeFile(chunk);
     await handle.sync();
+  } catch (thrown) {
+    // An incomplete file would keep space from a full disk.
+    await rm(temporary, { force: true });
+    throw thrown;
   } finally {
     await handle.close();
   }
--- a/packages/rhubarbstage-storage/src/mod.ts
+++ b/packages/rhubarbstage-storage/src/mod.ts
@@ -18,5 +18,7 @@
 } from "./types.ts";
 export { CorruptionError, FolderInUseError } from "./errors.ts";
 export { DataFolder } from "./data_folder.ts";
+export { DiskRetry, isDiskRefusal } from "./disk_retry.ts";
+export type { DiskRetryOptions } from "./disk_retry.ts";
 export { DurableLog } from "./durable_log.ts";
 export { readRecordFile, writeRecordFile } from "./files.ts";
--- a/packages/rhubarbstage-storage/src/types.ts
+++ b/packages/rhubarbstage-storage/src/types.ts
@@ -5,6 +5,7 @@
  */
 
 import type { GroupName, HostId, ReplicaId } from "rhubarbstage";
+import type { DiskRetryOptions } from "./disk_retry.ts";
 
 /** One entry of a log; the storage does not interpret its data. */
 export interface LogRecord {
@@ -68,6 +69,8 @@
 /** Options of `DataFolder.open`. */
 export interface DataFolderOptions {
   readonly host: HostId;
+  /** Called when the disk starts or ends to refuse operations. */
+  readonly disk?: DiskRetryOptions;
 }
 
 /** Options of `DurableLog.open`. */
@@ -75,4 +78,6 @@
   readonly folder: string;
   readonly group: GroupName;
   readonly replica: ReplicaId;
+  /** Called when the disk starts or ends to refuse operations. */
+  readonly disk?: DiskRetryOptions;
 }
