Ask other hosts for the software versions before a stream is taken up

What callers could see: an entry host that had been cut off while servers of a new version joined took up their streams at a server of the old one (ORDER). Reported by another operator; not seen here.

Cause: for a take-up that names no earlier attempt, the host believed that the only version that it knew itself was the only one.

Evidence: read in Relay.#onlyOrigin; the new tests show a host that knows less than others. They call a new method, so they could not run before. Ruled out: take-ups that name the attempt, which ask other hosts, and streams that go on within one answer, whose version the policy keeps.

Change: AnswerOriginExchange asks all hosts with a data folder. Without answers of a majority of them, or with several versions, the take-up is refused as not run.

--- a/packages/rhubarbstage-host/__tests__/unit/answer_origin_exchange_test.ts
+++ b/packages/rhubarbstage-host/__tests__/unit/answer_origin_exchange_test.ts
@@ -54,7 +54,10 @@
   }
 
   /** Starts a host, or a new process of it without memory. */
-  start(host: string): AnswerOriginExchange {
+  start(
+    host: string,
+    versions: readonly string[] = [],
+  ): AnswerOriginExchange {
     const known = this.#records.find((record) => record.host === host);
     const record = known ?? makeRecord(host, this.#records.length);
     if (known === undefined) this.#records.push(record);
@@ -64,6 +67,7 @@
       transport: this.network.addHost(record.host),
       membership: { listLiveHosts: () => this.#records },
       seeds: [],
+      softwareVersionsOf: () => new Set(versions as SoftwareVersion[]),
       signal: this.#stopped.signal,
     });
   }
@@ -141,3 +145,32 @@
   expect(await other.find("short" as RequestId)).toBeUndefined();
   expect(await entry.find("short" as RequestId)).toBeUndefined();
 });
+
+// Guards against a host that was out of step while servers of a new version joined,
+// and goes on with their streams at servers of the only version that it knows.
+describe("Software versions of a service", () => {
+  const service = "assistant" as ServiceName;
+  let entry: AnswerOriginExchange;
+
+  beforeEach(() => {
+    for (const keeper of keepers) hosts.start(keeper, ["v1"]);
+    hosts.start("k4", ["v1", "v2"]);
+    entry = hosts.start("e1", ["v1"]);
+  });
+
+  function cutOff(...cut: string[]): void {
+    for (const host of cut) {
+      hosts.network.partition("e1" as HostId, host as HostId);
+    }
+  }
+
+  test("include those that only other hosts know", async () => {
+    cutOff("k1", "k2");
+    expect(await entry.findVersions(service)).toEqual(new Set(["v1", "v2"]));
+  });
+
+  test("are unknown to a host that reaches few others", async () => {
+    cutOff("k1", "k2", "k4");
+    expect(await entry.findVersions(service)).toBeUndefined();
+  });
+});
--- a/packages/rhubarbstage-host/src/answer_origin_exchange.ts
+++ b/packages/rhubarbstage-host/src/answer_origin_exchange.ts
@@ -11,11 +11,14 @@
   type HostId,
   type Region,
   type RequestId,
+  type ServiceName,
+  type SoftwareVersion,
 } from "rhubarbstage";
 import type { HostRecord, Membership } from "@rhubarbstage/membership";
 import {
   AnswerOrigins,
   type BegunStream,
+  type SoftwareVersions,
   type StreamOrigin,
   StreamTable,
 } from "@rhubarbstage/relay";
@@ -42,6 +45,10 @@
   "stream_origin",
 );
 
+const versionsQuery = requestType<ServiceName, (SoftwareVersion | null)[]>(
+  "software_versions",
+);
+
 /** Options of an {@linkcode AnswerOriginExchange}. */
 export interface AnswerOriginExchangeOptions {
   readonly host: HostId;
@@ -50,6 +57,8 @@
   readonly membership: Pick<Membership, "listLiveHosts">;
   /** Hosts to ask besides the live ones, such as those of the settings. */
   readonly seeds: readonly HostId[];
+  /** Returns the software versions of the servers that this host knows. */
+  readonly softwareVersionsOf: (service: ServiceName) => SoftwareVersions;
   readonly signal: AbortSignal;
 }
 
@@ -77,6 +86,11 @@
       originQuery,
       (request) => this.#findHere(request) ?? null,
     );
+    transport.onRequest(
+      versionsQuery,
+      (service) =>
+        [...options.softwareVersionsOf(service)].map((known) => known ?? null),
+    );
     transport.onLink(({ peer }) => {
       // The peer may be a new process, without what the earlier one kept.
       this.#informed.delete(peer.host);
@@ -108,6 +122,29 @@
     return await Promise.any(queries).catch(() => undefined);
   }
 
+  /** Asks all keepers and returns what a majority of them and this host know. */
+  override async findVersions(
+    service: ServiceName,
+  ): Promise<SoftwareVersions | undefined> {
+    const { transport, signal, softwareVersionsOf } = this.#options;
+    const versions = new Set(softwareVersionsOf(service));
+    const keepers = this.#listKeepers();
+    const query = { body: service, timeout: queryTimeout, signal };
+    let missing = Math.floor(keepers.length / 2) + 1;
+    const answers = keepers.map(async (to) => {
+      const known = await transport.request(versionsQuery, { ...query, to });
+      for (const version of known) versions.add(version ?? undefined);
+      missing -= 1;
+      // Fails the race until the last answer that is needed.
+      if (missing > 0) throw new Error(`${missing} answers are missing`);
+    });
+    const isConfirmed = await Promise.any(answers).then(
+      () => true,
+      () => keepers.length === 0,
+    );
+    return isConfirmed ? versions : undefined;
+  }
+
   #findHere(request: RequestId): StreamOrigin | undefined {
     const now = performance.now();
     return this.#own.find(request, now) ?? this.#kept.find(request, now);
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -314,14 +314,14 @@
       transport,
       membership,
       seeds: settings.seeds.map(({ host }) => host),
+      softwareVersionsOf: (service) =>
+        new Set(
+          registry.records()
+            .filter((record) => serviceNameOf(record) === service as string)
+            .map(({ softwareVersion }) => softwareVersion),
+        ),
       signal: context.stopController.signal,
     }),
-    softwareVersionsOf: (service) =>
-      new Set(
-        registry.records()
-          .filter((record) => serviceNameOf(record) === service as string)
-          .map(({ softwareVersion }) => softwareVersion),
-      ),
   });
   const placement = new PlacementExchange({
     host: settings.host,
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -138,6 +138,10 @@
   override find(id: RequestId): Promise<StreamOrigin | undefined> {
     return Promise.resolve(this.#streams.find(id, performance.now()));
   }
+
+  override findVersions() {
+    return Promise.resolve(new Set<undefined>());
+  }
 }
 
 class NoopTelemetry extends GatewayTelemetry {
@@ -278,7 +282,6 @@
     onServerUnreachable: () => {},
     onWrongServer: () => {},
     origins: new LocalAnswerOrigins(),
-    softwareVersionsOf: () => new Set(),
   });
   relay.setRouteTable({
     version: 1,
--- a/packages/rhubarbstage-relay/src/answer_origins.ts
+++ b/packages/rhubarbstage-relay/src/answer_origins.ts
@@ -6,13 +6,16 @@
  */
 
 import type { AnswerOrigin } from "@rhubarbstage/policy";
-import type { RequestId, ServiceName } from "rhubarbstage";
+import type { RequestId, ServiceName, SoftwareVersion } from "rhubarbstage";
 
 /** Service and software version that began a stream. */
 export interface StreamOrigin extends AnswerOrigin {
   readonly service: ServiceName;
 }
 
+/** Software versions of servers; undefined stands for servers without one. */
+export type SoftwareVersions = ReadonlySet<SoftwareVersion | undefined>;
+
 /** A stream that has begun. */
 export interface BegunStream {
   /** Id of the caller's attempt that brought its first event. */
@@ -29,6 +32,15 @@
 
   /** Returns the origin of a stream; undefined if no host knows it. */
   abstract find(request: RequestId): Promise<StreamOrigin | undefined>;
+
+  /**
+   * Returns the software versions of the servers of a service, as other hosts
+   * know them now; undefined if too few answer. What this host knows alone may be
+   * older than a stream that began elsewhere.
+   */
+  abstract findVersions(
+    service: ServiceName,
+  ): Promise<SoftwareVersions | undefined>;
 }
 
 /** Maximum streams in a table, to bound its memory. */
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -22,7 +22,11 @@
   RouteTarget,
 } from "./types.ts";
 export type { OrderOutcome, ServerCall } from "./dialect.ts";
-export type { BegunStream, StreamOrigin } from "./answer_origins.ts";
+export type {
+  BegunStream,
+  SoftwareVersions,
+  StreamOrigin,
+} from "./answer_origins.ts";
 export { AnswerOrigins, StreamTable } from "./answer_origins.ts";
 export { Dialect } from "./dialect.ts";
 export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -23,7 +23,6 @@
   type ModelName,
   type RequestId,
   RhubarbstageError,
-  type ServiceName,
   type SoftwareVersion,
   SystemClock,
   toRhubarbstageError,
@@ -61,10 +60,6 @@
   readonly onServerUnreachable: (server: BackendServerId) => void;
   readonly onWrongServer: (server: BackendServerId) => void;
   readonly origins: AnswerOrigins;
-  /** Returns the software versions of the known servers of a service. */
-  readonly softwareVersionsOf: (
-    service: ServiceName,
-  ) => ReadonlySet<SoftwareVersion | undefined>;
   readonly clock?: Clock;
 }
 
@@ -230,7 +225,7 @@
     const { id = "", lastEventId, resumedRequest } = metadata;
     if (route.kind !== "stream" || lastEventId === undefined) return undefined;
     const origin = resumedRequest === undefined
-      ? this.#onlyOrigin(route)
+      ? await this.#findOnlyOrigin(route)
       : await this.#options.origins.find(resumedRequest);
     if (origin !== undefined) return origin;
     this.#options.telemetry.recordEvent("stream_origin_unknown", {
@@ -245,12 +240,12 @@
   }
 
   /** Returns the only origin that a stream of a route can have, if any. */
-  #onlyOrigin({ targets }: Route): StreamOrigin | undefined {
+  async #findOnlyOrigin({ targets }: Route): Promise<StreamOrigin | undefined> {
     const [target] = targets;
     if (target === undefined || targets.length > 1) return undefined;
     const { service } = target;
-    const versions = [...this.#options.softwareVersionsOf(service)];
-    if (versions.length > 1) return undefined;
+    const versions = await this.#options.origins.findVersions(service);
+    if (versions === undefined || versions.size > 1) return undefined;
     const [softwareVersion] = versions;
     return softwareVersion === undefined
       ? { service }
