Bound the answers that are read whole

What callers could see: a host that runs out of memory because a faulty server sends a body without end; and requests that end with 504 although their server had refused them at once.

Cause: bodies of refusals, prefill answers, orders and state queries were read without a bound, and a refusal was acted on only at the end of its body.

Evidence: the three new tests ended with 504 after 8 s before; now the refusal or the stream comes at once and the server is cut off. Ruled out: relayed bodies, whose reading waits for the caller, and heads, which endless_bytes_test covered.

Change: readWhole is the one way to read a body that is not relayed, up to 262,144 bytes. A refusal waits 100 ms for its body.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -19,6 +19,7 @@
 import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
 import {
   type Dialect,
+  readWhole,
   Relay,
   RelayListener,
   type RelayService,
@@ -503,7 +504,7 @@
         },
         { signal },
       );
-      for await (const _piece of answer.body);
+      await readWhole(answer);
       return answer.status === 200;
     },
   });
--- a/packages/rhubarbstage-host/src/relay_orders.ts
+++ b/packages/rhubarbstage-host/src/relay_orders.ts
@@ -20,11 +20,12 @@
   type OrderSendResult,
 } from "@rhubarbstage/control";
 import type { EngineRole } from "@rhubarbstage/policy";
-import type {
-  Dialect,
-  EngineState,
-  ServerCall,
-  ServerConnections,
+import {
+  type Dialect,
+  type EngineState,
+  readWhole,
+  type ServerCall,
+  type ServerConnections,
 } from "@rhubarbstage/relay";
 
 /**
@@ -193,8 +194,6 @@
       }),
       body: call.body === undefined ? undefined : Buffer.from(call.body),
     }, { signal: AbortSignal.any(signals) });
-    const chunks: Buffer[] = [];
-    for await (const chunk of response.body) chunks.push(chunk);
-    return { status: response.status, body: Buffer.concat(chunks) };
+    return { status: response.status, body: await readWhole(response) };
   }
 }
--- a/packages/rhubarbstage-relay/__tests__/integration/endless_bytes_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/endless_bytes_test.ts
@@ -149,3 +149,67 @@
   expect(flood.openSockets).toBe(0);
   expect(flood.sentBytes).toBeLessThan(maxSentBytes);
 });
+
+// Guards against answers that are read whole, such as refusals and prefill answers,
+// and fill the memory of the host with a body that never ends.
+describe("A body without end that is not relayed", () => {
+  const chunk = "10000\r\n" + "x".repeat(65_536) + "\r\n";
+  const flood: Flood = { sentBytes: 0, openSockets: 0 };
+  let flooding: TestServer;
+
+  beforeEach(() => Object.assign(flood, { sentBytes: 0, openSockets: 0 }));
+
+  async function expectCutOff(): Promise<void> {
+    await waitForClose(flood);
+    expect(flood.openSockets).toBe(0);
+    expect(flood.sentBytes).toBeLessThan(maxSentBytes);
+  }
+
+  test("of a refusal is cut off, and the refusal counts", async () => {
+    const start = "HTTP/1.1 503 Full\r\ntest-not-run: 1\r\n" +
+      "Transfer-Encoding: chunked\r\n\r\n";
+    server = await startServer(floodScript(start, chunk, flood));
+    relay = await startRelay({
+      servers: [server],
+      route: { kind: "at_most_once", timeout: routeTimeout },
+    });
+    const text = request({ method: "POST", body: "charge" });
+    expect(await exchange(relay.port, text)).toMatch(/^HTTP\/1\.1 503 /);
+    await expectCutOff();
+  }, 20_000);
+
+  test("of a prefill answer is cut off, and the stream goes on", async () => {
+    flooding = await startServer(floodScript(chunkedHead, chunk, flood));
+    server = await startServer(({ socket }) =>
+      socket.write(`${eventsHead}d\r\nid:1\ndata:a\n\n\r\n0\r\n\r\n`)
+    );
+    relay = await startRelay({
+      servers: [flooding, server],
+      route: { kind: "stream", timeout: routeTimeout },
+      settings: { shareEngineState: true },
+      roles: ["prefill", "decode"],
+    });
+    const text = request({ headers: ["test-tokens: 9000"] });
+    const seen = await exchange(relay.port, text);
+    await flooding.close();
+    expect(seen).toMatch(/data:a/);
+    expect(flooding.received).toHaveLength(1);
+    await expectCutOff();
+  }, 20_000);
+
+  test("of a refusal that is sent slowly holds up no caller", async () => {
+    server = await startServer(({ socket }) => {
+      socket.write(
+        "HTTP/1.1 503 Full\r\ntest-not-run: 1\r\nContent-Length: 9\r\n\r\n1",
+      );
+    });
+    relay = await startRelay({
+      servers: [server],
+      route: { kind: "at_most_once", timeout: routeTimeout },
+    });
+    const startedAt = performance.now();
+    const text = request({ method: "POST", body: "charge" });
+    expect(await exchange(relay.port, text)).toMatch(/^HTTP\/1\.1 503 /);
+    expect(performance.now() - startedAt).toBeLessThan(soon);
+  }, 20_000);
+});
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -25,6 +25,15 @@
 /** The same for each byte of the body, whose smallest chunks have one byte. */
 export const maxFramingRatio = 8;
 
+/** Largest body that is read whole and not relayed, in bytes. */
+export const maxWholeBodyBytes = 262_144;
+
+/**
+ * Longest wait for the rest of a refusal, in milliseconds. What it says stands in
+ * its head; its body is read only to keep the connection.
+ */
+export const refusalBodyTimeout = 100;
+
 /** Largest incomplete event that is buffered, in bytes. */
 export const maxEventBytes = 1_048_576;
 
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -6,6 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import type { Dispatcher } from "undici";
+import { maxWholeBodyBytes } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { isCloseDelimited } from "./headers.ts";
 import type { ResetDetector } from "./reset_detector.ts";
@@ -45,6 +46,29 @@
   }
 }
 
+/**
+ * Reads a body that is not relayed. Throws `ExchangeError` and closes the
+ * connection if it exceeds `maxWholeBodyBytes`.
+ */
+export async function readWhole(
+  { body }: Pick<ExchangeResponse, "body">,
+): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let size = 0;
+  for await (const chunk of body) {
+    size += chunk.length;
+    if (size > maxWholeBodyBytes) {
+      throw new ExchangeError(
+        `A response of ${size} bytes or more exceeds the limit of ` +
+          `${maxWholeBodyBytes} bytes`,
+        { maybeDelivered: true },
+      );
+    }
+    chunks.push(chunk);
+  }
+  return Buffer.concat(chunks);
+}
+
 /** Options of {@linkcode Exchange.start}. */
 export interface ExchangeOptions {
   readonly signal: AbortSignal;
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -28,6 +28,7 @@
   StreamOrigin,
 } from "./answer_origins.ts";
 export { AnswerOrigins, StreamTable } from "./answer_origins.ts";
+export { readWhole } from "./exchange.ts";
 export { Dialect } from "./dialect.ts";
 export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -17,10 +17,10 @@
   RhubarbstageError,
   type SoftwareVersion,
 } from "rhubarbstage";
-import { bufferedResponseBytes } from "./constants.ts";
+import { bufferedResponseBytes, refusalBodyTimeout } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
-import { ExchangeError, type ExchangeResponse } from "./exchange.ts";
+import { ExchangeError, type ExchangeResponse, readWhole } from "./exchange.ts";
 import { isCloseDelimited } from "./headers.ts";
 import type { Reply } from "./reply.ts";
 import {
@@ -174,7 +174,7 @@
     try {
       const response = await this.#send(attempt, { prefillAt: server });
       this.#reportServerState(server, response.metadata);
-      const body = await readBody(response.body);
+      const body = await readWhole(response);
       const handle = response.status === 200
         ? this.#options.dialect.parseExportHandle(body)
         : undefined;
@@ -247,7 +247,7 @@
     this.#reportServerState(attempt.address, metadata);
     if (metadata.isWrongServer) onWrongServer(id);
     if (metadata.isNotRun) {
-      await readBody(response.body).catch(() => undefined);
+      await this.#readRefusal(response);
       throw new RhubarbstageError(
         metadata.isWrongServer ? "backend_unreachable" : "overloaded",
         { outcome: "not_run", cause: `status ${response.status}` },
@@ -267,6 +267,13 @@
     return this.#options.request.route.kind === "stream" && status < 300;
   }
 
+  /** Reads the body of a refusal, unless it is long or late. */
+  async #readRefusal(response: ExchangeResponse): Promise<void> {
+    const timer = setTimeout(() => response.discard(), refusalBodyTimeout);
+    await readWhole(response).catch(() => undefined);
+    clearTimeout(timer);
+  }
+
   /** Reports what a server says of itself: its limit, or that it names none. */
   #reportServerState(
     { id: server, incarnation }: BackendServerAddress,
@@ -464,11 +471,3 @@
 function markConnectionLost(error: RhubarbstageError): RhubarbstageError {
   return Object.assign(error, { connectionLost: true });
 }
-
-async function readBody(
-  body: AsyncGenerator<Buffer, void, void>,
-): Promise<Buffer> {
-  const chunks: Buffer[] = [];
-  for await (const chunk of body) chunks.push(chunk);
-  return Buffer.concat(chunks);
-}
