Start no attempt at the end of a stop, and answer what outlasts it

What callers could see: in a planned stop, a request that had waited was passed on in the last moment of the grace period and cut without an answer, charges among them (LOST). Reported by another operator; not seen here.

Cause: new requests were refused after 3 s, but those that waited, and retries, were still sent until the connections were closed.

Evidence: read in RelayHost.shutDown. The two new tests use new methods of the dispatcher, so they could not run before. Ruled out: requests that arrive during the close, which listener_close_test covers.

Change: in the last third of the grace period, what waits is refused as not run, now and later. What runs at the end without having begun to answer ends with a 502 that claims nothing.

--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -79,6 +79,7 @@
   #runs = new Map<RequestId, ActiveRequest>();
   #events: PolicyEvent[] = [];
   #isReducing = false;
+  #isDraining = false;
 
   constructor(options: DispatcherOptions) {
     this.engines = options.engines;
@@ -108,6 +109,28 @@
     return counts;
   }
 
+  /**
+   * Refuses requests that wait for an attempt, now and later, as there is no time
+   * left to run them. Attempts that have started go on.
+   */
+  drain(): void {
+    this.#isDraining = true;
+    for (const run of [...this.#runs.values()]) {
+      if (!run.isRunning) this.#refuseAtStop(run);
+    }
+  }
+
+  /** Ends all requests with an error, so that their callers get an answer. */
+  endAll(): void {
+    this.#isDraining = true;
+    for (const run of [...this.#runs.values()]) this.#refuseAtStop(run);
+  }
+
+  #refuseAtStop(run: ActiveRequest): void {
+    this.notify({ type: "caller_gone", request: run.work.request });
+    run.refuse(new RhubarbstageError("shutting_down"));
+  }
+
   /** Sends ticks to the policy until the signal is aborted. */
   start(options: { readonly signal: AbortSignal }): void {
     every(tickInterval, () => this.notify({ type: "tick" }), options);
@@ -249,6 +272,10 @@
 
   #dispatch(effect: DispatchEffect): void {
     const run = this.#runs.get(effect.request);
+    if (run && this.#isDraining && !run.isRunning) {
+      this.#refuseAtStop(run);
+      return;
+    }
     if (run) {
       run.dispatch(effect);
       return;
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -68,6 +68,11 @@
  * stop.
  */
 const maxShutdownNotice = 3_000;
+/**
+ * Part of the grace period before its end in which no attempt is started, since
+ * it might not end in time.
+ */
+const lastAttemptShare = 1 / 3;
 /** Part of the grace period reserved for the process to exit, in ms. */
 const exitReserve = 700;
 /** Share of the retry budget for retries. */
@@ -131,18 +136,23 @@
 
   /** Stops after open requests have ended or the grace period is over. */
   async shutDown(): Promise<void> {
-    const { settings, relay, readiness, events } = this.#components;
+    const { settings, relay, readiness, dispatcher, events } = this.#components;
     events.record("shutdown_started", { open: relay.openRequests.length });
     readiness.markNotReady();
     const deadline = performance.now() + settings.gracePeriod - exitReserve;
     if (settings.callers !== undefined) {
       await delay(Math.min(maxShutdownNotice, settings.gracePeriod / 2));
       readiness.stopAcceptingWork();
-      const gracePeriodEnd = delay(Math.max(0, deadline - performance.now()));
-      await Promise.race([relay.waitUntilIdle(), gracePeriodEnd]);
+      const idle = relay.waitUntilIdle();
+      const waitUntil = (time: number) =>
+        Promise.race([idle, delay(Math.max(0, time - performance.now()))]);
+      await waitUntil(deadline - settings.gracePeriod * lastAttemptShare);
+      dispatcher.drain();
+      await waitUntil(deadline);
       for (const request of relay.openRequests) {
         events.record("request_outlasts_shutdown", { request });
       }
+      dispatcher.endAll();
     }
     await this.#close();
   }
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -233,6 +233,7 @@
 export interface TestRelay {
   readonly port: number;
   readonly relay: Relay;
+  readonly dispatcher: Dispatcher;
   close(): Promise<void>;
 }
 
@@ -333,6 +334,7 @@
   return {
     port: Number(new URL(origin).port),
     relay,
+    dispatcher,
     close: async () => {
       stopped.abort();
       await listener.close();
--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -25,9 +25,9 @@
 /** Longest time that a listener may take to close, in milliseconds. */
 const maxCloseTime = 600;
 
-async function start(): Promise<TestRelay> {
+async function start(time = serviceTime): Promise<TestRelay> {
   server = await startServer(({ socket }) => {
-    setTimeout(() => socket.write(answer("200 OK", [], "done")), serviceTime);
+    setTimeout(() => socket.write(answer("200 OK", [], "done")), time);
   });
   relay = await startRelay({
     servers: [server],
@@ -81,3 +81,47 @@
   expect(performance.now() - startedAt).toBeLessThan(maxCloseTime);
   expect(await closed).toBe("");
 });
+
+/** Time of the server that leaves all requests time to arrive, in ms. */
+const longServiceTime = 800;
+/** Requests that the server of the harness runs at the same time. */
+const capacity = 8;
+
+// Guards against requests that are passed on at the end of a planned stop, or run
+// past it, and whose connections are then cut without an answer.
+describe("A stop whose grace period ends", () => {
+  const charge = request({ method: "POST", body: "charge" });
+
+  async function startCallers(count: number): Promise<Promise<string>[]> {
+    const { port } = await start(longServiceTime);
+    const callers = Array.from(
+      { length: count },
+      () => openCaller(port, charge).closed,
+    );
+    await delayMilliseconds(longServiceTime / 2);
+    expect(server?.received).toHaveLength(Math.min(count, capacity));
+    return callers;
+  }
+
+  test("refuses what waits and delivers what runs", async () => {
+    const callers = await startCallers(capacity + 1);
+    relay?.dispatcher.drain();
+    const seen = await Promise.all(callers);
+    const refused = seen.filter((text) => /^HTTP\/1\.1 503 /.test(text));
+    expect(refused).toHaveLength(1);
+    expect(refused[0]).toMatch(/retry-after: /i);
+    expect(seen.filter((text) => /done$/.test(text))).toHaveLength(capacity);
+    expect(server?.received).toHaveLength(capacity);
+    await relay?.close();
+  });
+
+  test("answers what runs without claiming that it has not run", async () => {
+    const callers = await startCallers(2);
+    relay?.dispatcher.endAll();
+    for (const seen of await Promise.all(callers)) {
+      expect(seen).toMatch(/^HTTP\/1\.1 502 /);
+      expect(seen).toMatch(/"outcome":"may_have_run"/);
+    }
+    await relay?.close();
+  });
+});
