Keep the count of a request that crashes servers over its refusal

Cause: the mark was dropped with its count 30 s after the last crash, so that the count began anew.

Ruled out: marks that don't reach other hosts (both entry hosts refused it meanwhile), and a longer fixed period, which would refuse requests marked by mistake for all of it.

Change: after the refusal the request is a suspect that keeps its count. One more crash refuses it four times as long as before, up to an hour; a run to its end clears it.

--- a/packages/rhubarbstage-policy/src/quarantine.ts
+++ b/packages/rhubarbstage-policy/src/quarantine.ts
@@ -21,6 +21,10 @@
 
 /** Number of crashes from which a fingerprint is refused. */
 const crashesToBlock = 2;
+/** Factor by which each further crash prolongs the refusal. */
+const periodGrowth = 4;
+/** Longest refusal after one crash, in milliseconds. */
+const maxPeriod = 3_600_000;
 const maxMarks = 10_000;
 /** Maximum number of marks that gossip keeps per host. */
 const maxPublishedMarks = 128;
@@ -30,6 +34,11 @@
  * become suspects; a suspect that crashes a second server is refused, one that
  * finishes is cleared. A lost connection counts as a crash until the same
  * process of the server is seen again.
+ *
+ * After the refusal, a fingerprint is a suspect for `periodGrowth` times as long:
+ * it is let through, and one more crash refuses it for longer than before. So a
+ * request that was marked by mistake is served again, and one that crashes servers
+ * each time reaches fewer and fewer of them.
  */
 export class Quarantine {
   #marks = new Map<string, Mark>();
@@ -38,18 +47,19 @@
   #crashes = new Map<BackendServerId, Crash>();
   #period: number;
 
-  /** @param period Milliseconds for which a mark lasts. */
+  /** @param period Milliseconds for which the second crash refuses a request. */
   constructor(period: number) {
     this.#period = period;
   }
 
-  /** Changes the period for which a mark lasts, in milliseconds. */
+  /** Changes the period of the first refusal, in milliseconds. */
   configure(period: number): void {
     this.#period = period;
   }
 
   isBlocked(fingerprint: string, now: number): boolean {
-    return this.#crashesOf(fingerprint, now) >= crashesToBlock;
+    const mark = this.#findMark(fingerprint, now);
+    return mark !== undefined && this.#blocks(mark, now);
   }
 
   isSuspect(fingerprint: string, now: number): boolean {
@@ -123,11 +133,33 @@
   }
 
   #crashesOf(fingerprint: string, now: number): number {
+    return this.#findMark(fingerprint, now)?.crashes ?? 0;
+  }
+
+  #findMark(fingerprint: string, now: number): Mark | undefined {
     const mark = this.#marks.get(fingerprint);
-    if (mark === undefined) return 0;
-    if (now - mark.at < this.#period) return mark.crashes;
+    if (mark === undefined || now - mark.at < this.#lifetimeOf(mark)) {
+      return mark;
+    }
     this.#marks.delete(fingerprint);
-    return 0;
+    return undefined;
+  }
+
+  #blocks(mark: Mark, now: number): boolean {
+    return mark.crashes >= crashesToBlock &&
+      now - mark.at < this.#periodOf(mark);
+  }
+
+  /** Returns the time for which a mark refuses a request, in milliseconds. */
+  #periodOf({ crashes }: Mark): number {
+    const growth = periodGrowth ** Math.max(0, crashes - crashesToBlock);
+    return Math.min(Math.max(this.#period, maxPeriod), this.#period * growth);
+  }
+
+  /** Returns the time after which a mark is forgotten, in milliseconds. */
+  #lifetimeOf(mark: Mark): number {
+    const period = this.#periodOf(mark);
+    return mark.crashes < crashesToBlock ? period : period * (1 + periodGrowth);
   }
 
   /** Clears a suspect cleared by another host, unless it was marked later. */
@@ -159,10 +191,11 @@
   /** Returns all marks set by this host, newest last. */
   #listLocalMarks(now: number): QuarantineMark[] {
     const marks: QuarantineMark[] = [];
-    for (const [fingerprint, { crashes, at }] of this.#localMarks) {
+    for (const [fingerprint, mark] of this.#localMarks) {
+      const { crashes, at } = mark;
       const age = now - at;
-      const blocked = crashes >= crashesToBlock;
-      if (age >= this.#period) this.#localMarks.delete(fingerprint);
+      const blocked = this.#blocks(mark, now);
+      if (age >= this.#lifetimeOf(mark)) this.#localMarks.delete(fingerprint);
       else marks.push({ fingerprint, crashes, blocked, age });
     }
     return marks;
