Wait for a leader in the test that stops it

It asks for a host that leads, not for one at that instant, so it now waits for it, 5 s at most, as the other tests of the file do; all that it checks is as before.

--- a/packages/rhubarbstage-replica/__tests__/integration/replica_test.ts
+++ b/packages/rhubarbstage-replica/__tests__/integration/replica_test.ts
@@ -131,9 +131,11 @@
   test("fails over, restarts from disk and catches up", async () => {
     await (nodes[0] as Node).replica.bootstrap({ hosts });
     await proposeAll(nodes[0] as Node, ids("x", 30));
-    const leader = nodes.find((node) =>
-      node.replica.leadership(control).isLeader
-    ) as Node;
+    const findLeader = () =>
+      nodes.find((node) => node.replica.leadership(control).isLeader);
+    // An election may run at any moment; none leads until it has ended.
+    await waitUntil(() => findLeader() !== undefined);
+    const leader = findLeader() as Node;
     await stop(leader);
     const [survivor] = nodes as [Node];
     await proposeAll(survivor, ids("y", 30));
