Split the send over a pool from the one over a single connection

No change of behaviour: the two ways of ServerConnections.send read apart, and the reset detector has one name.

--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -267,7 +267,7 @@
     return this.#options.request.route.kind === "stream" && status < 300;
   }
 
-  /** Reads the body of a refusal, unless it is long or late. */
+  /** Reads the body of a refusal, so that its connection can be kept. */
   async #readRefusal(response: ExchangeResponse): Promise<void> {
     const timer = setTimeout(() => response.discard(), refusalBodyTimeout);
     await readWhole(response).catch(() => undefined);
--- a/packages/rhubarbstage-relay/src/server_connections.ts
+++ b/packages/rhubarbstage-relay/src/server_connections.ts
@@ -37,7 +37,7 @@
 interface ServerPool {
   readonly url: string;
   readonly pool: Pool;
-  readonly detector: ResetDetector;
+  readonly resetDetector: ResetDetector;
   /** Ids of the latest requests, oldest first. */
   readonly recentIds: Set<string>;
 }
@@ -65,24 +65,30 @@
     options: { readonly signal: AbortSignal },
   ): Promise<ExchangeResponse> {
     const { dialect } = this.#options;
-    const { pool, detector, recentIds } = this.#poolOf(server);
-    if (request.id !== undefined && remember(recentIds, request.id)) {
-      const resetDetector = detector;
-      return Exchange.start(pool, request, {
-        ...options,
-        dialect,
-        resetDetector,
-      });
-    }
+    const { pool, resetDetector, recentIds } = this.#poolOf(server);
+    const isNewId = request.id !== undefined &&
+      remember(recentIds, request.id);
+    return isNewId
+      ? Exchange.start(pool, request, { ...options, dialect, resetDetector })
+      : this.#sendAlone(server, request, options);
+  }
+
+  /** Sends a request on a connection that is closed after its response. */
+  #sendAlone(
+    { url }: BackendServerAddress,
+    request: ExchangeRequest,
+    options: { readonly signal: AbortSignal },
+  ): Promise<ExchangeResponse> {
+    const { dialect } = this.#options;
     const resetDetector = new ResetDetector({ timeout: connectTimeout });
-    const client = createClient(server.url, resetDetector);
+    const client = createClient(url, resetDetector);
     this.#singleUse.add(client);
     const response = Exchange.start(client, request, {
       ...options,
       dialect,
       resetDetector,
     });
-    // Closes the connection once the response has ended.
+    // Waits for the response; its errors are reported with it.
     void client.close().catch(() => {})
       .finally(() => this.#singleUse.delete(client));
     return response;
@@ -108,12 +114,13 @@
     const existing = this.#pools.get(id);
     if (existing?.url === url) return existing;
     if (existing !== undefined) closeInBackground(existing.pool);
-    const detector = new ResetDetector({ timeout: connectTimeout });
+    const resetDetector = new ResetDetector({ timeout: connectTimeout });
     const pool = new Pool(url, {
-      factory: (origin) => createClient(origin, detector),
+      factory: (origin) => createClient(origin, resetDetector),
       connections: this.#connectionsPerHost(id),
     });
-    const created = { url, pool, detector, recentIds: new Set<string>() };
+    const recentIds = new Set<string>();
+    const created = { url, pool, resetDetector, recentIds };
     this.#pools.set(id, created);
     return created;
   }
