Send requests through other hosts when servers cannot be reached from here

Cause: a host knew servers, but not its own paths to them. Each lost path was taken for a lost server, one after the other, by this host alone; silence was no evidence at all; and no host could use the paths of another one. The class: a local fault taken for a remote one.

Ruled out: the placement of engine work (plain services failed as well) and the load balancer (callers kept their connections).

Change: a reducer examines failed connections, silence and idle times by probes of several servers, and asks other hosts before it believes a verdict. A host that is cut off from some or all servers keeps its requests and all decisions about them, and sends their exchanges through hosts that offer it. What the other host says of a failure tells whether the server may have got the request; a broken link says that it may have. A server counts as ended only if other hosts do not reach it either, so that a cut host no longer makes its requests suspects of crashing servers. docs/design.md, 4.12, has what was weighed.

Why it works: the verdict rests on a comparison with other hosts, which servers that are down or overloaded fail as well, so it is about this host's network and not about how the connections fail.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -18,18 +18,17 @@
 import type { Membership, ServerRecord } from "@rhubarbstage/membership";
 import { FleetPolicy, type FleetSettings } from "@rhubarbstage/policy";
 import {
-  type Dialect,
-  readWhole,
+  refusesConnections,
   Relay,
   RelayListener,
   type RelayService,
-  ServerConnections,
 } from "@rhubarbstage/relay";
 import { createLogger, Metrics, Timeline } from "@rhubarbstage/telemetry";
 import { PeerTransport } from "@rhubarbstage/transport";
 import { AnswerOriginExchange } from "./answer_origin_exchange.ts";
 import { BackendRegistry } from "./backend_registry.ts";
 import type { ControlApi } from "./control_api.ts";
+import { createServerPaths } from "./relay_server_paths.ts";
 import { DemandReport } from "./demand_report.ts";
 import { HostEvents } from "./host_events.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
@@ -80,6 +79,9 @@
 /** Share of the retry budget for hedged and moved requests. */
 const hedgeBudgetShare = 0.2;
 
+/** Timeout of the check of a lost server, in milliseconds. */
+const checkTimeout = 800;
+
 /** Time to export and import KV cache, without its transfer, in ms. */
 const kvFixedCost = 6;
 /**
@@ -137,23 +139,27 @@
   /** Stops after open requests have ended or the grace period is over. */
   async shutDown(): Promise<void> {
     const { settings, relay, readiness, dispatcher, events } = this.#components;
+    const { forwardingService } = this.#components;
     events.record("shutdown_started", { open: relay.openRequests.length });
     readiness.markNotReady();
     const deadline = performance.now() + settings.gracePeriod - exitReserve;
     if (settings.callers !== undefined) {
       await delay(Math.min(maxShutdownNotice, settings.gracePeriod / 2));
-      readiness.stopAcceptingWork();
-      const idle = relay.waitUntilIdle();
-      const waitUntil = (time: number) =>
-        Promise.race([idle, delay(Math.max(0, time - performance.now()))]);
-      await waitUntil(deadline - settings.gracePeriod * lastAttemptShare);
-      dispatcher.drain();
-      await waitUntil(deadline);
-      for (const request of relay.openRequests) {
-        events.record("request_outlasts_shutdown", { request });
-      }
-      dispatcher.endAll();
     }
+    readiness.stopAcceptingWork();
+    const idle = Promise.all([
+      relay.waitUntilIdle(),
+      forwardingService.waitUntilIdle(),
+    ]);
+    const waitUntil = (time: number) =>
+      Promise.race([idle, delay(Math.max(0, time - performance.now()))]);
+    await waitUntil(deadline - settings.gracePeriod * lastAttemptShare);
+    dispatcher.drain();
+    await waitUntil(deadline);
+    for (const request of relay.openRequests) {
+      events.record("request_outlasts_shutdown", { request });
+    }
+    dispatcher.endAll();
     await this.#close();
   }
 
@@ -287,16 +293,29 @@
     name: routesDocument,
   });
   const readiness = new RelayReadiness();
-  const connections = createConnections({
-    dialect: context.options.dialect,
-    registry,
-    membership,
-    relay: () => relay,
-  });
-  const checks = createChecks(context, {
-    registry,
-    connections,
-    relay: () => relay,
+  const { connections, paths, forwarding, forwardingService, probes } =
+    createServerPaths(context, {
+      transport,
+      registry,
+      membership,
+      readiness,
+      serviceOf: (record) => serving.serviceOf(record),
+    });
+  const checks = new ServerHealthChecks({
+    signal: context.stopController.signal,
+    isKnown: (server) => registry.recordOf(server) !== undefined,
+    onRecovered: (server) => {
+      events.record("server_answers", { server });
+      registry.refreshServer(server);
+    },
+    check: async (server) => {
+      if (!paths.isDirect(server)) return await forwarding.reaches(server);
+      const { result, isHealthy } = await probes.probe(server, {
+        timeout: checkTimeout,
+      });
+      paths.recordProbe(server, result);
+      return isHealthy;
+    },
   });
   serving.serviceOf = (record) =>
     relay.routeTable?.services.find(({ name }) =>
@@ -319,6 +338,11 @@
     onServerUnreachable: (server) => checks.start(server),
     onWrongServer: (server) =>
       registry.removeServer(server, { crashed: false }),
+    confirmServerEnded: async ({ id, url }) => {
+      const isRefused = !paths.isDirect(id) || await refusesConnections(url);
+      // A host that is cut off must not take its own cut for the server's end.
+      return isRefused && !await forwarding.reaches(id);
+    },
     origins: new AnswerOriginExchange({
       host: settings.host,
       region: settings.region,
@@ -354,6 +378,8 @@
     effectHandler: serving.effectHandler,
     placement,
     connections,
+    paths,
+    forwardingService,
     documents,
     relay,
     readiness,
@@ -452,74 +478,6 @@
   };
 }
 
-function createConnections(
-  parts: {
-    readonly dialect: Dialect;
-    readonly registry: BackendRegistry;
-    readonly membership: Membership;
-    readonly relay: () => Relay;
-  },
-): ServerConnections {
-  const { dialect, registry, membership, relay } = parts;
-  return new ServerConnections({
-    dialect,
-    maxConnections: (server) => {
-      const record = registry.recordOf(server);
-      const name = record === undefined ? undefined : serviceNameOf(record);
-      const service = relay().routeTable?.services
-        .find((candidate) => candidate.name as string === name);
-      return service?.maxConnections ?? 0;
-    },
-    hosts: () =>
-      membership.listLiveHosts()
-        .filter(({ servesCallers }) => servesCallers !== false).length,
-  });
-}
-
-function createChecks(
-  context: RelayHostContext,
-  parts: {
-    readonly registry: BackendRegistry;
-    readonly connections: ServerConnections;
-    readonly relay: () => Relay;
-  },
-): ServerHealthChecks {
-  const { dialect } = context.options;
-  const { registry, connections, relay } = parts;
-  return new ServerHealthChecks({
-    signal: context.stopController.signal,
-    isKnown: (server) => registry.recordOf(server) !== undefined,
-    onRecovered: (server) => {
-      context.events.record("server_answers", { server });
-      registry.refreshServer(server);
-    },
-    check: async (server, signal) => {
-      const record = registry.recordOf(server);
-      if (record === undefined) return false;
-      const name = serviceNameOf(record);
-      const path = relay().routeTable?.services
-        .find((candidate) => candidate.name as string === name)?.healthPath;
-      if (path === undefined) return false;
-      const answer = await connections.send(
-        { id: server, url: record.address },
-        {
-          method: "GET",
-          path,
-          headers: dialect.attemptHeaders([], {
-            server,
-            timeLeft: 1_000,
-            step: "run",
-          }),
-          body: undefined,
-        },
-        { signal },
-      );
-      await readWhole(answer);
-      return answer.status === 200;
-    },
-  });
-}
-
 function startComponents(components: RelayHostComponents): void {
   const {
     settings,
@@ -533,6 +491,7 @@
   components.membership.start();
   components.dispatcher.start({ signal });
   components.placement.start();
+  components.paths.start();
   // Hosts without callers place work, which depends on the engines' services.
   documents.follow({
     signal,
--- a/packages/rhubarbstage-host/src/relay_orders.ts
+++ b/packages/rhubarbstage-host/src/relay_orders.ts
@@ -184,7 +184,7 @@
     const { backendServer: id, address: url } = this.#target;
     const signals = [AbortSignal.timeout(responseTimeout)];
     if (signal !== undefined) signals.push(signal);
-    const response = await connections.send({ id, url }, {
+    const response = await connections.sendDirect({ id, url }, {
       method: call.method,
       path: call.path,
       headers: dialect.attemptHeaders(call.headers ?? [], {
--- a/packages/rhubarbstage-host/src/relay_parts.ts
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -9,6 +9,7 @@
 import type { Membership } from "@rhubarbstage/membership";
 import type {
   Dialect,
+  PathMonitor,
   Relay,
   RouteTable,
   ServerConnections,
@@ -17,6 +18,7 @@
 import type { PeerTransport } from "@rhubarbstage/transport";
 import type { Clock, Incarnation } from "rhubarbstage";
 import type { BackendRegistry } from "./backend_registry.ts";
+import type { ForwardingService } from "./forwarding_service.ts";
 import type { HostEvents } from "./host_events.ts";
 import type { PlacementExchange } from "./placement_exchange.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
@@ -54,6 +56,8 @@
   readonly effectHandler: RelayPolicyEffectHandler;
   readonly placement: PlacementExchange;
   readonly connections: ServerConnections;
+  readonly paths: PathMonitor;
+  readonly forwardingService: ForwardingService;
   readonly documents: DocumentClient;
   readonly relay: Relay;
   readonly readiness: RelayReadiness;
--- a/packages/rhubarbstage-host/src/relay_readiness.ts
+++ b/packages/rhubarbstage-host/src/relay_readiness.ts
@@ -7,10 +7,15 @@
 import { Readiness } from "@rhubarbstage/gateway/dispatch";
 import type { RouteTable } from "@rhubarbstage/relay";
 
-/** Reports ready from the first route table until shutdown starts. */
+/**
+ * Reports ready from the first route table until shutdown starts, while requests
+ * can reach servers.
+ */
 export class RelayReadiness extends Readiness {
   /** Called with each new active table. */
   onRouteTable: (table: RouteTable) => void = () => {};
+  /** Whether neither this host nor another one for it reaches a server. */
+  isCutOff: () => boolean = () => false;
   #routeTable: RouteTable | undefined;
   #stage: "running" | "leaving" | "refusing" = "running";
 
@@ -32,7 +37,8 @@
 
   override notReadyReason(): string | undefined {
     if (this.#stage !== "running") return "shutting_down";
-    return this.#routeTable === undefined ? "no_configuration" : undefined;
+    if (this.#routeTable === undefined) return "no_configuration";
+    return this.isCutOff() ? "cut_off" : undefined;
   }
 
   override acceptsWork(): boolean {
--- a/packages/rhubarbstage-host/src/server_checks.ts
+++ b/packages/rhubarbstage-host/src/server_checks.ts
@@ -8,16 +8,10 @@
 
 /** Delays before checks of a lost server, in ms; the last one repeats. */
 const checkDelays = [150, 300, 600, 1_000] as const;
-/** Timeout of one check, in milliseconds. */
-const checkTimeout = 800;
-
 /** Options of {@linkcode ServerHealthChecks}. */
 export interface ServerHealthChecksOptions {
-  /** Checks a server; true if the expected process answers and is healthy. */
-  readonly check: (
-    server: BackendServerId,
-    signal: AbortSignal,
-  ) => Promise<boolean>;
+  /** Checks a server; true if it can be used again. */
+  readonly check: (server: BackendServerId) => Promise<boolean>;
   /** Whether a server is still known. */
   readonly isKnown: (server: BackendServerId) => boolean;
   /** Called when a server passes its check again. */
@@ -48,12 +42,8 @@
     for (const checkDelay of generateCheckDelays()) {
       await delay(checkDelay, { signal }).catch(() => {});
       if (signal.aborted || !isKnown(server)) return;
-      const checkSignal = AbortSignal.any([
-        signal,
-        AbortSignal.timeout(checkTimeout),
-      ]);
       // A check of a lost server is expected to fail.
-      const isHealthy = await check(server, checkSignal).catch(() => false);
+      const isHealthy = await check(server).catch(() => false);
       if (!isHealthy) continue;
       onRecovered(server);
       return;
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -69,3 +69,54 @@
 
 /** `Retry-After` of errors that carry no value of their own, in seconds. */
 export const defaultRetryAfter = 0.5;
+
+/** Interval of the path monitor's checks, in milliseconds. */
+export const pathCheckInterval = 250;
+
+/** Timeout of a probe of a path, in milliseconds. */
+export const probeTimeout = 500;
+
+/** Time before a witness is probed beside an unanswered probe, in ms. */
+export const probeHeadStart = 250;
+
+/**
+ * Silence of all servers after which a host with requests under way suspects its
+ * own paths, in milliseconds.
+ */
+export const hostSilenceThreshold = 600;
+
+/** Silence of one server after which its path is examined, in milliseconds. */
+export const serverSilenceThreshold = 2_000;
+
+/** Time without a sign of any server after which an idle host probes one, in ms. */
+export const idleProbeInterval = 2_000;
+
+/** Most servers probed for one suspicion, the suspected one included. */
+export const maxExaminedServers = 4;
+
+/** Servers without an answer that show a host cut off, or with one connected. */
+export const minCutOffEvidence = 3;
+
+/** Servers for which other hosts are asked before a host counts as cut off. */
+export const queriedServers = 2;
+
+/** Most servers whose paths are checked because another path was lost. */
+export const maxSurveyedServers = 16;
+
+/** Servers probed for this at each check of the path monitor. */
+export const surveyedServersPerCheck = 4;
+
+/** Minimum time between two examinations for failed connections, in ms. */
+export const suspicionInterval = 500;
+
+/** Time between probes of lost paths, in milliseconds. */
+export const reprobeInterval = 500;
+
+/** Minimum time between two queries to other hosts for one server, in ms. */
+export const peerQueryInterval = 1_000;
+
+/**
+ * Silence after which a request on a dead connection ends if it may be repeated,
+ * in milliseconds.
+ */
+export const brokenExchangeSilence = 1_000;
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -10,6 +10,7 @@
 import type { Dialect } from "./dialect.ts";
 import { isCloseDelimited } from "./headers.ts";
 import type { ResetDetector } from "./reset_detector.ts";
+import type { ExchangeActivity } from "./server_activity.ts";
 import type { HeaderList, ResponseMetadata } from "./types.ts";
 
 /** A request to a server. */
@@ -20,6 +21,8 @@
   readonly path: string;
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
+  /** Whether it may be sent again after it may have run. */
+  readonly isRepeatable?: boolean;
 }
 
 /** The head of a response and its body as a stream of chunks. */
@@ -75,6 +78,10 @@
   readonly dialect: Dialect;
   /** Reset detector of the connections. */
   readonly resetDetector: ResetDetector;
+  /** Tracks the signs of the server; absent for probes. */
+  readonly activity?: ExchangeActivity;
+  /** Called if the exchange fails, before or after its head. */
+  readonly onError?: (error: ExchangeError) => void;
 }
 
 /** Buffered bytes at which reading from the server pauses. */
@@ -86,6 +93,8 @@
   readonly #signal: AbortSignal;
   readonly #dialect: Dialect;
   readonly #detector: ResetDetector;
+  readonly #activity: ExchangeActivity | undefined;
+  readonly #onError: ((error: ExchangeError) => void) | undefined;
   /** Whether the response ends with its connection. */
   #isCloseDelimited = false;
   readonly #chunks: Buffer[] = [];
@@ -106,6 +115,11 @@
     this.#signal = options.signal;
     this.#dialect = options.dialect;
     this.#detector = options.resetDetector;
+    this.#activity = options.activity;
+    this.#onError = options.onError;
+    if (this.#activity !== undefined && request.isRepeatable === true) {
+      this.#activity.onBreak = (reason) => this.#cancel(reason);
+    }
   }
 
   /**
@@ -127,6 +141,7 @@
       this.#pendingHead = { resolve, reject };
     });
     if (this.#signal.aborted) {
+      this.#activity?.end();
       onAbort();
       return response;
     }
@@ -153,6 +168,7 @@
 
   #createHandler(onAbort: () => void): Dispatcher.DispatchHandler {
     const cleanUp = () => {
+      this.#activity?.end();
       this.#signal.removeEventListener("abort", onAbort);
       if (this.#isCloseDelimited) this.#detector.closeDelimitedResponses -= 1;
     };
@@ -167,6 +183,7 @@
         this.#abort = abort;
       },
       onHeaders: (status: number, rawHeaders: Buffer[], resume: () => void) => {
+        this.#activity?.touch();
         if (status < 200) return true;
         this.#resume = resume;
         const headers = rawHeaders.map((item) => item.toString("latin1"));
@@ -185,6 +202,7 @@
         return true;
       },
       onData: (chunk: Buffer) => {
+        this.#activity?.touch();
         this.#chunks.push(chunk);
         this.#bufferedBytes += chunk.length;
         this.#wakeReader();
@@ -262,9 +280,12 @@
   #fail(thrown: unknown): void {
     if (this.#isEnded) return;
     this.#isEnded = true;
-    this.#error = new ExchangeError(thrown, {
+    this.#activity?.end();
+    const error = new ExchangeError(thrown, {
       maybeDelivered: this.#maybeDelivered,
     });
+    this.#error = error;
+    this.#onError?.(error);
     this.#pendingHead?.reject(this.#error);
     this.#pendingHead = undefined;
     this.#wakeReader();
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -28,11 +28,20 @@
   StreamOrigin,
 } from "./answer_origins.ts";
 export { AnswerOrigins, StreamTable } from "./answer_origins.ts";
-export { readWhole } from "./exchange.ts";
+export type { ExchangeRequest, ExchangeResponse } from "./exchange.ts";
+export { ExchangeError, readWhole } from "./exchange.ts";
+export { ForwardingHosts, NoForwardingHostError } from "./forwarding.ts";
+export type { ProbeResult } from "./path_reducer.ts";
+export { PathReducer } from "./path_reducer.ts";
+export { PathMonitor } from "./path_monitor.ts";
+export { probeTimeout } from "./constants.ts";
 export { Dialect } from "./dialect.ts";
 export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
-export type { ServerConnectionsOptions } from "./server_connections.ts";
+export type {
+  ServerConnectionsOptions,
+  ServerPaths,
+} from "./server_connections.ts";
 export { refusesConnections, ServerConnections } from "./server_connections.ts";
 export type { RelayOptions } from "./relay.ts";
 export { Relay, statusForError } from "./relay.ts";
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -14,6 +14,7 @@
   OpenRequestTracker,
   type Readiness,
 } from "@rhubarbstage/gateway/dispatch";
+import type { BackendServerAddress } from "@rhubarbstage/engine";
 import type { Work, WorkSettings } from "@rhubarbstage/policy";
 import {
   type BackendServerId,
@@ -38,7 +39,10 @@
 import { Reply } from "./reply.ts";
 import { type RelayRequest, RelayRun } from "./relay_run.ts";
 import { pickTarget, RouteIndex } from "./route_index.ts";
-import type { ServerConnections } from "./server_connections.ts";
+import {
+  refusesConnections,
+  type ServerConnections,
+} from "./server_connections.ts";
 import type {
   RelayService,
   ReportedLoad,
@@ -59,6 +63,13 @@
   readonly onLoad: (server: BackendServerId, load: ReportedLoad) => void;
   readonly onServerUnreachable: (server: BackendServerId) => void;
   readonly onWrongServer: (server: BackendServerId) => void;
+  /**
+   * Whether the process of a server has ended, after a lost connection; by
+   * default, if its address refuses connections.
+   */
+  readonly confirmServerEnded?: (
+    server: BackendServerAddress,
+  ) => Promise<boolean>;
   readonly origins: AnswerOrigins;
   readonly clock?: Clock;
 }
@@ -123,7 +134,8 @@
     response.once("close", () => {
       if (!response.writableFinished) gone.abort(new CallerDisconnectedError());
     });
-    if (this.#options.readiness.notReadyReason() === "shutting_down") {
+    const reason = this.#options.readiness.notReadyReason();
+    if (reason === "shutting_down" || reason === "cut_off") {
       // Makes the caller send its next request to another host.
       response.shouldKeepAlive = false;
     }
@@ -187,6 +199,8 @@
       onLoad: this.#options.onLoad,
       onServerUnreachable: this.#options.onServerUnreachable,
       onWrongServer: this.#options.onWrongServer,
+      confirmServerEnded: this.#options.confirmServerEnded ??
+        (({ url }) => refusesConnections(url)),
       onStreamBegun: (softwareVersion) =>
         this.#recordStream(relayRequest, { metadata, softwareVersion }),
     });
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -23,10 +23,7 @@
 import { ExchangeError, type ExchangeResponse, readWhole } from "./exchange.ts";
 import { isCloseDelimited } from "./headers.ts";
 import type { Reply } from "./reply.ts";
-import {
-  refusesConnections,
-  type ServerConnections,
-} from "./server_connections.ts";
+import type { ServerConnections } from "./server_connections.ts";
 import type {
   HeaderList,
   PromptExport,
@@ -61,6 +58,10 @@
   readonly onLoad: (server: BackendServerId, load: ReportedLoad) => void;
   /** Called when a request cannot be sent or connections are refused. */
   readonly onServerUnreachable: (server: BackendServerId) => void;
+  /** Whether the process of a server has ended, after a lost connection. */
+  readonly confirmServerEnded: (
+    server: BackendServerAddress,
+  ) => Promise<boolean>;
   /** Called when a server reports that it is not the intended one. */
   readonly onWrongServer: (server: BackendServerId) => void;
   /**
@@ -236,6 +237,7 @@
       path,
       headers,
       body,
+      isRepeatable: prefillAt !== undefined || work.repeatable,
     }, { signal });
   }
 
@@ -439,7 +441,7 @@
   async #toAttemptError(attempt: Attempt, thrown: unknown): Promise<Error> {
     if (!(thrown instanceof ExchangeError)) return thrown as Error;
     const { signal } = attempt.controller;
-    const { onServerUnreachable } = this.#options;
+    const { onServerUnreachable, confirmServerEnded } = this.#options;
     const { id } = attempt.address;
     if (!thrown.maybeDelivered) {
       if (!signal.aborted) onServerUnreachable(id);
@@ -455,8 +457,7 @@
       : "backend_failed";
     const error = new RhubarbstageError(kind, { cause: thrown });
     if (signal.aborted) return error;
-    const isRefusing = await refusesConnections(attempt.address.url);
-    if (!isRefusing) return error;
+    if (!await confirmServerEnded(attempt.address)) return error;
     onServerUnreachable(id);
     return markConnectionLost(error);
   }
--- a/packages/rhubarbstage-relay/src/server_connections.ts
+++ b/packages/rhubarbstage-relay/src/server_connections.ts
@@ -19,11 +19,15 @@
 import type { Dialect } from "./dialect.ts";
 import {
   Exchange,
+  type ExchangeError,
+  type ExchangeOptions,
   type ExchangeRequest,
   type ExchangeResponse,
 } from "./exchange.ts";
+import { type ForwardingHosts, NoForwardingHostError } from "./forwarding.ts";
 import { ResetDetector } from "./reset_detector.ts";
 import { GuardedClient } from "./response_guard.ts";
+import { ServerActivities } from "./server_activity.ts";
 
 /** Options of {@linkcode ServerConnections}. */
 export interface ServerConnectionsOptions {
@@ -32,6 +36,34 @@
   readonly maxConnections: (server: BackendServerId) => number;
   /** Number of hosts that connect to servers, this one included. */
   readonly hosts: () => number;
+  /** Knows which servers this host reaches itself; by default, all. */
+  readonly paths?: ServerPaths;
+  /** Hosts that send requests to servers which this host does not reach. */
+  readonly forwarding?: ForwardingHosts;
+}
+
+/** What is known of this host's paths to servers. */
+export interface ServerPaths {
+  /** Whether to use this host's own connections to a server. */
+  isDirect(server: BackendServerId): boolean;
+  /** Handles a connection that was refused, reset or not answered. */
+  recordFailure(server: BackendServerId): void;
+}
+
+/** Errors of sockets that say something of the path to their server. */
+const pathErrorCodes = new Set([
+  "ECONNREFUSED",
+  "ECONNRESET",
+  "EHOSTUNREACH",
+  "ENETUNREACH",
+  "EPIPE",
+  "ETIMEDOUT",
+  "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Options of one send. */
+export interface SendOptions {
+  readonly signal: AbortSignal;
 }
 
 interface ServerPool {
@@ -53,39 +85,90 @@
   #pools = new Map<BackendServerId, ServerPool>();
   /** Connections for one request each. */
   #singleUse = new Set<Client>();
+  /** Signs of servers on the connections of this host. */
+  readonly activities = new ServerActivities();
 
   constructor(options: ServerConnectionsOptions) {
     this.#options = options;
   }
 
-  /** Sends a request once. Throws `ExchangeError`. */
+  /**
+   * Sends a request once, through another host if this one does not reach the
+   * server. Throws `ExchangeError`.
+   */
   send(
     server: BackendServerAddress,
     request: ExchangeRequest,
-    options: { readonly signal: AbortSignal },
+    options: SendOptions,
   ): Promise<ExchangeResponse> {
-    const { dialect } = this.#options;
+    const { paths, forwarding } = this.#options;
+    const isDirect = paths?.isDirect(server.id) ?? true;
+    return isDirect || forwarding === undefined
+      ? this.sendDirect(server, request, options)
+      : this.#forward(forwarding, server, request, options);
+  }
+
+  /** Sends a request once on this host's connections, even to a lost server. */
+  sendDirect(
+    server: BackendServerAddress,
+    request: ExchangeRequest,
+    options: SendOptions,
+  ): Promise<ExchangeResponse> {
+    const { dialect, paths } = this.#options;
     const { pool, resetDetector, recentIds } = this.#poolOf(server);
     const isNewId = request.id !== undefined &&
       remember(recentIds, request.id);
+    const tracked = {
+      ...options,
+      dialect,
+      activity: this.activities.begin(server.id),
+      onError: (error: ExchangeError) => {
+        if (isPathError(error)) paths?.recordFailure(server.id);
+      },
+    };
     return isNewId
-      ? Exchange.start(pool, request, { ...options, dialect, resetDetector })
-      : this.#sendAlone(server, request, options);
+      ? Exchange.start(pool, request, { ...tracked, resetDetector })
+      : this.#sendAlone(server, request, tracked);
+  }
+
+  /**
+   * Sends a request on a connection of its own, without regard to what is known
+   * of the path. Throws `ExchangeError`.
+   */
+  sendProbe(
+    server: BackendServerAddress,
+    request: ExchangeRequest,
+    options: SendOptions,
+  ): Promise<ExchangeResponse> {
+    const { dialect } = this.#options;
+    return this.#sendAlone(server, request, { ...options, dialect });
+  }
+
+  async #forward(
+    forwarding: ForwardingHosts,
+    server: BackendServerAddress,
+    request: ExchangeRequest,
+    options: SendOptions,
+  ): Promise<ExchangeResponse> {
+    try {
+      return await forwarding.send(server, request, options);
+    } catch (thrown) {
+      if (!(thrown instanceof NoForwardingHostError)) throw thrown;
+    }
+    return await this.sendDirect(server, request, options);
   }
 
   /** Sends a request on a connection that is closed after its response. */
   #sendAlone(
     { url }: BackendServerAddress,
     request: ExchangeRequest,
-    options: { readonly signal: AbortSignal },
+    options: Omit<ExchangeOptions, "resetDetector">,
   ): Promise<ExchangeResponse> {
-    const { dialect } = this.#options;
     const resetDetector = new ResetDetector({ timeout: connectTimeout });
     const client = createClient(url, resetDetector);
     this.#singleUse.add(client);
     const response = Exchange.start(client, request, {
       ...options,
-      dialect,
       resetDetector,
     });
     // Waits for the response; its errors are reported with it.
@@ -94,7 +177,10 @@
     return response;
   }
 
-  /** Closes a server's pool once its running requests have ended. */
+  /**
+   * Closes a server's pool once its running requests have ended; later ones get
+   * new connections.
+   */
   closeWhenIdle(server: BackendServerId): void {
     const existing = this.#pools.get(server);
     if (existing === undefined) return;
@@ -140,6 +226,12 @@
   });
 }
 
+/** Whether an exchange failed by a socket error that its path may explain. */
+function isPathError({ cause }: ExchangeError): boolean {
+  const { code } = (cause ?? {}) as NodeJS.ErrnoException;
+  return code !== undefined && pathErrorCodes.has(code);
+}
+
 /** Adds an id; false if it is already among the latest. */
 function remember(recentIds: Set<string>, id: string): boolean {
   if (recentIds.has(id)) return false;
