Refuse records that no server can have

Callers got status 500 for 14 to 29 of 30 requests after another writer had announced a server at port 65536 (or 99999, or with an address that is no IPv4 one), although another server was free. In gossip, an odd entry cost the servers beside it: they got no request at all.

Cause: what others write was trusted once it had the right types. A pool throws for an address that is no URL, which is not retried, and an exception in one entry dropped the effects of the whole gossip message.

Ruled out: nested bodies and unknown fields, which ended no process before either.

checkServerRecord now states what a record can be and is applied wherever records enter membership; gossip is decoded part by part, so that the rest holds.

--- a/packages/rhubarbstage-membership/src/gossip_exchange.ts
+++ b/packages/rhubarbstage-membership/src/gossip_exchange.ts
@@ -175,6 +175,7 @@
       effects.push({ type: "part_marks_heard", marks: value.marks });
       break;
     case "revision":
+    case "unreadable":
       break;
     case "server_gone":
       removeServer(state, { ...value, now }, effects);
--- a/packages/rhubarbstage-membership/src/membership.ts
+++ b/packages/rhubarbstage-membership/src/membership.ts
@@ -23,6 +23,7 @@
 } from "./demand_exchange.ts";
 import type { MembershipTransport } from "./membership_transport.ts";
 import { MembershipReducer } from "./membership_reducer.ts";
+import { checkServerRecord, isServerLoad } from "./record_checks.ts";
 import {
   findHostRecord,
   type HostLog,
@@ -30,11 +31,7 @@
   type MembershipState,
   newestEvidenceAt,
 } from "./state.ts";
-import {
-  decodeGossipMessage,
-  encodeGossipMessage,
-  type WireGossipMessage,
-} from "./wire.ts";
+import { decodeGossipMessage, encodeGossipMessage } from "./wire.ts";
 import type {
   HostRecord,
   MembershipEffect,
@@ -156,10 +153,11 @@
 
   /**
    * Handles an announcement or renewal and returns the host that should receive
-   * the next ones.
+   * the next ones. Throws `invalid_request` if no server can have the record.
    */
   handleAnnouncement(record: ServerRecord, load?: ServerLoad): HostRecord {
     const announced = { ...record, takeover: 0 };
+    checkServerRecord(announced);
     const now = this.#now();
     this.#dispatch({ type: "announced", now, record: announced, load });
     const owner = this.#state.servers.get(record.id)?.owner;
@@ -258,16 +256,19 @@
   #registerHandlers(): void {
     const { transport } = this.#options;
     transport.onMessage("gossip", (from, body) => {
-      const message = decodeGossipMessage(body as WireGossipMessage);
+      const message = decodeGossipMessage(body);
       this.#dispatch({ type: "received", now: this.#now(), from, message });
     });
     transport.onRequest("renew", (_from, body) => {
-      const { record, load } = body as {
-        record: ServerRecord;
-        load?: ServerLoad;
-      };
-      const now = this.#now();
-      this.#dispatch({ type: "announced", now, record, load, forwarded: true });
+      const { record, load } = body as { record: unknown; load?: unknown };
+      checkServerRecord(record);
+      this.#dispatch({
+        type: "announced",
+        now: this.#now(),
+        record,
+        ...(isServerLoad(load) ? { load } : {}),
+        forwarded: true,
+      });
       return true;
     });
     transport.onMessage("cache", (_from, body) => {
--- a/packages/rhubarbstage-membership/src/mod.ts
+++ b/packages/rhubarbstage-membership/src/mod.ts
@@ -23,6 +23,7 @@
 } from "./membership.ts";
 export { Membership } from "./membership.ts";
 export type { MembershipReducerOptions } from "./membership_reducer.ts";
+export { checkServerRecord, maxCapacity } from "./record_checks.ts";
 export { MembershipReducer } from "./membership_reducer.ts";
 export { selectNeighbours } from "./neighbours.ts";
 export type { MembershipState, TrackedServer } from "./state.ts";
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -131,7 +131,9 @@
     readonly type: "request_limits";
     readonly limits: readonly SharedRequestLimit[];
   }
-  | { readonly type: "revision"; readonly revision: Revision };
+  | { readonly type: "revision"; readonly revision: Revision }
+  /** Stands for a received value that is not valid; it says nothing. */
+  | { readonly type: "unreadable" };
 
 /** State of the sender's copy of one host's log. */
 export interface DigestEntry {
--- a/packages/rhubarbstage-membership/src/wire.ts
+++ b/packages/rhubarbstage-membership/src/wire.ts
@@ -6,6 +6,13 @@
  */
 
 import type { BackendServerId, HostId, Incarnation } from "rhubarbstage";
+import {
+  isAge,
+  isCount,
+  isName,
+  isServerLoad,
+  readLogValue,
+} from "./record_checks.ts";
 import type {
   Delta,
   DigestEntry,
@@ -54,30 +61,47 @@
   ];
 }
 
-/** Decodes a message from its wire form. */
-export function decodeGossipMessage(wire: WireGossipMessage): GossipMessage {
-  const [digest, wants, deltas, loads] = wire;
+/**
+ * Decodes a message from its wire form. Drops the parts that are not valid, so
+ * that the rest of the message is not lost with them.
+ */
+export function decodeGossipMessage(wire: unknown): GossipMessage {
+  const [digest, wants, deltas, loads] = toList(wire);
   return {
-    digest: digest.map(decodeDigest),
-    wants: wants.map(([host, incarnation, version]): Want => ({
-      host,
-      incarnation: incarnation as Incarnation,
-      version,
-    })),
-    deltas: deltas.map(decodeDelta),
-    loads: loads.map(decodeLoad),
+    digest: decodeList(digest, decodeDigest),
+    wants: decodeList(wants, decodeWant),
+    deltas: decodeList(deltas, decodeDelta),
+    loads: decodeList(loads, decodeLoad),
   };
 }
 
+/** Returns the elements of a list; none if the value is not a list. */
+function toList(value: unknown): readonly unknown[] {
+  return Array.isArray(value) ? value : [];
+}
+
+/** Decodes the elements of a list; leaves out those that are not valid. */
+function decodeList<Element>(
+  value: unknown,
+  decodeElement: (wire: readonly unknown[]) => Element | undefined,
+): Element[] {
+  return toList(value).map((item) => decodeElement(toList(item)))
+    .filter((element) => element !== undefined);
+}
+
 function encodeDigest(entry: DigestEntry): WireDigest {
   const { host, incarnation, heartbeat, version, age } = entry;
   return [host, incarnation, heartbeat, version, Math.ceil(age / ageUnit)];
 }
 
-function decodeDigest(wire: WireDigest): DigestEntry {
+function decodeDigest(wire: readonly unknown[]): DigestEntry | undefined {
   const [host, incarnation, heartbeat, version, age] = wire;
+  if (!isName(host) || host === "" || !isCount(incarnation)) return undefined;
+  if (!isCount(heartbeat) || !isCount(version) || !isAge(age)) {
+    return undefined;
+  }
   return {
-    host,
+    host: host as HostId,
     incarnation: incarnation as Incarnation,
     heartbeat,
     version,
@@ -85,6 +109,18 @@
   };
 }
 
+function decodeWant(wire: readonly unknown[]): Want | undefined {
+  const [host, incarnation, version] = wire;
+  if (!isName(host) || !isCount(incarnation) || !isCount(version)) {
+    return undefined;
+  }
+  return {
+    host: host as HostId,
+    incarnation: incarnation as Incarnation,
+    version,
+  };
+}
+
 function encodeDelta(delta: Delta): WireDelta {
   const entries = delta.entries.map(({ key, version, value }) =>
     [key, version, value] as const
@@ -97,13 +133,21 @@
   ];
 }
 
-function decodeDelta(wire: WireDelta): Delta {
-  const [digest, from, complete, entries] = wire;
+function decodeDelta(wire: readonly unknown[]): Delta | undefined {
+  const [digest, fromVersion, complete, entries] = wire;
+  const decodedDigest = decodeDigest(toList(digest));
+  if (decodedDigest === undefined || !isCount(fromVersion)) return undefined;
   return {
-    digest: decodeDigest(digest),
-    fromVersion: from,
-    complete,
-    entries: entries.map(([key, version, value]) => ({ key, version, value })),
+    digest: decodedDigest,
+    fromVersion,
+    complete: complete === true,
+    entries: decodeList(
+      entries,
+      ([key, version, value]) =>
+        typeof key === "string" && isCount(version)
+          ? { key, version, value: readLogValue(value) }
+          : undefined,
+    ),
   };
 }
 
@@ -120,17 +164,20 @@
   ];
 }
 
-function decodeLoad(wire: WireLoad): SharedLoad {
+function decodeLoad(wire: readonly unknown[]): SharedLoad | undefined {
   const [id, incarnation, running, queued, used, total, age] = wire;
+  const load: unknown = {
+    runningRequests: running,
+    queuedRequests: queued,
+    cacheTokensUsed: used,
+    cacheTokensTotal: total,
+  };
+  if (!isName(id) || !isCount(incarnation)) return undefined;
+  if (!isServerLoad(load) || !isAge(age)) return undefined;
   return {
-    id,
+    id: id as BackendServerId,
     incarnation: incarnation as Incarnation,
-    load: {
-      runningRequests: running,
-      queuedRequests: queued,
-      cacheTokensUsed: used,
-      cacheTokensTotal: total,
-    },
+    load,
     age: age * ageUnit,
   };
 }
