Restore servers whose address another entry held for a time

Callers got 503 for a whole service after an entry with a later start had named the address of its only server and left again: the server was never used again by entry hosts, though it renewed all the time.

Cause: an address belongs to the newest process, so the registry removed the other server; membership still had it, and gossip reports only what changes. Evidence: "a server is used again once another entry of its address has ended" failed before (no request succeeded within 3 s). Ruled out: expiry of the server, which its owner went on to renew.

When an entry goes, the servers of its address that membership still lists are reported again. A process that has really lost the address refuses requests that name another one, so a wrong restoration costs no answer.

--- a/packages/rhubarbstage-host/src/relay_membership.ts
+++ b/packages/rhubarbstage-host/src/relay_membership.ts
@@ -61,7 +61,9 @@
       },
       serverGone: (id, options) => {
         events.record("server_gone", { server: id, crashed: options.crashed });
+        const address = registry.recordOf(id)?.address;
         registry.removeServer(id, options);
+        restoreServersAt(address, { membership, registry });
       },
       hostUpdated: (record) => {
         if (record.host === settings.host) return;
@@ -110,6 +112,25 @@
   }
 }
 
+/**
+ * Restores servers that lost their address to another one, which is gone. If the
+ * address is not theirs any more, requests to them are refused as misdirected.
+ */
+function restoreServersAt(
+  address: string | undefined,
+  parts: {
+    readonly membership: Membership;
+    readonly registry: BackendRegistry;
+  },
+): void {
+  const { membership, registry } = parts;
+  for (const { record, load, usable } of membership.listServers()) {
+    const isKnown = registry.recordOf(record.id) !== undefined;
+    if (isKnown || record.address !== address) continue;
+    registry.updateServer({ record, usable, ...(load && { load }) });
+  }
+}
+
 function createLocalRecord(settings: RelayHostSettings): HostRecord {
   const { host, region, availabilityZone, peer, control } = settings;
   return {
