Take no answer for a request's own that names another one, too

A charge that ran was sent to a second server (TWICE) if the head in front of its answer, a copy of an earlier refusal, held two ids: that of the request and, behind it, that of the refused one.

Cause: the first of several ids counted. Evidence: of 19 new cases of copied refusals in second_copy_test.ts (packets, interim responses, other case, no id, two ids, prefills, second sends, cancelled requests) one failed before, "with its id behind that of the request" (two runs of one charge).

An id that is repeated with another value now counts as none, so the exchange ends the connection before anything else of the answer is read.

--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -44,6 +44,7 @@
   ServerConnections,
   type StreamOrigin,
   StreamTable,
+  unambiguousHeaderValue,
 } from "../src/mod.ts";
 
 const region = "here" as Region;
@@ -79,7 +80,7 @@
     _status: number,
     headers: HeaderList,
   ): ResponseMetadata {
-    const request = headerValue(headers, "test-id");
+    const request = unambiguousHeaderValue(headers, "test-id");
     const pause = headerValue(headers, "test-pause");
     const isLeaving = headerValue(headers, "test-leaving") !== undefined;
     const notice = { isLeaving, pause: Number(pause ?? 0) };
--- a/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/second_copy_test.ts
@@ -3,7 +3,7 @@
  * be in use again. No caller may get a response that is not its own.
  */
 
-import type { Socket } from "node:net";
+import { connect, type Socket } from "node:net";
 import {
   answer,
   exchange,
@@ -246,3 +246,283 @@
   expect(await exchange(relay.port, text)).toMatch(/for a$/);
   expect(ran).toEqual(["a"]);
 });
+
+/** Sends a charge under an id and returns the raw reply. */
+function charge(id: string): Promise<string> {
+  const headers = [`test-id: ${id}`];
+  return exchange(
+    relay!.port,
+    request({ method: "POST", body: "charge", headers }),
+  );
+}
+
+const bareRefusal = answer("503 Full", ["test-not-run: 1"], "");
+const doubleIdRefusal = (id: string, other: string) =>
+  answer(
+    "503 Full",
+    [`test-id: ${id}`, `test-id: ${other}`, "test-not-run: 1"],
+    "",
+  );
+
+/** Ways in which a server repeats the refusal of the request before. */
+const refusalCopies: {
+  readonly name: string;
+  /** Writes the answer to a later request, with the copy of the refusal. */
+  readonly write: (
+    socket: Socket,
+    copied: { readonly refused: string; readonly id: string },
+  ) => void;
+}[] = [
+  {
+    name: "in one packet with the answer",
+    write: (socket, { refused, id }) =>
+      socket.write(refusalOf(refused) + responseTo(id)),
+  },
+  {
+    name: "long before the answer",
+    write: (socket, { refused, id }) => {
+      socket.write(refusalOf(refused));
+      setTimeout(() => socket.write(responseTo(id)), copyDelay);
+    },
+  },
+  {
+    name: "after an interim response",
+    write: (socket, { refused, id }) =>
+      socket.write(interim + refusalOf(refused) + responseTo(id)),
+  },
+  {
+    name: "with the answer's interim response behind it",
+    write: (socket, { refused, id }) =>
+      socket.write(refusalOf(refused) + interim + responseTo(id)),
+  },
+  {
+    name: "twice",
+    write: (socket, { refused, id }) =>
+      socket.write(
+        refusalOf(refused) + refusalOf(refused) + responseTo(id),
+      ),
+  },
+  {
+    name: "with its id in upper case",
+    write: (socket, { refused, id }) =>
+      socket.write(
+        refusalOf(refused.toUpperCase()) + responseTo(id),
+      ),
+  },
+  {
+    name: "with the header's name in upper case",
+    write: (socket, { refused, id }) =>
+      socket.write(
+        refusalOf(refused).replace("test-id", "TEST-ID") + responseTo(id),
+      ),
+  },
+  {
+    name: "without an id",
+    write: (socket, { id }) => socket.write(bareRefusal + responseTo(id)),
+  },
+  {
+    name: "with an empty id",
+    write: (socket, { id }) => socket.write(refusalOf("") + responseTo(id)),
+  },
+  {
+    name: "with its id before that of the request",
+    write: (socket, { refused, id }) =>
+      socket.write(doubleIdRefusal(refused, id) + responseTo(id)),
+  },
+  {
+    name: "with its id behind that of the request",
+    write: (socket, { refused, id }) =>
+      socket.write(doubleIdRefusal(id, refused) + responseTo(id)),
+  },
+  {
+    name: "with both ids in one header",
+    write: (socket, { refused, id }) =>
+      socket.write(refusalOf(`${id}, ${refused}`) + responseTo(id)),
+  },
+  {
+    name: "cut into two packets",
+    write: (socket, { refused, id }) => {
+      const copy = refusalOf(refused);
+      socket.write(copy.slice(0, 30));
+      setTimeout(
+        () => socket.write(copy.slice(30) + responseTo(id)),
+        copyDelay,
+      );
+    },
+  },
+];
+
+// Guards against requests that run and are answered as not run, or that run at a
+// second server, by a copy of an earlier refusal.
+test.each(refusalCopies)(
+  "a refusal repeated $name is not taken for an answer",
+  async ({ write }) => {
+    const ran: string[] = [];
+    const refusedBy = new WeakMap<Socket, string>();
+    const script: Script = ({ socket, head }) => {
+      const id = idOf(head);
+      const refused = refusedBy.get(socket);
+      if (refused === undefined) {
+        refusedBy.set(socket, id);
+        socket.write(refusalOf(id));
+        return;
+      }
+      ran.push(id);
+      write(socket, { refused, id });
+    };
+    servers = await Promise.all([startServer(script), startServer(script)]);
+    relay = await startRelay({
+      servers,
+      route: { kind: "at_most_once", maxAttempts: 2 },
+    });
+    const ids = ["aa", "bb", "cc", "dd", "ee", "ff"];
+    for (const id of ids) {
+      const seen = await charge(id);
+      const runs = ran.filter((other) => other === id).length;
+      expect([id, runs]).toEqual([id, Math.min(runs, 1)]);
+      // A request that ran has its own answer, or may have run.
+      if (runs > 0) expect(seen).toMatch(/^HTTP\/1\.1 (200|502) /);
+      if (seen.startsWith("HTTP/1.1 200")) {
+        expect(seen).toMatch(new RegExp(`for ${id}$`));
+      }
+    }
+    expect(ran.length).toBeGreaterThan(0);
+  },
+);
+
+/** When a server that has answered repeats the refusal before that. */
+const idleCopies: { name: string; delay: number }[] = [
+  { name: "with the refusal", delay: 0 },
+  { name: "while the connection is idle", delay: copyDelay },
+  { name: "about when the next request is sent", delay: callerInterval },
+];
+
+// Guards against copies that arrive before the request that they seem to answer:
+// it must run at most once, and not be refused when it runs.
+test.each(idleCopies)(
+  "a refusal repeated $name does not reach the next request",
+  async ({ delay }) => {
+    const ran: string[] = [];
+    const refusedIds = new Set<string>();
+    const script: Script = ({ socket, head, count }) => {
+      const id = idOf(head);
+      if (count % 2 === 0) {
+        ran.push(id);
+        socket.write(responseTo(id));
+        return;
+      }
+      refusedIds.add(id);
+      const copy = refusalOf(id);
+      if (delay === 0) return void socket.write(copy + copy);
+      socket.write(copy);
+      setTimeout(() => socket.write(copy), delay);
+    };
+    servers = [await startServer(script)];
+    relay = await startRelay({
+      servers,
+      route: { kind: "at_most_once", maxAttempts: 1 },
+    });
+    for (const id of ["a", "b", "c", "d", "e", "f"]) {
+      const seen = await charge(id);
+      const runs = ran.filter((other) => other === id).length;
+      expect(runs).toBeLessThanOrEqual(1);
+      if (runs === 1) expect(seen).toMatch(/^HTTP\/1\.1 (200|502) /);
+      if (seen.startsWith("HTTP/1.1 503")) expect(runs).toBe(0);
+      await delayMilliseconds(callerInterval - 5);
+    }
+    expect(ran.length).toBeGreaterThan(0);
+  },
+);
+
+// Guards against the copy of a refusal that is taken for the answer to a prefill:
+// the prompt would count as not computed, or as another request's.
+test("a copy of a refused prefill is not taken for the next one", async () => {
+  const fetched: [id: string, handle: string][] = [];
+  const prefillServer = await startServer(({ socket, head, count }) => {
+    const id = idOf(head);
+    const copy = lastResponses.get(socket) ?? "";
+    const refuses = count % 2 === 1;
+    const response = refuses
+      ? refusalOf(id)
+      : answer("200 OK", [`test-id: ${id}`], `prompt-${id}`);
+    socket.write(copy + response);
+    lastResponses.set(socket, response);
+  });
+  const decodeServer = await startServer(({ socket, head }) => {
+    const id = idOf(head);
+    const handle = /test-export: (\S+)/.exec(head)?.[1];
+    if (handle !== undefined) fetched.push([id, handle]);
+    socket.write(
+      answer("200 OK", [`test-id: ${id}`], `id: 1\ndata: ${id}\n\n`),
+    );
+  });
+  servers = [prefillServer, decodeServer];
+  relay = await startRelay({
+    servers,
+    route: { kind: "stream", maxAttempts: 1 },
+    settings: { shareEngineState: true },
+    roles: ["prefill", "decode"],
+  });
+  for (const id of ["a", "b", "c", "d", "e", "f"]) {
+    const headers = [`test-id: ${id}`, "test-tokens: 9000"];
+    const seen = await exchange(relay.port, request({ headers }));
+    expect(seen).toContain(`data: ${id}`);
+  }
+  expect(decodeServer.received).toHaveLength(6);
+  for (const [id, handle] of fetched) expect(handle).toBe(`prompt-${id}`);
+});
+
+// Guards against a second send under an id that is answered by the copy of the
+// refusal of the first, in each of the following sends.
+test("copies of refusals do not answer sends under the same id", async () => {
+  const ran: string[] = [];
+  const script = repeatLast((head) => {
+    const id = idOf(head);
+    if (servers[0]!.received.length % 2 === 1) return refusalOf(id);
+    ran.push(id);
+    return responseTo(id);
+  });
+  servers = [await startServer(script)];
+  relay = await startRelay({
+    servers,
+    route: { kind: "at_most_once", maxAttempts: 1 },
+  });
+  const statuses: string[] = [];
+  for (let send = 0; send < 6; send += 1) {
+    statuses.push((await charge("a")).slice(9, 12));
+  }
+  expect(statuses).toEqual(["503", "200", "503", "200", "503", "200"]);
+  expect(ran).toEqual(["a", "a", "a"]);
+});
+
+// Guards against requests on the connection of a cancelled one, whose refusal or
+// its copy is still due.
+test("refusals of a cancelled request reach no other request", async () => {
+  const ran: string[] = [];
+  const script: Script = ({ socket, head }) => {
+    const id = idOf(head);
+    if (id.startsWith("gone")) {
+      setTimeout(() => socket.write(refusalOf(id)), copyDelay);
+      setTimeout(() => socket.write(refusalOf(id)), callerInterval);
+      return;
+    }
+    ran.push(id);
+    setTimeout(() => socket.write(responseTo(id)), copyDelay);
+  };
+  servers = [await startServer(script)];
+  relay = await startRelay({
+    servers,
+    route: { kind: "at_most_once", maxAttempts: 2 },
+  });
+  for (const id of ["a", "b", "c"]) {
+    const headers = [`test-id: gone${id}`];
+    const text = request({ method: "POST", body: "charge", headers });
+    const cancelled = connect(relay.port, "127.0.0.1", () => {
+      cancelled.write(text);
+      setTimeout(() => cancelled.destroy(), copyDelay / 2);
+    });
+    await delayMilliseconds(copyDelay / 2 + 5);
+    expect(await charge(id)).toMatch(new RegExp(`for ${id}$`));
+  }
+  expect(ran).toEqual(["a", "b", "c"]);
+});
--- a/packages/rhubarbstage-relay/src/headers.ts
+++ b/packages/rhubarbstage-relay/src/headers.ts
@@ -41,6 +41,23 @@
   return undefined;
 }
 
+/**
+ * Returns the value of a header that must not differ where it is repeated;
+ * undefined if it does or is absent. `name` must be in lower case.
+ */
+export function unambiguousHeaderValue(
+  headers: HeaderList,
+  name: string,
+): string | undefined {
+  const values = new Set<string>();
+  for (const [key, value] of headerPairs(headers)) {
+    if (key.length !== name.length || key.toLowerCase() !== name) continue;
+    values.add(value);
+  }
+  const [value] = values;
+  return values.size === 1 ? value : undefined;
+}
+
 /**
  * Removes hop-by-hop headers, those listed in `Connection` and those in
  * `without`, whose names must be in lower case.
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -30,7 +30,12 @@
 export { AnswerOrigins, StreamTable } from "./answer_origins.ts";
 export { readWhole } from "./exchange.ts";
 export { Dialect } from "./dialect.ts";
-export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
+export {
+  endToEndHeaders,
+  headerPairs,
+  headerValue,
+  unambiguousHeaderValue,
+} from "./headers.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
 export type { ServerConnectionsOptions } from "./server_connections.ts";
 export { refusesConnections, ServerConnections } from "./server_connections.ts";
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -146,7 +146,7 @@
 
 /** Metadata parsed from the head of a server's response. */
 export interface ResponseMetadata {
-  /** Id of the request that was answered; absent if not sent. */
+  /** Id of the request that was answered; absent if not sent or ambiguous. */
   readonly request?: string;
   /** Whether the server states that it has not run the request. */
   readonly isNotRun: boolean;
