Continue a begun stream only with its own status and media type

Callers of a resumable stream whose server broke off found JSON or a page of the next server in the middle of it, or a stream that ended as if it were complete.

Cause: any signed answer below 300 to a stream's route counted as its continuation: 200 with JSON, HTML, no type or no content, 202, 204 and 206.

The run now keeps the head with which its reply was begun; #acquireReply, through which all bytes pass, lets another answer follow only if status and media type are the same.

--- a/packages/rhubarbstage-relay/src/headers.ts
+++ b/packages/rhubarbstage-relay/src/headers.ts
@@ -58,6 +58,12 @@
   return values.size === 1 ? value : undefined;
 }
 
+/** Returns the media type of a body in lower case; empty if none is named. */
+export function mediaTypeOf(headers: HeaderList): string {
+  const [type = ""] = (headerValue(headers, "content-type") ?? "").split(";");
+  return type.trim().toLowerCase();
+}
+
 /**
  * Removes hop-by-hop headers, those listed in `Connection` and those in
  * `without`, whose names must be in lower case.
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -21,7 +21,7 @@
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { ExchangeError, type ExchangeResponse, readWhole } from "./exchange.ts";
-import { isCloseDelimited } from "./headers.ts";
+import { isCloseDelimited, mediaTypeOf } from "./headers.ts";
 import type { Reply } from "./reply.ts";
 import {
   refusesConnections,
@@ -97,6 +97,8 @@
 export class RelayRun extends RequestRun<RelayResult> {
   readonly #options: RelayRunOptions;
   #replyOwner: Attempt | undefined;
+  /** Response whose head was written to the caller. */
+  #begunResponse: AttemptResponse | undefined;
   #lastEventId: string | undefined;
   #eventCount = 0;
   #fallbackResponse: FallbackResponse | undefined;
@@ -371,6 +373,7 @@
     this.#acquireReply(response);
     if (reply.isBegun) return;
     if (this.#isStream(response)) onStreamBegun(attempt.effect.softwareVersion);
+    this.#begunResponse = response;
     reply.begin(response.status, response.headers);
     this.#recordEvent("first_event", {
       attempt: attempt.id,
@@ -393,13 +396,14 @@
   /**
    * Acquires the reply for a response; all bytes of the reply pass through here.
    * The owner keeps it while its attempt is active. A reply that was begun goes
-   * on only with a stream that continues after the last event delivered; the
-   * bytes of any other response would be joined to those of the owner.
+   * on only with a stream of the same status and media type that continues after
+   * the last event delivered; the bytes of any other response would be joined to
+   * those of the owner.
    *
    * @throws {RhubarbstageError} If the response may not be written.
    */
   #acquireReply(response: AttemptResponse): void {
-    const { attempt, status, resumedAfter } = response;
+    const { attempt, status, headers, resumedAfter } = response;
     if (this.#replyOwner === attempt && this.isActive(attempt)) return;
     const isTaken = this.#replyOwner !== undefined &&
       this.isActive(this.#replyOwner);
@@ -410,12 +414,15 @@
       });
     }
     const mayContinue = this.#isStream(response) &&
+      status === this.#begunResponse?.status &&
+      mediaTypeOf(headers) === mediaTypeOf(this.#begunResponse.headers) &&
       resumedAfter !== undefined && resumedAfter === this.#lastEventId;
     if (this.#options.reply.isBegun && !mayContinue) {
       throw new RhubarbstageError("stream_interrupted", {
         outcome: "ran",
-        cause: `A response with status ${status} does not continue the ` +
-          `reply after event ${this.#lastEventId ?? "none"}`,
+        cause: `A response with status ${status} and media type ` +
+          `"${mediaTypeOf(headers)}" does not continue the reply after ` +
+          `event ${this.#lastEventId ?? "none"}`,
       });
     }
     this.#replyOwner = attempt;
