Keep a request open at a stop until its response has left

What callers saw: a caller that was slow to read got the first part of its response when its entry host stopped; the connection then ended.

Cause: the relay took a request as closed once its response was handed to the HTTP server. A stop waits for open requests only, and then closes the connections that Node.js counts as idle. Those include connections whose response has ended but still lies in buffers of the process, and what lies there is lost. Responses of up to 256 KB are handed over in one piece.

Why it holds: a request is open until its response is written or its connection is closed, as in the product's own interface, whose wait the relay now shares. The wait also ends when a response that stands behind an earlier one loses its connection; it has no connection of its own until then. A caller that reads nothing is bounded by the grace period, and without a stop by 60 s.

--- a/packages/rhubarbstage-gateway/src/caller_connection.ts
+++ b/packages/rhubarbstage-gateway/src/caller_connection.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { setMaxListeners } from "node:events";
 import type { ServerResponse } from "node:http";
 import { CallerDisconnectedError } from "./errors.ts";
 
@@ -17,10 +18,20 @@
   stallTimeout: number,
 ): Promise<void> {
   if (response.writableFinished || response.destroyed) return;
-  response.setTimeout(stallTimeout, () => response.destroy());
+  const { socket } = response.req;
+  if (socket.destroyed) return;
+  response.setTimeout(stallTimeout, () => socket.destroy());
+  // A caller may have any number of requests open on one connection.
+  setMaxListeners(0, socket);
   await new Promise<void>((resolve) => {
-    response.once("finish", resolve);
-    response.once("close", resolve);
+    const end = () => {
+      socket.off("close", end);
+      resolve();
+    };
+    response.once("finish", end);
+    response.once("close", end);
+    // A response that waits behind an earlier one has no connection to close.
+    socket.once("close", end);
   });
 }
 
--- a/packages/rhubarbstage-gateway/src/dispatch.ts
+++ b/packages/rhubarbstage-gateway/src/dispatch.ts
@@ -22,5 +22,6 @@
 export { Dispatcher } from "./dispatcher.ts";
 export type { Attempt, DispatchEffect, RunContext } from "./run.ts";
 export { RequestRun } from "./run.ts";
+export { waitForResponseClose } from "./caller_connection.ts";
 export { CallerDisconnectedError } from "./errors.ts";
 export { OpenRequestTracker } from "./open_request_tracker.ts";
--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -125,3 +125,32 @@
     await relay?.close();
   });
 });
+
+/** Size of one response that is buffered whole, in bytes. */
+const responseSize = 250_000;
+/** Responses that together exceed the buffers of the operating system. */
+const unreadResponses = 40;
+
+// Guards against responses that are cut short at a stop because their last bytes
+// have not left the process, as when the caller is slow to read.
+test("a slow caller gets the whole of its responses at a stop", async () => {
+  server = await startServer(({ socket }) => {
+    socket.write(answer("200 OK", [], "x".repeat(responseSize)));
+  });
+  relay = await startRelay({ servers: [server] });
+  const keepAlive = request({}).replace("Connection: close\r\n", "");
+  const { socket, closed } = openCaller(
+    relay.port,
+    keepAlive.repeat(unreadResponses),
+  );
+  socket.pause();
+  while (server.received.length < unreadResponses) await delayMilliseconds(10);
+  const stopped = relay.relay.waitUntilIdle().then(() => relay?.close());
+  await delayMilliseconds(serviceTime);
+  socket.resume();
+  const seen = await closed;
+  const heads = seen.match(/HTTP\/1\.1 200 OK/g) ?? [];
+  expect(heads).toHaveLength(unreadResponses);
+  expect(seen.length).toBeGreaterThan(unreadResponses * responseSize);
+  await stopped;
+});
--- a/packages/rhubarbstage-relay/src/constants.ts
+++ b/packages/rhubarbstage-relay/src/constants.ts
@@ -49,6 +49,12 @@
  */
 export const maxStreamLifetime = 600_000;
 
+/**
+ * Time until a caller that does not read the rest of its response is cut off, in
+ * milliseconds.
+ */
+export const callerStallTimeout = 60_000;
+
 /** Timeout for receiving a whole request, in milliseconds. */
 export const requestTimeout = 30_000;
 
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -13,6 +13,7 @@
   type GatewayTelemetry,
   OpenRequestTracker,
   type Readiness,
+  waitForResponseClose,
 } from "@rhubarbstage/gateway/dispatch";
 import type { Work, WorkSettings } from "@rhubarbstage/policy";
 import {
@@ -30,6 +31,7 @@
 } from "rhubarbstage";
 import type { AnswerOrigins, StreamOrigin } from "./answer_origins.ts";
 import {
+  callerStallTimeout,
   deadlineMargin,
   defaultRetryAfter,
   maxStreamLifetime,
@@ -101,7 +103,7 @@
     this.#index = new RouteIndex(table);
   }
 
-  /** Ids of the requests that are queued or running. */
+  /** Ids of the requests whose response has not been written in full. */
   get openRequests(): readonly RequestId[] {
     return this.#requests.open;
   }
@@ -137,6 +139,7 @@
     } catch (thrown) {
       this.#answerError(response, { request, thrown });
     } finally {
+      await waitForResponseClose(response, callerStallTimeout);
       this.#requests.remove(request);
     }
   }
