Read what has arrived before idle connections are closed at a stop

What callers saw: a request that was sent on a kept connection while a busy host stopped ended in a reset, hundreds of milliseconds after its last byte.

Cause: a stop ends in a timer of the event loop, whose reads come after its timers. A connection with a request that has arrived but is unread counts as idle, so it was closed, and closing a connection with unread bytes resets it. On a host that shares its processor, as processes on one machine do, the time from arrival to close is as long as the host was busy, so the caller cannot take it for a request that crossed the close.

Evidence: the new test keeps five connections, sends one request on each while the host is busy for 300 ms, and closes the listener.

Ruled out: the limit of 400 ms for half-read requests, which did not apply, since nothing of these requests had been read.

Why it holds: the listener lets the event loop pass its reads once before it closes idle connections. What was read is open and is answered; a host that stops refuses it as not run. A request that is still on its way may cross the close as before. The product's own interface closes the same way and has not been changed here.

--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -72,6 +72,28 @@
   await closing;
 });
 
+/** Time for which a busy host reads nothing, in milliseconds. */
+const pauseTime = 300;
+
+// Guards against requests that have arrived at a busy host, are still unread when
+// it closes its idle connections, and get a reset instead of an answer.
+test("requests that have arrived unread at the stop are answered", async () => {
+  const { port, close } = await start();
+  const whole = request({ method: "POST", body: "charge" });
+  const keepAlive = whole.replace("Connection: close\r\n", "");
+  const callers = Array.from({ length: 5 }, () => openCaller(port, keepAlive));
+  // Each caller's connection is kept after its first answer.
+  await delayMilliseconds(serviceTime * 3);
+  for (const { socket } of callers) socket.write(whole);
+  const resumesAt = performance.now() + pauseTime;
+  while (performance.now() < resumesAt);
+  await close();
+  for (const { closed } of callers) {
+    const answers = (await closed).match(/HTTP\/1\.1 (200|502|503) /g) ?? [];
+    expect(answers).toHaveLength(2);
+  }
+});
+
 test("a caller that never ends its request does not hold up the stop", async () => {
   const { port, close } = await start();
   const { closed } = openCaller(port, "POST / HTTP/1.1\r\nHost: ");
--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Server } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import fastify, { type FastifyInstance } from "fastify";
 import { requestTimeout } from "./constants.ts";
 import type { Relay } from "./relay.ts";
@@ -78,6 +79,10 @@
    * arrive are answered first, within `lastRequestTimeout`.
    */
   async close(): Promise<void> {
+    // A connection with an unread request counts as idle. The turn that is under
+    // way may be past its reads, so only the next one reads what has arrived.
+    await nextTurn();
+    await nextTurn();
     const server = this.#server.server as Server;
     const timer = setTimeout(
       () => server.closeAllConnections(),
