--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -72,6 +72,28 @@
   await closing;
 });
 
+/** Time for which a busy host reads nothing, in milliseconds. */
+const pauseTime = 300;
+
+// Guards against requests that have arrived at a busy host, are still unread when
+// it closes its idle connections, and get a reset instead of an answer.
+test("requests that have arrived unread at the stop are answered", async () => {
+  const { port, close } = await start();
+  const whole = request({ method: "POST", body: "charge" });
+  const keepAlive = whole.replace("Connection: close\r\n", "");
+  const callers = Array.from({ length: 5 }, () => openCaller(port, keepAlive));
+  // Each caller's connection is kept after its first answer.
+  await delayMilliseconds(serviceTime * 3);
+  for (const { socket } of callers) socket.write(whole);
+  const resumesAt = performance.now() + pauseTime;
+  while (performance.now() < resumesAt);
+  await close();
+  for (const { closed } of callers) {
+    const answers = (await closed).match(/HTTP\/1\.1 (200|502|503) /g) ?? [];
+    expect(answers).toHaveLength(2);
+  }
+});
+
 test("a caller that never ends its request does not hold up the stop", async () => {
   const { port, close } = await start();
   const { closed } = openCaller(port, "POST / HTTP/1.1\r\nHost: ");
@@ -125,3 +147,32 @@
     await relay?.close();
   });
 });
+
+/** Size of one response that is buffered whole, in bytes. */
+const responseSize = 250_000;
+/** Responses that together exceed the buffers of the operating system. */
+const unreadResponses = 40;
+
+// Guards against responses that are cut short at a stop because their last bytes
+// have not left the process, as when the caller is slow to read.
+test("a slow caller gets the whole of its responses at a stop", async () => {
+  server = await startServer(({ socket }) => {
+    socket.write(answer("200 OK", [], "x".repeat(responseSize)));
+  });
+  relay = await startRelay({ servers: [server] });
+  const keepAlive = request({}).replace("Connection: close\r\n", "");
+  const { socket, closed } = openCaller(
+    relay.port,
+    keepAlive.repeat(unreadResponses),
+  );
+  socket.pause();
+  while (server.received.length < unreadResponses) await delayMilliseconds(10);
+  const stopped = relay.relay.waitUntilIdle().then(() => relay?.close());
+  await delayMilliseconds(serviceTime);
+  socket.resume();
+  const seen = await closed;
+  const heads = seen.match(/HTTP\/1\.1 200 OK/g) ?? [];
+  expect(heads).toHaveLength(unreadResponses);
+  expect(seen.length).toBeGreaterThan(unreadResponses * responseSize);
+  await stopped;
+});
