Count the wait for open calls at a stop as part of the grace period

What callers could see: a control host that forwards requests for entry hosts and waits for an open call of an operator may stop later than its grace period, and is killed with what it still forwards. Cause: the grace period of the host began after the wait of its listener for operators (3 s at most), and since control hosts forward requests, their stop waits as well. Now both waits share one period, which begins with the signal.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -136,13 +136,18 @@
     events.record("settings_reloaded", { seeds: settings.seeds.length });
   }
 
-  /** Stops after open requests have ended or the grace period is over. */
-  async shutDown(): Promise<void> {
+  /**
+   * Stops after open requests have ended or the grace period is over, which
+   * began at `startedAt`, a monotonic time in milliseconds.
+   */
+  async shutDown(
+    { startedAt = performance.now() }: { readonly startedAt?: number } = {},
+  ): Promise<void> {
     const { settings, relay, readiness, dispatcher, events } = this.#components;
     const { forwardingService } = this.#components;
     events.record("shutdown_started", { open: relay.openRequests.length });
     readiness.markNotReady();
-    const deadline = performance.now() + settings.gracePeriod - exitReserve;
+    const deadline = startedAt + settings.gracePeriod - exitReserve;
     if (settings.callers !== undefined) {
       await delay(Math.min(maxShutdownNotice, settings.gracePeriod / 2));
     }
