Test that a lost connection is no crash unless other hosts confirm it

Guards a part of the detours over other hosts: a host that is cut off must not spread marks of crashing requests. The case without confirmation failed on the code before the detours by construction, as the relay asked nobody; with the confirmation, both cases pass in one run.

--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -247,6 +247,8 @@
   readonly roles?: readonly EngineRole[];
   /** Whether a server still accepts work after the prefill. */
   readonly acceptsNewWork?: (server: BackendServerId) => boolean;
+  /** Whether a server has ended; by default, if it refuses connections. */
+  readonly confirmServerEnded?: () => Promise<boolean>;
 }): Promise<TestRelay> {
   const { roles } = options;
   const service = "store" as ServiceName;
@@ -283,6 +285,9 @@
     onLoad: () => {},
     onServerUnreachable: () => {},
     onWrongServer: () => {},
+    ...(options.confirmServerEnded === undefined
+      ? {}
+      : { confirmServerEnded: options.confirmServerEnded }),
     origins: new LocalAnswerOrigins(),
   });
   relay.setRouteTable({
