--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -42,10 +42,16 @@
     if (file.assertionResults.length === 0) {
       return [{ name: path, status: "failed" }];
     }
-    return file.assertionResults.map((test) => ({
+    const results = file.assertionResults.map((test) => ({
       name: `${path} > ${test.fullName}`,
       status: test.status,
     }));
+    // An error outside of all tests, such as one that a fake server throws.
+    const isUnexplained = file.status === "failed" &&
+      !results.some(({ status }) => status === "failed");
+    return isUnexplained
+      ? [...results, { name: path, status: "failed" }]
+      : results;
   });
 }
 
