Predict no wait for a queue that rounding has left above zero

What callers saw: an unsafe request at an entry host got 503 while servers were free, once in a run of partitioned_hosts_test.ts at a load of 45, beside a server that was silent for 1.2 s.

Cause: the queue keeps the cost of its waiting work as a running sum. Costs are learned as logarithms, so that sums round, and an empty queue kept a remainder. A wait is predicted as soon as the cost ahead is not zero, and then as half of a typical run over the slots in use, times a correction learned from earlier waits: far more than the remainder. A host whose slots were empty could refuse all work of a pool for as long as nothing ran that would have corrected the estimates.

That this cause was behind the 503 of that run is suspected: it kept no log.

Why it holds: sums are cleared when none of the work they cover waits, in a class of priority and for a customer. Remainders while work waits are of the size of rounding and change no decision.

--- a/packages/rhubarbstage-policy/src/fair_queue.ts
+++ b/packages/rhubarbstage-policy/src/fair_queue.ts
@@ -47,6 +47,7 @@
   readonly priority: number;
   readonly active: TinyQueue<TagEntry>;
   virtualTime: number;
+  waiting: number;
   waitingCost: number;
   activeShares: number;
 }
@@ -89,6 +90,7 @@
     customer.waiting += 1;
     customer.waitingCost += item.cost;
     customer.floorRate = floorRate;
+    group.waiting += 1;
     group.waitingCost += item.cost;
     this.#items.set(item.work.request, { item, customer });
     if (customer.waiting === 1) this.#activate(group, customer);
@@ -133,8 +135,10 @@
     item.taken = true;
     customer.waiting -= 1;
     customer.waitingCost -= item.cost;
+    group.waiting -= 1;
     group.waitingCost -= item.cost;
     if (customer.waiting === 0) group.activeShares -= customer.share;
+    clearRemainders(group, customer);
     return item;
   }
 
@@ -216,6 +220,7 @@
       priority,
       active: newTagQueue(),
       virtualTime: 0,
+      waiting: 0,
       waitingCost: 0,
       activeShares: 0,
     };
@@ -225,6 +230,14 @@
   }
 }
 
+/** Clears what rounding leaves of sums over work once none of it waits. */
+function clearRemainders(group: PriorityClass, customer: CustomerQueue): void {
+  if (customer.waiting === 0) customer.waitingCost = 0;
+  if (group.waiting > 0) return;
+  group.waitingCost = 0;
+  group.activeShares = 0;
+}
+
 function customerKey(customer: string, priority: number): string {
   return `${customer}\n${priority}`;
 }
