Let begun answers continue in the last part of the grace period

What callers saw: a resumable stream whose server broke off while its entry host stopped was cut, though another server could have continued it within the grace period, as it does at other times.

Cause: in the last third of the grace period the dispatcher refuses every request without an active attempt. A stream that has begun has none for a moment when its server breaks off or when it is moved from a slow server. A refusal is an answer only for callers that have received nothing; a begun response can only be cut.

Evidence: the new test drains a host after the first event of a stream, whose server then breaks off. The move from a slow server takes the same path and was read, not played.

Ruled out: requests that run late in the grace period and are cut, for which the refusal was introduced. Those have received nothing and are refused as before; the tests for them are unchanged and pass.

Why it holds: a request is refused only if it waits and has no part of its answer. What still runs at the end of the grace period ends then, as before.

--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -111,12 +111,13 @@
 
   /**
    * Refuses requests that wait for an attempt, now and later, as there is no time
-   * left to run them. Attempts that have started go on.
+   * left to run them. Attempts that have started go on, as do answers that have
+   * begun, which may continue at another server.
    */
   drain(): void {
     this.#isDraining = true;
     for (const run of [...this.#runs.values()]) {
-      if (!run.isRunning) this.#refuseAtStop(run);
+      if (isWaiting(run)) this.#refuseAtStop(run);
     }
   }
 
@@ -272,7 +273,7 @@
 
   #dispatch(effect: DispatchEffect): void {
     const run = this.#runs.get(effect.request);
-    if (run && this.#isDraining && !run.isRunning) {
+    if (run && this.#isDraining && isWaiting(run)) {
       this.#refuseAtStop(run);
       return;
     }
@@ -291,3 +292,8 @@
     this.#runs.get(effect.request)?.refuse(error);
   }
 }
+
+/** Whether a request waits for an attempt and has no part of its answer. */
+function isWaiting({ isRunning, isAnswering }: ActiveRequest): boolean {
+  return !isRunning && !isAnswering;
+}
--- a/packages/rhubarbstage-gateway/src/run.ts
+++ b/packages/rhubarbstage-gateway/src/run.ts
@@ -44,6 +44,8 @@
   readonly attempts: number;
   /** Whether an attempt is active; otherwise the request is waiting. */
   readonly isRunning: boolean;
+  /** Whether the caller has received part of the answer. */
+  readonly isAnswering: boolean;
   /** Starts an attempt on a server. */
   dispatch(effect: DispatchEffect): void;
   /** Cancels an attempt; its later output is discarded. */
@@ -159,6 +161,10 @@
     return this.#active.size > 0;
   }
 
+  get isAnswering(): boolean {
+    return this.deliveredTokens > 0;
+  }
+
   /** Attempts whose output is still used. */
   protected get activeAttempts(): readonly Attempt[] {
     return [...this.#active.values()];
--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -7,6 +7,7 @@
 import {
   answer,
   request,
+  type Script,
   startRelay,
   startServer,
   type TestRelay,
@@ -14,10 +15,13 @@
 } from "../harness.ts";
 
 let server: TestServer | undefined;
+/** Servers of a test with more than one. */
+let servers: TestServer[] = [];
 let relay: TestRelay | undefined;
 
 afterEach(async () => {
   await server?.close();
+  await Promise.all(servers.splice(0).map((each) => each.close()));
 });
 
 /** Time of the server for one request, in milliseconds. */
@@ -137,6 +141,36 @@
     await relay?.close();
   });
 
+  // Guards against streams that are cut in the last part of the grace period,
+  // though another server could have continued them in time.
+  test("goes on with a begun stream at another server", async () => {
+    const event = (number: number) => `id: ${number}\ndata: part\n\n`;
+    const script: Script = ({ head, socket }) => {
+      const isContinued = /test-resume: 1/.test(head);
+      const text = event(isContinued ? 2 : 1);
+      socket.write(
+        "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+          `Transfer-Encoding: chunked\r\n\r\n` +
+          `${text.length.toString(16)}\r\n${text}\r\n`,
+      );
+      if (isContinued) socket.write("0\r\n\r\n");
+      else setTimeout(() => socket.destroy(), serviceTime);
+    };
+    servers = await Promise.all([startServer(script), startServer(script)]);
+    relay = await startRelay({
+      servers,
+      route: { kind: "stream", resumable: true, maxAttempts: 2 },
+    });
+    const { socket, closed } = openCaller(relay.port, charge);
+    await new Promise((resolve) => socket.once("data", resolve));
+    relay.dispatcher.drain();
+    const seen = await closed;
+    await relay.close();
+    expect(seen).toContain(event(1));
+    expect(seen).toContain(event(2));
+    expect(seen).toMatch(/\r\n0\r\n\r\n$/);
+  });
+
   test("answers what runs without claiming that it has not run", async () => {
     const callers = await startCallers(2);
     relay?.dispatcher.endAll();
