Spare a request that another one's crash explains

Cause: the crashing request is hedged, so that its second attempt is no suspect's and may run on a server of another host's part; the innocent one, repeated there, meets it again and has two crashes, too.

Ruled out by reading: a mark of a request that runs beside a suspect of its own host; none is set.

Marks now name the crash and whether an answer had begun. A refused request without an answer takes the crash back from those with one, once for each, so that a deadly one gains one server at most; the refusal that waits for the marks to spread is decided again when it is due.

--- a/packages/rhubarbstage-membership/src/record_checks.ts
+++ b/packages/rhubarbstage-membership/src/record_checks.ts
@@ -214,7 +214,8 @@
 
 function isMark(value: unknown): value is SharedQuarantineMark {
   return isFields(value) && typeof value.fingerprint === "string" &&
-    isCount(value.crashes) && isAge(value.age);
+    isCount(value.crashes) && isAge(value.age) &&
+    (value.crash === undefined || isFields(value.crash));
 }
 
 function isPartMark(value: unknown): value is SharedPartMark {
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -86,6 +86,8 @@
   readonly blocked: boolean;
   /** Age in milliseconds when the message was sent. */
   readonly age: number;
+  readonly crash?: { readonly id: string; readonly hasAnswered: boolean };
+  readonly spared?: boolean;
 }
 
 /** Limit that a server names for its requests; see the policy. */
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -61,13 +61,18 @@
     enqueue(state, record, now);
     return effects;
   }
-  state.requests.delete(record.work.request);
   if (crashed) {
     // The caller may resend the request to another host at once, so the refusal
     // waits until the marks have reached all hosts.
     const at = now + state.settings.quarantinePropagationTime;
-    state.refusals.push({ at, subject: refusal });
-  } else effects.push(refusal);
+    // Until then, marks of other hosts may explain the crash.
+    record.isRefusalDue = refusal.kind === "request_quarantined";
+    if (!record.isRefusalDue) state.requests.delete(record.work.request);
+    state.refusals.push({ at, subject: { refusal, record, failure } });
+  } else {
+    state.requests.delete(record.work.request);
+    effects.push(refusal);
+  }
   return effects;
 }
 
@@ -83,7 +88,13 @@
   );
   const incarnation = running[0]?.incarnation ?? entry.server.incarnation;
   const crash = { id: entry.server.id, incarnation };
-  const marks = state.quarantine.recordCrash(crash, fingerprints, now);
+  const answered = new Set(fingerprints);
+  for (const attempt of running) {
+    if (!hasAnswered(attempt)) answered.delete(attempt.record.work.fingerprint);
+  }
+  const marks = state.quarantine.recordCrash(crash, fingerprints, now, {
+    answered,
+  });
   if (running.length === 0) return [];
   const unstarted = running.filter((attempt) => isUnstarted(attempt, entry));
   const parts = new Set(
@@ -114,6 +125,11 @@
   return effects;
 }
 
+/** Whether an answer to a request has begun, on this server or another one. */
+function hasAnswered({ firstTokenAt, record }: Attempt): boolean {
+  return firstTokenAt !== undefined || record.deliveredTokens > 0;
+}
+
 /** Whether a server works on an attempt that has not begun to answer. */
 function isUnstarted(attempt: Attempt, entry: ServerEntry): boolean {
   if (attempt.firstTokenAt !== undefined) return false;
@@ -160,6 +176,7 @@
   }));
   for (const record of [...state.requests.values()]) {
     const { work, attempts } = record;
+    if (record.isRefusalDue) continue;
     const isSent = [...attempts.values()].some(hasReachedAnsweringServer);
     if (isSent || !isQuarantined(state, work, now)) continue;
     for (const attempt of [...attempts.values()]) {
@@ -181,7 +198,10 @@
   return prefill === undefined || computedAt !== undefined;
 }
 
-/** Returns delayed refusals whose marks have had time to spread. */
+/**
+ * Returns delayed refusals whose marks have had time to spread. A request that is
+ * not quarantined any more runs again instead.
+ */
 export function popDueRefusals(
   state: FleetState,
   now: number,
@@ -191,7 +211,22 @@
     const timer = state.refusals.peek();
     if (timer === undefined || timer.at > now) return effects;
     state.refusals.pop();
-    effects.push(timer.subject);
+    const { refusal, record, failure } = timer.subject;
+    if (!record.isRefusalDue) {
+      effects.push(refusal);
+      continue;
+    }
+    const { request } = record.work;
+    // The caller has gone, or the deadline has passed.
+    if (state.requests.get(request) !== record) continue;
+    record.isRefusalDue = false;
+    const due = refusalOf(state, record, { ...failure, now });
+    if (due === undefined) {
+      enqueue(state, record, now);
+      continue;
+    }
+    state.requests.delete(request);
+    effects.push(due);
   }
 }
 
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -333,6 +333,7 @@
     starts: 0,
     entitledByFloor: false,
     isPlacedLocally: false,
+    isRefusalDue: false,
   };
 }
 
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -44,6 +44,7 @@
   type EngineWorkEnd,
   type ModelDemand,
   type PolicyEffect,
+  type PolicyEvent,
   sharedPartsOf,
   type Work,
 } from "./types.ts";
@@ -105,6 +106,8 @@
   entitledByFloor: boolean;
   /** Whether this host places it, because a placement query failed. */
   isPlacedLocally: boolean;
+  /** Whether it will be refused unless its crash is explained until then. */
+  isRefusalDue: boolean;
 }
 
 /** One run of a request on a server. */
@@ -173,6 +176,13 @@
 /** Refusal of a request. */
 export type Refusal = Extract<PolicyEffect, { type: "refuse" }>;
 
+/** Refusal of a request whose attempt crashed a server. */
+interface DelayedRefusal {
+  readonly refusal: Refusal;
+  readonly record: RequestRecord;
+  readonly failure: Extract<PolicyEvent, { type: "failed" }>;
+}
+
 /** State of the fleet policy of one host. */
 export interface FleetState {
   settings: FleetSettings;
@@ -206,7 +216,7 @@
   readonly deadlines: TinyQueue<Timer<RequestRecord>>;
   readonly hedges: TinyQueue<Timer<Attempt>>;
   /** Refusals delayed until marks of their requests have reached all hosts. */
-  readonly refusals: TinyQueue<Timer<Refusal>>;
+  readonly refusals: TinyQueue<Timer<DelayedRefusal>>;
   modelDemand: ReadonlyMap<ModelName, ModelDemand>;
   localModelDemand: ReadonlyMap<ModelName, ModelDemand>;
   holdsRoleAuthority: boolean;
--- a/packages/rhubarbstage-policy/src/quarantine.ts
+++ b/packages/rhubarbstage-policy/src/quarantine.ts
@@ -6,11 +6,14 @@
 
 import type { BackendServerId, Incarnation } from "rhubarbstage";
 import { maxEvidenceAge } from "./constants.ts";
-import type { QuarantineMark } from "./types.ts";
+import type { CrashEvidence, QuarantineMark } from "./types.ts";
 
 interface Mark {
   crashes: number;
   at: number;
+  /** The latest crash that counts. */
+  crash?: CrashEvidence;
+  spared?: boolean;
 }
 
 interface Crash {
@@ -39,6 +42,10 @@
  * it is let through, and one more crash refuses it for longer than before. So a
  * request that was marked by mistake is served again, and one that crashes servers
  * each time reaches fewer and fewer of them.
+ *
+ * A request that has begun to answer may meet the same crashing request on two
+ * servers. If that one, which has not, is refused for the same crash, it explains
+ * the crash, which does not count for the other; this spares a request once.
  */
 export class Quarantine {
   #marks = new Map<string, Mark>();
@@ -71,6 +78,10 @@
     server: { readonly id: BackendServerId; readonly incarnation: Incarnation },
     fingerprints: readonly string[],
     now: number,
+    options: {
+      /** Fingerprints of requests to which an answer has begun. */
+      readonly answered?: ReadonlySet<string>;
+    } = {},
   ): QuarantineMark[] {
     const earlier = this.#crashes.get(server.id);
     const sameIncarnation = earlier?.incarnation === server.incarnation;
@@ -88,7 +99,12 @@
       fingerprints: [...recorded, ...fresh],
       at: now,
     });
-    for (const fingerprint of marked) this.#mark(fingerprint, now);
+    const id = `${server.id}/${server.incarnation}`;
+    for (const fingerprint of marked) {
+      const hasAnswered = options.answered?.has(fingerprint) ?? false;
+      this.#mark(fingerprint, { id, hasAnswered }, now);
+    }
+    this.#spareExplained(new Set([id]), now);
     return marked.length === 0 ? [] : this.#listLocalMarks(now);
   }
 
@@ -122,13 +138,48 @@
 
   /** Merges marks of other hosts. */
   mergeMarks(marks: readonly QuarantineMark[], now: number): void {
-    for (const { fingerprint, crashes, blocked, age } of marks) {
+    const crashIds = new Set<string>();
+    for (const received of marks) {
+      const { fingerprint, crashes, blocked, age, crash, spared } = received;
       const at = now - age;
       const known = this.#crashesOf(fingerprint, now);
       const reported = blocked ? Math.max(crashes, crashesToBlock) : crashes;
       if (reported === 0) this.#clear(fingerprint, at);
       if (reported <= known) continue;
-      this.#marks.set(fingerprint, { crashes: reported, at });
+      const wasSpared = this.#marks.get(fingerprint)?.spared === true;
+      this.#marks.set(fingerprint, {
+        crashes: reported,
+        at,
+        ...(crash === undefined ? {} : { crash }),
+        ...(wasSpared || spared === true ? { spared: true } : {}),
+      });
+      if (crash !== undefined) crashIds.add(crash.id);
+    }
+    if (crashIds.size > 0) this.#spareExplained(crashIds, now);
+  }
+
+  /**
+   * Takes crashes back from requests that have begun to answer, where a refused
+   * request that has not explains them.
+   */
+  #spareExplained(crashIds: ReadonlySet<string>, now: number): void {
+    const involved = [...this.#marks].filter(([fingerprint, { crash }]) =>
+      crash !== undefined && crashIds.has(crash.id) &&
+      this.isBlocked(fingerprint, now)
+    );
+    const explained = new Set(
+      involved.flatMap(([, { crash }]) =>
+        crash === undefined || crash.hasAnswered ? [] : [crash.id]
+      ),
+    );
+    for (const [fingerprint, { crash, crashes, at, spared }] of involved) {
+      if (crash === undefined || !crash.hasAnswered || spared) continue;
+      if (!explained.has(crash.id)) continue;
+      const mark: Mark = { crashes: crashes - 1, at, spared: true };
+      this.#marks.set(fingerprint, mark);
+      if (this.#localMarks.has(fingerprint)) {
+        this.#localMarks.set(fingerprint, { ...mark });
+      }
     }
   }
 
@@ -169,9 +220,14 @@
     if (mark.at <= at) this.#marks.delete(fingerprint);
   }
 
-  #mark(fingerprint: string, now: number): void {
-    const crashes = this.#crashesOf(fingerprint, now) + 1;
-    const mark = { crashes, at: now };
+  #mark(fingerprint: string, crash: CrashEvidence, now: number): void {
+    const known = this.#findMark(fingerprint, now);
+    const mark: Mark = {
+      crashes: (known?.crashes ?? 0) + 1,
+      at: now,
+      crash,
+      ...(known?.spared === true ? { spared: true } : {}),
+    };
     this.#marks.delete(fingerprint);
     this.#marks.set(fingerprint, mark);
     if (this.#marks.size > maxMarks) {
@@ -192,11 +248,20 @@
   #listLocalMarks(now: number): QuarantineMark[] {
     const marks: QuarantineMark[] = [];
     for (const [fingerprint, mark] of this.#localMarks) {
-      const { crashes, at } = mark;
+      const { crashes, at, crash, spared } = mark;
       const age = now - at;
       const blocked = this.#blocks(mark, now);
       if (age >= this.#lifetimeOf(mark)) this.#localMarks.delete(fingerprint);
-      else marks.push({ fingerprint, crashes, blocked, age });
+      else {
+        marks.push({
+          fingerprint,
+          crashes,
+          blocked,
+          age,
+          ...(crash === undefined ? {} : { crash }),
+          ...(spared === true ? { spared } : {}),
+        });
+      }
     }
     return marks;
   }
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -40,6 +40,8 @@
     const record = timer.subject;
     const { work } = record;
     if (state.requests.get(work.request) !== record) continue;
+    // Its refusal waits until the marks have spread.
+    if (record.isRefusalDue) continue;
     const running = record.attempts.size > 0;
     if (running && !isCancellable(work)) continue;
     for (const attempt of [...record.attempts.values()]) {
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -173,6 +173,14 @@
   readonly streamTimePerSecond?: number;
 }
 
+/** Part of a request in the crash of a server. */
+export interface CrashEvidence {
+  /** Identifies the crash on all hosts: the server and its process. */
+  readonly id: string;
+  /** Whether an answer to the request had begun, there or elsewhere. */
+  readonly hasAnswered: boolean;
+}
+
 /** Mark on a request fingerprint suspected of crashing servers. */
 export interface QuarantineMark {
   readonly fingerprint: string;
@@ -182,6 +190,10 @@
   readonly blocked: boolean;
   /** Age of the mark at sending time, in milliseconds. */
   readonly age: number;
+  /** The latest crash; absent from hosts of earlier software versions. */
+  readonly crash?: CrashEvidence;
+  /** Whether one of its crashes was explained by another request. */
+  readonly spared?: boolean;
 }
 
 /** Request limit of a server that one host has noticed. */
