--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -403,3 +403,49 @@
     expect(exportFetchers()).not.toContain(chosen);
   });
 });
+
+// Guards against header values of servers that overflow a timer or end a process.
+test.each([
+  "Keep-Alive: timeout=99999999999999999999",
+  "Keep-Alive: timeout=1e300, max=-1",
+  "Keep-Alive: timeout=-5",
+  "Retry-After: 1e300",
+  "Age: 1e400",
+])("goes on after a response with %s", async (header) => {
+  const warnings: Error[] = [];
+  const onWarning = (warning: Error) => warnings.push(warning);
+  process.on("warning", onWarning);
+  const port = await start([
+    ({ socket, head }) => {
+      const id = /test-id: (\w+)/.exec(head)?.[0] ?? "";
+      socket.write(answer("200 OK", [id, header], "whole"));
+    },
+  ]);
+  for (let index = 0; index < 5; index += 1) {
+    // Requests with an id share connections.
+    const text = request({ headers: [`test-id: id${index}`] });
+    expect(await exchange(port, text)).toMatch(/whole$/);
+  }
+  await delayMilliseconds(10);
+  process.off("warning", onWarning);
+  expect(warnings.map(({ name }) => name)).toEqual([]);
+});
+
+// Guards against requests that fail after a response of an impossible length.
+test.each(["99999999999999999999", "1e400", "-1", "0x10"])(
+  "goes on after a response with a length of %s",
+  async (length) => {
+    const port = await start([
+      ({ socket, count }) => {
+        if (count > 1) return void socket.write(answer("200 OK", [], "whole"));
+        socket.write(
+          "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+            `Content-Length: ${length}\r\n\r\nwhole`,
+        );
+      },
+    ], { kind: "at_most_once", maxAttempts: 1 });
+    const first = await exchange(port, request({}));
+    expect(first).not.toMatch(/^HTTP\/1\.1 200 /);
+    expect(await exchange(port, request({}))).toMatch(/whole$/);
+  },
+);
