Test how often a crash may be explained by another request

A crash that a refused request explains is taken back from one whose answer had begun. These tests say what bounds it: the one without an answer is still refused after two crashes, and one with an answer is refused at its third crash at the latest, whatever runs beside it, so that BUDGET holds (a third crash, and then no more retries than before). Without anything beside it, it is refused after two, as before. Both tests pass; neither could be written for the code before, which did not know whether an answer had begun, so they were not seen to fail there.

--- a/packages/rhubarbstage-policy/__tests__/unit/quarantine_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/quarantine_test.ts
@@ -57,4 +57,39 @@
     crash(quarantine, 3, period + 1);
     expect(quarantine.isBlocked(deadly, period + 2)).toBe(false);
   });
+
+  /** Crashes a server on which both requests ran; one of them had answered. */
+  function crashBoth(quarantine: Quarantine, number: number, now: number) {
+    const id = `server-${number}` as BackendServerId;
+    const server = { id, incarnation: number as Incarnation };
+    const answered = new Set(["answered"]);
+    quarantine.recordCrash(server, [deadly, "answered"], now, { answered });
+  }
+
+  // Guards against refusing a request with an answer that ran beside the crashing
+  // one on two servers of the same host (issue 2).
+  test("spares a request with an answer beside a refused one without", () => {
+    const quarantine = new Quarantine(period);
+    crashBoth(quarantine, 1, 0);
+    crashBoth(quarantine, 2, 100);
+    expect(quarantine.isBlocked(deadly, 200)).toBe(true);
+    expect(quarantine.isBlocked("answered", 200)).toBe(false);
+    expect(quarantine.isSuspect("answered", 200)).toBe(true);
+  });
+
+  // Guards against a request that crashes servers late in its answer: whatever
+  // else is refused beside it, it may crash three.
+  test("refuses a request with an answer at its third crash at the latest", () => {
+    const quarantine = new Quarantine(period);
+    for (const number of [1, 2, 3]) crashBoth(quarantine, number, number * 100);
+    expect(quarantine.isBlocked("answered", 400)).toBe(true);
+    const alone = new Quarantine(period);
+    const answered = new Set([deadly]);
+    for (const number of [1, 2]) {
+      const id = `server-${number}` as BackendServerId;
+      const server = { id, incarnation: number as Incarnation };
+      alone.recordCrash(server, [deadly], number, { answered });
+    }
+    expect(alone.isBlocked(deadly, 3)).toBe(true);
+  });
 });
