Test that a connection which waits at a stop is answered

What callers saw, or would have: a connection that a busy host has not accepted yet is reset when the host closes its listener, though the request on it was sent whole long before.

Evidence: the new test sends from a thread of its own while the host is busy for 300 ms.

--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -3,7 +3,9 @@
  * half read when the listener closes.
  */
 
+import { once } from "node:events";
 import { connect } from "node:net";
+import { Worker } from "node:worker_threads";
 import {
   answer,
   request,
@@ -98,6 +100,40 @@
   }
 });
 
+/** A caller in a thread of its own, which sends while the host is busy. */
+const callerThread = `
+  const { connect } = require("node:net");
+  const { parentPort, workerData } = require("node:worker_threads");
+  parentPort.once("message", () => {
+    const { port, text } = workerData;
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    let seen = "";
+    socket.on("data", (chunk) => seen += chunk);
+    socket.on("error", () => {});
+    socket.on("close", () => parentPort.postMessage(seen));
+  });
+  parentPort.postMessage("ready");
+`;
+
+// Guards against connections that a busy host has not accepted when it closes its
+// listener, and that get a reset instead of an answer.
+test("a request on a connection that waits at the stop is answered", async () => {
+  const { port, close } = await start();
+  const text = request({ method: "POST", body: "charge" });
+  const thread = new Worker(callerThread, {
+    eval: true,
+    workerData: { port, text },
+  });
+  await once(thread, "message");
+  thread.postMessage("send");
+  const resumesAt = performance.now() + pauseTime;
+  while (performance.now() < resumesAt);
+  const answered = once(thread, "message");
+  await close();
+  const [seen] = await answered;
+  expect(seen).toMatch(/^HTTP\/1\.1 (200|502|503) /);
+});
+
 test("a caller that never ends its request does not hold up the stop", async () => {
   const { port, close } = await start();
   const { closed } = openCaller(port, "POST / HTTP/1.1\r\nHost: ");
