Read what has arrived before a connection is closed at the idle limit

What callers saw: requests on kept connections of a running host ended in a reset without an answer, seconds after they were sent and within the idle limit.

Cause: the idle limit runs out in the timers of the event loop, which come before its reads. A host that had no processor for a while found the limit passed and the request unread, closed the connection, and the unread bytes made that a reset.

Eleven requests on two hosts that had not been stopped were reset 2.7 to 3.7 s after they were sent, none passed on to a server; ten more on a host that was killed after its grace period.

Ruled out: a stop (the hosts had none), a crash (the processes went on), servers (nothing reached one), and signals (one of the hosts had got none at all).

Why it holds: at the limit the host first reads what has arrived, and closes the connection only if that is nothing. The wait is shared with the stop of the listener, where the same order of timers and reads was the cause.

--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -234,6 +234,7 @@
   readonly port: number;
   readonly relay: Relay;
   readonly dispatcher: Dispatcher;
+  readonly listener: RelayListener;
   close(): Promise<void>;
 }
 
@@ -335,6 +336,7 @@
     port: Number(new URL(origin).port),
     relay,
     dispatcher,
+    listener,
     close: async () => {
       stopped.abort();
       await listener.close();
--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Server } from "node:http";
+import type { Socket } from "node:net";
 import { setImmediate as nextTurn } from "node:timers/promises";
 import fastify, { type FastifyInstance } from "fastify";
 import { requestTimeout } from "./constants.ts";
@@ -46,6 +47,9 @@
         requestTimeout,
       },
     });
+    this.#server.server.on("timeout", (socket: Socket) => {
+      void closeIfSilent(socket);
+    });
     this.#server.removeAllContentTypeParsers();
     this.#server.addContentTypeParser(
       "*",
@@ -79,10 +83,8 @@
    * arrive are answered first, within `lastRequestTimeout`.
    */
   async close(): Promise<void> {
-    // A connection with an unread request counts as idle. The turn that is under
-    // way may be past its reads, so only the next one reads what has arrived.
-    await nextTurn();
-    await nextTurn();
+    // A connection with an unread request counts as idle.
+    await readArrivedBytes();
     const server = this.#server.server as Server;
     const timer = setTimeout(
       () => server.closeAllConnections(),
@@ -95,3 +97,19 @@
     }
   }
 }
+
+/**
+ * Lets the event loop read what has arrived. Its timers come before its reads, and
+ * the turn that is under way may be past them, so the next turn is needed too.
+ */
+async function readArrivedBytes(): Promise<void> {
+  await nextTurn();
+  await nextTurn();
+}
+
+/** Closes a connection at its timeout, unless bytes have arrived unread. */
+async function closeIfSilent(socket: Socket): Promise<void> {
+  const { bytesRead } = socket;
+  await readArrivedBytes();
+  if (socket.bytesRead === bytesRead) socket.destroy();
+}
