--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -86,6 +86,8 @@
   readonly blocked: boolean;
   /** Age in milliseconds when the message was sent. */
   readonly age: number;
+  readonly crash?: { readonly id: string; readonly hasAnswered: boolean };
+  readonly spared?: boolean;
 }
 
 /** Limit that a server names for its requests; see the policy. */
@@ -131,7 +133,9 @@
     readonly type: "request_limits";
     readonly limits: readonly SharedRequestLimit[];
   }
-  | { readonly type: "revision"; readonly revision: Revision };
+  | { readonly type: "revision"; readonly revision: Revision }
+  /** Stands for a received value that is not valid; it says nothing. */
+  | { readonly type: "unreadable" };
 
 /** State of the sender's copy of one host's log. */
 export interface DigestEntry {
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -44,6 +44,7 @@
   ServerConnections,
   type StreamOrigin,
   StreamTable,
+  unambiguousHeaderValue,
 } from "../src/mod.ts";
 
 const region = "here" as Region;
@@ -79,7 +80,7 @@
     _status: number,
     headers: HeaderList,
   ): ResponseMetadata {
-    const request = headerValue(headers, "test-id");
+    const request = unambiguousHeaderValue(headers, "test-id");
     const pause = headerValue(headers, "test-pause");
     const isLeaving = headerValue(headers, "test-leaving") !== undefined;
     const notice = { isLeaving, pause: Number(pause ?? 0) };
@@ -246,6 +247,8 @@
   readonly roles?: readonly EngineRole[];
   /** Whether a server still accepts work after the prefill. */
   readonly acceptsNewWork?: (server: BackendServerId) => boolean;
+  /** Whether a server has ended; by default, if it refuses connections. */
+  readonly confirmServerEnded?: () => Promise<boolean>;
 }): Promise<TestRelay> {
   const { roles } = options;
   const service = "store" as ServiceName;
@@ -282,6 +285,9 @@
     onLoad: () => {},
     onServerUnreachable: () => {},
     onWrongServer: () => {},
+    ...(options.confirmServerEnded === undefined
+      ? {}
+      : { confirmServerEnded: options.confirmServerEnded }),
     origins: new LocalAnswerOrigins(),
   });
   relay.setRouteTable({
--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -7,6 +7,7 @@
 import {
   answer,
   request,
+  type Script,
   startRelay,
   startServer,
   type TestRelay,
@@ -14,10 +15,13 @@
 } from "../harness.ts";
 
 let server: TestServer | undefined;
+/** Servers of a test with more than one. */
+let servers: TestServer[] = [];
 let relay: TestRelay | undefined;
 
 afterEach(async () => {
   await server?.close();
+  await Promise.all(servers.splice(0).map((each) => each.close()));
 });
 
 /** Time of the server for one request, in milliseconds. */
@@ -72,6 +76,28 @@
   await closing;
 });
 
+/** Time for which a busy host reads nothing, in milliseconds. */
+const pauseTime = 300;
+
+// Guards against requests that have arrived at a busy host, are still unread when
+// it closes its idle connections, and get a reset instead of an answer.
+test("requests that have arrived unread at the stop are answered", async () => {
+  const { port, close } = await start();
+  const whole = request({ method: "POST", body: "charge" });
+  const keepAlive = whole.replace("Connection: close\r\n", "");
+  const callers = Array.from({ length: 5 }, () => openCaller(port, keepAlive));
+  // Each caller's connection is kept after its first answer.
+  await delayMilliseconds(serviceTime * 3);
+  for (const { socket } of callers) socket.write(whole);
+  const resumesAt = performance.now() + pauseTime;
+  while (performance.now() < resumesAt);
+  await close();
+  for (const { closed } of callers) {
+    const answers = (await closed).match(/HTTP\/1\.1 (200|502|503) /g) ?? [];
+    expect(answers).toHaveLength(2);
+  }
+});
+
 test("a caller that never ends its request does not hold up the stop", async () => {
   const { port, close } = await start();
   const { closed } = openCaller(port, "POST / HTTP/1.1\r\nHost: ");
@@ -115,6 +141,36 @@
     await relay?.close();
   });
 
+  // Guards against streams that are cut in the last part of the grace period,
+  // though another server could have continued them in time.
+  test("goes on with a begun stream at another server", async () => {
+    const event = (number: number) => `id: ${number}\ndata: part\n\n`;
+    const script: Script = ({ head, socket }) => {
+      const isContinued = /test-resume: 1/.test(head);
+      const text = event(isContinued ? 2 : 1);
+      socket.write(
+        "HTTP/1.1 200 OK\r\ntest-signature: s\r\n" +
+          `Transfer-Encoding: chunked\r\n\r\n` +
+          `${text.length.toString(16)}\r\n${text}\r\n`,
+      );
+      if (isContinued) socket.write("0\r\n\r\n");
+      else setTimeout(() => socket.destroy(), serviceTime);
+    };
+    servers = await Promise.all([startServer(script), startServer(script)]);
+    relay = await startRelay({
+      servers,
+      route: { kind: "stream", resumable: true, maxAttempts: 2 },
+    });
+    const { socket, closed } = openCaller(relay.port, charge);
+    await new Promise((resolve) => socket.once("data", resolve));
+    relay.dispatcher.drain();
+    const seen = await closed;
+    await relay.close();
+    expect(seen).toContain(event(1));
+    expect(seen).toContain(event(2));
+    expect(seen).toMatch(/\r\n0\r\n\r\n$/);
+  });
+
   test("answers what runs without claiming that it has not run", async () => {
     const callers = await startCallers(2);
     relay?.dispatcher.endAll();
@@ -125,3 +181,32 @@
     await relay?.close();
   });
 });
+
+/** Size of one response that is buffered whole, in bytes. */
+const responseSize = 250_000;
+/** Responses that together exceed the buffers of the operating system. */
+const unreadResponses = 40;
+
+// Guards against responses that are cut short at a stop because their last bytes
+// have not left the process, as when the caller is slow to read.
+test("a slow caller gets the whole of its responses at a stop", async () => {
+  server = await startServer(({ socket }) => {
+    socket.write(answer("200 OK", [], "x".repeat(responseSize)));
+  });
+  relay = await startRelay({ servers: [server] });
+  const keepAlive = request({}).replace("Connection: close\r\n", "");
+  const { socket, closed } = openCaller(
+    relay.port,
+    keepAlive.repeat(unreadResponses),
+  );
+  socket.pause();
+  while (server.received.length < unreadResponses) await delayMilliseconds(10);
+  const stopped = relay.relay.waitUntilIdle().then(() => relay?.close());
+  await delayMilliseconds(serviceTime);
+  socket.resume();
+  const seen = await closed;
+  const heads = seen.match(/HTTP\/1\.1 200 OK/g) ?? [];
+  expect(heads).toHaveLength(unreadResponses);
+  expect(seen.length).toBeGreaterThan(unreadResponses * responseSize);
+  await stopped;
+});
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -36,7 +36,12 @@
 export { PathMonitor } from "./path_monitor.ts";
 export { probeTimeout } from "./constants.ts";
 export { Dialect } from "./dialect.ts";
-export { endToEndHeaders, headerPairs, headerValue } from "./headers.ts";
+export {
+  endToEndHeaders,
+  headerPairs,
+  headerValue,
+  unambiguousHeaderValue,
+} from "./headers.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
 export type {
   ServerConnectionsOptions,
