Bring the timeout for receiving a request into force

What callers could see: a request whose sending stalls stays open, and a stop of its host waits for it until the end of the grace period. Cause: fastify sets its own request timeout, 0 by default, over that of the options for Node.js. Ruled out: the timeouts for heads and idle connections, which were in force. Why it holds: the timeout is given to fastify itself, as the product's own interface does.

--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -41,11 +41,9 @@
       return503OnClosing: false,
       bodyLimit: Number.MAX_SAFE_INTEGER,
       keepAliveTimeout: 15_000 + timeoutMargin,
-      http: {
-        maxHeaderSize: maxHeaderBytes,
-        headersTimeout: 10_000,
-        requestTimeout,
-      },
+      // Of the options for Node.js, fastify overrides this one.
+      requestTimeout,
+      http: { maxHeaderSize: maxHeaderBytes, headersTimeout: 10_000 },
     });
     this.#server.server.on("timeout", (socket: Socket) => {
       void closeIfSilent(socket);
