Read until the event loop is quiet before idle connections are closed

What callers saw: requests that arrived while a stopping host handled another one were reset unanswered, some 300 ms after their last byte. Cause: the stop let two turns of the event loop read what had arrived; a turn that handles a request for long may be one of them, and what arrives in it was not read. Ruled out: requests that are half read, which have 400 ms as before. Why it holds: turns are repeated until one was short, for a second at most, so that nothing older than that turn is unread. The core has the function now, since the listener for operators needs it, too.

--- a/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/listener_close_test.ts
@@ -5,6 +5,7 @@
 
 import { once } from "node:events";
 import { connect } from "node:net";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import { Worker } from "node:worker_threads";
 import {
   answer,
@@ -246,3 +247,34 @@
   expect(seen.length).toBeGreaterThan(unreadResponses * responseSize);
   await stopped;
 });
+
+// Guards against requests that arrive while a stopping host handles another one
+// for long, in the same turn of its event loop, and get a reset.
+test("requests that arrive while another is handled at the stop are answered", async () => {
+  const { port, relay: started, close } = await start();
+  const whole = request({ method: "POST", body: "charge" })
+    .replace("Connection: close\r\n", "");
+  const [first, ...others] = Array.from(
+    { length: 4 },
+    () => openCaller(port, whole),
+  ) as [ReturnType<typeof openCaller>, ...ReturnType<typeof openCaller>[]];
+  await delayMilliseconds(serviceTime * 3);
+  const handle = started.handle.bind(started);
+  let isBusy = false;
+  started.handle = async (incoming, response) => {
+    if (!isBusy) {
+      isBusy = true;
+      for (const { socket } of others) socket.write(whole);
+      const resumesAt = performance.now() + pauseTime;
+      while (performance.now() < resumesAt);
+    }
+    await handle(incoming, response);
+  };
+  const closing = close();
+  await nextTurn();
+  first.socket.write(whole);
+  for (const { closed } of [first, ...others]) {
+    expect((await closed).match(/HTTP\/1\.1 \d+ /g)).toHaveLength(2);
+  }
+  await closing;
+});
--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -6,8 +6,8 @@
 
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
-import { setImmediate as nextTurn } from "node:timers/promises";
 import fastify, { type FastifyInstance } from "fastify";
+import { readArrivedBytes } from "rhubarbstage";
 import { requestTimeout } from "./constants.ts";
 import type { Relay } from "./relay.ts";
 import type { CallerLimits } from "./types.ts";
@@ -96,15 +96,6 @@
   }
 }
 
-/**
- * Lets the event loop read what has arrived. Its timers come before its reads, and
- * the turn that is under way may be past them, so the next turn is needed too.
- */
-async function readArrivedBytes(): Promise<void> {
-  await nextTurn();
-  await nextTurn();
-}
-
 /** Closes a connection at its timeout, unless bytes have arrived unread. */
 async function closeIfSilent(socket: Socket): Promise<void> {
   const { bytesRead } = socket;
