Answer operators' open calls before the HTTP interface closes

What operators saw: a call under way while its host stopped, such as an edit of the settings, lost its connection without an answer, though it was carried out.

Cause: the stop waits for the open requests of callers only, which `handleCallerRequest` counts. The routes of operators and backend servers are not counted, and their connections were closed with all others.

Ruled out: counting these calls as requests of callers, since that wait has no limit and a call that never ends would hold up the stop for good. Also the `onResponse` hook of fastify, which doesn't fire if the sender has gone.

Why it holds: every call that is read as a whole is waited for before the connections are closed, for 3 s at most. It is forgotten when its response or its connection closes; the latter covers calls that wait behind another one.

--- /dev/null
+++ b/packages/rhubarbstage-gateway/__tests__/integration/stop_test.ts
@@ -0,0 +1,132 @@
+/** The HTTP interface at a planned stop. */
+
+import { connect } from "node:net";
+import { delay } from "rhubarbstage";
+import { Credentials, Gateway, OperatorActions } from "@rhubarbstage/gateway";
+import { Harness, operatorToken } from "../harness.ts";
+
+/** Time that an operator's call takes, in milliseconds. */
+const callTime = 300;
+/** Longest time that a stop may take, in milliseconds. */
+const maxStopTime = 4_000;
+
+class SlowOperators extends OperatorActions {
+  calls = 0;
+  /** Time that a call takes, in milliseconds. */
+  time = callTime;
+  override status = () => ({}) as never;
+  override effective = () => ({}) as never;
+  override tree = () => this.#answer();
+  override edit = () => this.#answer();
+  override history = () => this.#answer();
+  override backends = () => this.#answer();
+  override drain = () => this.#answer();
+  override timeline = () => this.#answer();
+  override bootstrap = () => this.#answer();
+  override repair = () => this.#answer();
+  override endOrder = () => this.#answer();
+  async #answer(): Promise<never> {
+    this.calls += 1;
+    if (this.time === Infinity) await new Promise(() => {});
+    await delay(this.time);
+    return { revision: 8 } as never;
+  }
+}
+
+class OperatorCredentials extends Credentials {
+  override customerOf() {
+    return undefined;
+  }
+  override operatorOf() {
+    return "ada";
+  }
+  override isBackendServer() {
+    return false;
+  }
+}
+
+let harness: Harness;
+let operators: SlowOperators;
+let gateway: Gateway;
+let url: string;
+
+beforeEach(async () => {
+  harness = await Harness.start();
+  harness.addServer("ledger-1", "http://127.0.0.1:9");
+  operators = new SlowOperators();
+  gateway = await Gateway.create({
+    dispatcher: harness.dispatcher,
+    credentials: new OperatorCredentials(),
+    settings: harness.settings,
+    services: harness.services,
+    backendServers: harness.servers,
+    operators,
+    telemetry: harness.telemetry,
+    readiness: harness.readiness,
+  });
+  url = await gateway.listen({ address: "127.0.0.1", port: 0 });
+});
+
+afterEach(async () => {
+  await gateway.close();
+  await harness.close();
+});
+
+const operatorCall = [
+  "GET /operator/tree HTTP/1.1",
+  "Host: here",
+  `Authorization: Bearer ${operatorToken}`,
+  "",
+  "",
+].join("\r\n");
+
+/** Sends text and collects what comes back until the connection ends. */
+function openCaller(origin: string, text: string) {
+  const { port } = new URL(origin);
+  const socket = connect(Number(port), "127.0.0.1", () => socket.write(text));
+  let seen = "";
+  socket.on("data", (chunk) => seen += chunk.toString("latin1"));
+  socket.on("error", (thrown) => seen += ` [${thrown}]`);
+  const closed = new Promise<string>((resolve) =>
+    socket.on("close", () => resolve(seen))
+  );
+  return { socket, closed };
+}
+
+/** Stops the operators' gateway and returns the time that it took. */
+async function stopOperators(): Promise<number> {
+  const startedAt = performance.now();
+  await gateway.waitUntilIdle();
+  await gateway.close();
+  return performance.now() - startedAt;
+}
+
+// Guards against operators' calls that are carried out while a host stops and
+// whose connection is closed without an answer.
+test("an operator's call under way at a stop is answered", async () => {
+  const { closed } = openCaller(url, operatorCall);
+  while (operators.calls === 0) await delay(1);
+  await stopOperators();
+  expect(await closed).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
+  expect(operators.calls).toBe(1);
+});
+
+// Guards against stops that are held up by a call that never ends.
+test("an operator's call that never ends does not hold up a stop", async () => {
+  operators.time = Infinity;
+  const { closed } = openCaller(url, operatorCall);
+  while (operators.calls === 0) await delay(1);
+  expect(await stopOperators()).toBeLessThan(maxStopTime);
+  expect(await closed).not.toMatch(/HTTP/);
+});
+
+// Guards against stops that wait for calls whose operator has gone, also for those
+// that wait behind an earlier call on the connection.
+test("calls whose operator has gone do not hold up a stop", async () => {
+  operators.time = Infinity;
+  const { socket } = openCaller(url, operatorCall.repeat(2));
+  while (operators.calls < 2) await delay(1);
+  socket.destroy();
+  await delay(callTime);
+  expect(await stopOperators()).toBeLessThan(maxStopTime / 4);
+});
--- a/packages/rhubarbstage-gateway/src/constants.ts
+++ b/packages/rhubarbstage-gateway/src/constants.ts
@@ -22,6 +22,12 @@
 /** Interval at which Node.js checks for request timeouts, in milliseconds. */
 export const lateRequestCheckInterval = 500;
 
+/** Longest wait for open calls at a stop, in milliseconds. */
+export const openCallTimeout = 3_000;
+
+/** Interval between checks for open calls at a stop, in milliseconds. */
+export const openCallCheckInterval = 10;
+
 /** Largest total size of the chunks of an assembled response, in characters. */
 export const bufferedCompletionLimit = 32 * 1_048_576;
 
--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -25,6 +25,7 @@
   defaultHeadersTimeout,
   defaultRequestTimeout,
   lateRequestCheckInterval,
+  openCallTimeout,
 } from "./constants.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Dispatcher } from "./dispatcher.ts";
@@ -42,6 +43,7 @@
   SettingsSource,
 } from "./ports.ts";
 import { sendError } from "./replies.ts";
+import { OpenCallTracker } from "./open_call_tracker.ts";
 import { OpenRequestTracker } from "./open_request_tracker.ts";
 import { ServicesController } from "./services_controller.ts";
 import { contextToken } from "./injection_tokens.ts";
@@ -140,7 +142,9 @@
       { logger: false, bodyParser: false, abortOnError: false },
     );
     application.useGlobalFilters(new ErrorFilter(dependencies.telemetry));
-    configureServer(adapter.getInstance(), access);
+    const server: FastifyInstance = adapter.getInstance();
+    addOpenCallWait(server);
+    configureServer(server, access);
     await application.init();
     const protocol = options.tls ? "https:" : "http:";
     return new Gateway(application, { requests, protocol });
@@ -164,7 +168,10 @@
     return this.#requests.waitUntilIdle();
   }
 
-  /** Stops listening and closes all connections. */
+  /**
+   * Stops listening and closes all connections. Calls that have been read are
+   * answered first, within `openCallTimeout`.
+   */
   close(): Promise<void> {
     return this.#application.close();
   }
@@ -212,6 +219,19 @@
   });
 }
 
+/** Answers open calls, also of operators, before a stop closes connections. */
+function addOpenCallWait(server: FastifyInstance): void {
+  const calls = new OpenCallTracker();
+  server.addHook("onRequest", (_request, reply, done) => {
+    calls.add(reply.raw);
+    done();
+  });
+  server.addHook(
+    "preClose",
+    () => calls.waitUntilAnswered(performance.now() + openCallTimeout),
+  );
+}
+
 /** Sends an error response for paths that the router cannot decode. */
 function handleFrameworkError(
   error: Error,
