Answer requests that are half read when the HTTP interface closes

What callers saw: a request whose head or body was still arriving when its host stopped lost its connection without an answer, even if its last byte came 100 ms later. For a charge that must not be repeated, that leaves its outcome open.

Cause: all connections were closed at once. Requests count as open only after their body has been read, so the stop knew nothing of these.

Ruled out: letting these requests run. The host has waited for the running work and for claims by then, so a request that becomes whole is refused as `shutting_down`, which says that it was not run.

Why it holds: idle connections are closed first; the others may end within 400 ms, the limit of the relay. Calls of operators that became whole meanwhile are waited for within the limit for open calls.

--- a/packages/rhubarbstage-gateway/__tests__/integration/stop_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/stop_test.ts
@@ -3,10 +3,12 @@
 import { connect } from "node:net";
 import { delay } from "rhubarbstage";
 import { Credentials, Gateway, OperatorActions } from "@rhubarbstage/gateway";
-import { Harness, operatorToken } from "../harness.ts";
+import { apiKey, Harness, operatorToken } from "../harness.ts";
 
 /** Time that an operator's call takes, in milliseconds. */
 const callTime = 300;
+/** Time for which a caller pauses within its request, in milliseconds. */
+const pauseTime = 100;
 /** Longest time that a stop may take, in milliseconds. */
 const maxStopTime = 4_000;
 
@@ -80,6 +82,22 @@
   "",
 ].join("\r\n");
 
+/** A call that must not be repeated. */
+const charge = callerRequest("/services/ledger/top-up", '{"litres":10}');
+
+function callerRequest(path: string, body: string): string {
+  return [
+    `POST ${path} HTTP/1.1`,
+    "Host: here",
+    `Authorization: Bearer ${apiKey}`,
+    "Content-Type: application/json",
+    "Idempotency-Key: k1",
+    `Content-Length: ${body.length}`,
+    "",
+    body,
+  ].join("\r\n");
+}
+
 /** Sends text and collects what comes back until the connection ends. */
 function openCaller(origin: string, text: string) {
   const { port } = new URL(origin);
@@ -101,6 +119,15 @@
   return performance.now() - startedAt;
 }
 
+/** Stops the callers' gateway in the order in which a host does. */
+async function stopCallers(): Promise<number> {
+  const startedAt = performance.now();
+  harness.readiness.accepts = false;
+  await harness.gateway.waitUntilIdle();
+  await harness.close();
+  return performance.now() - startedAt;
+}
+
 // Guards against operators' calls that are carried out while a host stops and
 // whose connection is closed without an answer.
 test("an operator's call under way at a stop is answered", async () => {
@@ -130,3 +157,48 @@
   await delay(callTime);
   expect(await stopOperators()).toBeLessThan(maxStopTime / 4);
 });
+
+// Guards against requests that have begun to arrive when a host stops and whose
+// connection is closed without an answer once they have been read.
+test.each([
+  ["body", charge.length - 3],
+  ["head", charge.length / 2],
+])(
+  "a request whose %s is half read at a stop is answered",
+  async (_, split) => {
+    const { socket, closed } = openCaller(harness.url, charge.slice(0, split));
+    await delay(pauseTime);
+    const stopped = stopCallers();
+    await delay(pauseTime);
+    socket.write(charge.slice(split));
+    // Nothing may begin to run any more, so it is refused and can be repeated.
+    expect(await closed).toMatch(/^HTTP\/1\.1 503 .*outcome: not_run\r\n/s);
+    await stopped;
+    expect(harness.services.calls).toEqual([]);
+  },
+);
+
+// Guards against operators' calls that end their arrival within a stop and are cut
+// at the limit for that, while they run.
+test("an operator's call that is half read at a stop is answered", async () => {
+  operators.time = callTime * 2;
+  const { socket, closed } = openCaller(url, operatorCall.slice(0, -2));
+  await delay(pauseTime);
+  const stopped = stopOperators();
+  await delay(pauseTime);
+  socket.write(operatorCall.slice(-2));
+  expect(await closed).toMatch(/^HTTP\/1\.1 200 OK\r\n/);
+  await stopped;
+});
+
+// Guards against stops that are held up by a caller that never ends its request.
+test("a request that never ends does not hold up a stop", async () => {
+  const callers = [charge.slice(0, -3), charge.slice(0, 20), ""].map((text) =>
+    openCaller(harness.url, text)
+  );
+  await delay(pauseTime);
+  expect(await stopCallers()).toBeLessThan(maxStopTime / 4);
+  for (const { closed } of callers) {
+    expect(await closed).not.toMatch(/HTTP\/1.1 2/);
+  }
+});
--- a/packages/rhubarbstage-gateway/src/caller_request.ts
+++ b/packages/rhubarbstage-gateway/src/caller_request.ts
@@ -69,6 +69,10 @@
   let outputTokens = 0;
   requests.add(call.id);
   try {
+    // The host may have begun to refuse work while the body arrived.
+    if (!context.readiness.acceptsWork()) {
+      throw new RhubarbstageError("shutting_down");
+    }
     ({ outputTokens } = await handle(call));
   } catch (thrown) {
     result = reportFailure(context, call, thrown);
--- a/packages/rhubarbstage-gateway/src/constants.ts
+++ b/packages/rhubarbstage-gateway/src/constants.ts
@@ -25,6 +25,12 @@
 /** Longest wait for open calls at a stop, in milliseconds. */
 export const openCallTimeout = 3_000;
 
+/**
+ * Time in which requests that have begun to arrive at a stop may end, in
+ * milliseconds.
+ */
+export const lastRequestTimeout = 400;
+
 /** Interval between checks for open calls at a stop, in milliseconds. */
 export const openCallCheckInterval = 10;
 
--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 
 import "reflect-metadata";
 import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { type DynamicModule, Module } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
@@ -14,7 +15,7 @@
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
 import type { FastifyInstance, FastifyReply } from "fastify";
-import { type RequestId, RhubarbstageError } from "rhubarbstage";
+import { delay, type RequestId, RhubarbstageError } from "rhubarbstage";
 import { AccessControl } from "./access.ts";
 import { BackendsController } from "./backends_controller.ts";
 import { CompletionsController } from "./completions_controller.ts";
@@ -24,7 +25,9 @@
   defaultCallerStallTimeout,
   defaultHeadersTimeout,
   defaultRequestTimeout,
+  lastRequestTimeout,
   lateRequestCheckInterval,
+  openCallCheckInterval,
   openCallTimeout,
 } from "./constants.ts";
 import type { GatewayContext } from "./context.ts";
@@ -170,7 +173,8 @@
 
   /**
    * Stops listening and closes all connections. Calls that have been read are
-   * answered first, within `openCallTimeout`.
+   * answered first, within `openCallTimeout`, and so are those that have begun to
+   * arrive and end within `lastRequestTimeout`.
    */
   close(): Promise<void> {
     return this.#application.close();
@@ -226,10 +230,30 @@
     calls.add(reply.raw);
     done();
   });
-  server.addHook(
-    "preClose",
-    () => calls.waitUntilAnswered(performance.now() + openCallTimeout),
-  );
+  server.addHook("preClose", async () => {
+    const endsAt = performance.now() + openCallTimeout;
+    await calls.waitUntilAnswered(endsAt);
+    await waitForLastRequests(server.server as Server);
+    await calls.waitUntilAnswered(endsAt);
+  });
+}
+
+/**
+ * Closes idle connections and waits until the others have ended too, which
+ * fastify brings about with each answer in a stop, for `lastRequestTimeout`.
+ */
+async function waitForLastRequests(server: Server): Promise<void> {
+  const endsAt = performance.now() + lastRequestTimeout;
+  server.closeIdleConnections();
+  while (await countConnections(server) > 0 && performance.now() < endsAt) {
+    await delay(openCallCheckInterval);
+  }
+}
+
+function countConnections(server: Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.getConnections((_error, count) => resolve(count));
+  });
 }
 
 /** Sends an error response for paths that the router cannot decode. */
