Read what has arrived before the HTTP interface closes connections

What callers saw: a request sent on a kept connection while a busy host stopped ended in a reset, up to hundreds of milliseconds after its last byte.

Cause: a stop ends in a timer, and the event loop's timers come before its reads. A connection with a request that has arrived but is unread counts as idle, and closing a connection with unread bytes resets it.

Requests arrive while the host is busy for 300 ms: before the stop (plain and over TLS), while the stop handles another call, and when the call that it waits for ends.

Ruled out: the limits for half-read requests and for open calls, as nothing of these requests had been read.

Why it holds: what has arrived is read before idle connections are closed, again after each wait for open calls, and again before the remaining connections are closed.

--- a/packages/rhubarbstage-gateway/__tests__/integration/stop_test.ts
+++ b/packages/rhubarbstage-gateway/__tests__/integration/stop_test.ts
@@ -1,6 +1,9 @@
 /** The HTTP interface at a planned stop. */
 
-import { connect } from "node:net";
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { connect as connectTls } from "node:tls";
+import { selfSignedCertificate } from "@rhubarbstage/test-support";
 import { delay } from "rhubarbstage";
 import { Credentials, Gateway, OperatorActions } from "@rhubarbstage/gateway";
 import { apiKey, Harness, operatorToken } from "../harness.ts";
@@ -100,8 +103,12 @@
 
 /** Sends text and collects what comes back until the connection ends. */
 function openCaller(origin: string, text: string) {
-  const { port } = new URL(origin);
-  const socket = connect(Number(port), "127.0.0.1", () => socket.write(text));
+  const { port, protocol } = new URL(origin);
+  const options = { port: Number(port), host: "127.0.0.1" };
+  const send = () => socket.write(text);
+  const socket: Socket = protocol === "https:"
+    ? connectTls({ ...options, rejectUnauthorized: false }, send)
+    : connect(options, send);
   let seen = "";
   socket.on("data", (chunk) => seen += chunk.toString("latin1"));
   socket.on("error", (thrown) => seen += ` [${thrown}]`);
@@ -202,3 +209,96 @@
     expect(await closed).not.toMatch(/HTTP\/1.1 2/);
   }
 });
+
+/** Time for which a busy host reads nothing, in milliseconds. */
+const busyTime = 300;
+
+function keepBusy(): void {
+  const resumesAt = performance.now() + busyTime;
+  while (performance.now() < resumesAt);
+}
+
+/** Opens connections that are kept after an answer to their first request. */
+async function openKeptCallers(origin: string, text: string) {
+  const callers = Array.from({ length: 5 }, () => openCaller(origin, text));
+  const answers = callers.map(({ socket }) => once(socket, "data"));
+  await Promise.all(answers);
+  return callers;
+}
+
+async function countAnswers(
+  callers: readonly { readonly closed: Promise<string> }[],
+): Promise<number[]> {
+  const seen = await Promise.all(callers.map(({ closed }) => closed));
+  return seen.map((text) => (text.match(/HTTP\/1\.1 \d+ /g) ?? []).length);
+}
+
+// Guards against requests that have arrived at a busy host, are still unread when
+// it closes its idle connections, and get a reset instead of an answer.
+test("requests that have arrived unread at a stop are answered", async () => {
+  const request = callerRequest("/services/ledger/balance", "{}");
+  const callers = await openKeptCallers(harness.url, request);
+  for (const { socket } of callers) socket.write(request);
+  keepBusy();
+  await stopCallers();
+  expect(await countAnswers(callers)).toEqual([2, 2, 2, 2, 2]);
+});
+
+// Guards against calls that arrive while a stopping host is busy with another one,
+// for longer than it takes to read what has arrived, and get a reset.
+test("calls that arrive while another is handled at a stop are answered", async () => {
+  operators.time = 0;
+  const callers = await openKeptCallers(url, operatorCall);
+  const [first, ...others] = callers;
+  let isBusy = false;
+  operators.status = () => {
+    isBusy = true;
+    for (const { socket } of others) socket.write(operatorCall);
+    keepBusy();
+    return {} as never;
+  };
+  first?.socket.write(operatorCall.replace("/tree", "/status"));
+  await stopOperators();
+  expect(await countAnswers(callers)).toEqual([2, 2, 2, 2, 2]);
+  expect(isBusy).toBe(true);
+});
+
+// Guards against calls that arrive unread while a stop waits for another one, on a
+// connection that is closed as idle after that.
+test("calls that arrive while a stop waits for another are answered", async () => {
+  operators.time = 0;
+  const callers = await openKeptCallers(url, operatorCall);
+  let isStarted = false;
+  operators.backends = async () => {
+    isStarted = true;
+    await delay(callTime);
+    for (const { socket } of callers) socket.write(operatorCall);
+    keepBusy();
+    return {} as never;
+  };
+  const slow = openCaller(url, operatorCall.replace("/tree", "/backends"));
+  while (!isStarted) await delay(1);
+  await stopOperators();
+  expect(await countAnswers([...callers, slow])).toEqual([2, 2, 2, 2, 2, 1]);
+});
+
+// Guards against the same losses over TLS, whose connections Node.js counts apart
+// from those of plain HTTP.
+test("requests unread or half read at a stop are answered over TLS", async () => {
+  await harness.close();
+  const tls = selfSignedCertificate("rhubarbstage.test");
+  harness = await Harness.start({ tls });
+  harness.addServer("ledger-1", "http://127.0.0.1:9");
+  const request = callerRequest("/services/ledger/balance", "{}");
+  const callers = await openKeptCallers(harness.url, request);
+  const halfRead = openCaller(harness.url, charge.slice(0, -3));
+  await delay(pauseTime);
+  for (const { socket } of callers) socket.write(request);
+  keepBusy();
+  const stopped = stopCallers();
+  await delay(pauseTime);
+  halfRead.socket.write(charge.slice(-3));
+  expect(await countAnswers([...callers, halfRead]))
+    .toEqual([2, 2, 2, 2, 2, 1]);
+  await stopped;
+});
--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -15,7 +15,12 @@
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
 import type { FastifyInstance, FastifyReply } from "fastify";
-import { delay, type RequestId, RhubarbstageError } from "rhubarbstage";
+import {
+  delay,
+  readArrivedBytes,
+  type RequestId,
+  RhubarbstageError,
+} from "rhubarbstage";
 import { AccessControl } from "./access.ts";
 import { BackendsController } from "./backends_controller.ts";
 import { CompletionsController } from "./completions_controller.ts";
@@ -232,8 +237,14 @@
   });
   server.addHook("preClose", async () => {
     const endsAt = performance.now() + openCallTimeout;
-    await calls.waitUntilAnswered(endsAt);
+    // A connection with an unread request counts as idle.
+    await readArrivedBytes();
+    while (calls.hasWholeCall() && performance.now() < endsAt) {
+      await calls.waitUntilAnswered(endsAt);
+      await readArrivedBytes();
+    }
     await waitForLastRequests(server.server as Server);
+    await readArrivedBytes();
     await calls.waitUntilAnswered(endsAt);
   });
 }
--- a/packages/rhubarbstage-gateway/src/open_call_tracker.ts
+++ b/packages/rhubarbstage-gateway/src/open_call_tracker.ts
@@ -22,9 +22,19 @@
     response.once("close", () => calls.delete(response));
   }
 
+  /** Whether a call that was read as a whole is open. */
+  hasWholeCall(): boolean {
+    for (const calls of this.#calls.values()) {
+      for (const { req } of calls) {
+        if ((req as IncomingMessage).complete) return true;
+      }
+    }
+    return false;
+  }
+
   /** Waits for calls that were read as a whole, until a monotonic time. */
   async waitUntilAnswered(endsAt: number): Promise<void> {
-    while (this.#hasWholeCall() && performance.now() < endsAt) {
+    while (this.hasWholeCall() && performance.now() < endsAt) {
       await delay(openCallCheckInterval);
     }
   }
@@ -38,13 +48,4 @@
     socket.once("close", () => this.#calls.delete(socket));
     return calls;
   }
-
-  #hasWholeCall(): boolean {
-    for (const calls of this.#calls.values()) {
-      for (const { req } of calls) {
-        if ((req as IncomingMessage).complete) return true;
-      }
-    }
-    return false;
-  }
 }
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -43,3 +43,4 @@
 export { Reducer } from "./reducer.ts";
 export { SeededRandom } from "./random.ts";
 export { delay, every } from "./abort.ts";
+export { readArrivedBytes } from "./event_loop.ts";
