--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -6,6 +6,7 @@
 
 import "reflect-metadata";
 import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import { type DynamicModule, Module } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
@@ -14,7 +15,12 @@
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
 import type { FastifyInstance, FastifyReply } from "fastify";
-import { type RequestId, RhubarbstageError } from "rhubarbstage";
+import {
+  delay,
+  readArrivedBytes,
+  type RequestId,
+  RhubarbstageError,
+} from "rhubarbstage";
 import { AccessControl } from "./access.ts";
 import { BackendsController } from "./backends_controller.ts";
 import { CompletionsController } from "./completions_controller.ts";
@@ -24,7 +30,10 @@
   defaultCallerStallTimeout,
   defaultHeadersTimeout,
   defaultRequestTimeout,
+  lastRequestTimeout,
   lateRequestCheckInterval,
+  openCallCheckInterval,
+  openCallTimeout,
 } from "./constants.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Dispatcher } from "./dispatcher.ts";
@@ -42,6 +51,7 @@
   SettingsSource,
 } from "./ports.ts";
 import { sendError } from "./replies.ts";
+import { OpenCallTracker } from "./open_call_tracker.ts";
 import { OpenRequestTracker } from "./open_request_tracker.ts";
 import { ServicesController } from "./services_controller.ts";
 import { contextToken } from "./injection_tokens.ts";
@@ -140,7 +150,9 @@
       { logger: false, bodyParser: false, abortOnError: false },
     );
     application.useGlobalFilters(new ErrorFilter(dependencies.telemetry));
-    configureServer(adapter.getInstance(), access);
+    const server: FastifyInstance = adapter.getInstance();
+    addOpenCallWait(server);
+    configureServer(server, access);
     await application.init();
     const protocol = options.tls ? "https:" : "http:";
     return new Gateway(application, { requests, protocol });
@@ -164,7 +176,11 @@
     return this.#requests.waitUntilIdle();
   }
 
-  /** Stops listening and closes all connections. */
+  /**
+   * Stops listening and closes all connections. Calls that have been read are
+   * answered first, within `openCallTimeout`, and so are those that have begun to
+   * arrive and end within `lastRequestTimeout`.
+   */
   close(): Promise<void> {
     return this.#application.close();
   }
@@ -212,6 +228,45 @@
   });
 }
 
+/** Answers open calls, also of operators, before a stop closes connections. */
+function addOpenCallWait(server: FastifyInstance): void {
+  const calls = new OpenCallTracker();
+  server.addHook("onRequest", (_request, reply, done) => {
+    calls.add(reply.raw);
+    done();
+  });
+  server.addHook("preClose", async () => {
+    const endsAt = performance.now() + openCallTimeout;
+    // A connection with an unread request counts as idle.
+    await readArrivedBytes();
+    while (calls.hasWholeCall() && performance.now() < endsAt) {
+      await calls.waitUntilAnswered(endsAt);
+      await readArrivedBytes();
+    }
+    await waitForLastRequests(server.server as Server);
+    await readArrivedBytes();
+    await calls.waitUntilAnswered(endsAt);
+  });
+}
+
+/**
+ * Closes idle connections and waits until the others have ended too, which
+ * fastify brings about with each answer in a stop, for `lastRequestTimeout`.
+ */
+async function waitForLastRequests(server: Server): Promise<void> {
+  const endsAt = performance.now() + lastRequestTimeout;
+  server.closeIdleConnections();
+  while (await countConnections(server) > 0 && performance.now() < endsAt) {
+    await delay(openCallCheckInterval);
+  }
+}
+
+function countConnections(server: Server): Promise<number> {
+  return new Promise((resolve) => {
+    server.getConnections((_error, count) => resolve(count));
+  });
+}
+
 /** Sends an error response for paths that the router cannot decode. */
 function handleFrameworkError(
   error: Error,
