Name the caller's id in the events of detours as in all others

A log line of a detour had the caller's id as its request, which in all other lines is the host's own id, so that a search for one found the other's lines only.

--- a/packages/rhubarbstage-host/src/exchange_forwarding.ts
+++ b/packages/rhubarbstage-host/src/exchange_forwarding.ts
@@ -63,6 +63,7 @@
   readonly membership: Pick<Membership, "listLiveHosts">;
   readonly dialect: Dialect;
   readonly onForward?: (exchange: {
+    /** Id that the caller sent for its attempt; empty if it sent none. */
     readonly request: string;
     readonly server: BackendServerId;
     readonly peer: HostId;
--- a/packages/rhubarbstage-host/src/forwarding_service.ts
+++ b/packages/rhubarbstage-host/src/forwarding_service.ts
@@ -45,6 +45,7 @@
   /** Requests that are forwarded at the same time. */
   readonly maxRequests: number;
   readonly onForward?: (exchange: {
+    /** Id that the caller sent for its attempt; empty if it sent none. */
     readonly request: string;
     readonly server: BackendServerId;
     readonly peer: HostId;
--- a/packages/rhubarbstage-host/src/relay_server_paths.ts
+++ b/packages/rhubarbstage-host/src/relay_server_paths.ts
@@ -61,7 +61,11 @@
     transport,
     membership,
     dialect,
-    onForward: (exchange) => events.record("exchange_detoured", exchange),
+    onForward: ({ request, ...exchange }) =>
+      events.record("exchange_detoured", {
+        caller_request: request,
+        ...exchange,
+      }),
     signal,
   });
   const connections = new ServerConnections({
@@ -123,7 +127,11 @@
     maxRequests: servesCallers
       ? maxForwardedByEntryHost
       : maxForwardedByControlHost,
-    onForward: (exchange) => events.record("exchange_forwarded", exchange),
+    onForward: ({ request, ...exchange }) =>
+      events.record("exchange_forwarded", {
+        caller_request: request,
+        ...exchange,
+      }),
     signal,
   });
   return { connections, paths, forwarding, forwardingService, probes };
