Route by likely cost and remaining work

Old load reports and one speed for all servers hid which server finishes a request first. Costs of routes, the pace of each server and its remaining work are now learned, aged and shared; the fleet setting routeByRemainingWork switches their use on, and a relay host does so when a server first states its pace.

--- a/packages/rhubarbstage-gateway/src/dispatch.ts
+++ b/packages/rhubarbstage-gateway/src/dispatch.ts
@@ -7,6 +7,7 @@
 
 export {
   BackendServers,
+  type CostPrediction,
   GatewayTelemetry,
   PolicyEffectHandler,
   Readiness,
--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -260,12 +260,15 @@
         return this.#effectHandler.publishDemand(
           effect.localDemand,
           effect.localModelDemand,
+          effect.figures,
         );
       case "announce_work":
       case "announce_work_end":
       case "request_placement":
       case "answer_placement":
         return this.#effectHandler.shareEngineWork(effect);
+      case "compare_cost":
+        return this.telemetry.recordCostPrediction(effect);
       case "note":
         return this.telemetry.recordEvent(effect.event, effect.fields);
     }
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -11,6 +11,7 @@
   Departure,
 } from "@rhubarbstage/engine";
 import type {
+  CostQuantity,
   CustomerDemand,
   EngineRole,
   EngineWorkEffect,
@@ -18,6 +19,7 @@
   PartMark,
   QuarantineMark,
   RequestLimitReport,
+  WorkFigures,
   WorkSettings,
 } from "@rhubarbstage/policy";
 import type {
@@ -270,9 +272,20 @@
     milliseconds: number,
     tokens: number,
   ): void;
+  /** Records a predicted and the actual cost of a request. */
+  recordCostPrediction(_prediction: CostPrediction): void {}
   abstract metrics(): Promise<MetricsText>;
 }
 
+/** Predicted and actual cost of a request, in the unit of the quantity. */
+export interface CostPrediction {
+  readonly quantity: CostQuantity;
+  readonly expected: number;
+  readonly actual: number;
+  /** Decile of the predicted distribution with the actual cost, from 1. */
+  readonly decile: number;
+}
+
 /** Reports whether the host accepts work. */
 export abstract class Readiness {
   /** Returns why the load balancer should send no requests, or nothing. */
@@ -294,9 +307,10 @@
   abstract publishRequestLimits(limits: readonly RequestLimitReport[]): void;
   /** Publishes this host's evidence about prompt parts that crash servers. */
   abstract publishPartMarks(marks: readonly PartMark[]): void;
-  /** Publishes this host's demand to the other hosts. */
+  /** Publishes this host's demand and observations to the other hosts. */
   abstract publishDemand(
     localDemand: ReadonlyMap<CustomerId, CustomerDemand>,
     localModelDemand: ReadonlyMap<ModelName, ModelDemand>,
+    figures?: WorkFigures,
   ): void;
 }
--- a/packages/rhubarbstage-host/src/demand_report.ts
+++ b/packages/rhubarbstage-host/src/demand_report.ts
@@ -6,11 +6,16 @@
 
 import type { CustomerId, HostId, ModelName } from "rhubarbstage";
 import type { DemandRates, DemandSubject } from "@rhubarbstage/membership";
-import type { CustomerDemand, ModelDemand } from "@rhubarbstage/policy";
+import type {
+  CustomerDemand,
+  ModelDemand,
+  WorkFigures,
+} from "@rhubarbstage/policy";
 
 const customerPrefix = "customer/";
 const modelPrefix = "model/";
 const engineTimePrefix = "engine/";
+const figurePrefix = "figure/";
 
 /** Fields of the policy's `demand_reported` event. */
 export interface ReportedDemand {
@@ -18,6 +23,7 @@
   readonly models: ReadonlyMap<ModelName, ModelDemand>;
   readonly hosts: number;
   readonly position: number;
+  readonly figures?: WorkFigures;
 }
 
 /** Options of a {@linkcode DemandReport}. */
@@ -43,8 +49,12 @@
   update(
     customers: ReadonlyMap<CustomerId, CustomerDemand>,
     models: ReadonlyMap<ModelName, ModelDemand>,
+    figures: WorkFigures = new Map(),
   ): void {
     this.#rates.clear();
+    for (const [subject, figure] of figures) {
+      this.#rates.set(`${figurePrefix}${subject}`, figure);
+    }
     for (const [customer, demand] of customers) {
       const { requestsPerSecond, tokensPerSecond } = demand;
       this.#rates.set(`${customerPrefix}${customer}`, [
@@ -84,6 +94,7 @@
   ): ReportedDemand {
     const total = new Map<CustomerId, CustomerDemand>();
     const models = new Map<ModelName, ModelDemand>();
+    const figures = new Map<string, DemandRates>();
     for (const [subject, [first, second]] of totals) {
       if (subject.startsWith(customerPrefix)) {
         const customer = subject.slice(customerPrefix.length) as CustomerId;
@@ -91,6 +102,9 @@
         total.set(customer, demand);
         continue;
       }
+      if (subject.startsWith(figurePrefix)) {
+        figures.set(subject.slice(figurePrefix.length), [first, second]);
+      }
       if (!subject.startsWith(modelPrefix)) continue;
       const model = subject.slice(modelPrefix.length) as ModelName;
       const [promptTimePerSecond, streamTimePerSecond] =
@@ -103,6 +117,7 @@
       });
     }
     const position = [...hosts].sort().indexOf(this.#options.host);
-    return { total, models, hosts: hosts.length, position };
+    const reported = { total, models, hosts: hosts.length, position };
+    return figures.size === 0 ? reported : { ...reported, figures };
   }
 }
--- a/packages/rhubarbstage-host/src/host_telemetry.ts
+++ b/packages/rhubarbstage-host/src/host_telemetry.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+  type CostPrediction,
   type EventFields,
   GatewayTelemetry,
   type MetricsText,
@@ -87,6 +88,10 @@
     }
   }
 
+  override recordCostPrediction(prediction: CostPrediction): void {
+    this.#options.metrics.observeCost(prediction);
+  }
+
   override async metrics(): Promise<MetricsText> {
     const { metrics, sample } = this.#options;
     sample();
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -339,6 +339,7 @@
         queuedRequests: load.queued,
         cacheTokensUsed: 0,
         cacheTokensTotal: 0,
+        ...(load.pace === undefined ? {} : { pace: load.pace }),
       }),
     onServerUnreachable: (server) => checks.start(server),
     onWrongServer: (server) =>
@@ -436,6 +437,7 @@
   const telemetry = new HostTelemetry({ metrics, events, sample: () => {} });
   const policy = new FleetPolicy({
     region: settings.region,
+    availabilityZone: settings.availabilityZone,
     seed: randomBytes(4).readUInt32BE(),
     settings: policySettings(settings),
   });
@@ -472,6 +474,7 @@
     // Engines batch continuously, so a long request blocks no others.
     longCostFactor: 1e6,
     shareEngineState: true,
+    routeByRemainingWork: settings.routeByRemainingWork ?? "automatic",
     // An engine that gets an order refuses the work that it has queued.
     rolesFollowDemand: false,
     kvFixedCost,
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -49,6 +49,11 @@
   /** Maximum number of hosts that may lose their disks at once. */
   readonly toleratedDiskLosses: number;
   readonly retryBudget: RetryBudgetSettings;
+  /**
+   * Whether servers are chosen by likely cost and remaining work. If absent, it
+   * begins when a server first states its pace.
+   */
+  readonly routeByRemainingWork?: boolean;
   /** Time from the stop signal until the process is killed. */
   readonly gracePeriod: number;
   /** Minimum time from a leader's last order to the next leader's first one. */
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -57,6 +57,11 @@
   readonly queuedRequests: number;
   readonly cacheTokensUsed: number;
   readonly cacheTokensTotal: number;
+  /**
+   * Time of work on the server at this moment, relative to its usual time. It is
+   * known to the host that received it only; gossip would be too late.
+   */
+  readonly pace?: number;
 }
 
 /** Gossiped description of a host. */
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -6,6 +6,7 @@
 
 import type { AttemptId, BackendServerId, RequestId } from "rhubarbstage";
 import { promptOverhead } from "./constants.ts";
+import { learnCost, paceFactor } from "./cost_learning.ts";
 import type { Attempt, FleetState, RequestRecord } from "./fleet_state.ts";
 import type { Route } from "./routing.ts";
 import { announceWork, endAnswer, endPrompt } from "./shared_work.ts";
@@ -212,7 +213,8 @@
   const { role, region } = (prefill ?? entry).server;
   if (region !== state.region) return;
   const tokens = uncachedTokens;
-  record.pool.speed.learnPromptTime({ tokens, role, elapsed });
+  const pace = paceFactor(state, prefill ?? entry, now);
+  record.pool.speed.learnPromptTime({ tokens, role, elapsed: elapsed / pace });
 }
 
 /** Handles the first token: updates estimates and cancels other attempts. */
@@ -284,7 +286,8 @@
   const due = attempt.windowTokens >= speedWindowTokens ||
     elapsed >= speedWindowTime;
   if (!due || elapsed <= 0) return effects;
-  const expected = record.pool.estimates.decodeTime(attempt.windowTokens, now);
+  const expected = record.pool.estimates.decodeTime(attempt.windowTokens, now) *
+    paceFactor(state, entry, now);
   const sample = { kind: "between_tokens", ratio: elapsed / expected } as const;
   record.pool.slowServers.observe(entry.server.id, sample, now);
   record.pool.estimates.learnTokens(attempt.windowTokens, elapsed, now);
@@ -323,10 +326,13 @@
   state.requests.delete(work.request);
   if (work.model === undefined) {
     const expected = Math.max(1, record.estimate.runTime);
-    const sample = { kind: "call", ratio: runTime / expected } as const;
+    // A server's own pace is neither ill health nor load.
+    const ratio = runTime / expected / paceFactor(state, entry, now);
+    const sample = { kind: "call", ratio } as const;
     pool.slowServers.observe(entry.server.id, sample, now);
   }
   const outputTokens = Math.max(result.outputTokens, attempt.generatedTokens);
+  effects.push(...learnCost(state, attempt, { outputTokens, runTime }, now));
   if (attempt.resumeFrom === 0) {
     const { estimate } = record;
     pool.estimates.learnRun(work, { outputTokens, runTime, estimate }, now);
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -20,6 +20,8 @@
   longRequestAgeingDelay: 5_000,
   preemptionLimit: 2,
   crossRegionPenalty: 20,
+  crossZonePenalty: 5,
+  routeByRemainingWork: false,
   sampledServersPerRegion: 6,
   bestServers: 3,
   shareEngineState: false,
--- a/packages/rhubarbstage-policy/src/engine_queue.ts
+++ b/packages/rhubarbstage-policy/src/engine_queue.ts
@@ -61,9 +61,10 @@
 
   /**
    * Milliseconds until a prompt of this rank that is sent now would start;
-   * defaults to the last rank.
+   * defaults to the last rank. Work that runs is done at `pace`; the result is
+   * in milliseconds at the usual pace.
    */
-  waitTime(now: number, rank: number = lastRank): number {
+  waitTime(now: number, rank: number = lastRank, pace = 1): number {
     this.#advance(now);
     const running = this.#running;
     if (running === undefined) return 0;
@@ -71,7 +72,7 @@
     for (const [id, prompt] of this.#prompts) {
       if (id === running.id) {
         const { milliseconds } = prompt;
-        const remaining = milliseconds - (now - running.startedAt);
+        const remaining = milliseconds - (now - running.startedAt) / pace;
         wait += Math.max(remaining, milliseconds * minRemainingFraction);
       } else if (prompt.rank <= rank) wait += prompt.milliseconds;
     }
@@ -87,9 +88,9 @@
    * Milliseconds until a late prompt that is sent now would start, if urgent
    * prompts keep taking the part of the engine's time that they took recently.
    */
-  lateWaitTime(now: number, rank: number = lastRank): number {
+  lateWaitTime(now: number, rank: number = lastRank, pace = 1): number {
     const load = this.#urgentTime.value(now) / loadTimeConstant;
-    return this.waitTime(now, rank) / (1 - Math.min(load, maxUrgentLoad));
+    return this.waitTime(now, rank, pace) / (1 - Math.min(load, maxUrgentLoad));
   }
 
   /** Adds a prompt with its expected compute time in milliseconds. */
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -11,9 +11,10 @@
  * @module
  */
 
-import type { BackendServerId, Region } from "rhubarbstage";
+import type { AvailabilityZone, BackendServerId, Region } from "rhubarbstage";
 import { lastRank, lateRankOffset } from "./engine_queue.ts";
 import type { EngineSpeed } from "./engine_speed.ts";
+import { distanceCost } from "./completion_time.ts";
 import { kvTransferTime } from "./kv_transfer.ts";
 import { promptBlocks } from "./prompt_cache_estimate.ts";
 import {
@@ -91,6 +92,8 @@
   readonly suspect: boolean;
   /** Present if the answer has begun. */
   readonly answerOrigin?: AnswerOrigin;
+  /** Zone of the host that asks; defaults to that of this host. */
+  readonly zone?: AvailabilityZone;
 }
 
 /** Options of {@linkcode toEngineRequirements}. */
@@ -220,6 +223,9 @@
   const uncachedTokens = Math.max(0, request.promptTokens - cached);
   const compute = speed.promptTime(uncachedTokens, server.role) *
     slowdownFactor(view, entry);
+  if (view.byRemainingWork) {
+    return costAtPace(view, request, { entry, uncachedTokens, compute });
+  }
   return {
     entry,
     uncachedTokens,
@@ -230,6 +236,29 @@
   };
 }
 
+/** Costs on an engine at its own pace, which may change during the work. */
+function costAtPace(
+  view: RoutingView,
+  request: EngineRequirements,
+  prompt: Pick<EngineCost, "entry" | "uncachedTokens" | "compute">,
+): EngineCost {
+  const { entry, compute } = prompt;
+  const { queue, pace, server } = entry;
+  const { now } = view;
+  const current = pace.current(now);
+  const ahead = queue.waitTime(now, request.rank, current);
+  const lateAhead = queue.lateWaitTime(now, lateRankOf(request), current);
+  const wait = pace.duration(ahead, now);
+  const zone = request.zone ?? view.zone;
+  return {
+    ...prompt,
+    compute: pace.duration(ahead + compute, now) - wait,
+    path: distanceCost({ ...view, zone }, server),
+    wait,
+    lateWait: pace.duration(lateAhead, now),
+  };
+}
+
 function addStreamCost(
   view: RoutingView,
   request: EngineRequirements,
@@ -237,8 +266,9 @@
 ): StreamCost {
   const { cost, tokenInterval } = engine;
   const { entry } = cost;
-  const stream = entry.streams.count(view.now) * request.outputTokens *
-    tokenInterval * tokenDelayPerStream;
+  const generation = request.outputTokens * tokenInterval;
+  const stream = entry.streams.count(view.now) * generation *
+      tokenDelayPerStream + extraGenerationTime(view, entry, generation);
   return {
     ...cost,
     stream: stream + kvCacheShortage(view, request, entry),
@@ -246,6 +276,16 @@
   };
 }
 
+/** Time that an engine's pace adds to the generation of an answer. */
+function extraGenerationTime(
+  view: RoutingView,
+  { pace }: ServerEntry,
+  generation: number,
+): number {
+  if (!view.byRemainingWork) return 0;
+  return pace.duration(generation, view.now) - generation;
+}
+
 /**
  * Whether an engine may get another stream. Engines queue some more than they
  * run; the most urgent requests may queue when others may not. A stream whose
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -20,6 +20,12 @@
   handlePromptComputed,
   handleTokens,
 } from "./attempts.ts";
+import {
+  applyFigures,
+  forgetFigures,
+  learnLoad,
+  publishFigures,
+} from "./cost_learning.ts";
 import { applyEngineWork, endSharedWork } from "./shared_work.ts";
 import {
   demandPublishInterval,
@@ -459,7 +465,9 @@
     effects.push(...markCrash(state, known, now));
     forgetServer(state, server, now);
   }
+  const before = known?.server.load;
   if (!state.table.upsert(server, now)) return effects;
+  observeLoad(state, { server, before, now });
   state.quarantine.recordServerSeen(server.id, server.incarnation, now);
   const entry = state.table.servers.get(server.id);
   for (const pool of entry?.pools ?? []) {
@@ -470,6 +478,21 @@
   return effects;
 }
 
+/** Learns from a load report, unless it is one that was seen before. */
+function observeLoad(
+  state: FleetState,
+  seen: {
+    readonly server: BackendServer;
+    readonly before: BackendServer["load"];
+    readonly now: number;
+  },
+): void {
+  const { server: { id, load }, before, now } = seen;
+  const entry = state.table.servers.get(id);
+  if (load === undefined || load === before || entry === undefined) return;
+  learnLoad(state, entry, load, now);
+}
+
 function onServerGone(
   state: FleetState,
   event: EventOf<"server_gone">,
@@ -491,6 +514,7 @@
   state.prefixes.forget(server.id, now);
   state.requestLimits.forget(server.id);
   state.serverNotices.forget(server.id);
+  forgetFigures(state, server.id);
   const entry = state.table.servers.get(server.id);
   for (const pool of entry?.pools ?? []) {
     state.poolStates.get(pool.name)?.slowServers.forget(server.id);
@@ -583,6 +607,9 @@
     Math.max(0, event.position ?? 0),
   );
   state.modelDemand = event.models ?? new Map();
+  if (event.figures !== undefined) {
+    applyFigures(state, event.figures, event.now);
+  }
   applyBudgetLimits(state);
   return [];
 }
@@ -604,7 +631,12 @@
     state.publishedAt = now;
     const published = state.limits.publish(now);
     state.localModelDemand = published.localModelDemand;
-    effects.push({ type: "publish_demand", ...published });
+    const figures = publishFigures(state, now);
+    effects.push({
+      type: "publish_demand",
+      ...published,
+      ...(figures === undefined ? {} : { figures }),
+    });
   }
   if (
     state.holdsRoleAuthority &&
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -29,6 +29,17 @@
   readonly preemptionLimit: number;
   /** Cost added for a server in another region, whose traffic is billed. */
   readonly crossRegionPenalty: number;
+  /**
+   * Cost added for a server in another availability zone of the host's region,
+   * whose traffic is billed; only where `routeByRemainingWork` applies.
+   */
+  readonly crossZonePenalty: number;
+  /**
+   * Whether servers are chosen by the likely cost of the request and the work
+   * that each server still has to do. `automatic` begins with the first load
+   * report that states a pace and does not end while the process runs.
+   */
+  readonly routeByRemainingWork: boolean | "automatic";
   /** Servers sampled at random from each region for one decision. */
   readonly sampledServersPerRegion: number;
   /** Number of best servers among which the choice is random. */
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -6,6 +6,7 @@
 
 import type {
   AttemptId,
+  AvailabilityZone,
   BackendServerId,
   Incarnation,
   ModelName,
@@ -35,6 +36,8 @@
   type ServerEntry,
   ServerTable,
 } from "./server_table.ts";
+import { RequestCosts } from "./request_cost.ts";
+import { SharedFigures } from "./shared_figures.ts";
 import { ServerNotices } from "./server_notices.ts";
 import { SlowServerDetector } from "./slow_servers.ts";
 import {
@@ -50,6 +53,9 @@
 } from "./types.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
+/** Costs before any observation, in milliseconds and in tokens. */
+const initialRunTime = 50;
+const initialOutputTokens = 200;
 /** Regions from which servers are sampled; deployments have three. */
 const sampledRegions = 3;
 /** Time constant for the slot time of dispatched work, in milliseconds. */
@@ -61,6 +67,8 @@
 export interface FleetOptions {
   /** Region of the host that runs the policy. */
   readonly region: Region;
+  /** Availability zone of the host, if distance within the region counts. */
+  readonly availabilityZone?: AvailabilityZone;
   /** Random seed; should differ between hosts. */
   readonly seed?: number;
   /** Number of hosts sharing the servers, used until gossip reports it. */
@@ -160,6 +168,8 @@
   readonly estimates: WorkEstimates;
   readonly slowServers: SlowServerDetector;
   readonly speed: EngineSpeed;
+  /** Output tokens of streams or run times of plain calls, by route. */
+  readonly costs: RequestCosts;
   /** Actual over predicted waits, without waits predicted to be 0. */
   readonly waitCorrection: DecayedRatio;
   /** Estimated slot time of recently dispatched work, by priority. */
@@ -187,6 +197,11 @@
 export interface FleetState {
   settings: FleetSettings;
   readonly region: Region;
+  readonly availabilityZone: AvailabilityZone | undefined;
+  /** Whether a server has stated its pace since the start. */
+  isPaceReported: boolean;
+  /** Observations of this host that it shares with the others. */
+  readonly figures: SharedFigures;
   readonly random: SeededRandom;
   readonly table: ServerTable;
   readonly poolStates: Map<string, PoolState>;
@@ -243,6 +258,9 @@
   const state: FleetState = {
     settings,
     region: options.region,
+    availabilityZone: options.availabilityZone,
+    isPaceReported: false,
+    figures: new SharedFigures(),
     random,
     table,
     poolStates: new Map(),
@@ -402,6 +420,9 @@
         probeInterval,
       }),
       speed: new EngineSpeed(),
+      costs: new RequestCosts(
+        model === undefined ? initialRunTime : initialOutputTokens,
+      ),
       waitCorrection: new DecayedRatio(1, waitTimeConstant),
       slotTimeByPriority: new Map(),
       preemptible: new Map(),
@@ -441,6 +462,17 @@
   return slots;
 }
 
+/**
+ * Whether servers are chosen by their remaining work. Once a server has stated
+ * its pace this stays so, because the choice would alternate otherwise.
+ */
+export function routesByRemainingWork(
+  { settings, isPaceReported }: FleetState,
+): boolean {
+  const { routeByRemainingWork: setting } = settings;
+  return setting === "automatic" ? isPaceReported : setting;
+}
+
 /** Builds the input of routing for one pool. */
 export function routingView(
   state: FleetState,
@@ -452,6 +484,9 @@
     pool: pool.pool,
     estimates: pool.estimates,
     slowServers: pool.slowServers,
+    costs: pool.costs,
+    byRemainingWork: routesByRemainingWork(state),
+    zone: state.availabilityZone,
     prefixes: state.prefixes,
     roundTrips: state.roundTrips,
     random: state.random,
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -18,6 +18,7 @@
   BackendServer,
   BackendServerLoad,
   CancelReason,
+  CostQuantity,
   CustomerDemand,
   EngineRole,
   EngineWork,
@@ -34,5 +35,6 @@
   RequestLimitReport,
   ServerNotice,
   Work,
+  WorkFigures,
   WorkSettings,
 } from "./types.ts";
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -178,6 +178,7 @@
     tokenGapTarget: tokenGapTarget ?? defaultTokenGapTarget,
     excludedServers: new Set(query.excludedServers),
     ...(answerOrigin === undefined ? {} : { answerOrigin }),
+    ...(query.zone === undefined ? {} : { zone: query.zone }),
   };
   return chooseEngines(routingView(state, pool, now), requirements, pool.speed);
 }
--- /dev/null
+++ b/packages/rhubarbstage-policy/src/remaining_work.ts
@@ -0,0 +1,110 @@
+/**
+ * Requests of all hosts on one plain server, from its load reports. A host sees
+ * few of a server's answers, so a report is mostly older than the requests that
+ * it counts; then the mean is the better estimate.
+ *
+ * @module
+ */
+
+import { DecayedSum } from "./decayed.ts";
+
+/** Time constant of the mean of a server, in milliseconds. */
+const meanTimeConstant = 10_000;
+/** Age up to which the mean over all hosts is used, in milliseconds. */
+const maxSharedAge = 5_000;
+/** Smaller variances, in requests squared, would divide by zero. */
+const minVariance = 1e-6;
+
+/** Estimated number of requests on a server. */
+export interface RequestEstimate {
+  readonly mean: number;
+  readonly variance: number;
+}
+
+/** Requests of all hosts on one server, as known to this host. */
+export class RemainingWork {
+  /** Requests of other hosts in the last report. */
+  #reported = 0;
+  #reportedAt = -Infinity;
+  #requests = new DecayedSum(meanTimeConstant);
+  #reports = new DecayedSum(meanTimeConstant);
+  #shared = 0;
+  #sharedAt = -Infinity;
+
+  /** Records a report that counts `requests`, `own` of them of this host. */
+  report(
+    { requests, own }: { readonly requests: number; readonly own: number },
+    now: number,
+  ): void {
+    this.#reported = Math.max(0, requests - own);
+    this.#reportedAt = now;
+    this.#requests.add(this.#reported, now);
+    this.#reports.add(1, now);
+  }
+
+  /** Sets the mean number of requests over the reports of all hosts. */
+  share(requests: number, now: number): void {
+    if (!(requests >= 0)) return;
+    this.#shared = requests;
+    this.#sharedAt = now;
+  }
+
+  /**
+   * Estimates the requests on the server now. Of the other hosts' requests in
+   * the report, a part that depends on the report's age and the run time has
+   * ended and others have replaced it; this host's own requests are known.
+   */
+  estimate(
+    options: { readonly own: number; readonly runTime: number },
+    now: number,
+  ): RequestEstimate {
+    const { own, runTime } = options;
+    const age = Math.max(0, now - this.#reportedAt);
+    const remaining = Math.exp(-age / Math.max(1, runTime));
+    const typical = this.#typical(now);
+    const others = typical + (this.#reported - typical) * remaining;
+    return {
+      mean: own + others,
+      // Arrivals of many hosts are independent, so their number is Poisson
+      // distributed; the survivors of the report are binomially distributed.
+      variance: typical * (1 - remaining) +
+        this.#reported * remaining * (1 - remaining),
+    };
+  }
+
+  /** Forgets a server process that has ended. */
+  clear(): void {
+    this.#reportedAt = -Infinity;
+    this.#sharedAt = -Infinity;
+    this.#requests = new DecayedSum(meanTimeConstant);
+    this.#reports = new DecayedSum(meanTimeConstant);
+  }
+
+  #typical(now: number): number {
+    if (now - this.#sharedAt <= maxSharedAge) return this.#shared;
+    // Without reports for a while the mean returns to 0, so the server is tried.
+    return this.#requests.value(now) / (this.#reports.value(now) + 1);
+  }
+}
+
+/**
+ * Expected requests that must end before one more starts on a server with
+ * `slots` slots, with a normally distributed number of requests.
+ */
+export function expectedRequestsAhead(
+  { mean, variance }: RequestEstimate,
+  slots: number,
+): number {
+  const excess = mean - (slots - 1);
+  const deviation = Math.sqrt(Math.max(minVariance, variance));
+  const score = excess / deviation;
+  const density = Math.exp(-score * score / 2) / Math.sqrt(2 * Math.PI);
+  return deviation * density + excess * normalProbability(score);
+}
+
+/** Probability that a standard normal variable is below `score`. */
+export function normalProbability(score: number): number {
+  // Logistic approximation with an error below 0.0002, without tables.
+  const exponent = 1.5976 * score + 0.07056 * score ** 3;
+  return 1 / (1 + Math.exp(-exponent));
+}
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -4,11 +4,18 @@
  * @module
  */
 
-import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  Region,
+  SeededRandom,
+} from "rhubarbstage";
+import { expectCompletion, openPlainServers } from "./completion_time.ts";
 import { promptOverhead, tokensPerBlock } from "./constants.ts";
 import type { FleetSettings } from "./fleet_settings.ts";
 import { kvTransferPays, kvTransferTime } from "./kv_transfer.ts";
 import type { PrefixMap } from "./prefix_map.ts";
+import type { RequestCosts } from "./request_cost.ts";
 import {
   isAvailable,
   type Pool,
@@ -27,6 +34,11 @@
   readonly pool: Pool;
   readonly estimates: WorkEstimates;
   readonly slowServers: SlowServerDetector;
+  readonly costs: RequestCosts;
+  /** Whether servers are chosen by their remaining work. */
+  readonly byRemainingWork: boolean;
+  /** Availability zone of the caller's host, if distance within it counts. */
+  readonly zone: AvailabilityZone | undefined;
   readonly prefixes: PrefixMap;
   readonly roundTrips: ReadonlyMap<Region, number>;
   readonly random: SeededRandom;
@@ -79,6 +91,8 @@
 const equalScoreFactor = 1.15;
 /** Added to the limit, in milliseconds, so that tiny scores count as equal. */
 const equalScoreMargin = 2;
+/** Factor that favours a probe, so that a recovered server is noticed. */
+const probeFactor = 0.5;
 
 /** Chooses a server with free slots, or returns undefined. */
 export function chooseRoute(
@@ -164,6 +178,10 @@
       .filter((entry) => entry.server.role !== "prefill")
       .filter((entry) => isAvailable(entry) && table.freeSlots(entry) > 0);
   }
+  if (view.byRemainingWork) {
+    const open = openPlainServers(view, request.work);
+    if (open !== undefined) return open;
+  }
   const count = settings.sampledServersPerRegion;
   const entries = new Set(
     table.sampleOpen(pool.openGeneratingServers, count, random),
@@ -221,6 +239,9 @@
   },
 ): Candidate {
   const { entry, cached } = options;
+  if (view.byRemainingWork && request.work.model === undefined) {
+    return scoreByCompletion(view, request, entry);
+  }
   const { estimates, settings, now } = view;
   const { id, capacity, region } = entry.server;
   const { work } = request;
@@ -234,12 +255,11 @@
   const typicalRunTime = estimates.typicalRunTime(now);
   const queueing = entry.pendingPrefillTime + typicalRunTime * (load ** 2) / 2 +
     typicalRunTime * Math.max(0, load - 1);
-  // A probe is favoured, otherwise a recovered server would never be noticed.
   const probe = isProbe(view, request, id);
   // Latency counts only above the threshold; less is noise.
   const isSlow = view.slowServers.isSlow(id, now);
   const factor = probe
-    ? 0.5
+    ? probeFactor
     : isSlow
     ? view.slowServers.latencyFactor(id, now)
     : 1;
@@ -251,6 +271,30 @@
   };
 }
 
+/** Scores a plain call by its expected completion time. */
+function scoreByCompletion(
+  view: RoutingView,
+  request: RoutingRequirements,
+  entry: ServerEntry,
+): Candidate {
+  const { id } = entry.server;
+  const { wait, run, distance } = expectCompletion(view, request.work, entry);
+  // Slowness beyond the stated pace; a probe notices the server's recovery.
+  const factor = isProbe(view, request, id)
+    ? probeFactor
+    : view.slowServers.isSlow(id, view.now)
+    ? view.slowServers.latencyFactor(id, view.now)
+    : 1;
+  return {
+    entry,
+    uncachedTokens: 0,
+    wait,
+    expectedFirstToken: wait + run +
+      (view.roundTrips.get(entry.server.region) ?? 0),
+    score: (wait + run) * factor + distance,
+  };
+}
+
 function pickAmongBest(
   view: RoutingView,
   candidates: readonly Candidate[],
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -10,6 +10,7 @@
   type EngineRequirements,
   toEngineRequirements,
 } from "./engine_routing.ts";
+import { expectedOutputTokens } from "./cost_learning.ts";
 import { createRefusalNote, refuse } from "./refusals.ts";
 import { promptOverhead } from "./constants.ts";
 import type { NextItem, QueueItem } from "./fair_queue.ts";
@@ -19,6 +20,7 @@
   type PoolState,
   recordSlotTime,
   type RequestRecord,
+  routesByRemainingWork,
   routingView,
   serverPause,
 } from "./fleet_state.ts";
@@ -30,7 +32,7 @@
   type RoutingRequirements,
 } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
-import type { PolicyEffect, Work } from "./types.ts";
+import type { PlacementQuery, PolicyEffect, Work } from "./types.ts";
 import type { ModelName } from "rhubarbstage";
 
 interface LaneHead {
@@ -265,7 +267,7 @@
   record: RequestRecord,
   now: number,
 ): PolicyEffect {
-  const { work, estimate } = record;
+  const { work } = record;
   const { request, model, promptTokens, promptParts: parts = [] } = work;
   const { firstTokenTimeout = Infinity, tokenGapTarget } = work;
   state.placing.set(request, record);
@@ -275,7 +277,7 @@
       request,
       model: model as ModelName,
       promptTokens,
-      outputTokens: work.expectedOutputTokens ?? estimate.outputTokens,
+      outputTokens: expectedOutputTokens(state, record),
       parts,
       rank: work.rank ?? 0,
       waited: now - work.arrivedAt,
@@ -291,20 +293,27 @@
       ],
       suspect: state.quarantine.isSuspect(work.fingerprint, now),
       ...answerOriginOf(record),
+      ...zoneOf(state),
     },
   };
 }
 
+/** Names the host's zone where distance within the region counts. */
+function zoneOf(state: FleetState): Pick<PlacementQuery, "zone"> {
+  const { availabilityZone: zone } = state;
+  return zone !== undefined && routesByRemainingWork(state) ? { zone } : {};
+}
+
 /** Builds the current requirements of a request on shared engines. */
 export function engineRequirements(
   state: FleetState,
   record: RequestRecord,
   now: number,
 ): EngineRequirements {
-  const { work, estimate } = record;
+  const { work } = record;
   return toEngineRequirements(work, {
     excludedServers: excludedServers(record),
-    outputTokens: work.expectedOutputTokens ?? estimate.outputTokens,
+    outputTokens: expectedOutputTokens(state, record),
     suspect: state.quarantine.isSuspect(work.fingerprint, now),
     ...answerOriginOf(record),
   });
--- a/packages/rhubarbstage-policy/src/server_table.ts
+++ b/packages/rhubarbstage-policy/src/server_table.ts
@@ -6,6 +6,8 @@
 
 import { PromptCacheEstimate } from "./prompt_cache_estimate.ts";
 import { EngineQueue } from "./engine_queue.ts";
+import { RemainingWork } from "./remaining_work.ts";
+import { ServerPace } from "./server_pace.ts";
 import { EngineStreams } from "./engine_streams.ts";
 import type { BackendServerId, Region, SeededRandom } from "rhubarbstage";
 import { SampledSet } from "./sampled_set.ts";
@@ -34,6 +36,10 @@
   readonly streams: EngineStreams;
   /** Prompts probably cached, if the engine's KV cache capacity is known. */
   cache: PromptCacheEstimate | undefined;
+  /** How long work takes on the server, apart from its load. */
+  readonly pace: ServerPace;
+  /** Requests of all hosts on a plain server. */
+  readonly remaining: RemainingWork;
   /** Requests of all hosts in the last load report, if there was one. */
   reportedRequests: number | undefined;
   /** Estimate of the local attempts that the report includes. */
@@ -150,6 +156,8 @@
     if (isRestarted) {
       known.queue.clear();
       known.streams.clear();
+      known.pace.clear();
+      known.remaining.clear();
     }
     if (isRestarted || known.cache === undefined) {
       known.cache = newCacheEstimate(server);
@@ -362,6 +370,8 @@
     pendingPrefillTime: 0,
     queue: new EngineQueue(),
     streams: new EngineStreams(),
+    pace: new ServerPace(),
+    remaining: new RemainingWork(),
     cache: newCacheEstimate(server),
     reportedRequests: undefined,
     localAttemptsAtReport: 0,
--- a/packages/rhubarbstage-policy/src/shared_work.ts
+++ b/packages/rhubarbstage-policy/src/shared_work.ts
@@ -5,7 +5,13 @@
  */
 
 import type { ModelName } from "rhubarbstage";
-import type { Attempt, FleetState, PoolState } from "./fleet_state.ts";
+import {
+  type Attempt,
+  type FleetState,
+  type PoolState,
+  routesByRemainingWork,
+} from "./fleet_state.ts";
+import { learnReportedPace, paceFactor } from "./cost_learning.ts";
 import type { Route } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
 import type { QueuedPrompt } from "./engine_queue.ts";
@@ -159,11 +165,17 @@
   const prompt = entry?.queue.find(end.id);
   const elapsed = applyEngineWorkEnd(state, end, now);
   if (entry === undefined || isForwarded) return;
+  if (end.pace !== undefined) learnReportedPace(state, entry, end.pace, now);
   if (entry.server.region !== state.region) return;
   const pool = state.poolStates.get(entry.pools[0]?.name ?? "");
   if (pool === undefined) return;
   if (elapsed !== undefined && prompt !== undefined) {
-    learnPromptTime({ entry, pool, prompt, elapsed }, now);
+    const pace = paceFactor(state, entry, now);
+    const unpaced = elapsed / pace;
+    learnPromptTime({ entry, pool, prompt, elapsed: unpaced }, now);
+    if (routesByRemainingWork(state) && prompt.milliseconds > 0) {
+      entry.pace.measure(elapsed / prompt.milliseconds, now);
+    }
   }
   learnObservedSpeed(pool, end, now);
 }
@@ -218,12 +230,24 @@
   const { server, id, parts } = promptWork;
   const ended = isComputed ? "computed" : "dropped";
   const dropped = isComputed ? {} : { parts };
+  const stated = isComputed ? statedPace(state, server, now) : {};
   const { answerWork } = attempt;
   if (isComputed && answerWork !== undefined && answerWork.id !== id) {
     const { server, id } = answerWork;
     publishEnd(state, { server, id, ended }, now);
   }
-  return publishEnd(state, { server, id, ended, ...dropped }, now);
+  return publishEnd(state, { server, id, ended, ...dropped, ...stated }, now);
+}
+
+/** Passes a recently stated pace on to the host that places work. */
+function statedPace(
+  state: FleetState,
+  server: EngineWork["server"],
+  now: number,
+): Pick<EngineWorkEnd, "pace"> {
+  if (!routesByRemainingWork(state)) return {};
+  const pace = state.table.servers.get(server)?.pace.recent(now);
+  return pace === undefined ? {} : { pace };
 }
 
 /** Ends the stream of an attempt on all hosts. */
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -130,8 +130,19 @@
   /** KV cache in use and in total, in tokens. */
   readonly cacheTokensUsed: number;
   readonly cacheTokensTotal: number;
+  /** Time of work on the server at this moment, relative to its usual time. */
+  readonly pace?: number;
 }
 
+/**
+ * Figures about servers and routes, as sums and counts of recent observations
+ * that may be added up over hosts.
+ */
+export type WorkFigures = ReadonlyMap<
+  string,
+  readonly [sum: number, count: number]
+>;
+
 /** Description of a backend server, with its last load report. */
 export interface BackendServer {
   readonly id: BackendServerId;
@@ -259,6 +270,8 @@
   /** Parts that the engine will not have cached after a dropped prompt. */
   readonly parts?: readonly PromptPart[];
   readonly observed?: ObservedSpeed;
+  /** Pace that the server stated just before the end of the prompt. */
+  readonly pace?: number;
 }
 
 /** Speeds measured by the host that received an answer, in milliseconds. */
@@ -294,6 +307,8 @@
   readonly suspect: boolean;
   /** Present if the answer has begun. */
   readonly answerOrigin?: AnswerOrigin;
+  /** Availability zone of the asking host, if distance within regions counts. */
+  readonly zone?: AvailabilityZone;
 }
 
 /** Engine work of a placement; the asking host knows rank and parts. */
@@ -463,6 +478,8 @@
     readonly localDemand?: ReadonlyMap<CustomerId, CustomerDemand>;
     /** Demand of each model summed over all hosts. */
     readonly models?: ReadonlyMap<ModelName, ModelDemand>;
+    /** Figures about servers and routes, summed over all hosts. */
+    readonly figures?: WorkFigures;
   }
   | {
     readonly type: "quarantine_reported";
@@ -512,6 +529,9 @@
   }
   | { readonly type: "tick"; readonly now: number };
 
+/** Predicted costs: tokens of streams, milliseconds of plain calls. */
+export type CostQuantity = "output_tokens" | "run_time";
+
 /** Forecast on which a route was chosen; times in milliseconds. */
 export interface RouteForecast {
   /** Time to the first token. */
@@ -599,6 +619,8 @@
     /** Demand of each customer on this host, to be gossiped. */
     readonly localDemand: ReadonlyMap<CustomerId, CustomerDemand>;
     readonly localModelDemand: ReadonlyMap<ModelName, ModelDemand>;
+    /** Figures of this host; absent unless work is routed by them. */
+    readonly figures?: WorkFigures;
   }
   | {
     /** Announces work sent to an engine to the host that places work. */
@@ -623,6 +645,15 @@
     readonly type: "announce_work_end";
     readonly end: EngineWorkEnd;
   }
+  | {
+    /** Compares a predicted cost with the actual one, for metrics. */
+    readonly type: "compare_cost";
+    readonly quantity: CostQuantity;
+    readonly expected: number;
+    readonly actual: number;
+    /** Decile of the predicted distribution with the actual cost, from 1. */
+    readonly decile: number;
+  }
   | {
     readonly type: "note";
     /** Event name in the log and the timeline. */
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -142,6 +142,11 @@
   readonly running: number;
   readonly queued: number;
   readonly slots: number;
+  /**
+   * Time of work on the server at this moment, relative to its usual time;
+   * absent if the server does not state it.
+   */
+  readonly pace?: number;
 }
 
 /** Metadata parsed from the head of a server's response. */
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -74,6 +74,15 @@
   readonly duration: number;
 }
 
+/** Predicted and actual cost of a request. */
+export interface PredictedCost {
+  readonly quantity: string;
+  readonly expected: number;
+  readonly actual: number;
+  /** Decile of the predicted distribution with the actual cost, from 1. */
+  readonly decile: number;
+}
+
 /** Control traffic since the start of the process. */
 export interface ControlTrafficTotals {
   readonly sentBytes: number;
@@ -97,6 +106,8 @@
   readonly #duration: Histogram<"service">;
   readonly #firstToken: Histogram<"service">;
   readonly #betweenTokens: Histogram<"service">;
+  readonly #costDeciles: Counter<"quantity" | "decile">;
+  readonly #costs: Counter<"quantity" | "kind">;
   readonly #queueDepth: Gauge<"service">;
   readonly #running: Gauge<"service">;
   readonly #revision: Gauge;
@@ -148,6 +159,16 @@
       "Time between two tokens of a stream",
       betweenTokenBuckets,
     );
+    this.#costDeciles = this.#counter(
+      "cost_predictions_total",
+      "Requests by the decile of the predicted cost that the actual cost hit",
+      ["quantity", "decile"],
+    );
+    this.#costs = this.#counter(
+      "cost_total",
+      "Sums of predicted and of actual costs",
+      ["quantity", "kind"],
+    );
     this.#queueDepth = this.#gauge(
       "queue_depth",
       "Requests that wait for a backend server",
@@ -232,6 +253,13 @@
     this.#betweenTokens.observe(labels, milliseconds / 1_000);
   }
 
+  /** Records a predicted cost and the actual one. */
+  observeCost({ quantity, expected, actual, decile }: PredictedCost): void {
+    this.#costDeciles.inc({ quantity, decile });
+    this.#costs.inc({ quantity, kind: "predicted" }, expected);
+    this.#costs.inc({ quantity, kind: "actual" }, actual);
+  }
+
   /** Replaces all counts; services not in the map are no longer reported. */
   setRequestCounts(
     counts: ReadonlyMap<
--- a/packages/rhubarbstage-telemetry/src/mod.ts
+++ b/packages/rhubarbstage-telemetry/src/mod.ts
@@ -19,6 +19,7 @@
   BackendServerState,
   CompletedRequest,
   ControlTrafficTotals,
+  PredictedCost,
 } from "./metrics.ts";
 export { Metrics } from "./metrics.ts";
 export type { EventDetails, TimelineOptions } from "./timeline.ts";
