Choose plain servers by expected completion without herding

Shared load figures are removed, reports age over at least 300 ms, overdue own calls count as a wait, and the choice is weighted at random.

--- a/packages/rhubarbstage-policy/src/completion_time.ts
+++ b/packages/rhubarbstage-policy/src/completion_time.ts
@@ -12,6 +12,15 @@
 
 /** Largest pool in which all servers are considered for each call. */
 const maxConsidered = 48;
+/**
+ * Wait on a fully used server in run times, beyond that for the counted
+ * requests: a burst or a phase may begin at any time. Without it, the nearest
+ * server gets all calls until it queues: in a trial with the recorded calls at a
+ * load of 1, 0.7% of them were late instead of 0.02%.
+ */
+const unevennessWeight = 1;
+/** Multiple of the run time after which a call probably waits. */
+const overdueFactor = 1.5;
 
 /** Expected times of a call on one server, in milliseconds. */
 export interface ExpectedCompletion {
@@ -35,16 +44,34 @@
   const typical = costs.typical();
   const runTime = typical * pace.current(now);
   const requests = remaining.estimate({ own: localAttempts, runTime }, now);
-  const ahead = expectedRequestsAhead(requests, slots) / slots * typical;
+  const queued = expectedRequestsAhead(requests, slots) / slots;
+  const used = Math.min(1, requests.mean / slots);
+  const ahead = (queued + used ** 2 * unevennessWeight) * typical;
   const cost = costs.estimate(work.kind).mean;
-  const wait = pace.duration(ahead, now);
+  const forecast = pace.duration(ahead, now);
   return {
-    wait,
-    run: pace.duration(ahead + cost, now) - wait,
+    wait: Math.max(forecast, overdueTime(view, entry, runTime)),
+    run: pace.duration(ahead + cost, now) - forecast,
     distance: distanceCost(view, server),
   };
 }
 
+/**
+ * Time for which this host's oldest call on a server has run longer than usual:
+ * it probably waits there, and a call sent now would wait as well.
+ */
+function overdueTime(
+  view: RoutingView,
+  { server }: ServerEntry,
+  runTime: number,
+): number {
+  const [oldest] = view.attempts?.get(server.id) ?? [];
+  if (oldest === undefined) return 0;
+  const roundTrip = view.roundTrips.get(server.region) ?? 0;
+  const elapsed = view.now - oldest.startedAt - roundTrip;
+  return Math.max(0, elapsed - runTime * overdueFactor);
+}
+
 /**
  * Returns the open servers of a plain pool by the estimate at this moment; the
  * table's sets of open servers depend on the count in the last report, however
--- a/packages/rhubarbstage-policy/src/cost_learning.ts
+++ b/packages/rhubarbstage-policy/src/cost_learning.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import type { BackendServerId } from "rhubarbstage";
 import {
   type Attempt,
   type FleetState,
@@ -15,7 +14,7 @@
 } from "./fleet_state.ts";
 import { type CostEstimate, predictedDecile } from "./request_cost.ts";
 import { isPace, usualPace } from "./server_pace.ts";
-import type { Pool, ServerEntry } from "./server_table.ts";
+import type { ServerEntry } from "./server_table.ts";
 import type {
   BackendServerLoad,
   PolicyEffect,
@@ -23,11 +22,7 @@
   WorkFigures,
 } from "./types.ts";
 
-const pacePrefix = "pace/";
-const requestsPrefix = "requests/";
 const costPrefix = "cost/";
-/** Largest plain pool whose servers are shared one by one. */
-const maxSharedServers = 32;
 /** Fewer observations in the totals say nothing. */
 const minObservations = 0.1;
 
@@ -46,9 +41,6 @@
   if (!routesByRemainingWork(state) || !isPlain(entry)) return;
   const requests = load.runningRequests + load.queuedRequests;
   entry.remaining.report({ requests, own: entry.localAttempts }, now);
-  const { id } = entry.server;
-  state.figures.add(`${requestsPrefix}${id}`, requests, now);
-  if (isPace(pace)) state.figures.add(`${pacePrefix}${id}`, pace, now);
 }
 
 /** Records a pace that a server stated to another host a moment ago. */
@@ -114,45 +106,19 @@
   now: number,
 ): WorkFigures | undefined {
   if (!routesByRemainingWork(state)) return undefined;
-  for (const pool of state.table.pools.values()) {
-    if (!isShared(pool)) continue;
-    for (const id of pool.members.keys()) {
-      state.figures.request(`${requestsPrefix}${id}`);
-      state.figures.request(`${pacePrefix}${id}`);
-    }
-  }
   return state.figures.publish(now);
 }
 
 /** Applies the totals of the figures over all hosts. */
-export function applyFigures(
-  state: FleetState,
-  figures: WorkFigures,
-  now: number,
-): void {
+export function applyFigures(state: FleetState, figures: WorkFigures): void {
   for (const [subject, [sum, count]] of figures) {
-    if (!(count >= minObservations)) continue;
-    const mean = sum / count;
-    if (subject.startsWith(costPrefix)) {
-      applyCost(state, subject.slice(costPrefix.length), mean);
+    if (!(count >= minObservations) || !subject.startsWith(costPrefix)) {
       continue;
     }
-    const isPaceFigure = subject.startsWith(pacePrefix);
-    const prefix = isPaceFigure ? pacePrefix : requestsPrefix;
-    if (!subject.startsWith(prefix)) continue;
-    const id = subject.slice(prefix.length) as BackendServerId;
-    const entry = state.table.servers.get(id);
-    if (isPaceFigure) entry?.pace.share(mean, now);
-    else entry?.remaining.share(mean, now);
+    applyCost(state, subject.slice(costPrefix.length), sum / count);
   }
 }
 
-/** Forgets the figures of a server that is gone. */
-export function forgetFigures(state: FleetState, id: BackendServerId): void {
-  state.figures.forget(`${requestsPrefix}${id}`);
-  state.figures.forget(`${pacePrefix}${id}`);
-}
-
 function applyCost(state: FleetState, name: string, mean: number): void {
   // Pool names and routes may contain the separator, so known pools are compared.
   for (const [poolName, { costs }] of state.poolStates) {
@@ -197,9 +163,3 @@
 function isPlain({ server }: ServerEntry): boolean {
   return server.models.length === 0;
 }
-
-function isShared(pool: Pool): boolean {
-  if (pool.members.size > maxSharedServers) return false;
-  const [first] = pool.members.values();
-  return first !== undefined && isPlain(first);
-}
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -20,12 +20,7 @@
   handlePromptComputed,
   handleTokens,
 } from "./attempts.ts";
-import {
-  applyFigures,
-  forgetFigures,
-  learnLoad,
-  publishFigures,
-} from "./cost_learning.ts";
+import { applyFigures, learnLoad, publishFigures } from "./cost_learning.ts";
 import { applyEngineWork, endSharedWork } from "./shared_work.ts";
 import {
   demandPublishInterval,
@@ -514,7 +509,6 @@
   state.prefixes.forget(server.id, now);
   state.requestLimits.forget(server.id);
   state.serverNotices.forget(server.id);
-  forgetFigures(state, server.id);
   const entry = state.table.servers.get(server.id);
   for (const pool of entry?.pools ?? []) {
     state.poolStates.get(pool.name)?.slowServers.forget(server.id);
@@ -608,7 +602,7 @@
   );
   state.modelDemand = event.models ?? new Map();
   if (event.figures !== undefined) {
-    applyFigures(state, event.figures, event.now);
+    applyFigures(state, event.figures);
   }
   applyBudgetLimits(state);
   return [];
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -486,6 +486,7 @@
     slowServers: pool.slowServers,
     costs: pool.costs,
     byRemainingWork: routesByRemainingWork(state),
+    attempts: state.attemptsByServer,
     zone: state.availabilityZone,
     prefixes: state.prefixes,
     roundTrips: state.roundTrips,
--- a/packages/rhubarbstage-policy/src/remaining_work.ts
+++ b/packages/rhubarbstage-policy/src/remaining_work.ts
@@ -10,8 +10,12 @@
 
 /** Time constant of the mean of a server, in milliseconds. */
 const meanTimeConstant = 10_000;
-/** Age up to which the mean over all hosts is used, in milliseconds. */
-const maxSharedAge = 5_000;
+/**
+ * Least time constant with which a report loses its worth, in milliseconds. A
+ * queue outlasts the calls in it: in a trial with the recorded calls at a load of
+ * 1.5, 1.3% of them were late with the run time of 43 ms, 1.1% with 300 ms.
+ */
+const minReportTimeConstant = 300;
 /** Smaller variances, in requests squared, would divide by zero. */
 const minVariance = 1e-6;
 
@@ -27,9 +31,8 @@
   #reported = 0;
   #reportedAt = -Infinity;
   #requests = new DecayedSum(meanTimeConstant);
+  #squares = new DecayedSum(meanTimeConstant);
   #reports = new DecayedSum(meanTimeConstant);
-  #shared = 0;
-  #sharedAt = -Infinity;
 
   /** Records a report that counts `requests`, `own` of them of this host. */
   report(
@@ -39,16 +42,10 @@
     this.#reported = Math.max(0, requests - own);
     this.#reportedAt = now;
     this.#requests.add(this.#reported, now);
+    this.#squares.add(this.#reported ** 2, now);
     this.#reports.add(1, now);
   }
 
-  /** Sets the mean number of requests over the reports of all hosts. */
-  share(requests: number, now: number): void {
-    if (!(requests >= 0)) return;
-    this.#shared = requests;
-    this.#sharedAt = now;
-  }
-
   /**
    * Estimates the requests on the server now. Of the other hosts' requests in
    * the report, a part that depends on the report's age and the run time has
@@ -60,14 +57,14 @@
   ): RequestEstimate {
     const { own, runTime } = options;
     const age = Math.max(0, now - this.#reportedAt);
-    const remaining = Math.exp(-age / Math.max(1, runTime));
+    const timeConstant = Math.max(minReportTimeConstant, runTime);
+    const remaining = Math.exp(-age / timeConstant);
     const typical = this.#typical(now);
     const others = typical + (this.#reported - typical) * remaining;
     return {
       mean: own + others,
-      // Arrivals of many hosts are independent, so their number is Poisson
-      // distributed; the survivors of the report are binomially distributed.
-      variance: typical * (1 - remaining) +
+      // The survivors of the report are binomially distributed.
+      variance: this.#typicalVariance(now) * (1 - remaining) +
         this.#reported * remaining * (1 - remaining),
     };
   }
@@ -75,13 +72,23 @@
   /** Forgets a server process that has ended. */
   clear(): void {
     this.#reportedAt = -Infinity;
-    this.#sharedAt = -Infinity;
     this.#requests = new DecayedSum(meanTimeConstant);
+    this.#squares = new DecayedSum(meanTimeConstant);
     this.#reports = new DecayedSum(meanTimeConstant);
   }
 
+  /**
+   * Variance between reports. Independent arrivals would have a variance like
+   * their mean; bursts and phases of a server have a larger one.
+   */
+  #typicalVariance(now: number): number {
+    const reports = this.#reports.value(now) + 1;
+    const mean = this.#requests.value(now) / reports;
+    const variance = this.#squares.value(now) / reports - mean ** 2;
+    return Math.max(this.#typical(now), variance);
+  }
+
   #typical(now: number): number {
-    if (now - this.#sharedAt <= maxSharedAge) return this.#shared;
     // Without reports for a while the mean returns to 0, so the server is tried.
     return this.#requests.value(now) / (this.#reports.value(now) + 1);
   }
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -37,6 +37,11 @@
   readonly costs: RequestCosts;
   /** Whether servers are chosen by their remaining work. */
   readonly byRemainingWork: boolean;
+  /** Running attempts of this host on each server, oldest first. */
+  readonly attempts?: ReadonlyMap<
+    BackendServerId,
+    Iterable<{ readonly startedAt: number }>
+  >;
   /** Availability zone of the caller's host, if distance within it counts. */
   readonly zone: AvailabilityZone | undefined;
   readonly prefixes: PrefixMap;
@@ -91,6 +96,12 @@
 const equalScoreFactor = 1.15;
 /** Added to the limit, in milliseconds, so that tiny scores count as equal. */
 const equalScoreMargin = 2;
+/**
+ * Difference of scores at which a server is chosen e times less often, as a part
+ * of the usual run time. On the recorded calls at a load of 2, 5.1% of the calls
+ * were late with 0.12, 7.0% with 0.25 and 5.4% with 0.05.
+ */
+const choiceSpread = 0.12;
 /** Factor that favours a probe, so that a recovered server is noticed. */
 const probeFactor = 0.5;
 
@@ -109,7 +120,9 @@
   const candidates = usable.map((entry) =>
     scoreEntry(view, request, { entry, cached })
   );
-  const chosen = pickAmongBest(view, candidates);
+  const chosen = view.byRemainingWork && request.work.model === undefined
+    ? pickByCompletion(view, candidates)
+    : pickAmongBest(view, candidates);
   if (chosen === undefined) return undefined;
   const prefill = choosePrefill(view, request, { route: chosen, cached });
   return prefill ?? chosen;
@@ -295,6 +308,28 @@
   };
 }
 
+/**
+ * Picks a server at random, more often the earlier the call would end there.
+ * Many hosts choose by similar figures at the same time; if all took the best
+ * server, it would be the worst one a moment later.
+ */
+function pickByCompletion(
+  view: RoutingView,
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  let best = Infinity;
+  for (const { score } of candidates) best = Math.min(best, score);
+  const scale = view.costs.typical() * choiceSpread;
+  const weights = candidates.map(({ score }) =>
+    Math.exp((best - score) / scale)
+  );
+  const total = weights.reduce((sum, weight) => sum + weight, 0);
+  let rest = view.random.next() * total;
+  return candidates.find((_candidate, index) =>
+    (rest -= weights[index] ?? 0) < 0
+  ) ?? candidates.at(-1);
+}
+
 function pickAmongBest(
   view: RoutingView,
   candidates: readonly Candidate[],
--- a/packages/rhubarbstage-policy/src/server_pace.ts
+++ b/packages/rhubarbstage-policy/src/server_pace.ts
@@ -22,8 +22,6 @@
 const meanTimeConstant = 10_000;
 /** Weight of the usual pace in the mean, in reports. */
 const priorReports = 1;
-/** Age up to which the mean over all hosts is used, in milliseconds. */
-const maxSharedAge = 5_000;
 /** Age up to which a stated figure is passed on to other hosts, in ms. */
 const maxPassedOnAge = 200;
 /** Work beyond this many time constants takes the mean time. */
@@ -40,8 +38,6 @@
   #statedAt = -Infinity;
   #paces = new DecayedSum(meanTimeConstant);
   #reports = new DecayedSum(meanTimeConstant);
-  #shared = usualPace;
-  #sharedAt = -Infinity;
 
   /** Records the figure that the server stated just now. */
   report(pace: number, now: number): void {
@@ -60,13 +56,6 @@
     this.#addToMean(ratio, now);
   }
 
-  /** Sets the mean over the reports of all hosts. */
-  share(mean: number, now: number): void {
-    if (!isPace(mean)) return;
-    this.#shared = mean;
-    this.#sharedAt = now;
-  }
-
   /** Returns the last stated figure if it is recent enough to pass on. */
   recent(now: number): number | undefined {
     return now - this.#statedAt <= maxPassedOnAge ? this.#stated : undefined;
@@ -74,7 +63,6 @@
 
   /** Pace that is expected at a time without a report. */
   typical(now: number): number {
-    if (now - this.#sharedAt <= maxSharedAge) return this.#shared;
     const paces = this.#paces.value(now) + priorReports * usualPace;
     return paces / (this.#reports.value(now) + priorReports);
   }
@@ -106,7 +94,6 @@
   /** Forgets a server process that has ended. */
   clear(): void {
     this.#statedAt = -Infinity;
-    this.#sharedAt = -Infinity;
     this.#paces = new DecayedSum(meanTimeConstant);
     this.#reports = new DecayedSum(meanTimeConstant);
   }
--- a/packages/rhubarbstage-policy/src/shared_figures.ts
+++ b/packages/rhubarbstage-policy/src/shared_figures.ts
@@ -1,5 +1,5 @@
 /**
- * Observations about servers and routes that hosts add up: each host publishes
+ * Observations about routes that hosts add up: each host publishes
  * a sum and a count, and the totals over all hosts give the mean.
  *
  * @module
@@ -11,7 +11,7 @@
 /** Time constant of the published sums, in milliseconds. */
 const timeConstant = 2_000;
 /** Most subjects of one host, about 40 bytes a second each. */
-const maxSubjects = 96;
+const maxSubjects = 32;
 /** Significant digits of published numbers. */
 const precision = 4;
 
@@ -32,16 +32,6 @@
     figure.count.add(1, now);
   }
 
-  /** Asks for the totals of a subject of which this host observes nothing. */
-  request(subject: string): void {
-    if (!this.#figures.has(subject)) this.#create(subject);
-  }
-
-  /** Forgets a subject that no longer exists. */
-  forget(subject: string): void {
-    this.#figures.delete(subject);
-  }
-
   /** Returns the sums and counts to publish. */
   publish(now: number): WorkFigures {
     const rows = new Map<string, readonly [number, number]>();
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -135,7 +135,7 @@
 }
 
 /**
- * Figures about servers and routes, as sums and counts of recent observations
+ * Figures about routes, as sums and counts of recent observations
  * that may be added up over hosts.
  */
 export type WorkFigures = ReadonlyMap<
@@ -478,7 +478,7 @@
     readonly localDemand?: ReadonlyMap<CustomerId, CustomerDemand>;
     /** Demand of each model summed over all hosts. */
     readonly models?: ReadonlyMap<ModelName, ModelDemand>;
-    /** Figures about servers and routes, summed over all hosts. */
+    /** Figures about routes, summed over all hosts. */
     readonly figures?: WorkFigures;
   }
   | {
