--- a/packages/rhubarbstage-policy/src/completion_time.ts
+++ b/packages/rhubarbstage-policy/src/completion_time.ts
@@ -108,8 +108,9 @@
 export function distanceCost(
   view: Pick<RoutingView, "region" | "zone" | "roundTrips" | "settings">,
   server: ServerEntry["server"],
+  zone = view.zone,
 ): number {
-  const { region, zone, roundTrips, settings } = view;
+  const { region, roundTrips, settings } = view;
   if (server.region !== region) {
     return (roundTrips.get(server.region) ?? 0) + settings.crossRegionPenalty;
   }
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -23,6 +23,7 @@
   type Route,
   type RoutingView,
 } from "./routing.ts";
+import { usualPace } from "./server_pace.ts";
 import type { ServerEntry } from "./server_table.ts";
 import type { AnswerOrigin, PromptPart, Work } from "./types.ts";
 
@@ -223,39 +224,23 @@
   const uncachedTokens = Math.max(0, request.promptTokens - cached);
   const compute = speed.promptTime(uncachedTokens, server.role) *
     slowdownFactor(view, entry);
-  if (view.byRemainingWork) {
-    return costAtPace(view, request, { entry, uncachedTokens, compute });
-  }
+  const lateRank = lateRankOf(request);
+  const isPaced = view.byRemainingWork;
+  const current = isPaced ? entry.pace.current(view.now) : usualPace;
+  const wait = queue.waitTime(view.now, request.rank, current);
+  const lateWait = queue.lateWaitTime(view.now, lateRank, current);
+  const pacedWait = isPaced ? entry.pace.duration(wait, view.now) : wait;
   return {
     entry,
     uncachedTokens,
-    compute,
-    path: pathCost(view, entry),
-    wait: queue.waitTime(view.now, request.rank),
-    lateWait: queue.lateWaitTime(view.now, lateRankOf(request)),
-  };
-}
-
-/** Costs on an engine at its own pace, which may change during the work. */
-function costAtPace(
-  view: RoutingView,
-  request: EngineRequirements,
-  prompt: Pick<EngineCost, "entry" | "uncachedTokens" | "compute">,
-): EngineCost {
-  const { entry, compute } = prompt;
-  const { queue, pace, server } = entry;
-  const { now } = view;
-  const current = pace.current(now);
-  const ahead = queue.waitTime(now, request.rank, current);
-  const lateAhead = queue.lateWaitTime(now, lateRankOf(request), current);
-  const wait = pace.duration(ahead, now);
-  const zone = request.zone ?? view.zone;
-  return {
-    ...prompt,
-    compute: pace.duration(ahead + compute, now) - wait,
-    path: distanceCost({ ...view, zone }, server),
-    wait,
-    lateWait: pace.duration(lateAhead, now),
+    compute: isPaced
+      ? entry.pace.duration(wait + compute, view.now) - pacedWait
+      : compute,
+    path: isPaced
+      ? distanceCost(view, server, request.zone)
+      : pathCost(view, entry),
+    wait: pacedWait,
+    lateWait: isPaced ? entry.pace.duration(lateWait, view.now) : lateWait,
   };
 }
 
--- a/packages/rhubarbstage-policy/src/remaining_work.ts
+++ b/packages/rhubarbstage-policy/src/remaining_work.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { DecayedSum } from "./decayed.ts";
+import { DecayedMean } from "./decayed_mean.ts";
 
 /** Time constant of the mean of a server, in milliseconds. */
 const meanTimeConstant = 10_000;
@@ -30,9 +30,11 @@
   /** Requests of other hosts in the last report. */
   #reported = 0;
   #reportedAt = -Infinity;
-  #requests = new DecayedSum(meanTimeConstant);
-  #squares = new DecayedSum(meanTimeConstant);
-  #reports = new DecayedSum(meanTimeConstant);
+  // Without reports for a while the mean returns to 0, so the server is tried.
+  readonly #mean = new DecayedMean({
+    prior: 0,
+    timeConstant: meanTimeConstant,
+  });
 
   /** Records a report that counts `requests`, `own` of them of this host. */
   report(
@@ -41,9 +43,7 @@
   ): void {
     this.#reported = Math.max(0, requests - own);
     this.#reportedAt = now;
-    this.#requests.add(this.#reported, now);
-    this.#squares.add(this.#reported ** 2, now);
-    this.#reports.add(1, now);
+    this.#mean.add(this.#reported, now);
   }
 
   /**
@@ -59,12 +59,13 @@
     const age = Math.max(0, now - this.#reportedAt);
     const timeConstant = Math.max(minReportTimeConstant, runTime);
     const remaining = Math.exp(-age / timeConstant);
-    const typical = this.#typical(now);
+    const typical = this.#mean.mean(now);
     const others = typical + (this.#reported - typical) * remaining;
     return {
       mean: own + others,
-      // The survivors of the report are binomially distributed.
-      variance: this.#typicalVariance(now) * (1 - remaining) +
+      // Independent arrivals have a variance like their mean, bursts and phases
+      // a larger one. The survivors of the report are binomially distributed.
+      variance: Math.max(typical, this.#mean.variance(now)) * (1 - remaining) +
         this.#reported * remaining * (1 - remaining),
     };
   }
@@ -72,25 +73,7 @@
   /** Forgets a server process that has ended. */
   clear(): void {
     this.#reportedAt = -Infinity;
-    this.#requests = new DecayedSum(meanTimeConstant);
-    this.#squares = new DecayedSum(meanTimeConstant);
-    this.#reports = new DecayedSum(meanTimeConstant);
-  }
-
-  /**
-   * Variance between reports. Independent arrivals would have a variance like
-   * their mean; bursts and phases of a server have a larger one.
-   */
-  #typicalVariance(now: number): number {
-    const reports = this.#reports.value(now) + 1;
-    const mean = this.#requests.value(now) / reports;
-    const variance = this.#squares.value(now) / reports - mean ** 2;
-    return Math.max(this.#typical(now), variance);
-  }
-
-  #typical(now: number): number {
-    // Without reports for a while the mean returns to 0, so the server is tried.
-    return this.#requests.value(now) / (this.#reports.value(now) + 1);
+    this.#mean.clear();
   }
 }
 
--- a/packages/rhubarbstage-policy/src/request_cost.ts
+++ b/packages/rhubarbstage-policy/src/request_cost.ts
@@ -76,6 +76,13 @@
   readonly #routes = new LRUCache<string, RouteCosts>({ max: maxRoutes });
   readonly #pool = new LogarithmStatistics();
   readonly #initial: number;
+  /** Last estimates, which a decision needs for each server. */
+  #typical: number | undefined;
+  #last: {
+    readonly route: string;
+    readonly claim: number | undefined;
+    readonly estimate: CostEstimate;
+  } | undefined;
 
   /** @param initial Cost before any observation. */
   constructor(initial: number) {
@@ -84,6 +91,14 @@
 
   /** Estimates the cost of a request, with the caller's claim if it has one. */
   estimate(route: string, claim?: number): CostEstimate {
+    if (this.#last?.route !== route || this.#last.claim !== claim) {
+      const estimate = this.#estimate(route, claim);
+      this.#last = { route, claim, estimate };
+    }
+    return this.#last.estimate;
+  }
+
+  #estimate(route: string, claim: number | undefined): CostEstimate {
     const known = this.#routes.get(route);
     const mean = this.#meanOf(known);
     const variance = known?.costs.samples
@@ -103,14 +118,17 @@
   /** Mean cost of the pool's recent requests. */
   typical(): number {
     const { samples, mean, variance } = this.#pool;
-    return samples === 0
+    this.#typical ??= samples === 0
       ? Math.exp(this.#initial)
       : toEstimate(mean, variance).mean;
+    return this.#typical;
   }
 
   /** Learns the cost of an ended request. */
   learn(route: string, cost: number, claim?: number): void {
     if (!(cost > 0) || !Number.isFinite(cost)) return;
+    this.#last = undefined;
+    this.#typical = undefined;
     const logarithm = Math.log(cost);
     const known = this.#routeOf(route);
     known.costs.add(logarithm);
@@ -122,7 +140,9 @@
 
   /** Sets a route's mean logarithm over all hosts. */
   share(route: string, mean: number): void {
-    if (Number.isFinite(mean)) this.#routeOf(route).shared = mean;
+    if (!Number.isFinite(mean)) return;
+    this.#last = undefined;
+    this.#routeOf(route).shared = mean;
   }
 
   #meanOf(known: RouteCosts | undefined): number {
--- a/packages/rhubarbstage-policy/src/server_pace.ts
+++ b/packages/rhubarbstage-policy/src/server_pace.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { DecayedSum } from "./decayed.ts";
+import { DecayedMean } from "./decayed_mean.ts";
 
 /** Relative time of work on a server at its usual speed. */
 export const usualPace = 1;
@@ -20,10 +20,10 @@
 const phaseTimeConstant = 300;
 /** Time constant of the mean of a server, in milliseconds. */
 const meanTimeConstant = 10_000;
-/** Weight of the usual pace in the mean, in reports. */
-const priorReports = 1;
 /** Age up to which a stated figure is passed on to other hosts, in ms. */
 const maxPassedOnAge = 200;
+/** Smaller differences from the typical pace change no choice. */
+const minExcess = 0.02;
 /** Work beyond this many time constants takes the mean time. */
 const maxPhaseExponent = 30;
 
@@ -36,8 +36,14 @@
 export class ServerPace {
   #stated = usualPace;
   #statedAt = -Infinity;
-  #paces = new DecayedSum(meanTimeConstant);
-  #reports = new DecayedSum(meanTimeConstant);
+  readonly #mean = new DecayedMean({
+    prior: usualPace,
+    timeConstant: meanTimeConstant,
+  });
+  /** Time of the values below; a decision reads them several times. */
+  #readAt = NaN;
+  #typical = usualPace;
+  #excess = 0;
 
   /** Records the figure that the server stated just now. */
   report(pace: number, now: number): void {
@@ -61,16 +67,10 @@
     return now - this.#statedAt <= maxPassedOnAge ? this.#stated : undefined;
   }
 
-  /** Pace that is expected at a time without a report. */
-  typical(now: number): number {
-    const paces = this.#paces.value(now) + priorReports * usualPace;
-    return paces / (this.#reports.value(now) + priorReports);
-  }
-
   /** Pace that is expected now. */
   current(now: number): number {
-    const typical = this.typical(now);
-    return typical + (this.#stated - typical) * this.#worth(now);
+    this.#read(now);
+    return this.#typical + this.#excess;
   }
 
   /**
@@ -80,8 +80,10 @@
    */
   duration(work: number, now: number): number {
     if (work <= 0) return 0;
-    const typical = this.typical(now);
-    const excess = (this.#stated - typical) * this.#worth(now);
+    this.#read(now);
+    const typical = this.#typical;
+    const excess = this.#excess;
+    if (Math.abs(excess) < minExcess) return typical * work;
     const exponent = typical * work / phaseTimeConstant;
     const current = typical + excess;
     if (exponent > maxPhaseExponent) {
@@ -94,16 +96,23 @@
   /** Forgets a server process that has ended. */
   clear(): void {
     this.#statedAt = -Infinity;
-    this.#paces = new DecayedSum(meanTimeConstant);
-    this.#reports = new DecayedSum(meanTimeConstant);
+    this.#mean.clear();
+    this.#readAt = NaN;
   }
 
-  #worth(now: number): number {
-    return Math.exp(Math.min(0, this.#statedAt - now) / phaseTimeConstant);
+  #read(now: number): void {
+    if (now === this.#readAt) return;
+    this.#readAt = now;
+    this.#typical = this.#mean.mean(now);
+    const age = now - this.#statedAt;
+    this.#excess = age > maxPhaseExponent * phaseTimeConstant
+      ? 0
+      : (this.#stated - this.#typical) *
+        Math.exp(Math.min(0, -age) / phaseTimeConstant);
   }
 
   #addToMean(pace: number, now: number): void {
-    this.#paces.add(pace, now);
-    this.#reports.add(1, now);
+    this.#mean.add(pace, now);
+    this.#readAt = NaN;
   }
 }
