Identify customers by their keys

Relay hosts could not tell callers apart. The route table may now list customers with keys; a request without a known key gets 401 before its body is read, and servers get the customer's name instead of the key. The policy's customer becomes that of the key, while retry budget, estimates and demand gossip stay with the service. Duplicate keys make a configuration invalid, and no message quotes a key.

--- a/packages/rhubarbstage-gateway/src/dispatch.ts
+++ b/packages/rhubarbstage-gateway/src/dispatch.ts
@@ -13,6 +13,7 @@
 } from "./ports.ts";
 export type {
   AnnouncementResponse,
+  CustomerRequestRecord,
   EventFields,
   MetricsText,
   RequestRecord,
--- a/packages/rhubarbstage-gateway/src/mod.ts
+++ b/packages/rhubarbstage-gateway/src/mod.ts
@@ -7,6 +7,7 @@
 
 export type {
   AnnouncementResponse,
+  CustomerRequestRecord,
   EffectiveServiceSettings,
   EffectiveSettings,
   EventFields,
--- a/packages/rhubarbstage-gateway/src/ports.ts
+++ b/packages/rhubarbstage-gateway/src/ports.ts
@@ -255,6 +255,15 @@
 /** Field values of an event. */
 export type EventFields = Readonly<Record<string, string | number | boolean>>;
 
+/** End of a relayed request of a customer that was identified by its key. */
+export interface CustomerRequestRecord {
+  readonly customer: CustomerId;
+  /** Whether it was refused without being run. */
+  readonly isRefused: boolean;
+  /** Whether its answer began after the target of its route. */
+  readonly isLate: boolean;
+}
+
 /** Records timeline events and metrics. */
 export abstract class GatewayTelemetry {
   abstract recordEvent(event: string, fields: EventFields): void;
@@ -270,6 +279,8 @@
     milliseconds: number,
     tokens: number,
   ): void;
+  /** Counts an ended request of a customer; by default it is not counted. */
+  recordCustomerRequest(_record: CustomerRequestRecord): void {}
   abstract metrics(): Promise<MetricsText>;
 }
 
--- a/packages/rhubarbstage-host/__tests__/unit/exchange_forwarding_test.ts
+++ b/packages/rhubarbstage-host/__tests__/unit/exchange_forwarding_test.ts
@@ -172,7 +172,7 @@
   expect(await readText(response)).toBe("paid");
   expect(hosts.sent).toMatchObject([{
     host: "near",
-    request: { id: "charge-1", method: "POST", path: "/pay" },
+    request: { id: "charge-1", method: "POST", path: "/pay", headers },
   }]);
   expect(hosts.sent[0]?.request.body?.toString()).toBe("ten litres");
 });
--- a/packages/rhubarbstage-host/src/host_telemetry.ts
+++ b/packages/rhubarbstage-host/src/host_telemetry.ts
@@ -5,6 +5,7 @@
  */
 
 import {
+  type CustomerRequestRecord,
   type EventFields,
   GatewayTelemetry,
   type MetricsText,
@@ -87,6 +88,10 @@
     }
   }
 
+  override recordCustomerRequest(record: CustomerRequestRecord): void {
+    this.#options.metrics.countCustomerRequest(record);
+  }
+
   override async metrics(): Promise<MetricsText> {
     const { metrics, sample } = this.#options;
     sample();
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -11,6 +11,7 @@
 import { announceWork, endAnswer, endPrompt } from "./shared_work.ts";
 import {
   type AnswerOrigin,
+  budgetScopeOf,
   type CancelReason,
   type PolicyEffect,
   sharedPartsOf,
@@ -332,7 +333,7 @@
     pool.estimates.learnRun(work, { outputTokens, runTime, estimate }, now);
   }
   const used = result.promptTokens + outputTokens;
-  state.limits.settle(work.customer, used - record.chargedTokens);
+  state.limits.settle(budgetScopeOf(work), used - record.chargedTokens);
   if (attempt.firstTokenAt === undefined) clearParts(state, record);
   const marks = state.quarantine.recordCompletion(work.fingerprint, now);
   if (marks.length > 0) effects.push({ type: "publish_quarantine", marks });
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -20,6 +20,7 @@
 import { mayContinue } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
 import {
+  budgetScopeOf,
   type PartMark,
   type PolicyEffect,
   type PolicyEvent,
@@ -270,7 +271,7 @@
   if (!canStartAnotherAttempt(record) || !hasOtherServer(record)) {
     return refusal;
   }
-  if (!state.retries.spend(work.customer)) return refusal;
+  if (!state.retries.spend(budgetScopeOf(work))) return refusal;
   return undefined;
 }
 
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -64,6 +64,7 @@
 import {
   type AnswerOrigin,
   type BackendServer,
+  budgetScopeOf,
   isCancellable,
   type PolicyEffect,
   type PolicyEvent,
@@ -188,7 +189,8 @@
 }
 
 function onArrived(state: FleetState, work: Work, now: number): PolicyEffect[] {
-  const { request, customer, settings } = work;
+  const { request, settings } = work;
+  const scope = budgetScopeOf(work);
   if (state.requests.has(request)) return [];
   const pool = state.table.pools.get(poolNameOf(work));
   if (pool === undefined || pool.members.size === 0) {
@@ -217,7 +219,7 @@
       refuse(request, "request_quarantined"),
     ];
   }
-  const exceeded = state.limits.check(customer, { tokens, settings }, now);
+  const exceeded = state.limits.check(scope, { tokens, settings }, now);
   if (exceeded !== undefined) {
     const wait = jitteredRetryAfter(
       exceeded.retryAfterMilliseconds,
@@ -226,7 +228,7 @@
     return [refuse(request, "limit_exceeded", wait)];
   }
   const record = createRecord(state, poolState, { work, estimate, now });
-  const withinFloor = state.limits.tryConsumeFloor(customer, settings, now);
+  const withinFloor = state.limits.tryConsumeFloor(scope, settings, now);
   const view = admissionView(state, record, now);
   const full = state.requests.size >= state.settings.queueLimit;
   // The queues of shared engines are forecast by the placement instead.
@@ -272,7 +274,7 @@
       refuse(request, "overloaded", retryAfter / 1_000),
     ];
   }
-  state.limits.charge(customer, tokens);
+  state.limits.charge(scope, tokens);
   record.chargedTokens = tokens;
   state.requests.set(request, record);
   state.deadlines.push({ at: work.deadlineAt, subject: record });
@@ -296,7 +298,7 @@
   },
 ): void {
   const { estimate, tokens, now } = options;
-  state.limits.observe(work.customer, tokens, now);
+  state.limits.observe(budgetScopeOf(work), tokens, now);
   // Work on shared engines is recorded when its uncached tokens are known.
   if (work.model === undefined || state.settings.shareEngineState) return;
   const { promptTokens } = work;
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -30,7 +30,7 @@
   type RoutingRequirements,
 } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
-import type { PolicyEffect, Work } from "./types.ts";
+import { budgetScopeOf, type PolicyEffect, type Work } from "./types.ts";
 import type { ModelName } from "rhubarbstage";
 
 interface LaneHead {
@@ -67,7 +67,7 @@
   };
   record.lane = lane;
   record.queuedAt = now;
-  const floorRate = state.limits.floorRate(work.customer, work.settings);
+  const floorRate = state.limits.floorRate(budgetScopeOf(work), work.settings);
   pool.lanes[lane].push(item, floorRate, now);
 }
 
@@ -243,7 +243,7 @@
   const { pool, work, estimate } = record;
   if (record.queueDispatches === 0) {
     pool.waitCorrection.add(now - record.queuedAt, record.uncorrectedWait, now);
-    state.retries.earn(work.customer, work.settings.retryRatio);
+    state.retries.earn(budgetScopeOf(work), work.settings.retryRatio);
     state.hedgeBudget.earn(state.settings.hedgeRatio);
   }
   record.queueDispatches += 1;
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -66,6 +66,12 @@
 export interface Work {
   readonly request: RequestId;
   readonly customer: CustomerId;
+  /**
+   * Name under which retry budget, limits and learned estimates are kept;
+   * defaults to the customer. Set where they belong to the service, so that they
+   * are not split by its customers.
+   */
+  readonly budgetScope?: CustomerId;
   readonly service: ServiceName;
   readonly kind: WorkKind;
   /** Absent for plain services. */
@@ -113,6 +119,11 @@
   readonly settings: WorkSettings;
 }
 
+/** Returns the name under which budgets and estimates of work are kept. */
+export function budgetScopeOf(work: Work): CustomerId {
+  return work.budgetScope ?? work.customer;
+}
+
 /** Whether running work may be cancelled at caller disconnect or deadline. */
 export function isCancellable(work: Work): boolean {
   return work.cancellable ?? work.repeatable;
--- a/packages/rhubarbstage-policy/src/work_estimates.ts
+++ b/packages/rhubarbstage-policy/src/work_estimates.ts
@@ -6,7 +6,7 @@
 
 import { LRUCache } from "lru-cache";
 import { DecayedRatio } from "./decayed.ts";
-import type { Work } from "./types.ts";
+import { budgetScopeOf, type Work } from "./types.ts";
 
 /** Expected cost of a request; times in milliseconds. */
 export interface WorkEstimate {
@@ -226,5 +226,5 @@
 }
 
 function kindKey(work: Work): string {
-  return `${work.customer}\n${work.kind}`;
+  return `${budgetScopeOf(work)}\n${work.kind}`;
 }
--- a/packages/rhubarbstage-relay/src/dialect.ts
+++ b/packages/rhubarbstage-relay/src/dialect.ts
@@ -34,7 +34,8 @@
 
   /**
    * Builds the headers for a server: the caller's end-to-end headers and the
-   * metadata of this attempt.
+   * metadata of this attempt. Must remove the credential if the attempt names the
+   * caller.
    */
   abstract attemptHeaders(
     headers: HeaderList,
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -6,11 +6,13 @@
 
 export type {
   AttemptMetadata,
+  CallerIdentity,
   CallerLimits,
   EngineCapabilities,
   EngineState,
   HeaderList,
   PromptExport,
+  RelayCustomer,
   RelayService,
   ReportedLoad,
   RequestMetadata,
@@ -42,6 +44,7 @@
   headerValue,
   unambiguousHeaderValue,
 } from "./headers.ts";
+export { CustomerKeys, findCustomerProblem } from "./customer_keys.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
 export type {
   ServerConnectionsOptions,
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -46,6 +46,7 @@
   type ServerConnections,
 } from "./server_connections.ts";
 import type {
+  CallerIdentity,
   RelayService,
   ReportedLoad,
   RequestMetadata,
@@ -84,6 +85,8 @@
   readonly metadata: RequestMetadata;
   readonly body: Buffer;
   readonly arrivedAt: number;
+  /** Absent if the route table has no customers. */
+  readonly caller: CallerIdentity | undefined;
   /** Present if the request takes up a stream of the same service. */
   readonly origin?: StreamOrigin;
 }
@@ -173,6 +176,7 @@
     const metadata = dialect.parseRequest(incoming.rawHeaders);
     const index = this.#requireIndex();
     const route = findRoute(index, incoming);
+    const caller = index.customerKeys?.identify(route, metadata.credential);
     const limit = index.table.limits.maxBodyBytes;
     const [body, origin] = await Promise.all([
       readBody(incoming, { limit, signal }),
@@ -191,6 +195,7 @@
       metadata,
       body,
       arrivedAt,
+      caller,
       ...(origin?.service === service.name ? { origin } : {}),
     });
     const reply = new Reply(response);
@@ -326,7 +331,7 @@
   }
 
   #toRelayRequest(request: RequestId, routed: RoutedRequest): RelayRequest {
-    const { incoming, route, service, metadata, body } = routed;
+    const { incoming, route, service, metadata, body, caller } = routed;
     return {
       work: this.#toWork(request, routed),
       route,
@@ -335,6 +340,7 @@
       headers: incoming.rawHeaders,
       body,
       tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
+      ...(caller === undefined ? {} : { caller }),
       ...(metadata.id === undefined ? {} : { callerRequestId: metadata.id }),
       ...(metadata.lastEventId === undefined
         ? {}
@@ -345,11 +351,14 @@
   #toWork(request: RequestId, routed: RoutedRequest): Work {
     const { incoming, route, service, metadata, body, arrivedAt, origin } =
       routed;
+    const customer = routed.caller?.customer;
+    const budgetScope = service.name as string as CustomerId;
     const callerTimeout = (metadata.callerTimeout ?? Infinity) - deadlineMargin;
     return {
       request,
-      // Callers are not identified: estimates and budgets are per service.
-      customer: service.name as string as CustomerId,
+      // Callers who are not identified share the service's name.
+      customer: customer?.name ?? budgetScope,
+      ...(customer === undefined ? {} : { budgetScope }),
       service: service.name,
       kind: route.name as WorkKind,
       ...(service.engine === undefined
@@ -374,7 +383,7 @@
       ...(route.firstEventTimeout === undefined
         ? {}
         : { firstTokenTimeout: route.firstEventTimeout }),
-      rank: route.rank,
+      rank: customer?.rank ?? route.rank,
       ...(route.gapTarget === undefined
         ? {}
         : { tokenGapTarget: route.gapTarget }),
@@ -428,8 +437,17 @@
     run: RelayRun,
     fields: Record<string, string | number | undefined>,
   ): void {
-    const { work } = relayRequest;
+    const { work, caller, route } = relayRequest;
     const now = this.#clock.monotonicMilliseconds();
+    if (caller?.customer !== undefined) {
+      const { begunAt } = run;
+      this.#options.telemetry.recordCustomerRequest({
+        customer: caller.customer.name,
+        isRefused: fields["outcome"] === "not_run",
+        isLate: begunAt !== undefined &&
+          begunAt - work.arrivedAt > route.latencyTarget,
+      });
+    }
     const definedFields = Object.entries(fields)
       .filter((entry): entry is [string, string | number] =>
         entry[1] !== undefined
@@ -471,6 +489,7 @@
         error.retryAfterSeconds ?? defaultRetryAfter,
       );
     }
+    if (status === 401) headers["www-authenticate"] = "Bearer";
     response.writeHead(status, headers).end(body);
   }
 
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -25,6 +25,7 @@
 import type { Reply } from "./reply.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import type {
+  CallerIdentity,
   HeaderList,
   PromptExport,
   ReportedLoad,
@@ -46,6 +47,8 @@
   /** Id of the last event that the caller received. */
   readonly lastEventId?: string;
   readonly tokensPerEvent: number;
+  /** Absent if the route table has no customers. */
+  readonly caller?: CallerIdentity;
 }
 
 /** Options of {@linkcode RelayRun}. */
@@ -103,6 +106,7 @@
   #lastEventId: string | undefined;
   #eventCount = 0;
   #fallbackResponse: FallbackResponse | undefined;
+  #begunAt: number | undefined;
 
   constructor(context: RunContext, options: RelayRunOptions) {
     super(context, options.request.work);
@@ -110,6 +114,11 @@
     this.#lastEventId = options.request.lastEventId;
   }
 
+  /** Monotonic time at which the reply was begun, in milliseconds. */
+  get begunAt(): number | undefined {
+    return this.#begunAt;
+  }
+
   /** Error response to relay once the request has failed. */
   get fallbackResponse(): FallbackResponse | undefined {
     return this.#fallbackResponse;
@@ -231,6 +240,9 @@
         : { rank: attempt.effect.rank }),
       ...(promptExport === undefined ? {} : { promptExport }),
       ...(resumedAfter === undefined ? {} : { resumeAfter: resumedAfter }),
+      ...(request.caller === undefined
+        ? {}
+        : { caller: callerMetadata(request.caller) }),
     });
     const { signal } = attempt.controller;
     return connections.send(server, {
@@ -377,6 +389,7 @@
     if (this.#isStream(response)) onStreamBegun(attempt.effect.softwareVersion);
     this.#begunResponse = response;
     reply.begin(response.status, response.headers);
+    this.#begunAt = this.context.clock.monotonicMilliseconds();
     this.#recordEvent("first_event", {
       attempt: attempt.id,
       server: attempt.address.id,
@@ -475,6 +488,10 @@
   }
 }
 
+function callerMetadata({ customer }: CallerIdentity) {
+  return customer === undefined ? {} : { customer: customer.name };
+}
+
 /** Marks an error so that the policy treats the server as lost. */
 function markConnectionLost(error: RhubarbstageError): RhubarbstageError {
   return Object.assign(error, { connectionLost: true });
--- a/packages/rhubarbstage-relay/src/route_index.ts
+++ b/packages/rhubarbstage-relay/src/route_index.ts
@@ -5,17 +5,23 @@
  */
 
 import type { ServiceName } from "rhubarbstage";
+import { CustomerKeys } from "./customer_keys.ts";
 import type { RelayService, Route, RouteTable } from "./types.ts";
 
 /** Index of a route table by host name and service name. */
 export class RouteIndex {
   readonly table: RouteTable;
+  /** Absent if the table has no customers. */
+  readonly customerKeys: CustomerKeys | undefined;
   /** Routes of each host name, longest prefix first. */
   #routes = new Map<string, Route[]>();
   #services = new Map<ServiceName, RelayService>();
 
   constructor(table: RouteTable) {
     this.table = table;
+    this.customerKeys = table.customers === undefined
+      ? undefined
+      : new CustomerKeys(table.customers);
     for (const service of table.services) {
       this.#services.set(service.name, service);
     }
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -9,7 +9,12 @@
   PromptPart,
   ServerNotice,
 } from "@rhubarbstage/policy";
-import type { BackendServerId, RequestId, ServiceName } from "rhubarbstage";
+import type {
+  BackendServerId,
+  CustomerId,
+  RequestId,
+  ServiceName,
+} from "rhubarbstage";
 
 /** Alternating header names and values, as received. */
 export type HeaderList = readonly string[];
@@ -56,6 +61,23 @@
   readonly maxAttempts: number;
   /** Whether another server may resume a stream after its last event. */
   readonly resumable: boolean;
+  /** Whether it serves callers without a key; defaults to false. */
+  readonly isPublic?: boolean;
+}
+
+/** A customer whose callers identify themselves by a key. */
+export interface RelayCustomer {
+  readonly name: CustomerId;
+  /** Secret: never forwarded, logged or part of a message. */
+  readonly keys: readonly string[];
+  /** Replaces the rank of routes. */
+  readonly rank?: number;
+}
+
+/** Who sent a request, if the route table has customers. */
+export interface CallerIdentity {
+  /** Absent for callers of public routes without a known key. */
+  readonly customer?: RelayCustomer;
 }
 
 /** Capacity and stream properties of each engine of a service. */
@@ -94,6 +116,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly RelayService[];
+  /** If present, callers need a key of one of them, except on public routes. */
+  readonly customers?: readonly RelayCustomer[];
   readonly limits: CallerLimits;
 }
 
@@ -101,6 +125,8 @@
 export interface RequestMetadata {
   /** Id of the caller's attempt; absent when it sent none. */
   readonly id?: RequestId;
+  /** Secret by which the caller identifies itself, if it sent one. */
+  readonly credential?: string;
   /** Timeout of the caller. */
   readonly callerTimeout?: number;
   readonly promptTokens: number;
@@ -135,6 +161,11 @@
   readonly promptExport?: PromptExport;
   /** Id of the event after which the stream resumes. */
   readonly resumeAfter?: string;
+  /**
+   * Present if the route table has customers: the caller's credential is removed,
+   * and the server gets the name of the customer, if known.
+   */
+  readonly caller?: { readonly customer?: CustomerId };
 }
 
 /** Load that a server reports in the headers of a response. */
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -90,6 +90,8 @@
   readonly registry = new Registry();
   readonly #services = new LabelLimiter(maxLabelValues);
   readonly #customers = new BoundedCounter(maxCountedCustomers);
+  readonly #customerRefusals = new BoundedCounter(maxCountedCustomers);
+  readonly #lateCustomers = new BoundedCounter(maxCountedCustomers);
   readonly #requests: Counter<"service" | "result">;
   readonly #errors: Counter<"kind">;
   readonly #refusals: Counter<"service" | "kind">;
@@ -185,7 +187,7 @@
       "timeline_dropped_events",
       "Timeline events dropped because the disk was too slow",
     );
-    this.#addCustomerGauge();
+    this.#addCustomerGauges();
     collectDefaultMetrics({ register: this.registry });
   }
 
@@ -210,6 +212,19 @@
     if (request.customer !== undefined) this.#customers.add(request.customer);
   }
 
+  /** Counts a relayed request of an identified customer. */
+  countCustomerRequest(request: {
+    readonly customer: CustomerId;
+    readonly isRefused: boolean;
+    /** Whether its answer began after its target. */
+    readonly isLate: boolean;
+  }): void {
+    const { customer, isRefused, isLate } = request;
+    this.#customers.add(customer);
+    if (isRefused) this.#customerRefusals.add(customer);
+    if (isLate) this.#lateCustomers.add(customer);
+  }
+
   /** Counts a request that was refused before it ran. */
   countRefusal(service: ServiceName, kind: ErrorKind): void {
     this.#refusals.inc({ service: this.#services.limit(service), kind });
@@ -285,16 +300,21 @@
     this.#timelineDropped.set(events);
   }
 
-  #addCustomerGauge(): void {
-    const customers = this.#customers;
+  #addCustomerGauges(): void {
+    this.#addTopCustomers("requests", "Requests", this.#customers);
+    this.#addTopCustomers("refusals", "Refusals", this.#customerRefusals);
+    this.#addTopCustomers("late", "Late answers", this.#lateCustomers);
+  }
+
+  #addTopCustomers(name: string, title: string, counts: BoundedCounter): void {
     new Gauge({
-      name: "rhubarbstage_top_customer_requests",
-      help: `Requests of the ${topCustomerCount} customers with most requests`,
+      name: `rhubarbstage_top_customer_${name}`,
+      help: `${title} of the ${topCustomerCount} customers with most of them`,
       labelNames: ["customer"],
       registers: [this.registry],
       collect() {
         this.reset();
-        for (const [customer, count] of customers.top(topCustomerCount)) {
+        for (const [customer, count] of counts.top(topCustomerCount)) {
           this.set({ customer }, count);
         }
       },
