Start no stream for a caller that no longer waits for its first event

The attempt now ends when that time has passed, and it is not retried. The new test fails without the check (the decode engine gets the request) and passes with it; 173 tests of policy and relay pass.

--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -26,6 +26,7 @@
   type PolicyEvent,
   type QuarantineMark,
   sharedPartsOf,
+  startDeadlineOf,
 } from "./types.ts";
 
 type Failure = Extract<PolicyEvent, { type: "failed" }>;
@@ -268,6 +269,10 @@
   if (failure.outcome !== "not_run" && !work.repeatable) return refusal;
   if (record.deliveredTokens > 0 && !work.resumable) return refusal;
   if (now + record.estimate.firstTokenTime >= work.deadlineAt) return refusal;
+  // The caller no longer waits for an answer to begin.
+  if (record.deliveredTokens === 0 && now >= startDeadlineOf(work)) {
+    return refusal;
+  }
   if (!canStartAnotherAttempt(record) || !hasOtherServer(record)) {
     return refusal;
   }
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -12,7 +12,7 @@
 export { NaivePolicy } from "./naive_policy.ts";
 export { Policy } from "./policy.ts";
 export { PrefixMap } from "./prefix_map.ts";
-export { budgetScopeOf, isCancellable } from "./types.ts";
+export { budgetScopeOf, isCancellable, startDeadlineOf } from "./types.ts";
 export type {
   AnswerOrigin,
   BackendServer,
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -31,11 +31,12 @@
 } from "./scheduling.ts";
 import { isAvailable } from "./server_table.ts";
 import { applyEngineWork, createEngineWorks } from "./shared_work.ts";
-import type {
-  EngineWork,
-  Placement,
-  PlacementQuery,
-  PolicyEffect,
+import {
+  type EngineWork,
+  type Placement,
+  type PlacementQuery,
+  type PolicyEffect,
+  startDeadlineOf,
 } from "./types.ts";
 
 /**
@@ -105,10 +106,7 @@
 }
 
 function startTimeoutOf({ work }: RequestRecord): number {
-  return Math.min(
-    work.firstTokenTimeout ?? Infinity,
-    work.deadlineAt - work.arrivedAt,
-  );
+  return startDeadlineOf(work) - work.arrivedAt;
 }
 
 /** Answers another host's query and records the work that it places. */
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -124,6 +124,15 @@
   return work.budgetScope ?? work.customer;
 }
 
+/**
+ * Returns the time until which the caller waits for the answer to begin, in
+ * milliseconds on the clock of `arrivedAt`.
+ */
+export function startDeadlineOf(work: Work): number {
+  const { arrivedAt, deadlineAt, firstTokenTimeout = Infinity } = work;
+  return Math.min(deadlineAt, arrivedAt + firstTokenTimeout);
+}
+
 /** Whether running work may be cancelled at caller disconnect or deadline. */
 export function isCancellable(work: Work): boolean {
   return work.cancellable ?? work.repeatable;
--- a/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
+++ b/packages/rhubarbstage-relay/__tests__/integration/relay_test.ts
@@ -353,10 +353,17 @@
   /** Starts one prefill engine and two decode engines. */
   async function startEngines(
     acceptsNewWork: (server: string) => boolean,
+    options: {
+      readonly route?: Partial<Route>;
+      /** Milliseconds. */
+      readonly prefillTime?: number;
+    } = {},
   ): Promise<number> {
+    const { prefillTime = 0 } = options;
     const script: Script = ({ head, socket }) => {
       if (/test-step: prefill/.test(head)) {
-        socket.write(answer("200 OK", [], "handle"));
+        const computed = answer("200 OK", [], "handle");
+        setTimeout(() => socket.write(computed), prefillTime);
         return;
       }
       socket.write(streamHead + chunk("id: 1\ndata: x\n\n") + chunk(""));
@@ -364,7 +371,7 @@
     servers = await Promise.all([script, script, script].map(startServer));
     relay = await startRelay({
       servers,
-      route,
+      route: { ...route, ...options.route },
       settings: { shareEngineState: true },
       roles: ["prefill", "decode", "decode"],
       acceptsNewWork,
@@ -389,6 +396,18 @@
     expect(exportFetchers()).toHaveLength(1);
   });
 
+  // Guards against streams that are started for callers that have left: a busy
+  // host may read the close of their connection later than the computed prompt.
+  test("is not fetched once the caller no longer waits for the first event", async () => {
+    const firstEventTimeout = 800;
+    const port = await startEngines(() => true, {
+      route: { firstEventTimeout },
+      prefillTime: 2 * firstEventTimeout,
+    });
+    expect(await exchange(port, prompt)).toMatch(/^HTTP\/1\.1 50[34] /);
+    expect(servers.map(({ received }) => received.length)).toEqual([1, 0, 0]);
+  });
+
   // Guards against using a server that announced its departure
   // during the prefill, seconds after it was chosen.
   test("is sent to another engine when the chosen one leaves", async () => {
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -11,7 +11,7 @@
   RequestRun,
   type RunContext,
 } from "@rhubarbstage/gateway/dispatch";
-import type { Work } from "@rhubarbstage/policy";
+import { startDeadlineOf, type Work } from "@rhubarbstage/policy";
 import {
   type BackendServerId,
   RhubarbstageError,
@@ -144,6 +144,7 @@
   protected override async run(attempt: Attempt): Promise<RelayResult> {
     const promptExport = await this.#prefill(attempt);
     if (promptExport !== undefined) this.#checkStillServing(attempt);
+    this.#checkStillAwaited();
     const resumedAfter = this.#lastEventId;
     try {
       const response = await this.#send(attempt, {
@@ -176,6 +177,17 @@
     );
   }
 
+  /**
+   * Throws if the caller no longer waits for the answer to begin. On a busy host,
+   * the close of its connection may be read after the answer to the prefill.
+   */
+  #checkStillAwaited(): void {
+    if (this.deliveredTokens > 0) return;
+    const now = this.context.clock.monotonicMilliseconds();
+    if (now < startDeadlineOf(this.work)) return;
+    throw new RhubarbstageError("deadline_exceeded", { outcome: "not_run" });
+  }
+
   /** Prefills on another server; on failure, the attempt's server does it. */
   async #prefill(attempt: Attempt): Promise<PromptExport | undefined> {
     const { prefillServer } = attempt.effect;
