Add the package of duties with its interfaces

Usage reports and scaling are made by one host at a time. The package declares terms with fencing tokens, platform calls and polls of entry hosts, so that both parts can build on it.

--- /dev/null
+++ b/packages/rhubarbstage-duties/src/mod.ts
@@ -0,0 +1,22 @@
+/**
+ * Duties that one host holds at a time: usage reports and scaling.
+ *
+ * @module
+ */
+
+export type {
+  Duty,
+  DutyContext,
+  DutyWork,
+  HostPoll,
+  HostPollAnswer,
+  HostPollOutcome,
+  PlatformCallResult,
+  PolledHost,
+  ServerOrder,
+  ServiceLoad,
+  UsageBucket,
+  UsageReport,
+} from "./types.ts";
+export { DutyHolder, DutyTerm, HostPolls, PlatformCalls } from "./types.ts";
+export { callTimeout } from "./constants.ts";
