Plan servers by load, price and spot risk

The planner replaces on-demand servers by spot servers and lowers what the recent peak does not need.

--- a/packages/rhubarbstage-duties/src/mod.ts
+++ b/packages/rhubarbstage-duties/src/mod.ts
@@ -20,3 +20,15 @@
 } from "./types.ts";
 export { DutyHolder, DutyTerm, HostPolls, PlatformCalls } from "./types.ts";
 export { callTimeout } from "./constants.ts";
+export type {
+  KindCounts,
+  ObservedServer,
+  RegionLoad,
+  ScaleDecision,
+  ScaledZone,
+  ScaleObservation,
+  ScaleReason,
+  ServerKind,
+  ServiceScaling,
+} from "./scale_types.ts";
+export { ScalePlanner } from "./scale_planner.ts";
