--- a/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/membership_reducer_test.ts
@@ -129,14 +129,19 @@
     expect(countUsable(network)).toBe(hostCount);
   });
 
-  // Guards against gossip for every increment of the sequence.
-  test("does not gossip a renewal that changes only the sequence", () => {
+  // Guards against gossip for every increment of the sequence, and for the time
+  // left of a server that is about to be reclaimed.
+  test.each([
+    ["the sequence", () => ({})],
+    ["the time left", (now: number) => ({ leavesIn: 60_000 - now })],
+  ])("does not gossip a renewal that changes only %s", (_name, changes) => {
     const network = new Network(hostCount);
     let sequence = 0;
     const renew = (now: number) => {
       if (now % 2_000 !== 0) return;
       sequence += 1;
-      network.announce(0, makeServer("engine", { sequence }));
+      const record = makeServer("engine", { sequence });
+      network.announce(0, { ...record, ...changes(now) });
     };
     network.announce(0, makeServer("engine"));
     network.run(4_000, renew);
--- a/packages/rhubarbstage-membership/__tests__/unit/record_checks_test.ts
+++ b/packages/rhubarbstage-membership/__tests__/unit/record_checks_test.ts
@@ -76,11 +76,27 @@
     ["id", "a\r\nb"],
     ["region", "x".repeat(257)],
     ["models", Array.from({ length: 1_025 }, () => "m")],
+    ["spot", "yes"],
+    ["leavesIn", -1],
   ])("with a %s of %p are refused by name", (field, value) => {
     const record = { ...makeServer("a"), [field]: value };
     expect(() => checkServerRecord(record)).toThrow(`${field}: `);
   });
 
+  // Guards against servers of a later software version that a host drops, or
+  // passes on without the fields that it doesn't know.
+  test("keep fields of later software versions", () => {
+    const record = { ...makeServer("a"), reservedUntil: 5 };
+    expect(() => checkServerRecord(record)).not.toThrow();
+    const wire = makeMessage([{ type: "server", record }]);
+    const decoded = decodeGossipMessage(wire);
+    const again = decodeGossipMessage(encodeGossipMessage(decoded));
+    expect(again.deltas[0]?.entries[0]?.value).toEqual({
+      type: "server",
+      record,
+    });
+  });
+
   test("are refused or usable, whatever their fields are", () => {
     fc.assert(
       fc.property(fc.constantFrom(...fields), oddValues, (field, value) => {
--- a/packages/rhubarbstage-membership/src/record_checks.ts
+++ b/packages/rhubarbstage-membership/src/record_checks.ts
@@ -64,6 +64,14 @@
   capacity: [isCapacity, `an integer from 0 to ${maxCapacity}`],
   state: [(value) => states.includes(value), "a state"],
   leaving: [(value) => typeof value === "boolean", "true or false"],
+  spot: [
+    (value) => value === undefined || typeof value === "boolean",
+    "true or false",
+  ],
+  leavesIn: [
+    (value) => value === undefined || isAmount(value),
+    "a number of milliseconds",
+  ],
   loaded: [isNameList, `at most ${maxListLength} names`],
 };
 
--- a/packages/rhubarbstage-membership/src/server_records.ts
+++ b/packages/rhubarbstage-membership/src/server_records.ts
@@ -102,8 +102,8 @@
 }
 
 /**
- * Whether records differ at most in sequence and takeover number. A server may
- * increment the sequence with each renewal, which gossip must not spread as a
+ * Whether records differ at most in sequence, takeover number and the time left.
+ * A server may change these with each renewal, which gossip must not spread as a
  * change.
  */
 function hasSameContent(left: ServerRecord, right: ServerRecord): boolean {
@@ -111,7 +111,12 @@
 }
 
 function serializeContent(record: ServerRecord): string {
-  const { sequence: _sequence, takeover: _takeover, ...content } = record;
+  const {
+    sequence: _sequence,
+    takeover: _takeover,
+    leavesIn: _leavesIn,
+    ...content
+  } = record;
   return JSON.stringify(Object.entries(content).sort());
 }
 
--- a/packages/rhubarbstage-membership/src/types.ts
+++ b/packages/rhubarbstage-membership/src/types.ts
@@ -47,6 +47,13 @@
   readonly state: "serving" | "changing" | "draining" | "leaving";
   /** Whether the server is departing and accepts no new work. */
   readonly leaving: boolean;
+  /** Whether the platform may reclaim the server; false when absent. */
+  readonly spot?: boolean;
+  /**
+   * Time from the announcement until the server's process ends, in
+   * milliseconds; absent unless the server names it.
+   */
+  readonly leavesIn?: number;
   /** Adapters and versions that the server reports as loaded. */
   readonly loaded: readonly string[];
 }
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -20,6 +20,7 @@
   RouteKind,
   RouteTable,
   RouteTarget,
+  ServerScaling,
 } from "./types.ts";
 export type { OrderOutcome, ServerCall } from "./dialect.ts";
 export type {
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -9,7 +9,12 @@
   PromptPart,
   ServerNotice,
 } from "@rhubarbstage/policy";
-import type { BackendServerId, RequestId, ServiceName } from "rhubarbstage";
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  RequestId,
+  ServiceName,
+} from "rhubarbstage";
 
 /** Alternating header names and values, as received. */
 export type HeaderList = readonly string[];
@@ -68,6 +73,23 @@
   readonly exportLifetime: number;
 }
 
+/** How many servers of a service may be ordered, and what they cost. */
+export interface ServerScaling {
+  /** Servers of both kinds in each availability zone, at least. */
+  readonly min: number;
+  /** Servers of both kinds in each availability zone, at most. */
+  readonly max: number;
+  /** Time from an order until a new server serves, in milliseconds. */
+  readonly bootTime: number;
+  /**
+   * Price of a spot server, which may be reclaimed, as a fraction of its zone's
+   * price; absent where none can be ordered.
+   */
+  readonly spotPrice?: number;
+  /** Price of a server by zone; 1 in zones that are not listed. */
+  readonly zonePrices: ReadonlyMap<AvailabilityZone, number>;
+}
+
 /** A service that is a target of routes. */
 export interface RelayService {
   readonly name: ServiceName;
@@ -76,6 +98,8 @@
   readonly maxConnections: number;
   /** Absent for plain services. */
   readonly engine?: EngineCapabilities;
+  /** Absent where the number of servers is fixed. */
+  readonly scaling?: ServerScaling;
 }
 
 /** Limits for callers. */
