--- a/packages/rhubarbstage-control/src/constants.ts
+++ b/packages/rhubarbstage-control/src/constants.ts
@@ -43,6 +43,9 @@
  */
 export const trackedEngineLimit = 16_384;
 
+/** Maximum usage windows that are remembered; 64 windows of 5 s are 320 s. */
+export const agreedUsageLimit = 64;
+
 /** Time between two confirmations of the configuration, in milliseconds. */
 export const confirmationInterval = second;
 
--- a/packages/rhubarbstage-control/src/control_state.ts
+++ b/packages/rhubarbstage-control/src/control_state.ts
@@ -14,7 +14,9 @@
 } from "rhubarbstage";
 import { firstRevision } from "./constants.ts";
 import type {
+  AgreedUsage,
   Drain,
+  DutyRecord,
   EditResult,
   HistoryEntry,
   OrderIntent,
@@ -56,6 +58,12 @@
   engines: Map<BackendServerId, TrackedEngine>;
   /** Document in force by name. */
   documents: Map<string, VersionedDocument>;
+  /** Holder by duty. */
+  duties: Map<string, DutyRecord>;
+  /** Latest agreed usage windows by number, oldest first. */
+  usage: Map<number, AgreedUsage>;
+  /** Highest window that was agreed or left out; -1 before the first. */
+  lastUsageWindow: number;
 }
 
 /** Returns the state before the first command. */
@@ -74,6 +82,9 @@
     withdrawn: new Map(),
     engines: new Map(),
     documents: new Map(),
+    duties: new Map(),
+    usage: new Map(),
+    lastUsageWindow: -1,
   };
 }
 
@@ -89,7 +100,10 @@
     endedOrders: new Map(state.endedOrders),
     withdrawn: new Map(state.withdrawn),
     engines: new Map(state.engines),
-    // Snapshots of earlier versions have no documents.
+    // Snapshots of earlier versions have no documents and no duties.
     documents: new Map(state.documents ?? []),
+    duties: new Map(state.duties ?? []),
+    usage: new Map(state.usage ?? []),
+    lastUsageWindow: state.lastUsageWindow ?? -1,
   };
 }
--- a/packages/rhubarbstage-control/src/control_state_machine.ts
+++ b/packages/rhubarbstage-control/src/control_state_machine.ts
@@ -11,6 +11,7 @@
   initialControlState,
 } from "./control_state.ts";
 import { applyPublication, readDocument } from "./documents.ts";
+import { acceptUsage, agreeUsage, readUsage, takeDuty } from "./duties.ts";
 import { applyDrain, applyEdit, rememberedResult } from "./edits.ts";
 import {
   applyIntent,
@@ -30,6 +31,7 @@
   EditLookup,
   HistoryEntry,
   OrderIntent,
+  UsageAgreements,
 } from "./types.ts";
 
 /** Applies commands to the tree, drains, orders and documents. */
@@ -64,6 +66,13 @@
         const ended = observeEngine(state, backendServer, incarnation);
         return { type: "observe_engine", ended };
       }
+      case "take_duty":
+        return { type: "take_duty", record: takeDuty(state, command, index) };
+      case "agree_usage":
+        return { type: "agree_usage", result: agreeUsage(state, command) };
+      case "usage_accepted":
+        acceptUsage(state, command.window);
+        return { type: "usage_accepted" };
     }
   }
 
@@ -100,6 +109,11 @@
     return readDocument(state, argument as DocumentRequest);
   },
 
+  /** See {@linkcode UsageAgreements}. */
+  usage(state: ControlState): UsageAgreements {
+    return readUsage(state);
+  },
+
   /** Latest edits, newest first. */
   history(state: ControlState, argument: unknown): readonly HistoryEntry[] {
     const { limit } = argument as { readonly limit: number };
--- a/packages/rhubarbstage-control/src/mod.ts
+++ b/packages/rhubarbstage-control/src/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export type {
+  AgreedUsage,
   CallOptions,
   ClaimView,
   Configuration,
@@ -17,6 +18,7 @@
   DocumentAnswer,
   DocumentRequest,
   Drain,
+  DutyRecord,
   Edit,
   EditClientOptions,
   EditLookup,
@@ -44,6 +46,9 @@
   TreePath,
   TreeValidator,
   TreeValue,
+  UsageAgreementResult,
+  UsageAgreements,
+  UsageCounts,
   VersionedDocument,
 } from "./types.ts";
 export type { DocumentClientOptions } from "./document_client.ts";
--- a/packages/rhubarbstage-control/src/types.ts
+++ b/packages/rhubarbstage-control/src/types.ts
@@ -9,6 +9,7 @@
   BackendServerId,
   ClaimKey,
   Clock,
+  CustomerId,
   EditId,
   FencingNumber,
   HostId,
@@ -181,7 +182,27 @@
     readonly type: "observe_engine";
     readonly backendServer: BackendServerId;
     readonly incarnation: Incarnation;
-  };
+  }
+  /** Makes a process the holder of a duty, under a new fencing token. */
+  | {
+    readonly type: "take_duty";
+    readonly duty: string;
+    readonly holder: HostProcess;
+    /** Distinguishes a resent command from a new one of the same process. */
+    readonly takeId: string;
+  }
+  /** Fixes the counts of a usage window before they are reported. */
+  | {
+    readonly type: "agree_usage";
+    /** Fencing token under which the proposer holds the duty. */
+    readonly fence: FencingNumber;
+    readonly duty: string;
+    readonly window: number;
+    /** Absent to leave out this window and all earlier ones. */
+    readonly counts?: UsageCounts;
+  }
+  /** Records that the platform has accepted the report of a window. */
+  | { readonly type: "usage_accepted"; readonly window: number };
 
 /** Results of the control group's commands. */
 export type ControlResult =
@@ -194,7 +215,45 @@
   | { readonly type: "end_order"; readonly intent?: OrderIntent }
   | { readonly type: "observe_engine"; readonly ended: readonly OrderId[] }
   /** Version in force after the publication. */
-  | { readonly type: "publish"; readonly version: number };
+  | { readonly type: "publish"; readonly version: number }
+  | { readonly type: "take_duty"; readonly record: DutyRecord }
+  | { readonly type: "agree_usage"; readonly result: UsageAgreementResult }
+  | { readonly type: "usage_accepted" };
+
+/** Holder of a duty. */
+export interface DutyRecord {
+  readonly holder: HostProcess;
+  readonly takeId: string;
+  /** Log index of the command that took the duty. */
+  readonly fence: FencingNumber;
+}
+
+/** Counts by customer, in the order in which they are reported. */
+export type UsageCounts = readonly (readonly [CustomerId, number])[];
+
+/** Counts of one window that the control group has agreed on. */
+export interface AgreedUsage {
+  readonly window: number;
+  readonly counts: UsageCounts;
+  readonly accepted: boolean;
+}
+
+/** Answer to an agreement. */
+export type UsageAgreementResult =
+  /** The counts in force, which are those of the first agreement. */
+  | { readonly type: "agreed"; readonly usage: AgreedUsage }
+  /** The window must not be reported: a later one was agreed before. */
+  | { readonly type: "left_out"; readonly last: number }
+  /** Another process has taken the duty. */
+  | { readonly type: "not_holder" };
+
+/** Answer of the query `usage`. */
+export interface UsageAgreements {
+  /** Highest window that was agreed or left out; absent before the first. */
+  readonly last?: number;
+  /** Agreed windows that are not accepted, oldest first. */
+  readonly open: readonly AgreedUsage[];
+}
 
 /** The control group as its clients use it. */
 export type ControlGroup = ReplicatedGroup<ControlCommand, ControlResult>;
