--- a/packages/rhubarbstage-duties/src/mod.ts
+++ b/packages/rhubarbstage-duties/src/mod.ts
@@ -20,3 +20,24 @@
 } from "./types.ts";
 export { DutyHolder, DutyTerm, HostPolls, PlatformCalls } from "./types.ts";
 export { callTimeout } from "./constants.ts";
+export type {
+  DutyLeaseOptions,
+  LeaseClockOptions,
+  TimeReading,
+} from "./lease.ts";
+export { DutyLease, LeaseClock } from "./lease.ts";
+export type {
+  DutyEvent,
+  DutyLeaderOptions,
+  LeaderSeat,
+} from "./duty_leader.ts";
+export { DutyLeader } from "./duty_leader.ts";
+export type { HostPollerOptions } from "./host_poller.ts";
+export { answerPolls, HostPoller } from "./host_poller.ts";
+export type { UsageRecorderOptions } from "./usage_recorder.ts";
+export { UsageRecorder } from "./usage_recorder.ts";
+export { TrueTime } from "./true_time.ts";
+export type { UsageWindowsOptions } from "./usage_windows.ts";
+export { UsageWindows } from "./usage_windows.ts";
+export type { CustomersSince, UsageReporterOptions } from "./usage_reporter.ts";
+export { UsageReporter } from "./usage_reporter.ts";
--- a/packages/rhubarbstage-duties/src/types.ts
+++ b/packages/rhubarbstage-duties/src/types.ts
@@ -28,6 +28,11 @@
   abstract readonly fence: FencingNumber;
   /** Aborted when the term has ended; a term never resumes. */
   abstract readonly signal: AbortSignal;
+  /**
+   * Monotonic time at which this host knew that it had taken the duty, in
+   * milliseconds. Calls may be made only a lease time later.
+   */
+  readonly takenAt: number = 0;
   /**
    * Whether a call may be written now. Reads the clock on each call, so that a
    * process that was frozen notices before its next write.
