--- a/packages/rhubarbstage-duties/src/capacity_need.ts
+++ b/packages/rhubarbstage-duties/src/capacity_need.ts
@@ -42,11 +42,17 @@
 const reserveDecayInterval = 30_000;
 const maxReserve = 2;
 
+/** Least share of a stage that counts: the split of a few engines is coarse. */
+const minStageShare = 0.25;
+
 /** Servers as far as they matter to the need. */
 export interface ServingState {
   readonly slots: number;
-  /** Whether engines serve prompts and streams separately. */
-  readonly hasStages: boolean;
+  /**
+   * Share of the engines that compute prompts; the others answer. Absent where
+   * each engine does both.
+   */
+  readonly prefillShare?: number;
   readonly serving: number;
   /** Whether ordered servers have yet to serve. */
   readonly booting: boolean;
@@ -135,14 +141,19 @@
 /** Servers that the load keeps busy all the time. */
 function busyServers(
   load: RegionLoad,
-  { slots, hasStages }: ServingState,
+  { slots, prefillShare }: ServingState,
 ): number {
   const computing = load.promptTime / 1_000;
   const streaming = load.streamTime / 1_000 / slots;
   const running = load.busyTime / 1_000 / slots;
-  // Engines of one stage can't take work of the other.
-  const engines = hasStages
-    ? computing + streaming
-    : Math.max(computing, streaming);
-  return engines + running;
+  if (prefillShare === undefined) {
+    return Math.max(computing, streaming) + running;
+  }
+  // Engines of one stage don't take the work of the other, and servers come and
+  // go in the present split.
+  const share = Math.min(
+    1 - minStageShare,
+    Math.max(minStageShare, prefillShare),
+  );
+  return Math.max(computing / share, streaming / (1 - share)) + running;
 }
--- a/packages/rhubarbstage-duties/src/mod.ts
+++ b/packages/rhubarbstage-duties/src/mod.ts
@@ -53,3 +53,11 @@
 export { UsageWindows } from "./usage_windows.ts";
 export type { CustomersSince, UsageReporterOptions } from "./usage_reporter.ts";
 export { UsageReporter } from "./usage_reporter.ts";
+export type {
+  ObservedServers,
+  ScaleControllerOptions,
+  ScaledService,
+} from "./scale_controller.ts";
+export { ScaleController, ScaledFleet } from "./scale_controller.ts";
+export type { EngineDemand, ServiceLoadMeterOptions } from "./service_load.ts";
+export { ServiceLoadMeter } from "./service_load.ts";
--- a/packages/rhubarbstage-duties/src/scale_planner.ts
+++ b/packages/rhubarbstage-duties/src/scale_planner.ts
@@ -72,7 +72,8 @@
     const { now, loads } = observation;
     if (loads.length > 0) this.#observedSince ??= now;
     const plans = buildRegionPlans(observation, this.#orders);
-    for (const plan of plans) this.#observe(plan, observation);
+    const prefillShare = prefillShareOf(plans);
+    for (const plan of plans) this.#observe(plan, observation, prefillShare);
     const observed = now - (this.#observedSince ?? now);
     if (observed < observationTime) return [];
     const requirements = this.#requirements(plans);
@@ -108,7 +109,11 @@
     );
   }
 
-  #observe(plan: RegionPlan, observation: ScaleObservation): void {
+  #observe(
+    plan: RegionPlan,
+    observation: ScaleObservation,
+    prefillShare: number | undefined,
+  ): void {
     const { now, loads, slots } = observation;
     const state = this.#regionOf(plan.region);
     const serving = totalServing(plan);
@@ -116,9 +121,8 @@
     state.serving = serving;
     const load = loads.find(({ region }) => region === plan.region);
     if (load === undefined) return;
-    const hasStages = plan.stages.size > 1;
     const booting = totalExpected(plan) > serving;
-    state.need.observe(load, { slots, hasStages, serving, booting }, now);
+    state.need.observe(load, { slots, prefillShare, serving, booting }, now);
   }
 
   /** Needs by region; what a full region lacks is added to another one. */
@@ -126,10 +130,8 @@
     const requirements = new Map<Region, MixRequirement>();
     let missing = 0;
     for (const plan of plans) {
-      const own = withStageFloor(
-        plan,
-        this.#regionOf(plan.region).need.requirement(),
-      );
+      const { need } = this.#regionOf(plan.region);
+      const own = withStageFloor(plan, need.requirement());
       const room = capacityOf(plan);
       missing += Math.max(0, own.need - room);
       requirements.set(plan.region, {
@@ -347,6 +349,18 @@
   };
 }
 
+/** Share of prefill engines in all regions; undefined without two stages. */
+function prefillShareOf(plans: readonly RegionPlan[]): number | undefined {
+  let prefill = 0;
+  let decode = 0;
+  for (const { stages } of plans) {
+    prefill += stages.get("prefill") ?? 0;
+    decode += stages.get("decode") ?? 0;
+  }
+  if (prefill === 0 || decode === 0) return undefined;
+  return prefill / (prefill + decode);
+}
+
 /** Servers that the zones of a region can have, as far as they are available. */
 function capacityOf({ zones }: RegionPlan): number {
   return zones.reduce(
