Count begun requests on entry hosts and start duties on control hosts

A request counts once, with its first event or when a plain attempt was sent, and a refusal takes the count back.

--- a/packages/rhubarbstage-host/src/relay_control.ts
+++ b/packages/rhubarbstage-host/src/relay_control.ts
@@ -9,6 +9,7 @@
 import { SeatReconciler } from "@rhubarbstage/replica";
 import { ControlApi } from "./control_api.ts";
 import { OrderCoordinator } from "./order_coordinator.ts";
+import { startDuties } from "./relay_duties.ts";
 import { RelayOrderConnector } from "./relay_orders.ts";
 import type { RelayHostComponents } from "./relay_parts.ts";
 import { RoleAuthority } from "./role_authority.ts";
@@ -70,6 +71,7 @@
     signal,
     onEvent: (event, fields) => events.record(event, fields),
   }).start();
+  startDuties(components);
   if (seat.bootstrap) void bootstrapSystem(components);
 }
 
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -31,6 +31,7 @@
 import { createServerPaths } from "./relay_server_paths.ts";
 import { DemandReport } from "./demand_report.ts";
 import { HostEvents } from "./host_events.ts";
+import { HostUsage } from "./host_usage.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
 import { listenPlainText } from "./plain_listener.ts";
 import { createControlApi, startControlSeat } from "./relay_control.ts";
@@ -326,12 +327,14 @@
     relay.routeTable?.services.find(({ name }) =>
       name as string === serviceNameOf(record)
     );
+  const usage = new HostUsage({ incarnation, clock: context.clock, transport });
   const relay: Relay = new Relay({
     dispatcher,
     dialect: context.options.dialect,
     connections,
     telemetry: serving.telemetry,
     readiness,
+    onBegun: ({ customer }, change) => usage.record(customer, change),
     retryRatio: settings.retryBudget.ratio * retryBudgetShare,
     onLoad: (server, load) =>
       registry.updateLoad(server, {
@@ -388,6 +391,7 @@
     documents,
     relay,
     readiness,
+    usage,
   };
 }
 
@@ -491,6 +495,7 @@
     stopController,
     readiness,
     relay,
+    usage,
   } = components;
   const { signal } = stopController;
   components.membership.start();
@@ -506,6 +511,7 @@
       const table = components.options.parseRouteTable(content);
       relay.setRouteTable(table);
       readiness.setRouteTable(table);
+      usage.setRouteTable(table);
       components.registry.refresh();
       events.record("revision_in_force", {
         version,
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -6,6 +6,7 @@
  */
 
 import type { AvailabilityZone, HostId, Region } from "rhubarbstage";
+import type { Duty } from "@rhubarbstage/duties";
 import type { Endpoint, LogLevel } from "@rhubarbstage/settings";
 
 /** Limits on the retries and hedges of all hosts together. */
@@ -24,6 +25,15 @@
   readonly bootstrap: boolean;
 }
 
+/** Settings of the duties that one control host holds at a time. */
+export interface DutySettings {
+  readonly duties: readonly Duty[];
+  /** Time between the calls of two holders of a duty. */
+  readonly leaseTime: number;
+  /** Length of the windows of usage reports. */
+  readonly usageWindow: number;
+}
+
 /** Settings of one relay host, read when it starts. */
 export interface RelayHostSettings {
   readonly host: HostId;
@@ -53,5 +63,7 @@
   readonly gracePeriod: number;
   /** Minimum time from a leader's last order to the next leader's first one. */
   readonly orderHandoverDelay: number;
+  /** Absent where the platform takes no calls. */
+  readonly duties?: DutySettings;
   readonly logLevel: LogLevel;
 }
--- a/packages/rhubarbstage-host/src/relay_parts.ts
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -5,6 +5,7 @@
  */
 
 import type { DocumentClient } from "@rhubarbstage/control";
+import type { PlatformCalls } from "@rhubarbstage/duties";
 import type { Dispatcher } from "@rhubarbstage/gateway/dispatch";
 import type { Membership } from "@rhubarbstage/membership";
 import type {
@@ -19,6 +20,7 @@
 import type { Clock, Incarnation } from "rhubarbstage";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { ForwardingService } from "./forwarding_service.ts";
+import type { HostUsage } from "./host_usage.ts";
 import type { HostEvents } from "./host_events.ts";
 import type { PlacementExchange } from "./placement_exchange.ts";
 import type { RelayHostSettings } from "./relay_host_settings.ts";
@@ -31,6 +33,8 @@
   readonly dialect: Dialect;
   /** Parses the route table in a published document. */
   readonly parseRouteTable: (content: unknown) => RouteTable;
+  /** Calls to the platform; needed on control hosts with duties. */
+  readonly platformCalls?: PlatformCalls;
 }
 
 /** State shared by all components of a relay host. */
@@ -61,4 +65,5 @@
   readonly documents: DocumentClient;
   readonly relay: Relay;
   readonly readiness: RelayReadiness;
+  readonly usage: HostUsage;
 }
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -250,6 +250,8 @@
   readonly acceptsNewWork?: (server: BackendServerId) => boolean;
   /** Whether a server has ended; by default, if it refuses connections. */
   readonly confirmServerEnded?: () => Promise<boolean>;
+  /** Called when a server has begun to run a request, or has not after all. */
+  readonly onBegun?: (change: 1 | -1) => void;
 }): Promise<TestRelay> {
   const { roles } = options;
   const service = "store" as ServiceName;
@@ -290,6 +292,7 @@
       ? {}
       : { confirmServerEnded: options.confirmServerEnded }),
     origins: new LocalAnswerOrigins(),
+    onBegun: (_work, change) => options.onBegun?.(change),
   });
   relay.setRouteTable({
     version: 1,
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -73,6 +73,11 @@
     server: BackendServerAddress,
   ) => Promise<boolean>;
   readonly origins: AnswerOrigins;
+  /**
+   * Called with 1 when a server has begun to run a request, once for all its
+   * attempts, and with -1 when no server turns out to have run it.
+   */
+  readonly onBegun?: (work: Work, change: 1 | -1) => void;
   readonly clock?: Clock;
 }
 
@@ -206,6 +211,7 @@
         (({ url }) => refusesConnections(url)),
       onStreamBegun: (softwareVersion) =>
         this.#recordStream(relayRequest, { metadata, softwareVersion }),
+      onBegun: (change) => this.#options.onBegun?.(relayRequest.work, change),
     });
     try {
       const { status, server, events } = await dispatcher.execute(run, {
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -71,6 +71,11 @@
   readonly onStreamBegun: (
     softwareVersion: SoftwareVersion | undefined,
   ) => void;
+  /**
+   * Called with 1 when a server has begun to run the request, once for all
+   * attempts, and with -1 when no server turns out to have run it.
+   */
+  readonly onBegun?: (change: 1 | -1) => void;
 }
 
 /** Result of a relayed request. */
@@ -103,6 +108,8 @@
   #lastEventId: string | undefined;
   #eventCount = 0;
   #fallbackResponse: FallbackResponse | undefined;
+  /** Attempts of a plain request that may have run. */
+  readonly #sentAttempts = new Set<Attempt>();
 
   constructor(context: RunContext, options: RelayRunOptions) {
     super(context, options.request.work);
@@ -136,6 +143,7 @@
     const promptExport = await this.#prefill(attempt);
     if (promptExport !== undefined) this.#checkStillServing(attempt);
     const resumedAfter = this.#lastEventId;
+    this.#countSent(attempt);
     try {
       const response = await this.#send(attempt, {
         promptExport,
@@ -151,10 +159,28 @@
         response.discard();
       }
     } catch (thrown) {
-      throw await this.#toAttemptError(attempt, thrown);
+      const error = await this.#toAttemptError(attempt, thrown);
+      this.#countFailed(attempt, error);
+      throw error;
     }
   }
 
+  /** Counts a plain request when the first of its attempts is sent. */
+  #countSent(attempt: Attempt): void {
+    const { request, onBegun } = this.#options;
+    if (request.route.kind === "stream") return;
+    if (this.#sentAttempts.size === 0) onBegun?.(1);
+    this.#sentAttempts.add(attempt);
+  }
+
+  /** Takes the count back once every attempt is known not to have run. */
+  #countFailed(attempt: Attempt, error: Error): void {
+    const isNotRun = error instanceof RhubarbstageError &&
+      error.outcome === "not_run";
+    if (!isNotRun || !this.#sentAttempts.delete(attempt)) return;
+    if (this.#sentAttempts.size === 0) this.#options.onBegun?.(-1);
+  }
+
   /** Throws if the server stopped accepting work during the prefill. */
   #checkStillServing({ address: { id } }: Attempt): void {
     if (this.context.backendServers.acceptsNewWork(id)) return;
@@ -370,11 +396,15 @@
   }
 
   #begin(response: AttemptResponse): void {
-    const { reply, request, onStreamBegun } = this.#options;
+    const { reply, request, onStreamBegun, onBegun } = this.#options;
     const { attempt } = response;
     this.#acquireReply(response);
     if (reply.isBegun) return;
-    if (this.#isStream(response)) onStreamBegun(attempt.effect.softwareVersion);
+    if (this.#isStream(response)) {
+      onStreamBegun(attempt.effect.softwareVersion);
+      // A stream that is taken up was counted when it began.
+      if (request.lastEventId === undefined) onBegun?.(1);
+    }
     this.#begunResponse = response;
     reply.begin(response.status, response.headers);
     this.#recordEvent("first_event", {
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -106,6 +106,9 @@
   readonly #controlCpu: Counter;
   readonly #controlBytes: Counter<"direction">;
   readonly #timelineDropped: Gauge;
+  readonly #dutiesTaken: Counter<"duty">;
+  readonly #dutyCalls: Counter<"duty" | "result">;
+  readonly #leaseAge: Gauge<"duty">;
   #reportedTraffic: ControlTrafficTotals = {
     sentBytes: 0,
     receivedBytes: 0,
@@ -185,6 +188,21 @@
       "timeline_dropped_events",
       "Timeline events dropped because the disk was too slow",
     );
+    this.#dutiesTaken = this.#counter(
+      "duties_taken_total",
+      "Times that this host has taken a duty",
+      ["duty"],
+    );
+    this.#dutyCalls = this.#counter(
+      "duty_calls_total",
+      "Calls to the platform by duty and result",
+      ["duty", "result"],
+    );
+    this.#leaseAge = this.#gauge(
+      "duty_lease_age_seconds",
+      "Age of the last proof that this host holds a duty; absent if it does not",
+      ["duty"],
+    );
     this.#addCustomerGauge();
     collectDefaultMetrics({ register: this.registry });
   }
@@ -285,6 +303,22 @@
     this.#timelineDropped.set(events);
   }
 
+  /** Counts that this host has taken a duty. */
+  countDutyTaken(duty: string): void {
+    this.#dutiesTaken.inc({ duty });
+  }
+
+  /** Counts a call to the platform. */
+  countDutyCall(duty: string, result: string): void {
+    this.#dutyCalls.inc({ duty, result });
+  }
+
+  /** Sets the age of a lease in milliseconds; undefined if there is none. */
+  setLeaseAge(duty: string, age: number | undefined): void {
+    if (age === undefined) this.#leaseAge.remove({ duty });
+    else this.#leaseAge.set({ duty }, age / 1_000);
+  }
+
   #addCustomerGauge(): void {
     const customers = this.#customers;
     new Gauge({
