--- a/packages/rhubarbstage-duties/src/scale_controller.ts
+++ b/packages/rhubarbstage-duties/src/scale_controller.ts
@@ -49,8 +49,8 @@
 export abstract class ScaledFleet {
   /** Services of the configuration in force that are scaled. */
   abstract services(): readonly ScaledService[];
-  /** Availability zones in which servers may be ordered. */
-  abstract zones(): readonly ScaledZone[];
+  /** Availability zones in which servers of the service may be ordered. */
+  abstract zones(service: ServiceName): readonly ScaledZone[];
   abstract serversOf(service: ServiceName): ObservedServers;
 }
 
@@ -64,6 +64,8 @@
     service: ServiceName,
     needs: ReadonlyMap<Region, number>,
   ) => void;
+  /** Called when this host no longer holds the duty. */
+  readonly onTermEnd?: () => void;
   readonly clock?: Clock;
   /** Time between two plans, in milliseconds. */
   readonly interval?: number;
@@ -86,8 +88,9 @@
   }
 
   #runTerm(term: DutyTerm): void {
-    const { polls, interval = planInterval } = this.#options;
+    const { polls, onTermEnd, interval = planInterval } = this.#options;
     const { signal } = term;
+    signal.addEventListener("abort", () => onTermEnd?.(), { once: true });
     const load = new FleetLoad();
     const planners = new Map<ServiceName, ScalePlanner>();
     polls.onOutcome((outcome) => load.observe(outcome), { signal });
@@ -106,7 +109,6 @@
     run.load.prune(live);
     const services = fleet.services();
     removeOthers(run.planners, services);
-    const zones = fleet.zones();
     for (const { service, scaling, slots } of services) {
       const planner = run.planners.get(service) ?? new ScalePlanner();
       run.planners.set(service, planner);
@@ -117,7 +119,7 @@
         service,
         scaling,
         slots,
-        zones,
+        zones: fleet.zones(service),
         servers,
         loads,
         stateAge,
--- a/packages/rhubarbstage-host/src/relay_control.ts
+++ b/packages/rhubarbstage-host/src/relay_control.ts
@@ -12,6 +12,7 @@
 import { startDuties } from "./relay_duties.ts";
 import { RelayOrderConnector } from "./relay_orders.ts";
 import type { RelayHostComponents } from "./relay_parts.ts";
+import { startScaling } from "./relay_scaling.ts";
 import { RoleAuthority } from "./role_authority.ts";
 import { controlGroupName } from "./seat_operations.ts";
 
@@ -71,7 +72,10 @@
     signal,
     onEvent: (event, fields) => events.record(event, fields),
   }).start();
-  startDuties(components);
+  const duties = startDuties(components);
+  if (duties !== undefined && settings.duties?.duties.includes("scaling")) {
+    startScaling(components, duties);
+  }
   if (seat.bootstrap) void bootstrapSystem(components);
 }
 
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -31,6 +31,7 @@
 import { createServerPaths } from "./relay_server_paths.ts";
 import { DemandReport } from "./demand_report.ts";
 import { HostEvents } from "./host_events.ts";
+import { HostLoad } from "./host_load.ts";
 import { HostUsage } from "./host_usage.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
 import { listenPlainText } from "./plain_listener.ts";
@@ -328,6 +329,9 @@
       name as string === serviceNameOf(record)
     );
   const usage = new HostUsage({ incarnation, clock: context.clock, transport });
+  const load = new HostLoad({ clock: context.clock });
+  usage.serviceLoad = () => load.read();
+  serving.effectHandler.load = load;
   const relay: Relay = new Relay({
     dispatcher,
     dialect: context.options.dialect,
@@ -335,6 +339,8 @@
     telemetry: serving.telemetry,
     readiness,
     onBegun: ({ customer }, change) => usage.record(customer, change),
+    onRequestBegun: (work) => load.recordBegun(work),
+    onRequestEnded: (work, error) => load.recordEnded(work, error),
     retryRatio: settings.retryBudget.ratio * retryBudgetShare,
     onLoad: (server, load) =>
       registry.updateLoad(server, {
@@ -392,6 +398,7 @@
     relay,
     readiness,
     usage,
+    load,
   };
 }
 
@@ -496,6 +503,7 @@
     readiness,
     relay,
     usage,
+    load,
   } = components;
   const { signal } = stopController;
   components.membership.start();
@@ -512,6 +520,7 @@
       relay.setRouteTable(table);
       readiness.setRouteTable(table);
       usage.setRouteTable(table);
+      load.setRouteTable(table);
       components.registry.refresh();
       events.record("revision_in_force", {
         version,
--- a/packages/rhubarbstage-host/src/relay_parts.ts
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -20,6 +20,7 @@
 import type { Clock, Incarnation } from "rhubarbstage";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { ForwardingService } from "./forwarding_service.ts";
+import type { HostLoad } from "./host_load.ts";
 import type { HostUsage } from "./host_usage.ts";
 import type { HostEvents } from "./host_events.ts";
 import type { PlacementExchange } from "./placement_exchange.ts";
@@ -66,4 +67,5 @@
   readonly relay: Relay;
   readonly readiness: RelayReadiness;
   readonly usage: HostUsage;
+  readonly load: HostLoad;
 }
--- a/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
+++ b/packages/rhubarbstage-host/src/relay_policy_effect_handler.ts
@@ -8,6 +8,7 @@
 import type { Membership } from "@rhubarbstage/membership";
 import type { EngineWorkEffect } from "@rhubarbstage/policy";
 import type { DemandReport } from "./demand_report.ts";
+import type { HostLoad } from "./host_load.ts";
 import type { OrderCoordinator } from "./order_coordinator.ts";
 import type { PartMarksFile } from "./part_marks_file.ts";
 import type { PlacementExchange } from "./placement_exchange.ts";
@@ -22,6 +23,8 @@
   partMarksFile: PartMarksFile | undefined;
   /** Present on hosts that may lead the control group. */
   orders: OrderCoordinator | undefined;
+  /** Measures the load of scaled services. */
+  load: HostLoad | undefined;
 
   constructor(demand: DemandReport) {
     super();
@@ -61,5 +64,7 @@
     ...demand: Parameters<PolicyEffectHandler["publishDemand"]>
   ): void {
     this.#demand.update(...demand);
+    const [, models] = demand;
+    this.load?.setModelDemand(models);
   }
 }
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -252,6 +252,8 @@
   readonly confirmServerEnded?: () => Promise<boolean>;
   /** Called when a server has begun to run a request, or has not after all. */
   readonly onBegun?: (change: 1 | -1) => void;
+  /** Called when a request begins (1) and when it ends (-1). */
+  readonly onRunning?: (change: 1 | -1, error?: string) => void;
 }): Promise<TestRelay> {
   const { roles } = options;
   const service = "store" as ServiceName;
@@ -293,6 +295,8 @@
       : { confirmServerEnded: options.confirmServerEnded }),
     origins: new LocalAnswerOrigins(),
     onBegun: (_work, change) => options.onBegun?.(change),
+    onRequestBegun: () => options.onRunning?.(1),
+    onRequestEnded: (_work, error) => options.onRunning?.(-1, error?.kind),
   });
   relay.setRouteTable({
     version: 1,
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -78,6 +78,10 @@
    * attempts, and with -1 when no server turns out to have run it.
    */
   readonly onBegun?: (work: Work, change: 1 | -1) => void;
+  /** Called when a request has been read and is about to be placed. */
+  readonly onRequestBegun?: (work: Work) => void;
+  /** Called when it ended, with its error unless it was served. */
+  readonly onRequestEnded?: (work: Work, error?: RhubarbstageError) => void;
   readonly clock?: Clock;
 }
 
@@ -213,10 +217,13 @@
         this.#recordStream(relayRequest, { metadata, softwareVersion }),
       onBegun: (change) => this.#options.onBegun?.(relayRequest.work, change),
     });
+    const { work } = relayRequest;
+    this.#options.onRequestBegun?.(work);
     try {
       const { status, server, events } = await dispatcher.execute(run, {
         signal,
       });
+      this.#options.onRequestEnded?.(work);
       this.#recordEnd(relayRequest, run, {
         result: "ok",
         status,
@@ -224,6 +231,10 @@
         events,
       });
     } catch (thrown) {
+      const error = thrown instanceof CallerDisconnectedError
+        ? undefined
+        : toRhubarbstageError(thrown);
+      this.#options.onRequestEnded?.(work, error);
       this.#handleFailure(relayRequest, run, { thrown, reply, response });
     }
   }
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -14,6 +14,7 @@
 import type {
   CustomerId,
   ErrorKind,
+  Region,
   Revision,
   ServiceName,
 } from "rhubarbstage";
@@ -109,6 +110,7 @@
   readonly #dutiesTaken: Counter<"duty">;
   readonly #dutyCalls: Counter<"duty" | "result">;
   readonly #leaseAge: Gauge<"duty">;
+  readonly #serversNeeded: Gauge<"service" | "region">;
   #reportedTraffic: ControlTrafficTotals = {
     sentBytes: 0,
     receivedBytes: 0,
@@ -203,6 +205,11 @@
       "Age of the last proof that this host holds a duty; absent if it does not",
       ["duty"],
     );
+    this.#serversNeeded = this.#gauge(
+      "servers_needed",
+      "Servers that the load of a region needs, on the host that orders them",
+      ["service", "region"],
+    );
     this.#addCustomerGauge();
     collectDefaultMetrics({ register: this.registry });
   }
@@ -319,6 +326,22 @@
     else this.#leaseAge.set({ duty }, age / 1_000);
   }
 
+  /** Sets the servers that the load of each region needs. */
+  setServersNeeded(
+    service: ServiceName,
+    needs: ReadonlyMap<Region, number>,
+  ): void {
+    const label = this.#services.limit(service);
+    for (const [region, servers] of needs) {
+      this.#serversNeeded.set({ service: label, region }, servers);
+    }
+  }
+
+  /** Removes the needed servers, when another host orders them. */
+  clearServersNeeded(): void {
+    this.#serversNeeded.reset();
+  }
+
   #addCustomerGauge(): void {
     const customers = this.#customers;
     new Gauge({
