Keep lowering while single hosts fail, and stop refused orders

Hosts that fail in turn would have kept all servers forever, so a tenth of the hosts may be unreachable; more still blocks lowering. A refused lower number is not ordered again.

--- a/packages/rhubarbstage-duties/__tests__/unit/scale_simulation.ts
+++ b/packages/rhubarbstage-duties/__tests__/unit/scale_simulation.ts
@@ -18,7 +18,7 @@
   ServiceScaling,
 } from "../../src/scale_types.ts";
 import { ScalePlanner } from "../../src/scale_planner.ts";
-import type { PlatformCallResult } from "../../src/types.ts";
+import type { PlatformCallResult, ServerOrder } from "../../src/types.ts";
 
 export const regions = ["north", "south", "east"] as Region[];
 export const zones = regions.flatMap((region) =>
@@ -68,7 +68,10 @@
   /** At this second so many servers of the first zone crash. */
   readonly crash?: { readonly at: number; readonly servers: number };
   /** Result of a call instead of its execution. */
-  readonly fault?: (draw: number) => PlatformCallResult | undefined;
+  readonly fault?: (
+    draw: number,
+    order: ServerOrder,
+  ) => PlatformCallResult | undefined;
   readonly refusedShare?: (second: number) => number;
   readonly unreachableHosts?: (second: number, region: Region) => number;
   readonly stateAge?: (second: number) => number;
@@ -168,7 +171,7 @@
   #execute({ order }: ScaleDecision, second: number): void {
     const { availabilityZone: zone, count, spot } = order;
     const draw = this.#random.next();
-    const fault = this.#scenario.fault?.(draw);
+    const fault = this.#scenario.fault?.(draw, order);
     const kind: ServerKind = spot ? "spot" : "on_demand";
     const key = `${zone}/${kind}`;
     const isScarce = spot && zone === this.#scarceZone &&
--- a/packages/rhubarbstage-duties/src/capacity_need.ts
+++ b/packages/rhubarbstage-duties/src/capacity_need.ts
@@ -78,7 +78,7 @@
     this.#adjustReserve(state, { work, now });
   }
 
-  /** Time of the last refusals worth noting. */
+  /** Time of the last refusals for lack of servers. */
   get refusedAt(): number {
     return this.#refusedAt;
   }
@@ -104,7 +104,6 @@
     const weight = 1 - Math.exp(-elapsed / refusalTimeConstant);
     this.#arrivals += (load.arrivals - this.#arrivals) * weight;
     this.#refusals += (load.refusals - this.#refusals) * weight;
-    if (this.#refusedShare() > refusalThreshold) this.#refusedAt = now;
   }
 
   #refusedShare(): number {
@@ -127,6 +126,7 @@
     const since = now - this.#reserveChangedAt;
     const isUtilised = work >= state.serving * minPressureUtilisation;
     const isRefusing = this.#refusedShare() > refusalThreshold;
+    if (isRefusing && isUtilised) this.#refusedAt = now;
     if (isRefusing && isUtilised && !state.booting) {
       if (since < reserveGrowthInterval) return;
       this.#reserve = Math.min(maxReserve, this.#reserve * reserveGrowth);
--- a/packages/rhubarbstage-duties/src/lowering.ts
+++ b/packages/rhubarbstage-duties/src/lowering.ts
@@ -70,6 +70,8 @@
   options: {
     readonly target: ReadonlyMap<AvailabilityZone, KindCounts>;
     readonly isReady: (zone: AvailabilityZone) => boolean;
+    /** Smallest number that the platform accepts. */
+    readonly lowestCount: (zone: AvailabilityZone, kind: ServerKind) => number;
   },
 ): Lowering | undefined {
   const { plan } = state;
@@ -80,7 +82,11 @@
     const target = options.target.get(zone);
     if (target === undefined || !options.isReady(zone)) continue;
     for (const kind of serverKinds) {
-      const excess = countOf(serving, kind) - countOf(target, kind);
+      const lowest = Math.max(
+        countOf(target, kind),
+        options.lowestCount(zone, kind),
+      );
+      const excess = countOf(serving, kind) - lowest;
       const step = largestStep(state, {
         zone,
         kind,
--- a/packages/rhubarbstage-duties/src/order_memory.ts
+++ b/packages/rhubarbstage-duties/src/order_memory.ts
@@ -46,6 +46,9 @@
   blockedUntil: number;
   block: number;
   loweredAt: number;
+  /** Smallest number that the platform accepts. */
+  lowest: number;
+  loweringBlockedUntil: number;
 }
 
 /** An order that has to be sent again. */
@@ -78,6 +81,12 @@
     return now < this.#kindOf(zone, kind).blockedUntil;
   }
 
+  /** Returns the smallest number that may be ordered; infinite if none may. */
+  lowestCount(zone: AvailabilityZone, kind: ServerKind, now: number): number {
+    const { lowest, loweringBlockedUntil } = this.#kindOf(zone, kind);
+    return now < loweringBlockedUntil ? Infinity : lowest;
+  }
+
   /** Whether an order to lower the number has yet to show. */
   isLowering(zone: AvailabilityZone, kind: ServerKind): boolean {
     return this.#kindOf(zone, kind).pending?.isRaise === false;
@@ -162,7 +171,8 @@
       case "rejected":
         zone.repeats = 0;
         delete kind.pending;
-        block(kind, now);
+        if (isRaise) block(kind, now);
+        else refuseLowering(kind, { count: order.count, now });
         return;
       case "not_sent":
         delete kind.pending;
@@ -230,10 +240,25 @@
 }
 
 function newKindState(): KindState {
-  return { blockedUntil: -Infinity, block: firstBlock, loweredAt: -Infinity };
+  return {
+    blockedUntil: -Infinity,
+    block: firstBlock,
+    loweredAt: -Infinity,
+    lowest: 0,
+    loweringBlockedUntil: -Infinity,
+  };
 }
 
 function block(state: KindState, now: number): void {
   state.blockedUntil = now + state.block;
   state.block = Math.min(longestBlock, state.block * 2);
 }
+
+/** The platform may want one server of each kind; other refusals may end. */
+function refuseLowering(
+  state: KindState,
+  { count, now }: { readonly count: number; readonly now: number },
+): void {
+  if (count === 0) state.lowest = 1;
+  else state.loweringBlockedUntil = now + longestBlock;
+}
--- a/packages/rhubarbstage-duties/src/scale_planner.ts
+++ b/packages/rhubarbstage-duties/src/scale_planner.ts
@@ -36,7 +36,12 @@
 const loweringObservationTime = 16_000;
 /** Maximum age of the observed servers for a number to be lowered, in ms. */
 const maxStateAge = 5_000;
-/** Share of unreachable hosts above which no number is lowered anywhere. */
+/**
+ * Share of unreachable hosts above which no number is lowered: in their region,
+ * or anywhere if it is that of all hosts. The last load of single hosts that
+ * were killed or frozen counts on; with none tolerated, hosts that fail in turn
+ * would keep all servers forever.
+ */
 const maxUnreachableShare = 0.1;
 /** Time between two lowered numbers in one region, in milliseconds. */
 const loweringInterval = 5_000;
@@ -264,7 +269,9 @@
   ): ScaleDecision[] {
     const { plan, observation: { now } } = context;
     const isReady = (zone: AvailabilityZone) => this.#orders.isReady(zone, now);
-    const lowering = chooseLowering(context, { target, isReady });
+    const lowestCount = (zone: AvailabilityZone, kind: ServerKind) =>
+      this.#orders.lowestCount(zone, kind, now);
+    const lowering = chooseLowering(context, { target, isReady, lowestCount });
     if (lowering === undefined) return [];
     const { zone, kind, count } = lowering;
     this.#regionOf(plan.region).loweredAt = now;
@@ -382,9 +389,15 @@
   let hosts = 0;
   let unreachable = 0;
   for (const load of loads) {
-    if (load.region === region && load.unreachableHosts > 0) return false;
+    if (load.region === region && isUnreachable(load)) return false;
     hosts += load.hosts;
     unreachable += load.unreachableHosts;
   }
-  return hosts > 0 && unreachable <= hosts * maxUnreachableShare;
+  return hosts > 0 && !isUnreachable({ hosts, unreachableHosts: unreachable });
+}
+
+function isUnreachable(
+  { hosts, unreachableHosts }: Pick<RegionLoad, "hosts" | "unreachableHosts">,
+): boolean {
+  return unreachableHosts > hosts * maxUnreachableShare;
 }
