--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -31,6 +31,8 @@
 import { createServerPaths } from "./relay_server_paths.ts";
 import { DemandReport } from "./demand_report.ts";
 import { HostEvents } from "./host_events.ts";
+import { HostLoad } from "./host_load.ts";
+import { HostUsage } from "./host_usage.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
 import { listenPlainText } from "./plain_listener.ts";
 import { createControlApi, startControlSeat } from "./relay_control.ts";
@@ -326,12 +328,19 @@
     relay.routeTable?.services.find(({ name }) =>
       name as string === serviceNameOf(record)
     );
+  const usage = new HostUsage({ incarnation, clock: context.clock, transport });
+  const load = new HostLoad({ clock: context.clock });
+  usage.serviceLoad = () => load.read();
+  serving.effectHandler.load = load;
   const relay: Relay = new Relay({
     dispatcher,
     dialect: context.options.dialect,
     connections,
     telemetry: serving.telemetry,
     readiness,
+    onBegun: ({ customer }, change) => usage.record(customer, change),
+    onRequestBegun: (work) => load.recordBegun(work),
+    onRequestEnded: (work, error) => load.recordEnded(work, error),
     retryRatio: settings.retryBudget.ratio * retryBudgetShare,
     onLoad: (server, load) =>
       registry.updateLoad(server, {
@@ -388,6 +397,8 @@
     documents,
     relay,
     readiness,
+    usage,
+    load,
   };
 }
 
@@ -491,6 +502,8 @@
     stopController,
     readiness,
     relay,
+    usage,
+    load,
   } = components;
   const { signal } = stopController;
   components.membership.start();
@@ -506,6 +519,8 @@
       const table = components.options.parseRouteTable(content);
       relay.setRouteTable(table);
       readiness.setRouteTable(table);
+      usage.setRouteTable(table);
+      load.setRouteTable(table);
       components.registry.refresh();
       events.record("revision_in_force", {
         version,
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -74,6 +74,15 @@
     server: BackendServerAddress,
   ) => Promise<boolean>;
   readonly origins: AnswerOrigins;
+  /**
+   * Called with 1 when a server has begun to run a request, once for all its
+   * attempts, and with -1 when no server turns out to have run it.
+   */
+  readonly onBegun?: (work: Work, change: 1 | -1) => void;
+  /** Called when a request has been read and is about to be placed. */
+  readonly onRequestBegun?: (work: Work) => void;
+  /** Called when it ended, with its error unless it was served. */
+  readonly onRequestEnded?: (work: Work, error?: RhubarbstageError) => void;
   readonly clock?: Clock;
 }
 
@@ -211,11 +220,15 @@
         (({ url }) => refusesConnections(url)),
       onStreamBegun: (softwareVersion) =>
         this.#recordStream(relayRequest, { metadata, softwareVersion }),
+      onBegun: (change) => this.#options.onBegun?.(relayRequest.work, change),
     });
+    const { work } = relayRequest;
+    this.#options.onRequestBegun?.(work);
     try {
       const { status, server, events } = await dispatcher.execute(run, {
         signal,
       });
+      this.#options.onRequestEnded?.(work);
       this.#recordEnd(relayRequest, run, {
         result: "ok",
         status,
@@ -223,6 +236,10 @@
         events,
       });
     } catch (thrown) {
+      const error = thrown instanceof CallerDisconnectedError
+        ? undefined
+        : toRhubarbstageError(thrown);
+      this.#options.onRequestEnded?.(work, error);
       this.#handleFailure(relayRequest, run, { thrown, reply, response });
     }
   }
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -14,6 +14,7 @@
 import type {
   CustomerId,
   ErrorKind,
+  Region,
   Revision,
   ServiceName,
 } from "rhubarbstage";
@@ -108,6 +109,10 @@
   readonly #controlCpu: Counter;
   readonly #controlBytes: Counter<"direction">;
   readonly #timelineDropped: Gauge;
+  readonly #dutiesTaken: Counter<"duty">;
+  readonly #dutyCalls: Counter<"duty" | "result">;
+  readonly #leaseAge: Gauge<"duty">;
+  readonly #serversNeeded: Gauge<"service" | "region">;
   #reportedTraffic: ControlTrafficTotals = {
     sentBytes: 0,
     receivedBytes: 0,
@@ -187,6 +192,26 @@
       "timeline_dropped_events",
       "Timeline events dropped because the disk was too slow",
     );
+    this.#dutiesTaken = this.#counter(
+      "duties_taken_total",
+      "Times that this host has taken a duty",
+      ["duty"],
+    );
+    this.#dutyCalls = this.#counter(
+      "duty_calls_total",
+      "Calls to the platform by duty and result",
+      ["duty", "result"],
+    );
+    this.#leaseAge = this.#gauge(
+      "duty_lease_age_seconds",
+      "Age of the last proof that this host holds a duty; absent if it does not",
+      ["duty"],
+    );
+    this.#serversNeeded = this.#gauge(
+      "servers_needed",
+      "Servers that the load of a region needs, on the host that orders them",
+      ["service", "region"],
+    );
     this.#addCustomerGauges();
     collectDefaultMetrics({ register: this.registry });
   }
@@ -300,6 +325,38 @@
     this.#timelineDropped.set(events);
   }
 
+  /** Counts that this host has taken a duty. */
+  countDutyTaken(duty: string): void {
+    this.#dutiesTaken.inc({ duty });
+  }
+
+  /** Counts a call to the platform. */
+  countDutyCall(duty: string, result: string): void {
+    this.#dutyCalls.inc({ duty, result });
+  }
+
+  /** Sets the age of a lease in milliseconds; undefined if there is none. */
+  setLeaseAge(duty: string, age: number | undefined): void {
+    if (age === undefined) this.#leaseAge.remove({ duty });
+    else this.#leaseAge.set({ duty }, age / 1_000);
+  }
+
+  /** Sets the servers that the load of each region needs. */
+  setServersNeeded(
+    service: ServiceName,
+    needs: ReadonlyMap<Region, number>,
+  ): void {
+    const label = this.#services.limit(service);
+    for (const [region, servers] of needs) {
+      this.#serversNeeded.set({ service: label, region }, servers);
+    }
+  }
+
+  /** Removes the needed servers, when another host orders them. */
+  clearServersNeeded(): void {
+    this.#serversNeeded.reset();
+  }
+
   #addCustomerGauges(): void {
     this.#addTopCustomers("requests", "Requests", this.#customers);
     this.#addTopCustomers("refusals", "Refusals", this.#customerRefusals);
