--- a/packages/rhubarbstage-duties/src/duty_leader.ts
+++ b/packages/rhubarbstage-duties/src/duty_leader.ts
@@ -233,11 +233,19 @@
   ): Promise<{ record: DutyRecord; takenAt: TimeReading } | undefined> {
     const { group, seat, process, pause = delay } = this.#options;
     const { onEvent = () => {} } = this.#options;
+    const confirm = async () => {
+      const timeout = proofTimeout;
+      const confirmed = await seat.confirmLeadership({ signal, timeout });
+      if (confirmed !== term) throw new Error(`term ${confirmed}`);
+    };
     const { signal } = controller;
     this.#takeCount += 1;
     const takeId = `${process.host}/${process.incarnation}/${this.#takeCount}`;
     while (!signal.aborted) {
       try {
+        // The group forwards proposals. An earlier leader that does not know of
+        // the next one must not take the duty from it again and again.
+        await confirm();
         const result = await group.propose(
           { type: "take_duty", duty, holder: process, takeId },
           { signal, timeout: commandTimeout },
@@ -247,11 +255,8 @@
         const takenAt = this.#clock.read();
         // The command may have been committed in a later leader's term. Then
         // others may have acted since, and its token must not be used.
-        const confirmed = await seat.confirmLeadership({
-          signal,
-          timeout: proofTimeout,
-        });
-        if (confirmed === term) return { record: result.record, takenAt };
+        await confirm();
+        return { record: result.record, takenAt };
       } catch (thrown) {
         if (signal.aborted) return undefined;
         onEvent("duty_not_taken", { duty, cause: String(thrown) });
