--- a/packages/rhubarbstage-duties/__tests__/unit/scale_planner_test.ts
+++ b/packages/rhubarbstage-duties/__tests__/unit/scale_planner_test.ts
@@ -1,4 +1,4 @@
-import type { Region } from "rhubarbstage";
+import { type Region, SeededRandom } from "rhubarbstage";
 import {
   scaling,
   type Scenario,
@@ -86,7 +86,7 @@
   },
   "a change of the holder during the replacement": {
     work: steady,
-    holderChangeAt: 30,
+    holderChanges: [30],
     seconds: 600,
     orders: 45,
     saving: 0.7,
@@ -186,7 +186,7 @@
     const seconds = simulate({
       work: bursts(6),
       seconds: 500,
-      reclaimAt: 300,
+      reclaims: [300],
       scarceFor: 120,
     });
     expect(seconds[299]?.spot).toBeGreaterThan(30);
@@ -201,6 +201,25 @@
     expect(seconds.at(-1)?.cost).toBeLessThan(initialCost * 0.4);
   });
 
+  // Guards against a plan that random loads and repeated losses upset.
+  it("serves through random loads, reclaims and changes of the holder", () => {
+    const random = new SeededRandom(11);
+    const seconds = simulate({
+      work: (second, region) =>
+        bursts(5)(second, region) * (0.7 + random.next() * 0.6),
+      seconds: 900,
+      reclaims: [150, 320, 500, 700],
+      scarceFor: 100,
+      holderChanges: [200, 510],
+    });
+    for (const { serving, measured } of seconds) {
+      for (const [region, count] of serving) {
+        expect(count).toBeGreaterThan(measured.get(region) ?? 0);
+      }
+    }
+    expect(countOrders(seconds)).toBeLessThanOrEqual(150);
+  });
+
   it("replaces servers that crashed", () => {
     const seconds = simulate({
       work: () => 10,
--- a/packages/rhubarbstage-duties/__tests__/unit/scale_simulation.ts
+++ b/packages/rhubarbstage-duties/__tests__/unit/scale_simulation.ts
@@ -59,12 +59,12 @@
   /** On-demand servers in each zone at the start. */
   readonly initial?: number;
   readonly stages?: boolean;
-  /** At this second the zone with most spot servers loses them, ... */
-  readonly reclaimAt?: number;
+  /** At these seconds the zone with most spot servers loses them, ... */
+  readonly reclaims?: readonly number[];
   /** ... and has none to offer for this long. */
   readonly scarceFor?: number;
-  /** At this second the planner starts anew. */
-  readonly holderChangeAt?: number;
+  /** At these seconds the planner starts anew. */
+  readonly holderChanges?: readonly number[];
   /** At this second so many servers of the first zone crash. */
   readonly crash?: { readonly at: number; readonly servers: number };
   /** Result of a call instead of its execution. */
@@ -122,9 +122,9 @@
   }
 
   step(second: number): Second {
-    const { reclaimAt, holderChangeAt, crash } = this.#scenario;
-    if (second === reclaimAt) this.#reclaim(second);
-    if (second === holderChangeAt) this.#planner = new ScalePlanner();
+    const { reclaims, holderChanges, crash } = this.#scenario;
+    if (reclaims?.includes(second)) this.#reclaim(second);
+    if (holderChanges?.includes(second)) this.#planner = new ScalePlanner();
     if (second === crash?.at) this.#servers.splice(0, crash.servers);
     this.#servers = this.#servers.filter(({ goneAt }) => goneAt > second);
     this.#snapshots.push(this.#observable(second));
