--- a/packages/rhubarbstage-duties/src/mod.ts
+++ b/packages/rhubarbstage-duties/src/mod.ts
@@ -54,7 +54,6 @@
 export type { CustomersSince, UsageReporterOptions } from "./usage_reporter.ts";
 export { UsageReporter } from "./usage_reporter.ts";
 export type {
-  ObservedServers,
   ScaleControllerOptions,
   ScaledService,
 } from "./scale_controller.ts";
--- a/packages/rhubarbstage-duties/src/scale_controller.ts
+++ b/packages/rhubarbstage-duties/src/scale_controller.ts
@@ -30,28 +30,23 @@
 /** Time between two plans, in milliseconds. */
 const planInterval = 1_000;
 
-/** A service whose number of servers is not fixed. */
+/** A service whose number of servers is not fixed, as this host knows it. */
 export interface ScaledService {
   readonly service: ServiceName;
   readonly scaling: ServiceScaling;
   /** Requests that one server runs at the same time. */
   readonly slots: number;
-}
-
-/** Servers of a service as this host knows them. */
-export interface ObservedServers {
+  /** Availability zones in which servers may be ordered. */
+  readonly zones: readonly ScaledZone[];
   readonly servers: readonly ObservedServer[];
-  /** Age of the knowledge, in milliseconds. */
-  readonly age: number;
+  /** Age of what is known of the servers, in milliseconds. */
+  readonly stateAge: number;
 }
 
-/** What this host knows of the services and their servers. */
+/** Source of what this host knows of the scaled services. */
 export abstract class ScaledFleet {
-  /** Services of the configuration in force that are scaled. */
-  abstract services(): readonly ScaledService[];
-  /** Availability zones in which servers of the service may be ordered. */
-  abstract zones(service: ServiceName): readonly ScaledZone[];
-  abstract serversOf(service: ServiceName): ObservedServers;
+  /** Returns the services of the configuration in force that are scaled. */
+  abstract observe(): readonly ScaledService[];
 }
 
 /** Options of a {@linkcode ScaleController}. */
@@ -107,23 +102,14 @@
     if (!isObserving && !run.term.mayAct()) return;
     const live = polls.hosts();
     run.load.prune(live);
-    const services = fleet.services();
+    const services = fleet.observe();
     removeOthers(run.planners, services);
-    for (const { service, scaling, slots } of services) {
+    for (const observed of services) {
+      const { service } = observed;
       const planner = run.planners.get(service) ?? new ScalePlanner();
       run.planners.set(service, planner);
-      const { servers, age: stateAge } = fleet.serversOf(service);
       const loads = run.load.regionLoads(service, { live, now });
-      const decisions = planner.plan({
-        now,
-        service,
-        scaling,
-        slots,
-        zones: fleet.zones(service),
-        servers,
-        loads,
-        stateAge,
-      });
+      const decisions = planner.plan({ ...observed, now, loads });
       onNeeds?.(service, planner.needs());
       for (const decision of decisions) {
         void this.#send(decision, { planner, term: run.term });
--- a/packages/rhubarbstage-host/src/scaled_fleet.ts
+++ b/packages/rhubarbstage-host/src/scaled_fleet.ts
@@ -6,10 +6,8 @@
 
 import {
   type ObservedServer,
-  type ObservedServers,
   ScaledFleet,
   type ScaledService,
-  type ScaledZone,
 } from "@rhubarbstage/duties";
 import type {
   HostRecord,
@@ -17,7 +15,7 @@
   ServerView,
 } from "@rhubarbstage/membership";
 import type { RelayService, RouteTable } from "@rhubarbstage/relay";
-import type { AvailabilityZone, Region, ServiceName } from "rhubarbstage";
+import type { AvailabilityZone, Region } from "rhubarbstage";
 
 /**
  * Share of the servers whose evidence is at least as new as the age of the whole
@@ -30,7 +28,7 @@
   /** The route table in force. */
   readonly routeTable: () => Pick<RouteTable, "services"> | undefined;
   readonly membership: {
-    listServers(): readonly Pick<ServerView, "record" | "evidenceAge">[];
+    listServers(): readonly ObservedView[];
     listLiveHosts(): readonly HostRecord[];
   };
 }
@@ -44,63 +42,84 @@
     this.#options = options;
   }
 
-  override services(): readonly ScaledService[] {
-    const services = this.#options.routeTable()?.services ?? [];
-    return services.flatMap((service) => {
-      const { name, scaling } = service;
-      if (scaling === undefined) return [];
-      return [{ service: name, scaling, slots: this.#slotsOf(service) }];
-    });
+  override observe(): readonly ScaledService[] {
+    const { routeTable, membership } = this.#options;
+    const services = routeTable()?.services ?? [];
+    if (!services.some(({ scaling }) => scaling !== undefined)) return [];
+    const views = groupByService(membership.listServers());
+    const regions = this.#regions();
+    return services.flatMap((service) =>
+      toScaledService(service, {
+        views: views.get(service.name) ?? [],
+        regions,
+      })
+    );
   }
 
-  override zones(service: ServiceName): readonly ScaledZone[] {
-    const { membership, routeTable } = this.#options;
-    const regions = new Map<AvailabilityZone, Region>();
-    const hosts = membership.listLiveHosts();
-    for (const { availabilityZone, region } of hosts) {
-      regions.set(availabilityZone, region);
-    }
-    const used = new Set<AvailabilityZone>();
-    for (const { availabilityZone, region } of this.#recordsOf(service)) {
-      regions.set(availabilityZone, region);
-      used.add(availabilityZone);
-    }
-    const priced = routeTable()?.services
-      .find(({ name }) => name === service)?.scaling?.zonePrices;
-    // Without prices, servers are ordered where there are some.
-    const isScaled = (zone: AvailabilityZone) =>
-      used.has(zone) || priced?.has(zone) === true;
-    return [...regions].filter(([zone]) => isScaled(zone))
-      .map(([availabilityZone, region]) => ({ availabilityZone, region }));
+  /** Regions of the zones in which there are hosts or servers. */
+  #regions(): ReadonlyMap<AvailabilityZone, Region> {
+    const { membership } = this.#options;
+    const places = [
+      ...membership.listLiveHosts(),
+      ...membership.listServers().map(({ record }) => record),
+    ];
+    return new Map(
+      places.map(({ availabilityZone, region }) => [availabilityZone, region]),
+    );
   }
+}
 
-  override serversOf(service: ServiceName): ObservedServers {
-    const views = this.#options.membership.listServers()
-      .filter(({ record }) => runs(record, service));
-    const ages = views.map(({ evidenceAge }) => evidenceAge)
-      .sort((left, right) => left - right);
-    const age = ages[Math.floor((ages.length - 1) * agePercentile)] ?? 0;
-    return { servers: views.map(({ record }) => toObserved(record)), age };
-  }
+type ObservedView = Pick<ServerView, "record" | "evidenceAge">;
 
-  /** Plain servers announce how many requests they run. */
-  #slotsOf({ name, engine, maxConnections }: RelayService): number {
-    if (engine !== undefined) return engine.slots;
-    const capacities = this.#recordsOf(name).map(({ capacity }) => capacity)
-      .filter((capacity) => capacity > 0);
-    return capacities.length > 0 ? Math.min(...capacities) : maxConnections;
+function groupByService(
+  views: readonly ObservedView[],
+): ReadonlyMap<string, ObservedView[]> {
+  const groups = new Map<string, ObservedView[]>();
+  for (const view of views) {
+    const { models, services } = view.record;
+    for (const name of [...models, ...services]) {
+      const group = groups.get(name) ?? [];
+      group.push(view);
+      groups.set(name, group);
+    }
   }
+  return groups;
+}
 
-  #recordsOf(service: ServiceName): ServerRecord[] {
-    return this.#options.membership.listServers()
-      .map(({ record }) => record)
-      .filter((record) => runs(record, service));
-  }
+function toScaledService(
+  service: RelayService,
+  known: {
+    readonly views: readonly ObservedView[];
+    readonly regions: ReadonlyMap<AvailabilityZone, Region>;
+  },
+): ScaledService[] {
+  const { name, scaling, engine, maxConnections } = service;
+  const { views, regions } = known;
+  if (scaling === undefined) return [];
+  // Plain servers announce how many requests they run.
+  const capacities = views.map(({ record }) => record.capacity)
+    .filter((capacity) => capacity > 0);
+  const slots = engine?.slots ??
+    (capacities.length > 0 ? Math.min(...capacities) : maxConnections);
+  const used = new Set(views.map(({ record }) => record.availabilityZone));
+  // Without prices, servers are ordered where there are some.
+  const zones = [...regions]
+    .filter(([zone]) => used.has(zone) || scaling.zonePrices.has(zone))
+    .map(([availabilityZone, region]) => ({ availabilityZone, region }));
+  return [{
+    service: name,
+    scaling,
+    slots,
+    zones,
+    servers: views.map(({ record }) => toObserved(record)),
+    stateAge: ageOf(views),
+  }];
 }
 
-function runs({ models, services }: ServerRecord, name: ServiceName): boolean {
-  return services.includes(name) ||
-    (models as readonly string[]).includes(name);
+function ageOf(views: readonly ObservedView[]): number {
+  const ages = views.map(({ evidenceAge }) => evidenceAge)
+    .sort((left, right) => left - right);
+  return ages[Math.floor((ages.length - 1) * agePercentile)] ?? 0;
 }
 
 function toObserved(record: ServerRecord): ObservedServer {
