Measure the engine time of prompts without delays of hosts and paths

On a small twin of a deployment with 36 engines the load was a tenth of what they can compute, and the planner of servers ordered more of them: the time of a prompt as hosts see it contains paths and the delays of busy hosts.

--- a/packages/rhubarbstage-host/src/host_load.ts
+++ b/packages/rhubarbstage-host/src/host_load.ts
@@ -79,10 +79,14 @@
 ): ReadonlyMap<ServiceName, EngineDemand> {
   return new Map(
     [...models].map((
-      [model, { promptTimePerSecond = 0, streamTimePerSecond = 0 }],
-    ) => [
-      model as string as ServiceName,
-      { promptTime: promptTimePerSecond, streamTime: streamTimePerSecond },
-    ]),
+      [model, demand],
+    ) => {
+      const { promptTimePerSecond = 0, streamTimePerSecond = 0 } = demand;
+      const { computeTimePerSecond = promptTimePerSecond } = demand;
+      return [
+        model as string as ServiceName,
+        { promptTime: computeTimePerSecond, streamTime: streamTimePerSecond },
+      ];
+    }),
   );
 }
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -485,6 +485,7 @@
     shareEngineState: true,
     // An engine that gets an order refuses the work that it has queued.
     rolesFollowDemand: false,
+    shareComputeTime: settings.duties?.duties.includes("scaling") ?? false,
     kvFixedCost,
     kvCostPerToken,
     // A request that crashed servers is refused without waiting until its
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -214,6 +214,7 @@
   if (region !== state.region) return;
   const tokens = uncachedTokens;
   record.pool.speed.learnPromptTime({ tokens, role, elapsed });
+  record.pool.speed.learnComputeTime({ tokens, role, elapsed });
 }
 
 /** Handles the first token: updates estimates and cancels other attempts. */
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -39,6 +39,7 @@
   kvCostPerToken: 0.01,
   kvCrossRegionFactor: 10,
   kvBreakEven: 1.5,
+  shareComputeTime: false,
   rolesFollowDemand: true,
   roleFloor: 1,
   maxConcurrentRoleChanges: 1,
--- a/packages/rhubarbstage-policy/src/customer_limits.ts
+++ b/packages/rhubarbstage-policy/src/customer_limits.ts
@@ -22,6 +22,7 @@
   readonly prompt: DecayedSum;
   readonly output: DecayedSum;
   readonly promptTime: DecayedSum;
+  readonly computeTime: DecayedSum;
   readonly streamTime: DecayedSum;
 }
 
@@ -91,6 +92,8 @@
       readonly outputTokens: number;
       /** Engine time of the prompt in milliseconds; 0 if unknown. */
       readonly promptTime?: number;
+      /** Time for which the prompt occupies an engine; 0 if unknown. */
+      readonly computeTime?: number;
       /** Duration of the stream in milliseconds; 0 if unknown. */
       readonly streamTime?: number;
     },
@@ -102,6 +105,7 @@
         prompt: new DecayedSum(demandTimeConstant),
         output: new DecayedSum(demandTimeConstant),
         promptTime: new DecayedSum(demandTimeConstant),
+        computeTime: new DecayedSum(demandTimeConstant),
         streamTime: new DecayedSum(demandTimeConstant),
       };
       this.#modelDemand.set(model, counters);
@@ -109,6 +113,7 @@
     counters.prompt.add(work.promptTokens, now);
     counters.output.add(work.outputTokens, now);
     counters.promptTime.add(work.promptTime ?? 0, now);
+    counters.computeTime.add(work.computeTime ?? 0, now);
     counters.streamTime.add(work.streamTime ?? 0, now);
   }
 
@@ -132,6 +137,7 @@
         promptTokensPerSecond: demand.prompt.rate(now),
         outputTokensPerSecond: demand.output.rate(now),
         promptTimePerSecond: demand.promptTime.rate(now),
+        computeTimePerSecond: demand.computeTime.rate(now),
         streamTimePerSecond: demand.streamTime.rate(now),
       });
     }
--- a/packages/rhubarbstage-policy/src/engine_speed.ts
+++ b/packages/rhubarbstage-policy/src/engine_speed.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { ComputeTimeRegression } from "./compute_time.ts";
 import type { EngineRole } from "./types.ts";
 
 /**
@@ -36,6 +37,9 @@
 export class EngineSpeed {
   #tokenTime: Record<EngineRole, number> = { ...initialTokenTime };
   #fixedTime = initialFixedTime;
+  readonly #computeTime = new ComputeTimeRegression();
+  /** Time per token that the placing host has measured, in milliseconds. */
+  #adoptedComputeTime: number | undefined;
   #samples: Record<EngineRole | "fixed", number> = {
     prefill: 0,
     decode: 0,
@@ -48,6 +52,39 @@
     return tokens * this.#promptTokenTime(role);
   }
 
+  /**
+   * Milliseconds for which a prompt occupies a prefill engine, or any engine of
+   * a pool without such. Until it is known, the time until it is computed.
+   */
+  computeTime(tokens: number): number {
+    const time = this.computeTimePerToken;
+    return time === undefined ? this.promptTime(tokens, "prefill") : tokens *
+      Math.min(time, this.#promptTokenTime("prefill"));
+  }
+
+  /** Milliseconds for one token, measured here or by the placing host. */
+  get computeTimePerToken(): number | undefined {
+    return this.#computeTime.timePerToken ?? this.#adoptedComputeTime;
+  }
+
+  /** Adopts the time per token that the placing host has measured. */
+  adoptComputeTime(timePerToken: number): void {
+    if (timePerToken > 0) this.#adoptedComputeTime = timePerToken;
+  }
+
+  /** Learns from a prompt whose engine began it at a known time. */
+  learnComputeTime(
+    observation: {
+      readonly tokens: number;
+      readonly role: EngineRole;
+      readonly elapsed: number;
+    },
+  ): void {
+    const { tokens, role, elapsed } = observation;
+    // Decode engines compute prompts in between the tokens of their streams.
+    if (role !== "decode") this.#computeTime.add(tokens, elapsed);
+  }
+
   #promptTokenTime(role: EngineRole): number {
     if (this.#samples[role] > 0) return this.#tokenTime[role];
     return initialTokenTime[role] * this.#correctionOfOtherRoles();
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -70,6 +70,11 @@
   readonly kvCrossRegionFactor: number;
   /** Minimum saved prefill time for a move, as a multiple of its cost. */
   readonly kvBreakEven: number;
+  /**
+   * Whether placing hosts state for how long a prompt token occupies an engine, so
+   * that each host can measure the engine time of its demand.
+   */
+  readonly shareComputeTime: boolean;
   /**
    * Whether the split of shared engines follows the demand. Otherwise a pool keeps
    * its initial split.
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -153,10 +153,22 @@
   });
   for (const work of works) applyEngineWork(state, work, now);
   recordSends(state, route, now);
-  const placement = toPlacement(route, { works, rank: query.rank });
+  const placement = {
+    ...toPlacement(route, { works, rank: query.rank }),
+    ...statedComputeTime(state, poolState),
+  };
   return [{ type: "answer_placement", to, request, placement, works }];
 }
 
+function statedComputeTime(
+  { settings }: FleetState,
+  { speed: { computeTimePerToken } }: PoolState,
+): { readonly computeTimePerToken?: number } {
+  return settings.shareComputeTime && computeTimePerToken !== undefined
+    ? { computeTimePerToken }
+    : {};
+}
+
 function placeQuery(
   state: FleetState,
   pool: PoolState,
@@ -304,6 +316,9 @@
     uncachedTokens: forecast.uncachedTokens,
     expectedFirstToken: forecast.expectedFirstToken,
     wait: forecast.expectedWait,
+    ...(forecast.computeTimePerToken === undefined
+      ? {}
+      : { computeTimePerToken: forecast.computeTimePerToken }),
     works: works.map((work) => ({ ...work, rank, parts })),
   };
 }
--- a/packages/rhubarbstage-policy/src/routing.ts
+++ b/packages/rhubarbstage-policy/src/routing.ts
@@ -67,6 +67,8 @@
   readonly rank?: number;
   /** Expected wait for the prompts ahead on that engine, in milliseconds. */
   readonly wait?: number;
+  /** Milliseconds for which a prompt token occupies an engine, if stated. */
+  readonly computeTimePerToken?: number;
   /** Work already recorded by the host that placed the request. */
   readonly works?: readonly EngineWork[];
 }
--- a/packages/rhubarbstage-policy/src/shared_work.ts
+++ b/packages/rhubarbstage-policy/src/shared_work.ts
@@ -76,6 +76,10 @@
 /** Learns the speed of engines from work that another host has placed. */
 function adoptSpeed(pool: PoolState, route: Route): void {
   const { works = [], entry, prefill, uncachedTokens: tokens } = route;
+  const { computeTimePerToken } = route;
+  if (computeTimePerToken !== undefined) {
+    pool.speed.adoptComputeTime(computeTimePerToken);
+  }
   const computing = prefill ?? entry;
   for (const { server, milliseconds: elapsed } of works) {
     if (server !== computing.server.id || elapsed === 0) continue;
@@ -97,6 +101,7 @@
     promptTokens,
     outputTokens,
     promptTime: pool.speed.promptTime(promptTokens, "prefill"),
+    computeTime: pool.speed.computeTime(promptTokens),
     streamTime: outputTokens * pool.estimates.tokenInterval(0),
   }, now);
 }
@@ -179,7 +184,9 @@
 ): void {
   const { entry, pool, prompt, elapsed } = computed;
   const { id, role } = entry.server;
-  pool.speed.learnPromptTime({ tokens: prompt.uncachedTokens, role, elapsed });
+  const { uncachedTokens: tokens } = prompt;
+  pool.speed.learnPromptTime({ tokens, role, elapsed });
+  if (tokens > 0) pool.speed.learnComputeTime({ tokens, role, elapsed });
   if (prompt.milliseconds === 0) return;
   const ratio = Math.max(1, elapsed) / prompt.milliseconds;
   pool.slowServers.observe(id, { kind: "first_token", ratio }, now);
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -189,6 +189,11 @@
   readonly outputTokensPerSecond: number;
   /** Engine time of the prompts, in milliseconds per second, if measured. */
   readonly promptTimePerSecond?: number;
+  /**
+   * Time for which the prompts occupy engines, in milliseconds per second. Known
+   * to the host that measured it and not gossiped.
+   */
+  readonly computeTimePerSecond?: number;
   /** Duration of the streams, in milliseconds per second, if measured. */
   readonly streamTimePerSecond?: number;
 }
@@ -331,6 +336,8 @@
     readonly uncachedTokens: number;
     readonly expectedWait: number;
     readonly expectedFirstToken: number;
+    /** See `FleetSettings.shareComputeTime`. */
+    readonly computeTimePerToken?: number;
     readonly works: readonly PlacedWork[];
   }
   | {
