Store no state of duties before the first one is taken

The test of data stored by an earlier build failed: three new fields appeared in its restored state. Deployments without duties now store what they stored before.

--- a/packages/rhubarbstage-control/__tests__/unit/duties_test.ts
+++ b/packages/rhubarbstage-control/__tests__/unit/duties_test.ts
@@ -85,7 +85,7 @@
   for (let window = 1; window <= 100; window += 1) {
     agree(state, fence, { window, counts });
   }
-  expect(state.usage.size).toBe(64);
+  expect(state.duties?.usage.size).toBe(64);
   expect(agree(state, fence, { window: 2, counts: otherCounts }))
     .toEqual({ type: "left_out", last: 100 });
 });
@@ -104,8 +104,9 @@
 });
 
 test("a snapshot of a build without duties is restored", () => {
-  const { duties: _, usage: __, lastUsageWindow: ___, ...old } = machine
-    .snapshot(machine.initial()) as ControlState;
+  // No field of duties is stored before the first one is taken.
+  const old = machine.snapshot(machine.initial()) as ControlState;
+  expect(Object.keys(old)).not.toContain("duties");
   const state = machine.restore(decode(encode(old)));
   expect(take(state, "a", 4)).toBe(4);
   expect(controlQueries.usage(state)).toEqual({ open: [] });
--- a/packages/rhubarbstage-control/src/control_state.ts
+++ b/packages/rhubarbstage-control/src/control_state.ts
@@ -58,10 +58,16 @@
   engines: Map<BackendServerId, TrackedEngine>;
   /** Document in force by name. */
   documents: Map<string, VersionedDocument>;
+  /** Absent until the first duty is taken, and in snapshots of older builds. */
+  duties?: DutyState;
+}
+
+/** Holders of duties and agreed usage. */
+export interface DutyState {
   /** Holder by duty. */
-  duties: Map<string, DutyRecord>;
+  readonly holders: Map<string, DutyRecord>;
   /** Latest agreed usage windows by number, oldest first. */
-  usage: Map<number, AgreedUsage>;
+  readonly usage: Map<number, AgreedUsage>;
   /** Highest window that was agreed or left out; -1 before the first. */
   lastUsageWindow: number;
 }
@@ -82,9 +88,6 @@
     withdrawn: new Map(),
     engines: new Map(),
     documents: new Map(),
-    duties: new Map(),
-    usage: new Map(),
-    lastUsageWindow: -1,
   };
 }
 
@@ -100,10 +103,14 @@
     endedOrders: new Map(state.endedOrders),
     withdrawn: new Map(state.withdrawn),
     engines: new Map(state.engines),
-    // Snapshots of earlier versions have no documents and no duties.
+    // Snapshots of earlier versions have no documents.
     documents: new Map(state.documents ?? []),
-    duties: new Map(state.duties ?? []),
-    usage: new Map(state.usage ?? []),
-    lastUsageWindow: state.lastUsageWindow ?? -1,
+    ...(state.duties === undefined ? {} : {
+      duties: {
+        holders: new Map(state.duties.holders),
+        usage: new Map(state.duties.usage),
+        lastUsageWindow: state.duties.lastUsageWindow,
+      },
+    }),
   };
 }
--- a/packages/rhubarbstage-control/src/duties.ts
+++ b/packages/rhubarbstage-control/src/duties.ts
@@ -27,10 +27,16 @@
   { duty, holder, takeId }: Command<"take_duty">,
   index: number,
 ): DutyRecord {
-  const known = state.duties.get(duty);
+  state.duties ??= {
+    holders: new Map(),
+    usage: new Map(),
+    lastUsageWindow: -1,
+  };
+  const { holders } = state.duties;
+  const known = holders.get(duty);
   if (known?.takeId === takeId) return known;
   const record = { holder, takeId, fence: index as FencingNumber };
-  state.duties.set(duty, record);
+  holders.set(duty, record);
   return record;
 }
 
@@ -40,32 +46,33 @@
  * other counts.
  */
 export function agreeUsage(
-  state: ControlState,
+  { duties }: ControlState,
   { duty, fence, window, counts }: Command<"agree_usage">,
 ): UsageAgreementResult {
-  const known = state.usage.get(window);
+  const known = duties?.usage.get(window);
   if (known !== undefined) return { type: "agreed", usage: known };
-  if (state.duties.get(duty)?.fence !== fence) return { type: "not_holder" };
-  if (counts === undefined || window <= state.lastUsageWindow) {
-    state.lastUsageWindow = Math.max(state.lastUsageWindow, window);
-    return { type: "left_out", last: state.lastUsageWindow };
+  if (duties?.holders.get(duty)?.fence !== fence) return { type: "not_holder" };
+  if (counts === undefined || window <= duties.lastUsageWindow) {
+    duties.lastUsageWindow = Math.max(duties.lastUsageWindow, window);
+    return { type: "left_out", last: duties.lastUsageWindow };
   }
   const usage = { window, counts, accepted: false };
-  state.lastUsageWindow = window;
-  setBounded(state.usage, [window, usage], agreedUsageLimit);
+  duties.lastUsageWindow = window;
+  setBounded(duties.usage, [window, usage], agreedUsageLimit);
   return { type: "agreed", usage };
 }
 
 /** Records that the report of a window needs no further repeats. */
-export function acceptUsage(state: ControlState, window: number): void {
-  const usage = state.usage.get(window);
+export function acceptUsage({ duties }: ControlState, window: number): void {
+  const usage = duties?.usage.get(window);
   if (usage === undefined) return;
-  state.usage.set(window, { ...usage, accepted: true });
+  duties?.usage.set(window, { ...usage, accepted: true });
 }
 
 /** Returns the last window and the agreed windows that are not accepted. */
-export function readUsage(state: ControlState): UsageAgreements {
-  const open = [...state.usage.values()].filter(({ accepted }) => !accepted);
-  const { lastUsageWindow: last } = state;
+export function readUsage({ duties }: ControlState): UsageAgreements {
+  if (duties === undefined) return { open: [] };
+  const open = [...duties.usage.values()].filter(({ accepted }) => !accepted);
+  const { lastUsageWindow: last } = duties;
   return last < 0 ? { open } : { last, open };
 }
--- a/packages/rhubarbstage-duties/__tests__/unit/failures_test.ts
+++ b/packages/rhubarbstage-duties/__tests__/unit/failures_test.ts
@@ -186,7 +186,7 @@
   system.a.calls.reportUsage = () =>
     Promise.resolve({ type: "not_sent", message: "killed first" });
   await system.time.run(5_000);
-  expect(system.group.state.usage.size).toBeGreaterThanOrEqual(2);
+  expect(system.group.state.duties?.usage.size).toBeGreaterThanOrEqual(2);
   system.a.restart();
   system.group.elect(system.b);
   await system.time.run(20_000);
