Begin usage reports with the window after the configuration was committed

The holder reads a new route table up to 700 ms after its commit, and skipped a window that began in between. It now counts from the applied publication.

--- a/packages/rhubarbstage-host/src/host_usage.ts
+++ b/packages/rhubarbstage-host/src/host_usage.ts
@@ -16,6 +16,12 @@
 import type { Transport } from "@rhubarbstage/transport";
 import type { Clock, CustomerId, Incarnation } from "rhubarbstage";
 
+/**
+ * Maximum time from the commit of a route table until a control host has read
+ * it, in milliseconds: two polls and a round trip between regions.
+ */
+const maxReadDelay = 2_000;
+
 /** Route table as far as usage needs it. */
 type CustomerTable = RouteTable & {
   readonly customers?: readonly { readonly name: CustomerId }[];
@@ -36,6 +42,8 @@
   readonly #recorder: UsageRecorder;
   #customers: ReadonlySet<CustomerId> = new Set();
   #customersSince: CustomersSince = "unknown";
+  /** Monotonic time at which a publication was applied on this host. */
+  #publishedAt = -Infinity;
 
   constructor(options: HostUsageOptions) {
     this.#clock = options.clock;
@@ -48,11 +56,21 @@
     return this.#customersSince;
   }
 
+  /**
+   * Handles a publication that this host's replica has applied. Reports begin
+   * with the window after it, not with the one after the table was read.
+   */
+  handlePublication(): void {
+    this.#publishedAt = this.#clock.monotonicMilliseconds();
+  }
+
   setRouteTable({ customers }: CustomerTable): void {
     this.#customers = new Set(customers?.map(({ name }) => name));
     if (customers === undefined) this.#customersSince = "none";
     else if (typeof this.#customersSince === "string") {
-      this.#customersSince = this.#clock.monotonicMilliseconds();
+      const now = this.#clock.monotonicMilliseconds();
+      const isRecent = now - this.#publishedAt <= maxReadDelay;
+      this.#customersSince = isRecent ? this.#publishedAt : now;
     }
   }
 
--- a/packages/rhubarbstage-host/src/relay_duties.ts
+++ b/packages/rhubarbstage-host/src/relay_duties.ts
@@ -68,6 +68,9 @@
     clock,
   });
   if (duties.includes("usage_report")) {
+    controlSeat.onApplied(({ command }) => {
+      if (command.type === "publish") usage.handlePublication();
+    }, { signal });
     new UsageReporter({
       holder,
       calls,
