--- a/packages/rhubarbstage-duties/src/scale_controller.ts
+++ b/packages/rhubarbstage-duties/src/scale_controller.ts
@@ -16,6 +16,7 @@
 import { observationTime, ScalePlanner } from "./scale_planner.ts";
 import type {
   ObservedServer,
+  RegionLoad,
   ScaleDecision,
   ScaledZone,
   ServiceScaling,
@@ -27,6 +28,8 @@
   ServerOrder,
 } from "./types.ts";
 
+/** Time between two records of the load and the need, in milliseconds. */
+const loadRecordInterval = 5_000;
 /** Time between two plans, in milliseconds. */
 const planInterval = 1_000;
 
@@ -90,7 +93,7 @@
     const planners = new Map<ServiceName, ScalePlanner>();
     polls.onOutcome((outcome) => load.observe(outcome), { signal });
     const startedAt = this.#clock.monotonicMilliseconds();
-    const run = { term, load, planners, startedAt };
+    const run = { term, load, planners, startedAt, recordedAt: startedAt };
     every(interval, () => this.#plan(run), { signal });
   }
 
@@ -103,6 +106,8 @@
     const live = polls.hosts();
     run.load.prune(live);
     const services = fleet.observe();
+    const isRecordDue = now - run.recordedAt >= loadRecordInterval;
+    if (isRecordDue) run.recordedAt = now;
     removeOthers(run.planners, services);
     for (const observed of services) {
       const { service } = observed;
@@ -110,13 +115,36 @@
       run.planners.set(service, planner);
       const loads = run.load.regionLoads(service, { live, now });
       const decisions = planner.plan({ ...observed, now, loads });
-      onNeeds?.(service, planner.needs());
+      const needs = planner.needs();
+      onNeeds?.(service, needs);
+      if (isRecordDue) this.#recordLoads(service, loads, needs);
       for (const decision of decisions) {
         void this.#send(decision, { planner, term: run.term });
       }
     }
   }
 
+  /** Records what the plans are made from. */
+  #recordLoads(
+    service: ServiceName,
+    loads: readonly RegionLoad[],
+    needs: ReadonlyMap<Region, number>,
+  ): void {
+    for (const load of loads) {
+      this.#options.onEvent?.("service_load", {
+        service,
+        region: load.region,
+        prompt_time: Math.round(load.promptTime),
+        stream_time: Math.round(load.streamTime),
+        busy_time: Math.round(load.busyTime),
+        arrivals: Math.round(load.arrivals),
+        refusals: Math.round(load.refusals),
+        unreachable: load.unreachableHosts,
+        servers_needed: needs.get(load.region) ?? 0,
+      });
+    }
+  }
+
   async #send(
     { order, reason }: ScaleDecision,
     sender: { readonly planner: ScalePlanner; readonly term: DutyTerm },
@@ -146,6 +174,8 @@
   readonly load: FleetLoad;
   readonly startedAt: number;
   readonly planners: Map<ServiceName, ScalePlanner>;
+  /** Monotonic time of the last record of the load, in milliseconds. */
+  recordedAt: number;
 }
 
 /** Forgets the plans of services that are no longer scaled. */
