Count decode engines when the need for servers is computed

On a small twin with 36 engines the holder ordered more servers although the load took 1.1 to 2.2 engines a region: all prompts were assigned to the third of the engines that only compute prompts, while decode engines compute them as well, at half the speed. The load now counts as observed from the first request on, not from the first empty report, and one order may lower half of a region's servers. 135 tests of duties pass; the test of the controller looks for the first order among the events, since the load is recorded before it.

--- a/packages/rhubarbstage-duties/__tests__/unit/scale_controller_test.ts
+++ b/packages/rhubarbstage-duties/__tests__/unit/scale_controller_test.ts
@@ -160,7 +160,8 @@
     await jest.advanceTimersByTimeAsync(10_000);
     expect(calls.sent.length).toBeGreaterThan(0);
     expect(calls.sent[0]).toMatchObject({ fence: 7, order: { spot: false } });
-    expect(events[0]).toMatchObject({ reason: "lower", result: "accepted" });
+    const orders = events.filter((fields) => "reason" in fields);
+    expect(orders[0]).toMatchObject({ reason: "lower", result: "accepted" });
     term.controller.abort();
   });
 
--- a/packages/rhubarbstage-duties/src/capacity_need.ts
+++ b/packages/rhubarbstage-duties/src/capacity_need.ts
@@ -42,6 +42,8 @@
 const reserveDecayInterval = 30_000;
 const maxReserve = 2;
 
+/** Speed at which a decode engine computes prompts, relative to a prefill engine. */
+const decodePrefillSpeed = 0.5;
 /** Least share of a stage that counts: the split of a few engines is coarse. */
 const minStageShare = 0.25;
 
@@ -149,11 +151,12 @@
   if (prefillShare === undefined) {
     return Math.max(computing, streaming) + running;
   }
-  // Engines of one stage don't take the work of the other, and servers come and
-  // go in the present split.
+  // Servers come and go in the present split. Prefill engines run no streams, but
+  // decode engines compute the prompts that prefill engines have no time for.
   const share = Math.min(
     1 - minStageShare,
     Math.max(minStageShare, prefillShare),
   );
-  return Math.max(computing / share, streaming / (1 - share)) + running;
+  const computingCapacity = share + (1 - share) * decodePrefillSpeed;
+  return computing / computingCapacity + streaming / (1 - share) + running;
 }
--- a/packages/rhubarbstage-duties/src/lowering.ts
+++ b/packages/rhubarbstage-duties/src/lowering.ts
@@ -15,7 +15,7 @@
 import { largestSpotCount, type MixRequirement } from "./server_mix.ts";
 
 /** Share of a region's serving servers that one order may drain. */
-const maxStepShare = 0.25;
+const maxStepShare = 0.5;
 /** Engines of each stage in use that a region keeps. */
 const stageFloor = 2;
 
--- a/packages/rhubarbstage-duties/src/scale_planner.ts
+++ b/packages/rhubarbstage-duties/src/scale_planner.ts
@@ -75,7 +75,8 @@
    */
   plan(observation: ScaleObservation): ScaleDecision[] {
     const { now, loads } = observation;
-    if (loads.length > 0) this.#observedSince ??= now;
+    // Before the first requests nothing is known of the load.
+    if (loads.some(({ arrivals }) => arrivals > 0)) this.#observedSince ??= now;
     const plans = buildRegionPlans(observation, this.#orders);
     const prefillShare = prefillShareOf(plans);
     for (const plan of plans) this.#observe(plan, observation, prefillShare);
