--- a/packages/rhubarbstage-host/src/forwarding_service.ts
+++ b/packages/rhubarbstage-host/src/forwarding_service.ts
@@ -13,7 +13,7 @@
   type ServerConnections,
 } from "@rhubarbstage/relay";
 import type { Transport } from "@rhubarbstage/transport";
-import type { BackendServerId, HostId } from "rhubarbstage";
+import { type BackendServerId, type HostId, MemoryBudget } from "rhubarbstage";
 import {
   type ForwardedPart,
   forwardedPart,
@@ -44,6 +44,8 @@
   readonly probe: (server: BackendServerId) => Promise<ProbeResult>;
   /** Requests that are forwarded at the same time. */
   readonly maxRequests: number;
+  /** Memory for their bodies; unlimited by default. */
+  readonly budget?: MemoryBudget;
   readonly onForward?: (exchange: {
     /** Id that the caller sent for its attempt; empty if it sent none. */
     readonly request: string;
@@ -56,11 +58,13 @@
 /** Answers the hosts that ask for help. */
 export class ForwardingService {
   readonly #options: ForwardingServiceOptions;
+  readonly #budget: MemoryBudget;
   readonly #running = new Set<ForwardedResponse>();
   #onIdle: () => void = () => {};
 
   constructor(options: ForwardingServiceOptions) {
     this.#options = options;
+    this.#budget = options.budget ?? new MemoryBudget();
     const { transport } = options;
     transport.onRequest(
       forwardingOffer,
@@ -113,6 +117,13 @@
       return { type: "refused", reason: "unknown_server" };
     }
     const { peer } = caller;
+    const lease = this.#budget.open();
+    // The message and the copy that is sent, and a window of the response.
+    const { length = 0 } = forwarded.body ?? [];
+    if (!lease.grow(2 * length + forwardingWindowBytes)) {
+      lease.close();
+      return { type: "refused", reason: "busy" };
+    }
     onForward?.({ request: forwarded.requestId ?? "", server: id, peer });
     const response = new ForwardedResponse({
       id: forwarded.id,
@@ -130,6 +141,7 @@
         )
       );
     } finally {
+      lease.close();
       this.#running.delete(response);
       if (this.#running.size === 0) this.#onIdle();
     }
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -7,9 +7,13 @@
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import {
+  budgetForMemory,
+  CallerConnections,
+  connectionsForDescriptors,
   delay,
   type HostId,
   type Incarnation,
+  MemoryBudget,
   SystemClock,
 } from "rhubarbstage";
 import { DocumentClient } from "@rhubarbstage/control";
@@ -119,6 +123,11 @@
     return host;
   }
 
+  /** Memory of the process for callers and servers. */
+  get budget(): MemoryBudget {
+    return this.#components.budget;
+  }
+
   /** Records an event of the process that runs the host. */
   recordEvent(
     event: string,
@@ -171,7 +180,9 @@
   async #listen(): Promise<void> {
     const { settings, relay, readiness, metrics, events } = this.#components;
     if (settings.callers !== undefined) {
-      const listener = new RelayListener(relay);
+      const listener = new RelayListener(relay, {
+        connections: this.#components.callerConnections,
+      });
       this.#components.readiness.onRouteTable = (table) =>
         listener.configure(table.limits);
       await listener.listen(settings.callers);
@@ -224,14 +235,29 @@
     fields: { host: label },
   });
   const timeline = new Timeline({ host, incarnation, ringEvents });
+  const { memoryBytes, maxDescriptors } = settings;
+  const budget = new MemoryBudget(
+    memoryBytes === undefined
+      ? {}
+      : { limitBytes: budgetForMemory(memoryBytes) },
+  );
+  const callerConnections = new CallerConnections(
+    maxDescriptors === undefined
+      ? {}
+      : { maxConnections: connectionsForDescriptors(maxDescriptors) },
+  );
+  const metrics = new Metrics();
+  metrics.addMemory({ budget, connections: callerConnections });
   return {
+    budget,
+    callerConnections,
     settings,
     options,
     clock: new SystemClock(),
     logger,
     timeline,
     events: new HostEvents({ logger, timeline }),
-    metrics: new Metrics(),
+    metrics,
     stopController: createStopController(),
     incarnation,
   };
@@ -333,6 +359,7 @@
     telemetry: serving.telemetry,
     readiness,
     retryRatio: settings.retryBudget.ratio * retryBudgetShare,
+    budget: context.budget,
     onLoad: (server, load) =>
       registry.updateLoad(server, {
         runningRequests: load.running,
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -54,4 +54,8 @@
   /** Minimum time from a leader's last order to the next leader's first one. */
   readonly orderHandoverDelay: number;
   readonly logLevel: LogLevel;
+  /** Memory that the process may use, in bytes; unlimited if absent. */
+  readonly memoryBytes?: number;
+  /** Descriptors that the process may open; unlimited if absent. */
+  readonly maxDescriptors?: number;
 }
--- a/packages/rhubarbstage-host/src/relay_parts.ts
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -16,7 +16,12 @@
 } from "@rhubarbstage/relay";
 import type { Logger, Metrics, Timeline } from "@rhubarbstage/telemetry";
 import type { PeerTransport } from "@rhubarbstage/transport";
-import type { Clock, Incarnation } from "rhubarbstage";
+import type {
+  CallerConnections,
+  Clock,
+  Incarnation,
+  MemoryBudget,
+} from "rhubarbstage";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { ForwardingService } from "./forwarding_service.ts";
 import type { HostEvents } from "./host_events.ts";
@@ -44,6 +49,9 @@
   readonly metrics: Metrics;
   readonly stopController: AbortController;
   readonly incarnation: Incarnation;
+  /** Memory of everything that is held for callers and servers. */
+  readonly budget: MemoryBudget;
+  readonly callerConnections: CallerConnections;
 }
 
 /** Components of a running relay host. */
--- a/packages/rhubarbstage-host/src/relay_server_paths.ts
+++ b/packages/rhubarbstage-host/src/relay_server_paths.ts
@@ -132,6 +132,7 @@
         caller_request: request,
         ...exchange,
       }),
+    budget: context.budget,
     signal,
   });
   return { connections, paths, forwarding, forwardingService, probes };
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -22,7 +22,11 @@
   type Clock,
   type CustomerId,
   errorKinds,
+  MemoryBudget,
+  type MemoryLease,
   type ModelName,
+  readRequestBody,
+  refuseRequest,
   type RequestId,
   RhubarbstageError,
   type SoftwareVersion,
@@ -73,6 +77,8 @@
     server: BackendServerAddress,
   ) => Promise<boolean>;
   readonly origins: AnswerOrigins;
+  /** Memory for bodies and answers; unlimited by default. */
+  readonly budget?: MemoryBudget;
   readonly clock?: Clock;
 }
 
@@ -92,6 +98,7 @@
 export class Relay {
   readonly #options: RelayOptions;
   readonly #clock: Clock;
+  readonly #budget: MemoryBudget;
   readonly #requests = new OpenRequestTracker();
   /** Distinguishes request ids of this process from those of an earlier one. */
   readonly #idPrefix = Date.now().toString(36);
@@ -101,6 +108,7 @@
   constructor(options: RelayOptions) {
     this.#options = options;
     this.#clock = options.clock ?? new SystemClock();
+    this.#budget = options.budget ?? new MemoryBudget();
   }
 
   /** The current route table, if one was set. */
@@ -143,15 +151,20 @@
     }
     // Connection errors are handled through "close".
     response.on("error", () => {});
+    const lease = this.#budget.open();
     try {
       await this.#serveRequest(
-        { incoming, response, request, arrivedAt },
+        { incoming, response, request, arrivedAt, lease },
         gone.signal,
       );
     } catch (thrown) {
-      this.#answerError(response, { request, thrown });
+      this.#answerError(incoming, response, { request, thrown });
     } finally {
+      if (!response.writableFinished && lease.heldBytes > 0) {
+        lease.allowEviction(() => incoming.socket.destroy());
+      }
       await waitForResponseClose(response, callerStallTimeout);
+      lease.close();
       this.#requests.remove(request);
     }
   }
@@ -162,10 +175,11 @@
       response: ServerResponse;
       request: RequestId;
       arrivedAt: number;
+      lease: MemoryLease;
     },
     signal: AbortSignal,
   ): Promise<void> {
-    const { incoming, response, request, arrivedAt } = call;
+    const { incoming, response, request, arrivedAt, lease } = call;
     const { dialect, dispatcher, connections } = this.#options;
     if (!this.#options.readiness.acceptsWork()) {
       throw new RhubarbstageError("shutting_down");
@@ -174,10 +188,18 @@
     const index = this.#requireIndex();
     const route = findRoute(index, incoming);
     const limit = index.table.limits.maxBodyBytes;
-    const [body, origin] = await Promise.all([
-      readBody(incoming, { limit, signal }),
-      this.#findOrigin(route, { request, metadata }),
-    ]);
+    const { callerTimeout = Infinity } = metadata;
+    const timeout = Math.min(callerTimeout, route.timeout);
+    const findingOrigin = this.#findOrigin(route, { request, metadata });
+    // Awaited after the body, whose failure comes first.
+    findingOrigin.catch(() => {});
+    const body = await readRequestBody(incoming, {
+      limit,
+      signal,
+      lease,
+      timeout,
+    });
+    const origin = await findingOrigin;
     const service = this.#selectService(index, {
       request,
       route,
@@ -193,7 +215,7 @@
       arrivedAt,
       ...(origin?.service === service.name ? { origin } : {}),
     });
-    const reply = new Reply(response);
+    const reply = new Reply(response, lease);
     const run = new RelayRun(dispatcher, {
       request: relayRequest,
       reply,
@@ -218,7 +240,12 @@
         events,
       });
     } catch (thrown) {
-      this.#handleFailure(relayRequest, run, { thrown, reply, response });
+      this.#handleFailure(relayRequest, run, {
+        thrown,
+        reply,
+        incoming,
+        response,
+      });
     }
   }
 
@@ -398,9 +425,14 @@
   #handleFailure(
     relayRequest: RelayRequest,
     run: RelayRun,
-    failure: { thrown: unknown; reply: Reply; response: ServerResponse },
+    failure: {
+      thrown: unknown;
+      reply: Reply;
+      incoming: IncomingMessage;
+      response: ServerResponse;
+    },
   ): void {
-    const { thrown, reply, response } = failure;
+    const { thrown, reply, incoming, response } = failure;
     const { request } = relayRequest.work;
     if (thrown instanceof CallerDisconnectedError) {
       this.#recordEnd(relayRequest, run, { result: "caller_gone" });
@@ -420,7 +452,7 @@
       outcome: error.outcome,
       cause: error.cause instanceof Error ? error.cause.message : "",
     });
-    this.#answerError(response, { request, thrown: error });
+    this.#answerError(incoming, response, { request, thrown: error });
   }
 
   #recordEnd(
@@ -445,6 +477,7 @@
   }
 
   #answerError(
+    incoming: IncomingMessage,
     response: ServerResponse,
     failure: { request: RequestId; thrown: unknown },
   ): void {
@@ -471,7 +504,7 @@
         error.retryAfterSeconds ?? defaultRetryAfter,
       );
     }
-    response.writeHead(status, headers).end(body);
+    refuseRequest(incoming, response, { status, headers, body });
   }
 
   #nextRequestId(): RequestId {
@@ -513,25 +546,3 @@
     .update(body)
     .digest("base64");
 }
-
-async function readBody(
-  incoming: IncomingMessage,
-  options: { readonly limit: number; readonly signal: AbortSignal },
-): Promise<Buffer> {
-  const { limit, signal } = options;
-  const declared = Number(incoming.headers["content-length"] ?? 0);
-  if (declared > limit) throw new RhubarbstageError("body_too_large");
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of incoming) {
-      chunks.push(chunk as Buffer);
-      size += (chunk as Buffer).length;
-      if (size > limit) throw new RhubarbstageError("body_too_large");
-    }
-  } catch (thrown) {
-    if (signal.aborted) throw signal.reason;
-    throw thrown;
-  }
-  return chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks);
-}
--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -7,13 +7,17 @@
 import type { Server } from "node:http";
 import type { Socket } from "node:net";
 import fastify, { type FastifyInstance } from "fastify";
-import { readArrivedBytes } from "rhubarbstage";
+import { CallerConnections, readArrivedBytes } from "rhubarbstage";
 import { requestTimeout } from "./constants.ts";
 import type { Relay } from "./relay.ts";
 import type { CallerLimits } from "./types.ts";
 
-/** Largest head of a request that is accepted, in bytes. */
+/** Largest head of a request before limits are configured, in bytes. */
 const maxHeaderBytes = 65_536;
+/** The same as a multiple of the configured limit. */
+const headMargin = 2;
+/** Smallest limit of heads that can be configured, in bytes. */
+const minHeaderBytes = 16_384;
 /** Path to which every request is rewritten; the relay has its own routes. */
 const catchAllPath = "/";
 /**
@@ -32,13 +36,21 @@
 export class RelayListener {
   readonly #server: FastifyInstance;
 
-  constructor(relay: Relay) {
+  constructor(
+    relay: Relay,
+    options: {
+      /** Limits the connections; by default, their number is not limited. */
+      readonly connections?: CallerConnections;
+    } = {},
+  ) {
+    const { connections = new CallerConnections() } = options;
     this.#server = fastify({
       routerOptions: { ignoreTrailingSlash: false },
       // The path is relayed byte for byte, so the router must not parse it.
       rewriteUrl: () => catchAllPath,
       forceCloseConnections: "idle",
       return503OnClosing: false,
+      // The relay reads bodies itself, with the limit of the configuration.
       bodyLimit: Number.MAX_SAFE_INTEGER,
       keepAliveTimeout: 15_000 + timeoutMargin,
       // Of the options for Node.js, fastify overrides this one.
@@ -48,6 +60,7 @@
     this.#server.server.on("timeout", (socket: Socket) => {
       void closeIfSilent(socket);
     });
+    connections.attach(this.#server.server as Server);
     this.#server.removeAllContentTypeParsers();
     this.#server.addContentTypeParser(
       "*",
@@ -56,13 +69,21 @@
     this.#server.all(catchAllPath, (request, reply) => {
       reply.hijack();
       request.raw.url = request.originalUrl;
-      void relay.handle(request.raw, reply.raw);
+      connections.run(
+        request.raw,
+        () => relay.handle(request.raw, reply.raw),
+      );
     });
   }
 
   /** Applies the timeouts of the current limits. */
   configure(limits: CallerLimits): void {
-    const server = this.#server.server as Server;
+    const server = this.#server.server as Server & { maxHeaderSize?: number };
+    // Read by Node.js for each new connection.
+    server.maxHeaderSize = Math.min(
+      maxHeaderBytes,
+      Math.max(minHeaderBytes, limits.maxHeaderBytes * headMargin),
+    );
     server.keepAliveTimeout = limits.idleTimeout + timeoutMargin;
     server.headersTimeout = limits.headerTimeout + timeoutMargin;
   }
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -296,15 +296,23 @@
 
   async #relayResponse(response: AttemptResponse): Promise<RelayResult> {
     const { attempt, status, headers } = response;
+    const { reply } = this.#options;
     const chunks: Buffer[] = [];
     let size = 0;
+    let kept = 0;
     for await (const chunk of response.body) {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= bufferedResponseBytes) continue;
+      // Without memory for the whole, the caller gets it as it comes.
+      if (size <= bufferedResponseBytes && reply.keep(chunk.length)) {
+        kept += chunk.length;
+        continue;
+      }
       for (const buffered of chunks.splice(0)) {
         await this.#deliver(response, buffered);
       }
+      reply.release(kept);
+      kept = 0;
     }
     if (this.#replyOwner === attempt) {
       for (const buffered of chunks) await this.#deliver(response, buffered);
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -80,7 +80,7 @@
 
 /** Limits for callers. */
 export interface CallerLimits {
-  /** Not enforced: the listener applies its own limit to heads. */
+  /** The listener accepts heads of up to twice as many bytes. */
   readonly maxHeaderBytes: number;
   /** Bytes. */
   readonly maxBodyBytes: number;
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -12,8 +12,10 @@
   Registry,
 } from "prom-client";
 import type {
+  CallerConnections,
   CustomerId,
   ErrorKind,
+  MemoryBudget,
   Revision,
   ServiceName,
 } from "rhubarbstage";
@@ -285,6 +287,55 @@
     this.#timelineDropped.set(events);
   }
 
+  /** Adds gauges of the memory and connections that callers take. */
+  addMemory(sources: {
+    readonly budget: MemoryBudget;
+    readonly connections: CallerConnections;
+  }): void {
+    const { budget, connections } = sources;
+    this.#addSampled(
+      "memory_budget_used_bytes",
+      "Memory held for callers and servers",
+      () => budget.usedBytes,
+    );
+    this.#addSampled(
+      "memory_budget_limit_bytes",
+      "Memory that may be held for callers and servers",
+      () => budget.limitBytes,
+    );
+    this.#addSampled(
+      "memory_refusals",
+      "Times that memory was refused since the start",
+      () => budget.refusals,
+    );
+    this.#addSampled(
+      "memory_evictions",
+      "Requests and answers that gave way to others since the start",
+      () => budget.evictions,
+    );
+    this.#addSampled(
+      "caller_connections",
+      "Open connections of callers",
+      () => connections.open,
+    );
+    this.#addSampled(
+      "caller_connections_closed",
+      "Connections that gave way to others since the start",
+      () => connections.closed,
+    );
+  }
+
+  #addSampled(name: string, help: string, sample: () => number): void {
+    new Gauge({
+      name: `rhubarbstage_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(sample());
+      },
+    });
+  }
+
   #addCustomerGauge(): void {
     const customers = this.#customers;
     new Gauge({
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -44,3 +44,12 @@
 export { SeededRandom } from "./random.ts";
 export { delay, every } from "./abort.ts";
 export { readArrivedBytes } from "./event_loop.ts";
+export type { MemoryBudgetOptions, MemoryLease } from "./memory_budget.ts";
+export { budgetForMemory, MemoryBudget } from "./memory_budget.ts";
+export type { Refusal, RequestBodyOptions } from "./request_body.ts";
+export { readRequestBody, refuseRequest } from "./request_body.ts";
+export type { CallerConnectionsOptions } from "./caller_connections.ts";
+export {
+  CallerConnections,
+  connectionsForDescriptors,
+} from "./caller_connections.ts";
