--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -246,6 +246,7 @@
   readonly settings?: Partial<FleetSettings>;
   /** Roles of the servers, if they are engines. */
   readonly roles?: readonly EngineRole[];
+  readonly maxBodyBytes?: number;
   /** Whether a server still accepts work after the prefill. */
   readonly acceptsNewWork?: (server: BackendServerId) => boolean;
   /** Whether a server has ended; by default, if it refuses connections. */
@@ -314,7 +315,7 @@
     }],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000_000,
+      maxBodyBytes: options.maxBodyBytes ?? 1_000_000,
       headerTimeout: 3_000,
       idleTimeout: 15_000,
     },
