Reject answers whose status is none or whose end is unknown

An upload that waits in the process hid the reset of an answer without length, 600 and more passed, and a status below 100 failed an assertion whose first message parses the bundle.

--- a/packages/rhubarbstage-engine/src/exchange.ts
+++ b/packages/rhubarbstage-engine/src/exchange.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import { AnswerStatusError, isAnswerStatus } from "rhubarbstage";
 import type { Dispatcher } from "undici";
 import { joinedChunksLimit, streamBufferLimit } from "./constants.ts";
 
@@ -79,10 +80,16 @@
   }
 
   onResponseStart(
-    _controller: Dispatcher.DispatchController,
+    controller: Dispatcher.DispatchController,
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
+    if (!isAnswerStatus(status)) {
+      const error = new AnswerStatusError(status);
+      this.#fail(error);
+      controller.abort(error);
+      return;
+    }
     if (status >= 200) this.#settleHead.resolve({ status, headers });
   }
 
--- a/packages/rhubarbstage-host/src/forwarded_exchange.ts
+++ b/packages/rhubarbstage-host/src/forwarded_exchange.ts
@@ -12,7 +12,12 @@
   type ExchangeResponse,
 } from "@rhubarbstage/relay";
 import { type Transport, TransportError } from "@rhubarbstage/transport";
-import type { BackendServerId, HostId } from "rhubarbstage";
+import {
+  AnswerStatusError,
+  type BackendServerId,
+  type HostId,
+  isAnswerStatus,
+} from "rhubarbstage";
 import {
   type ForwardedPart,
   forwardedRequest,
@@ -151,6 +156,9 @@
 
   #receiveHead(head: NonNullable<ForwardedPart["head"]>): void {
     const { status, headers } = head;
+    if (status < 200 || !isAnswerStatus(status)) {
+      return this.#cancel(new AnswerStatusError(status));
+    }
     this.#pendingHead?.resolve({
       status,
       headers,
--- a/packages/rhubarbstage-relay/src/exchange.ts
+++ b/packages/rhubarbstage-relay/src/exchange.ts
@@ -5,6 +5,7 @@
  */
 
 import { Buffer } from "node:buffer";
+import { AnswerStatusError, isAnswerStatus } from "rhubarbstage";
 import type { Dispatcher } from "undici";
 import { maxWholeBodyBytes } from "./constants.ts";
 import type { Dialect } from "./dialect.ts";
@@ -184,6 +185,10 @@
       },
       onHeaders: (status: number, rawHeaders: Buffer[], resume: () => void) => {
         this.#activity?.touch();
+        if (!isAnswerStatus(status)) {
+          this.#cancel(new AnswerStatusError(status));
+          return true;
+        }
         if (status < 200) return true;
         this.#resume = resume;
         const headers = rawHeaders.map((item) => item.toString("latin1"));
--- a/packages/rhubarbstage-relay/src/reset_detector.ts
+++ b/packages/rhubarbstage-relay/src/reset_detector.ts
@@ -50,7 +50,11 @@
       if (code === "ECONNRESET") this.#markReset();
     });
     socket.prependListener("end", () => {
-      if (this.closeDelimitedResponses === 0 || !socket.writable) return;
+      if (this.closeDelimitedResponses === 0) return;
+      // Bytes that wait to be sent hide a reset, and a server that has not read
+      // its whole request cannot be known to have sent its whole response.
+      if (socket.writableLength > 0) this.#markReset();
+      if (!socket.writable) return;
       // Succeeds after an orderly end, fails at once after a reset.
       socket.write(emptyLine);
       if (socket.errored !== null) this.#markReset();
--- a/packages/rhubarbstage-service/__tests__/unit/odd_status_test.ts
+++ b/packages/rhubarbstage-service/__tests__/unit/odd_status_test.ts
@@ -41,3 +41,23 @@
     expect(result.type).toBe("unknown");
   },
 );
+
+// Guards against a truncated answer that is kept as the outcome of a call.
+test("a part that is cut during the upload leaves the outcome unknown", async () => {
+  server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.once("data", () => {
+      socket.pause();
+      socket.write("HTTP/1.1 200 OK\r\n\r\npart", () => socket.end());
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as AddressInfo;
+  const body = Buffer.alloc(20_000_000);
+  const result = await sendOnce(
+    `http://127.0.0.1:${port}`,
+    { ...request, body },
+    { mayWrite: () => true, maxResponseBytes: 1_000, responseTimeout: 5_000 },
+  );
+  expect(result.type).toBe("unknown");
+});
--- a/packages/rhubarbstage-service/src/repeatable_client.ts
+++ b/packages/rhubarbstage-service/src/repeatable_client.ts
@@ -4,7 +4,12 @@
  * @module
  */
 
-import { RhubarbstageError } from "rhubarbstage";
+import {
+  AnswerStatusError,
+  checkAnswerStatus,
+  isAnswerStatus,
+  RhubarbstageError,
+} from "rhubarbstage";
 import { Agent } from "undici";
 import { connectTimeout } from "./constants.ts";
 import { endToEndHeaders } from "./headers.ts";
@@ -46,7 +51,12 @@
         body: request.body.byteLength > 0 ? request.body : null,
         signal: options.signal,
         headersTimeout: options.timeout,
+        onInfo: ({ statusCode }) => checkAnswerStatus(statusCode),
       });
+      if (!isAnswerStatus(response.statusCode)) {
+        response.body.on("error", () => {}).destroy();
+        throw new AnswerStatusError(response.statusCode);
+      }
       const headers = endToEndHeaders(response.headers);
       return { status: response.statusCode, headers, body: response.body };
     } catch (error) {
--- a/packages/rhubarbstage-service/src/single_send.ts
+++ b/packages/rhubarbstage-service/src/single_send.ts
@@ -6,6 +6,7 @@
 
 import { connect, type Socket } from "node:net";
 import { createHash } from "node:crypto";
+import { checkAnswerStatus } from "rhubarbstage";
 import { Client } from "undici";
 import { connectTimeout, outcomeHeader } from "./constants.ts";
 import { endToEndHeaders } from "./headers.ts";
@@ -82,9 +83,10 @@
       message: "Sending was refused once the connection was open",
     };
   }
+  const isCutShort = watchForReset(socket);
   const client = singleConnectionClient(address, socket);
   try {
-    return await exchange(client, request, options);
+    return await exchange(client, request, { ...options, isCutShort });
   } catch (error) {
     const message = messageOf(error);
     // `bytesWritten` includes bytes that are still buffered in Node.js.
@@ -96,6 +98,19 @@
   }
 }
 
+/**
+ * Returns whether a connection was reset, or ended before its request was sent. The
+ * HTTP client takes either for the end of a response without length.
+ */
+function watchForReset(socket: Socket): () => boolean {
+  let isCutShort = false;
+  socket.prependListener("error", () => isCutShort = true);
+  socket.prependListener("end", () => {
+    if (socket.writableLength > 0) isCutShort = true;
+  });
+  return () => isCutShort;
+}
+
 function openSocket(address: string): Promise<Socket> {
   return new Promise((resolve, reject) => {
     const socket = connect({
@@ -153,7 +168,7 @@
 async function exchange(
   client: Client,
   request: ServiceRequest,
-  options: SendOptions,
+  options: SendOptions & { readonly isCutShort: () => boolean },
 ): Promise<SendResult> {
   const signal = AbortSignal.timeout(options.responseTimeout);
   const response = await client.request({
@@ -163,12 +178,19 @@
     body: request.body,
     reset: true,
     signal,
+    onInfo: ({ statusCode }) => checkAnswerStatus(statusCode),
   });
   const status = response.statusCode;
+  checkAnswerStatus(status);
+  const isCloseDelimited = response.headers["content-length"] === undefined &&
+    response.headers["transfer-encoding"] === undefined;
   const headers = endToEndHeaders(response.headers);
   const notRun = headers[outcomeHeader] === "not_run";
   try {
     const read = await readBody(response.body, options.maxResponseBytes);
+    if (isCloseDelimited && options.isCutShort()) {
+      throw new Error("The connection was lost before the response was whole");
+    }
     if (read.body === undefined) {
       return { type: "too_large", status, digest: read.digest };
     }
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -39,6 +39,11 @@
   ManualClock,
   SystemClock,
 } from "./clock.ts";
+export {
+  AnswerStatusError,
+  checkAnswerStatus,
+  isAnswerStatus,
+} from "./answer_status.ts";
 export { hashText } from "./hash.ts";
 export { Reducer } from "./reducer.ts";
 export { SeededRandom } from "./random.ts";
