Bound messages of unknown peers and join bodies at the gateway

A connection without authentication could keep a frame of 16 MB; it is closed beyond 262,144 bytes. The gateway joins small chunks, and readiness and metrics take 64 connections.

--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -6,7 +6,7 @@
 
 import "reflect-metadata";
 import { randomUUID } from "node:crypto";
-import type { Server } from "node:http";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import { type DynamicModule, Module } from "@nestjs/common";
 import { NestFactory } from "@nestjs/core";
@@ -14,10 +14,12 @@
   FastifyAdapter,
   type NestFastifyApplication,
 } from "@nestjs/platform-fastify";
-import type { FastifyInstance, FastifyReply } from "fastify";
+import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import {
   delay,
+  MemoryBudget,
   readArrivedBytes,
+  readRequestBody,
   type RequestId,
   RhubarbstageError,
 } from "rhubarbstage";
@@ -152,7 +154,10 @@
     application.useGlobalFilters(new ErrorFilter(dependencies.telemetry));
     const server: FastifyInstance = adapter.getInstance();
     addOpenCallWait(server);
-    configureServer(server, access);
+    configureServer(server, {
+      access,
+      bodyLimit: options.bodyLimit ?? defaultBodyLimit,
+    });
     await application.init();
     const protocol = options.tls ? "https:" : "http:";
     return new Gateway(application, { requests, protocol });
@@ -208,12 +213,25 @@
   });
 }
 
-function configureServer(server: FastifyInstance, access: AccessControl): void {
+function configureServer(
+  server: FastifyInstance,
+  options: { readonly access: AccessControl; readonly bodyLimit: number },
+): void {
+  const { access, bodyLimit } = options;
+  // The access control reserves memory for the body before it is read, so the
+  // budget has no limit of its own.
+  const budget = new MemoryBudget();
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
     "*",
-    { parseAs: "buffer" },
-    (_request, body, done) => done(null, body),
+    async (_request: FastifyRequest, payload: IncomingMessage) => {
+      const lease = budget.open();
+      try {
+        return await readRequestBody(payload, { limit: bodyLimit, lease });
+      } finally {
+        lease.close();
+      }
+    },
   );
   server.addHook("onRequest", (request, reply, done) => {
     try {
--- a/packages/rhubarbstage-host/src/plain_listener.ts
+++ b/packages/rhubarbstage-host/src/plain_listener.ts
@@ -5,6 +5,10 @@
  */
 
 import { createServer, type Server } from "node:http";
+import { CallerConnections } from "rhubarbstage";
+
+/** Connections at the same time: a few readers, and a reserve. */
+const maxConnections = 64;
 
 /**
  * Calls `answer` for any path and method; closing drops connections. Throws if
@@ -20,6 +24,7 @@
     const { status, body } = await answer();
     response.writeHead(status, { "content-type": "text/plain" }).end(body);
   });
+  new CallerConnections({ maxConnections }).attach(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(endpoint.port, endpoint.address, resolve);
--- a/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
+++ b/packages/rhubarbstage-transport/__tests__/integration/peer_transport_test.ts
@@ -55,6 +55,20 @@
 });
 
 describe("PeerTransport", () => {
+  // Guards against strangers that fill the memory of a host with a message that
+  // never ends.
+  test("keeps no long message of a peer that is not authenticated", async () => {
+    const { address } = await listen(first, { handshakeTimeout: 50_000 });
+    const socket = new WebSocket(`ws://${address.address}:${address.port}/`);
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    socket.on("error", () => {});
+    socket.once(
+      "open",
+      () => socket.send(Buffer.alloc(1_048_576), { fin: false }),
+    );
+    await closed;
+  });
+
   // Guards against lost or mismatched answers and a second link.
   test("uses one link for requests and messages in both directions", async () => {
     const left = await listen(first);
--- a/packages/rhubarbstage-transport/src/constants.ts
+++ b/packages/rhubarbstage-transport/src/constants.ts
@@ -52,6 +52,13 @@
 /** Maximum frame size before authentication, in bytes. */
 export const maxHandshakeBytes = 1_024;
 
+/**
+ * Maximum bytes that an accepted connection may send before its authentication:
+ * the head of the upgrade, the handshake and what was read with its end. A frame
+ * of `maxFrameBytes` would otherwise be kept for each of them.
+ */
+export const maxUnauthenticatedBytes = 262_144;
+
 /** Maximum one-way messages queued for a connection to one host. */
 export const maxMessagesWhileDialling = 64;
 
--- a/packages/rhubarbstage-transport/src/peer_transport.ts
+++ b/packages/rhubarbstage-transport/src/peer_transport.ts
@@ -7,7 +7,7 @@
 import { createServer as createHttpServer } from "node:http";
 import type { RequestListener, Server } from "node:http";
 import { createServer as createHttpsServer } from "node:https";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import type { HostId, HybridLogicalClock, Incarnation } from "rhubarbstage";
 import { WebSocket, WebSocketServer } from "ws";
 import {
@@ -20,6 +20,7 @@
   defaultRequestTimeout,
   maxFrameBytes,
   maxMessagesWhileDialling,
+  maxUnauthenticatedBytes,
   maxUnauthenticatedConnections,
   minTokenLength,
 } from "./constants.ts";
@@ -136,7 +137,9 @@
       perMessageDeflate: false,
       maxPayload: maxFrameBytes,
     });
-    this.#socketServer.on("connection", (socket) => void this.#accept(socket));
+    this.#socketServer.on("connection", (socket, { socket: connection }) => {
+      void this.#accept(socket, connection);
+    });
     this.#socketServer.on("error", () => {});
   }
 
@@ -364,7 +367,7 @@
     });
   }
 
-  async #accept(socket: WebSocket): Promise<void> {
+  async #accept(socket: WebSocket, connection: Socket): Promise<void> {
     if (this.#unauthenticated >= maxUnauthenticatedConnections) {
       this.#traffic.rejected += 1;
       socket.on("error", () => {});
@@ -372,6 +375,10 @@
       return;
     }
     this.#unauthenticated += 1;
+    const checkBytes = () => {
+      if (connection.bytesRead > maxUnauthenticatedBytes) socket.terminate();
+    };
+    connection.on("data", checkBytes);
     try {
       await this.#authenticate(socket, {
         isDialled: false,
@@ -380,6 +387,7 @@
     } catch {
       this.#traffic.rejected += 1;
     } finally {
+      connection.off("data", checkBytes);
       this.#unauthenticated -= 1;
     }
   }
