--- a/packages/rhubarbstage-host/__tests__/unit/exchange_forwarding_test.ts
+++ b/packages/rhubarbstage-host/__tests__/unit/exchange_forwarding_test.ts
@@ -10,6 +10,7 @@
   type BackendServerId,
   delay,
   type HostId,
+  MemoryBudget,
   type Region,
 } from "rhubarbstage";
 import type { HostRecord } from "@rhubarbstage/membership";
@@ -81,6 +82,7 @@
   readonly knowsServer?: boolean;
   readonly probe?: ProbeResult;
   readonly maxRequests?: number;
+  readonly budget?: MemoryBudget;
 }
 
 class TestHosts {
@@ -125,6 +127,7 @@
       acceptsWork: changes.acceptsWork ?? (() => true),
       probe: () => Promise.resolve(changes.probe ?? "answered"),
       maxRequests: changes.maxRequests ?? 10,
+      ...(changes.budget === undefined ? {} : { budget: changes.budget }),
       signal: this.signal,
     });
     const forwarding = new ExchangeForwarding({
@@ -177,6 +180,34 @@
   expect(hosts.sent[0]?.request.body?.toString()).toBe("ten litres");
 });
 
+// Guards against a status that is none and comes through a host of another version.
+test.each([0, 99, 101, 600])("status %i is no response", async (status) => {
+  const { forwarding } = hosts.start("cut");
+  const sound = await respondShortly(request, hosts.signal);
+  hosts.start("near", {
+    sendDirect: () => Promise.resolve({ ...sound, status }),
+  });
+  await expect(send(forwarding)).rejects.toMatchObject({
+    name: "ExchangeError",
+    maybeDelivered: true,
+  });
+});
+
+// Guards against requests of other hosts that no memory is counted for.
+test("a host without memory sends nothing for others", async () => {
+  const { forwarding } = hosts.start("cut");
+  const budget = new MemoryBudget({ limitBytes: 300_000 });
+  hosts.start("near", { budget });
+  await readText(await send(forwarding));
+  const other = budget.open();
+  other.grow(100_000);
+  await expect(send(forwarding)).rejects.toMatchObject({
+    maybeDelivered: false,
+  });
+  expect(hosts.sent).toHaveLength(1);
+  expect(budget.usedBytes).toBe(100_000);
+});
+
 test("asks entry hosts of the region first and control hosts last", async () => {
   const { forwarding } = hosts.start("cut");
   hosts.start("control", { servesCallers: false });
