--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -66,4 +66,8 @@
   /** Absent where the platform takes no calls. */
   readonly duties?: DutySettings;
   readonly logLevel: LogLevel;
+  /** Memory that the process may use, in bytes; unlimited if absent. */
+  readonly memoryBytes?: number;
+  /** Descriptors that the process may open; unlimited if absent. */
+  readonly maxDescriptors?: number;
 }
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -39,8 +39,22 @@
   ManualClock,
   SystemClock,
 } from "./clock.ts";
+export {
+  AnswerStatusError,
+  checkAnswerStatus,
+  isAnswerStatus,
+} from "./answer_status.ts";
 export { hashText } from "./hash.ts";
 export { Reducer } from "./reducer.ts";
 export { SeededRandom } from "./random.ts";
 export { delay, every } from "./abort.ts";
 export { readArrivedBytes } from "./event_loop.ts";
+export type { MemoryBudgetOptions, MemoryLease } from "./memory_budget.ts";
+export { budgetForMemory, MemoryBudget } from "./memory_budget.ts";
+export type { Refusal, RequestBodyOptions } from "./request_body.ts";
+export { readRequestBody, refuseRequest } from "./request_body.ts";
+export type { CallerConnectionsOptions } from "./caller_connections.ts";
+export {
+  CallerConnections,
+  connectionsForDescriptors,
+} from "./caller_connections.ts";
