Let customers compete for the slots of a region's engines

A query that found no free slot was refused, whoever asked, and engines got more streams than slots, so that urgent answers came late. With customers in the route table, queries now wait at the placing host for up to an eighth of their target, ordered by rank, recent use of a fair share and time left; refusals give ordered retry delays.

--- a/packages/rhubarbstage-gateway/src/dispatcher.ts
+++ b/packages/rhubarbstage-gateway/src/dispatcher.ts
@@ -265,6 +265,7 @@
       case "announce_work_end":
       case "request_placement":
       case "answer_placement":
+      case "cancel_placement":
         return this.#effectHandler.shareEngineWork(effect);
       case "note":
         return this.telemetry.recordEvent(effect.event, effect.fields);
--- a/packages/rhubarbstage-host/src/placement_exchange.ts
+++ b/packages/rhubarbstage-host/src/placement_exchange.ts
@@ -8,12 +8,13 @@
 import { every, type HostId, type Region, type RequestId } from "rhubarbstage";
 import type { Dispatcher } from "@rhubarbstage/gateway/dispatch";
 import type { Membership } from "@rhubarbstage/membership";
-import type {
-  EngineWork,
-  EngineWorkEffect,
-  EngineWorkEnd,
-  Placement,
-  PlacementQuery,
+import {
+  type EngineWork,
+  type EngineWorkEffect,
+  type EngineWorkEnd,
+  maxHoldFraction,
+  type Placement,
+  type PlacementQuery,
 } from "@rhubarbstage/policy";
 import {
   type LinkChange,
@@ -55,6 +56,14 @@
   readonly isForwarded: boolean;
 }
 
+/** A query of this host without its last answer. */
+interface OpenQuery {
+  readonly query: PlacementQuery;
+  /** Host that was asked; undefined if the query could not be sent. */
+  readonly to: HostId | undefined;
+  timer: ReturnType<typeof setTimeout> | undefined;
+}
+
 interface AnswerMessage {
   readonly request: RequestId;
   readonly placement: Placement;
@@ -62,6 +71,8 @@
 
 const queryMessage = messageType<PlacementQuery>("placement_query");
 const answerMessage = messageType<AnswerMessage>("placement_answer");
+/** Ends a query whose request has ended; ignored by earlier versions. */
+const cancelMessage = messageType<RequestId>("placement_cancel");
 const workMessage = messageType<WorkMessage>("engine_work");
 const pathProbe = requestType<null, null>("path_probe");
 
@@ -96,7 +107,9 @@
   /** Host that places the region's work; undefined until the first check. */
   #placingHost: HostId | undefined;
   readonly #suspicions = new Map<HostId, Suspicion>();
-  readonly #queries = new Map<RequestId, ReturnType<typeof setTimeout>>();
+  readonly #queries = new Map<RequestId, OpenQuery>();
+  /** Limits of the queries that wait at this host. */
+  readonly #heldTimers = new Set<ReturnType<typeof setTimeout>>();
   #unansweredQueries = 0;
   readonly #activeWork = new Map<EngineWork["id"], ActiveWork>();
   #unsent: (EngineWork | EngineWorkEnd)[] = [];
@@ -135,9 +148,13 @@
       case "answer_placement": {
         const { to, request, placement, works } = effect;
         const body = { request, placement };
-        this.#options.transport.send(answerMessage, { to, body });
+        if (placement.type === "waiting") this.#limitHold(placement.limit);
+        if (to === this.#options.host) this.#receiveAnswer(body, to);
+        else this.#options.transport.send(answerMessage, { to, body });
         return this.#forward(works);
       }
+      case "cancel_placement":
+        return this.#cancel(effect.request);
     }
   }
 
@@ -151,12 +168,11 @@
     transport.onMessage(queryMessage, (query, { host: from }) => {
       dispatcher.notify({ type: "placement_requested", from, query });
     });
-    transport.onMessage(answerMessage, ({ request, placement }, { host }) => {
-      clearTimeout(this.#queries.get(request));
-      this.#queries.delete(request);
-      if (host === this.#placingHost) this.#unansweredQueries = 0;
-      this.#suspicions.delete(host);
-      dispatcher.notify({ type: "placement_received", request, placement });
+    transport.onMessage(cancelMessage, (request, { host: from }) => {
+      dispatcher.notify({ type: "placement_cancelled", from, request });
+    });
+    transport.onMessage(answerMessage, (answer, { host }) => {
+      this.#receiveAnswer(answer, host);
     });
     transport.onMessage(workMessage, ({ works, isForwarded }) => {
       for (const work of works) {
@@ -223,21 +239,92 @@
   }
 
   #query(query: PlacementQuery): void {
-    const { transport } = this.#options;
-    const { request } = query;
+    const { host: self, transport, dispatcher } = this.#options;
+    const { request, customer } = query;
     const to = this.#placingHost;
+    if (this.#isLocal && customer !== undefined) {
+      const open: OpenQuery = { query, to: self, timer: undefined };
+      this.#queries.set(request, open);
+      this.#setTimer(open, queryTimeout);
+      return dispatcher.notify({
+        type: "placement_requested",
+        from: self,
+        query,
+      });
+    }
     const isSent = to !== undefined && !this.#isLocal &&
       transport.send(queryMessage, { to, body: query });
-    const wait = isSent ? queryTimeout : 0;
-    const timer = setTimeout(() => {
-      this.#queries.delete(request);
-      if (isSent) this.#countUnanswered(to);
-      this.#options.dispatcher.notify({
-        type: "placement_unanswered",
-        request,
-      });
+    const open: OpenQuery = {
+      query,
+      to: isSent ? to : undefined,
+      timer: undefined,
+    };
+    this.#queries.set(request, open);
+    this.#setTimer(open, isSent ? queryTimeout : 0);
+  }
+
+  #setTimer(open: OpenQuery, wait: number): void {
+    clearTimeout(open.timer);
+    open.timer = setTimeout(() => {
+      const { to } = open;
+      if (to !== undefined && to !== this.#options.host) {
+        this.#countUnanswered(to);
+      }
+      this.#giveUp(open);
     }, wait);
-    this.#queries.set(request, timer);
+  }
+
+  /** Makes the policy choose the engines of a query's request itself. */
+  #giveUp({ query: { request }, timer }: OpenQuery): void {
+    clearTimeout(timer);
+    if (!this.#queries.delete(request)) return;
+    this.#options.dispatcher.notify({ type: "placement_unanswered", request });
+  }
+
+  #receiveAnswer({ request, placement }: AnswerMessage, host: HostId): void {
+    const open = this.#queries.get(request);
+    if (host === this.#placingHost) this.#unansweredQueries = 0;
+    this.#suspicions.delete(host);
+    if (placement.type === "waiting") {
+      if (open?.to !== host) return;
+      // Not held longer than its target allows, whatever the other host says.
+      const limit = Math.min(
+        placement.limit,
+        open.query.firstTokenTarget * maxHoldFraction,
+      );
+      return this.#setTimer(open, limit + queryTimeout);
+    }
+    clearTimeout(open?.timer);
+    this.#queries.delete(request);
+    this.#options.dispatcher.notify({
+      type: "placement_received",
+      request,
+      placement,
+    });
+  }
+
+  /** Ends a query whose request has ended. */
+  #cancel(request: RequestId): void {
+    const { host: self, transport, dispatcher } = this.#options;
+    const open = this.#queries.get(request);
+    if (open === undefined) return;
+    clearTimeout(open.timer);
+    this.#queries.delete(request);
+    const { to } = open;
+    if (to === self) {
+      dispatcher.notify({ type: "placement_cancelled", from: self, request });
+    } else if (to !== undefined) {
+      transport.send(cancelMessage, { to, body: request });
+    }
+  }
+
+  /** Lets the policy end the hold of a query that waits at this host. */
+  #limitHold(limit: number): void {
+    const timer = setTimeout(() => {
+      this.#heldTimers.delete(timer);
+      this.#options.dispatcher.notify({ type: "placement_due" });
+    }, limit);
+    this.#heldTimers.add(timer);
   }
 
   #countUnanswered(host: HostId): void {
@@ -277,6 +364,10 @@
       isRemote: placingHost !== self,
     });
     this.#announceActiveWork();
+    // The answers of a host that places no longer may never come.
+    for (const open of [...this.#queries.values()]) {
+      if (open.query.customer !== undefined) this.#giveUp(open);
+    }
   }
 
   /** Tells a new placing host of the work that this host has sent before. */
@@ -323,7 +414,9 @@
 
   #stop(): void {
     clearTimeout(this.#firstProbe);
-    for (const timer of this.#queries.values()) clearTimeout(timer);
+    for (const { timer } of this.#queries.values()) clearTimeout(timer);
     this.#queries.clear();
+    for (const timer of this.#heldTimers) clearTimeout(timer);
+    this.#heldTimers.clear();
   }
 }
--- a/packages/rhubarbstage-policy/src/engine_queue.ts
+++ b/packages/rhubarbstage-policy/src/engine_queue.ts
@@ -69,15 +69,22 @@
     if (running === undefined) return 0;
     let wait = 0;
     for (const [id, prompt] of this.#prompts) {
-      if (id === running.id) {
-        const { milliseconds } = prompt;
-        const remaining = milliseconds - (now - running.startedAt);
-        wait += Math.max(remaining, milliseconds * minRemainingFraction);
-      } else if (prompt.rank <= rank) wait += prompt.milliseconds;
+      if (id === running.id) wait += remainingTime(prompt, running, now);
+      else if (prompt.rank <= rank) wait += prompt.milliseconds;
     }
     return wait;
   }
 
+  /** Milliseconds until the running prompt is computed; 0 without one. */
+  runningTime(now: number): number {
+    this.#advance(now);
+    const running = this.#running;
+    const prompt = running && this.#prompts.get(running.id);
+    return running === undefined || prompt === undefined
+      ? 0
+      : remainingTime(prompt, running, now);
+  }
+
   /** Returns a queued or running prompt; undefined once it has ended. */
   find(id: EngineWorkId): QueuedPrompt | undefined {
     return this.#prompts.get(id);
@@ -166,3 +173,12 @@
     return best;
   }
 }
+
+function remainingTime(
+  { milliseconds }: QueuedPrompt,
+  { startedAt }: RunningPrompt,
+  now: number,
+): number {
+  const remaining = milliseconds - (now - startedAt);
+  return Math.max(remaining, milliseconds * minRemainingFraction);
+}
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -91,6 +91,10 @@
   readonly suspect: boolean;
   /** Present if the answer has begun. */
   readonly answerOrigin?: AnswerOrigin;
+  /** Whether engines get no more streams than they have slots. */
+  readonly isStrict?: boolean;
+  /** Longest queue at the request's rank, behind the running prompt. */
+  readonly maxWait?: number;
 }
 
 /** Options of {@linkcode toEngineRequirements}. */
@@ -152,11 +156,12 @@
   const blocks = promptBlocks(request.promptParts);
   const requirements = serverRequirements(request);
   const tokenInterval = view.estimates.tokenInterval(initialTokenInterval);
-  for (const entry of consideredMembers(view)) {
+  for (const entry of consideredMembers(view, request)) {
     if (!isEligible(view, requirements, entry)) continue;
     const cost = costOn(view, request, { entry, speed, blocks });
-    if (entry.server.role === "prefill") prefilling.push(cost);
-    else if (!mayContinue(entry.server, request.answerOrigin)) continue;
+    if (entry.server.role === "prefill") {
+      if (mayJoinQueue(view, request, cost)) prefilling.push(cost);
+    } else if (!mayContinue(entry.server, request.answerOrigin)) continue;
     else if (hasFreeSlot(view, request, entry)) {
       generating.push(addStreamCost(view, request, { cost, tokenInterval }));
     }
@@ -178,7 +183,10 @@
   };
 }
 
-function* consideredMembers(view: RoutingView): Generator<ServerEntry> {
+function* consideredMembers(
+  view: RoutingView,
+  { isStrict }: EngineRequirements,
+): Generator<ServerEntry> {
   const { members } = view.pool;
   if (members.size <= maxRemoteEngines) {
     yield* members.values();
@@ -187,6 +195,8 @@
   const local: ServerEntry[] = [];
   const remote: ServerEntry[] = [];
   for (const entry of members.values()) {
+    // A sample might miss the few engines with a free slot.
+    if (isStrict === true && !mayServe(entry, view.now)) continue;
     (entry.server.region === view.region ? local : remote).push(entry);
   }
   yield* sampleRun(view, local, maxLocalEngines);
@@ -256,6 +266,7 @@
   request: EngineRequirements,
   entry: ServerEntry,
 ): boolean {
+  if (request.isStrict === true) return hasFreeStream(entry, view.now);
   const { oversubscriptionFactor, priorityOvercommit } = view.settings;
   const factor = oversubscriptionFactor +
     (request.rank === 0 ? priorityOvercommit : 0);
@@ -263,6 +274,24 @@
   return entry.streams.running(view.now) + entry.queue.size < slots;
 }
 
+/** Whether an engine has fewer streams, dispatched or running, than slots. */
+export function hasFreeStream(entry: ServerEntry, now: number): boolean {
+  return entry.streams.count(now) < entry.server.capacity;
+}
+
+function mayJoinQueue(
+  { now }: RoutingView,
+  { maxWait }: EngineRequirements,
+  { entry, wait }: EngineCost,
+): boolean {
+  return maxWait === undefined ||
+    wait - entry.queue.runningTime(now) <= maxWait;
+}
+
+function mayServe(entry: ServerEntry, now: number): boolean {
+  return entry.server.role === "prefill" || hasFreeStream(entry, now);
+}
+
 /** Options in which the generating engine also computes the prompt. */
 function* directOptions(
   view: RoutingView,
@@ -274,6 +303,7 @@
 ): Generator<RouteOption> {
   const { generating, speed } = engines;
   for (const cost of generating) {
+    if (!mayJoinQueue(view, request, cost)) continue;
     const { entry, uncachedTokens, compute, path, stream } = cost;
     const { rank, wait, expectedFirstToken } = queueForecast(view, request, {
       engine: cost,
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -48,7 +48,13 @@
   slotsUsedAbovePriority,
 } from "./fleet_state.ts";
 import { Policy } from "./policy.ts";
-import { dequeue, dispatchPool, enqueue, waitingCount } from "./scheduling.ts";
+import {
+  cancelQuery,
+  dequeue,
+  dispatchPool,
+  enqueue,
+  waitingCount,
+} from "./scheduling.ts";
 import { decideSharedRoles } from "./engine_roles.ts";
 import {
   answerQuery,
@@ -56,6 +62,11 @@
   placeLocally,
   receivePlacement,
 } from "./placement.ts";
+import {
+  answerCustomerQuery,
+  forgetQuery,
+  serveQueues,
+} from "./placement_competition.ts";
 import { createRefusalNote, refuse } from "./refusals.ts";
 import type { LimitChange } from "./request_limits.ts";
 import { mayContinue } from "./routing.ts";
@@ -148,9 +159,14 @@
         return [];
       case "work_ended":
         endSharedWork(state, event, event.now);
-        return [];
+        return serveQueues(state, event.now);
       case "placement_requested":
-        return answerQuery(state, event, event.now);
+        return onPlacementRequested(state, event);
+      case "placement_cancelled":
+        forgetQuery(state, event);
+        return [];
+      case "placement_due":
+        return serveQueues(state, event.now);
       case "placement_received":
         return receivePlacement(state, event, event.now);
       case "placement_unanswered":
@@ -188,6 +204,19 @@
   }
 }
 
+function onPlacementRequested(
+  state: FleetState,
+  event: EventOf<"placement_requested">,
+): PolicyEffect[] {
+  const { query, now } = event;
+  const pool = state.table.pools.get(`model ${query.model}`);
+  if (query.customer === undefined || pool === undefined) {
+    return answerQuery(state, event, now);
+  }
+  const poolState = poolStateOf(state, pool, query.model);
+  return answerCustomerQuery(state, poolState, event, now);
+}
+
 function onArrived(state: FleetState, work: Work, now: number): PolicyEffect[] {
   const { request, settings } = work;
   const scope = budgetScopeOf(work);
@@ -264,7 +293,7 @@
   }
   const hasQueue = !view.hasFreeSlot || view.costAhead > 0;
   if (hasQueue) record.uncorrectedWait = uncorrectedWait(view);
-  const infeasible = state.isPlacementRemote
+  const infeasible = state.isPlacementRemote || work.budgetScope !== undefined
     ? undefined
     : findInfeasibleRequest(state, record, now);
   if (infeasible !== undefined) {
@@ -401,10 +430,15 @@
   if (record.attempts.size > 0 && !isCancellable(record.work)) return [];
   dequeue(record);
   state.requests.delete(event.request);
+  const cancelled = cancelQuery(state, event.request);
   const cancels = [...record.attempts.values()].map((attempt) =>
     cancelAttempt(state, attempt, "caller_gone", event.now)
   );
-  return [...cancels, ...dispatchPool(state, record.pool, event.now)];
+  return [
+    ...cancelled,
+    ...cancels,
+    ...dispatchPool(state, record.pool, event.now),
+  ];
 }
 
 function onProgress(
@@ -594,6 +628,7 @@
     ...popDueRefusals(state, now),
     ...expire(state, now),
     ...startDueHedges(state, now),
+    ...serveQueues(state, now),
     ...moveStreams(state, now),
   ];
   for (const pool of state.poolStates.values()) {
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -48,6 +48,7 @@
   sharedPartsOf,
   type Work,
 } from "./types.ts";
+import type { PlacementCompetition } from "./placement_competition.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
 /** Regions from which servers are sampled; deployments have three. */
@@ -211,6 +212,8 @@
   isPlacementRemote: boolean;
   /** Requests that wait for an answer to their placement query. */
   readonly placing: Map<RequestId, RequestRecord>;
+  /** Competition for engines by pool, if customers are identified. */
+  readonly competitions: Map<string, PlacementCompetition>;
   /** Ends of local engine work to announce to other hosts after this event. */
   readonly endedWork: EngineWorkEnd[];
   readonly deadlines: TinyQueue<Timer<RequestRecord>>;
@@ -265,6 +268,7 @@
     roundTrips: new Map(),
     isPlacementRemote: false,
     placing: new Map(),
+    competitions: new Map(),
     endedWork: [],
     deadlines: newTimerQueue(),
     hedges: newTimerQueue(),
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -10,6 +10,7 @@
 export type { FleetOptions, FleetState } from "./fleet_state.ts";
 export type { NaiveOptions, NaiveState } from "./naive_policy.ts";
 export { NaivePolicy } from "./naive_policy.ts";
+export { maxHoldFraction } from "./placement_competition.ts";
 export { Policy } from "./policy.ts";
 export { PrefixMap } from "./prefix_map.ts";
 export { budgetScopeOf, isCancellable } from "./types.ts";
--- a/packages/rhubarbstage-policy/src/placement.ts
+++ b/packages/rhubarbstage-policy/src/placement.ts
@@ -11,7 +11,11 @@
 
 import type { BackendServerId, HostId, RequestId } from "rhubarbstage";
 import { recordSends } from "./attempts.ts";
-import { chooseEngines, defaultTokenGapTarget } from "./engine_routing.ts";
+import {
+  chooseEngines,
+  defaultTokenGapTarget,
+  type EngineRequirements,
+} from "./engine_routing.ts";
 import {
   type FleetState,
   type PoolState,
@@ -85,7 +89,7 @@
  * prompt's length, so that long prompts are not refused before short ones; the
  * expected first token may take all of it.
  */
-function findExcessWait(
+export function findExcessWait(
   route: Route,
   startTimeout: number,
 ): InfeasibleRequest | undefined {
@@ -159,11 +163,12 @@
   return [{ type: "answer_placement", to, request, placement, works }];
 }
 
-function placeQuery(
+export function placeQuery(
   state: FleetState,
   pool: PoolState,
   query: PlacementQuery,
   now: number,
+  limits: Pick<EngineRequirements, "isStrict" | "maxWait"> = {},
 ): Route | undefined {
   const { promptTokens, outputTokens, parts, rank, suspect } = query;
   const { firstTokenTarget, tokenGapTarget, answerOrigin } = query;
@@ -177,23 +182,25 @@
     arrivedAt: now - query.waited,
     tokenGapTarget: tokenGapTarget ?? defaultTokenGapTarget,
     excludedServers: new Set(query.excludedServers),
+    ...limits,
     ...(answerOrigin === undefined ? {} : { answerOrigin }),
   };
   return chooseEngines(routingView(state, pool, now), requirements, pool.speed);
 }
 
-function refusedPlacement(
+export function refusedPlacement(
   forecast: {
     readonly retryAfter: number;
     readonly expectedWait?: number;
     readonly expectedFirstToken?: number;
+    readonly isOrdered?: boolean;
   },
 ): Placement {
-  const { retryAfter, expectedWait = 0, expectedFirstToken = 0 } = forecast;
-  return { type: "refused", retryAfter, expectedWait, expectedFirstToken };
+  const { expectedWait = 0, expectedFirstToken = 0 } = forecast;
+  return { type: "refused", ...forecast, expectedWait, expectedFirstToken };
 }
 
-function toPlacement(
+export function toPlacement(
   route: Route,
   placed: { readonly works: readonly EngineWork[]; readonly rank: number },
 ): Placement {
@@ -217,6 +224,7 @@
   now: number,
 ): PolicyEffect[] {
   const { request, placement } = event;
+  if (placement.type === "waiting") return [];
   const record = state.placing.get(request);
   state.placing.delete(request);
   const isWaiting = record !== undefined &&
@@ -264,6 +272,7 @@
   const { request } = record.work;
   state.requests.delete(request);
   const { retryAfter, expectedWait, expectedFirstToken } = placement;
+  const { isOrdered = false } = placement;
   const note = createRefusalNote(request, {
     reason: "placement",
     expected_wait: expectedWait,
@@ -271,7 +280,7 @@
     patience: Math.round(startTimeoutOf(record)),
   });
   // Callers that are refused together must not return together.
-  const spread = 1 + state.random.next() * maxRetrySpread;
+  const spread = isOrdered ? 1 : 1 + state.random.next() * maxRetrySpread;
   const effect = refuse(request, "overloaded", retryAfter * spread / 1_000);
   if (!mayHaveRun(record)) return [note, effect];
   return [note, { ...effect, outcome: "may_have_run" }];
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -31,7 +31,7 @@
 } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
 import { budgetScopeOf, type PolicyEffect, type Work } from "./types.ts";
-import type { ModelName } from "rhubarbstage";
+import type { ModelName, RequestId } from "rhubarbstage";
 
 interface LaneHead {
   readonly lane: Lane;
@@ -255,8 +255,12 @@
 
 /** Whether another host chooses the engines of a request. */
 function isPlacedRemotely(state: FleetState, record: RequestRecord): boolean {
-  return state.isPlacementRemote && state.settings.shareEngineState &&
-    record.work.model !== undefined && !record.isPlacedLocally;
+  const { model, budgetScope } = record.work;
+  // Where customers compete, the placing host's own requests join the queue.
+  const isCompeting = budgetScope !== undefined;
+  return (state.isPlacementRemote || isCompeting) &&
+    state.settings.shareEngineState && model !== undefined &&
+    !record.isPlacedLocally;
 }
 
 /** Asks the host that places the region's work for the engines of a request. */
@@ -291,10 +295,28 @@
       ],
       suspect: state.quarantine.isSuspect(work.fingerprint, now),
       ...answerOriginOf(record),
+      ...(work.budgetScope === undefined ? {} : {
+        customer: work.customer,
+        share: work.settings.share,
+        kind: work.kind,
+        timeLeft: work.deadlineAt - now,
+        ...(record.queueDispatches > 0 ? { isRetry: true } : {}),
+      }),
     },
   };
 }
 
+/** Ends the query of a request that has ended before its answer. */
+export function cancelQuery(
+  state: FleetState,
+  request: RequestId,
+): PolicyEffect[] {
+  const record = state.placing.get(request);
+  if (record?.work.budgetScope === undefined) return [];
+  state.placing.delete(request);
+  return [{ type: "cancel_placement", request }];
+}
+
 /** Builds the current requirements of a request on shared engines. */
 export function engineRequirements(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/supervision.ts
+++ b/packages/rhubarbstage-policy/src/supervision.ts
@@ -18,6 +18,7 @@
 } from "./fleet_state.ts";
 import { chooseRoute, type Route } from "./routing.ts";
 import {
+  cancelQuery,
   dequeue,
   mayHaveRun,
   routingRequirements,
@@ -49,6 +50,7 @@
     }
     dequeue(record);
     state.requests.delete(work.request);
+    effects.push(...cancelQuery(state, work.request));
     effects.push({
       type: "refuse",
       request: work.request,
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -305,6 +305,19 @@
   readonly suspect: boolean;
   /** Present if the answer has begun. */
   readonly answerOrigin?: AnswerOrigin;
+  /**
+   * Customer of the request, if callers are identified: the request competes with
+   * those of others. Absent from hosts of earlier software versions, as are the
+   * following fields.
+   */
+  readonly customer?: CustomerId;
+  /** Weight of the customer. */
+  readonly share?: number;
+  readonly kind?: WorkKind;
+  /** Milliseconds until the request's deadline. */
+  readonly timeLeft?: number;
+  /** Whether the request was placed before. */
+  readonly isRetry?: boolean;
 }
 
 /** Engine work of a placement; the asking host knows rank and parts. */
@@ -331,6 +344,14 @@
     readonly retryAfter: number;
     readonly expectedWait: number;
     readonly expectedFirstToken: number;
+    /** Whether the delays of callers refused together differ already. */
+    readonly isOrdered?: boolean;
+  }
+  | {
+    /** The placing host holds the query; another answer follows. */
+    readonly type: "waiting";
+    /** Time within which it follows. */
+    readonly limit: number;
   };
 
 /** Effects that concern other hosts' knowledge of the engines' work. */
@@ -341,7 +362,8 @@
       | "announce_work"
       | "announce_work_end"
       | "request_placement"
-      | "answer_placement";
+      | "answer_placement"
+      | "cancel_placement";
   }
 >;
 
@@ -428,6 +450,15 @@
     readonly from: HostId;
     readonly query: PlacementQuery;
   }
+  /** Another host, or this one, no longer needs the answer to its query. */
+  | {
+    readonly type: "placement_cancelled";
+    readonly now: number;
+    readonly from: HostId;
+    readonly request: RequestId;
+  }
+  /** A query that waits at this host must not be held any longer. */
+  | { readonly type: "placement_due"; readonly now: number }
   /** Answer to a query of this host, possibly after its timeout. */
   | {
     readonly type: "placement_received";
@@ -630,6 +661,11 @@
     /** Work that the placement adds to the engines. */
     readonly works: readonly EngineWork[];
   }
+  | {
+    /** The request of a query has ended before its answer. */
+    readonly type: "cancel_placement";
+    readonly request: RequestId;
+  }
   | {
     readonly type: "announce_work_end";
     readonly end: EngineWorkEnd;
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -358,7 +358,7 @@
       request,
       // Callers who are not identified share the service's name.
       customer: customer?.name ?? budgetScope,
-      ...(customer === undefined ? {} : { budgetScope }),
+      ...(routed.caller === undefined ? {} : { budgetScope }),
       service: service.name,
       kind: route.name as WorkKind,
       ...(service.engine === undefined
