--- a/packages/rhubarbstage-bench/src/placement_cost.ts
+++ b/packages/rhubarbstage-bench/src/placement_cost.ts
@@ -8,11 +8,13 @@
 import type {
   AvailabilityZone,
   BackendServerId,
+  CustomerId,
   HostId,
   Incarnation,
   ModelName,
   Region,
   RequestId,
+  WorkKind,
 } from "rhubarbstage";
 import {
   FleetPolicy,
@@ -27,6 +29,8 @@
 const measuredDecisions = 2_000;
 /** Distinct shared prompt parts. */
 const sharedParts = 200;
+/** Customers that compete. */
+const customers = 1_700;
 /** Time between requests for each engine, in milliseconds. */
 const interval = 400;
 
@@ -37,17 +41,29 @@
   readonly microseconds: number;
 }
 
+/** What is measured. */
+export interface PlacementOptions {
+  readonly engines: number;
+  readonly hasCustomers: boolean;
+}
+
 /** Measures decisions at each number of engines. */
 export function measurePlacementCosts(): PlacementCost[] {
-  return engineCounts.map((engines) => {
-    const run = new PlacementRun(engines);
-    run.decide(warmUpDecisions);
-    const before = process.cpuUsage();
-    run.decide(measuredDecisions);
-    const { user, system } = process.cpuUsage(before);
-    const microseconds = (user + system) / measuredDecisions;
-    return { engines, microseconds };
-  });
+  return engineCounts.map((engines) =>
+    measurePlacementCost({ engines, hasCustomers: false })
+  );
+}
+
+/** Measures decisions with and without customers that compete. */
+export function measurePlacementCost(options: PlacementOptions): PlacementCost {
+  const { engines } = options;
+  const run = new PlacementRun(options);
+  run.decide(warmUpDecisions);
+  const before = process.cpuUsage();
+  run.decide(measuredDecisions);
+  const { user, system } = process.cpuUsage(before);
+  const microseconds = (user + system) / measuredDecisions;
+  return { engines, microseconds };
 }
 
 /** A placing host under steady load, whose work ends in order. */
@@ -60,11 +76,13 @@
   readonly #state: FleetState = this.#policy.initial();
   readonly #running: Extract<PolicyEffect, { type: "answer_placement" }>[] = [];
   readonly #engines: number;
+  readonly #hasCustomers: boolean;
   #now = 0;
   #count = 0;
 
-  constructor(engines: number) {
+  constructor({ engines, hasCustomers }: PlacementOptions) {
     this.#engines = engines;
+    this.#hasCustomers = hasCustomers;
     for (let index = 0; index < engines; index += 1) {
       const region = regions[index % regions.length] as Region;
       this.#policy.reduce(this.#state, {
@@ -112,10 +130,18 @@
         startTimeout: 4_000,
         excludedServers: [],
         suspect: false,
+        ...(this.#hasCustomers
+          ? {
+            customer: `customer-${this.#count % customers}` as CustomerId,
+            kind: "chat" as WorkKind,
+            timeLeft: 5_000,
+          }
+          : {}),
       },
     });
     for (const effect of effects) {
-      if (effect.type === "answer_placement") this.#running.push(effect);
+      if (effect.type !== "answer_placement") continue;
+      if (effect.works.length > 0) this.#running.push(effect);
     }
     if (this.#running.length > this.#engines) this.#endOldest();
   }
--- a/packages/rhubarbstage-host/__tests__/unit/placement_exchange_test.ts
+++ b/packages/rhubarbstage-host/__tests__/unit/placement_exchange_test.ts
@@ -8,6 +8,7 @@
 import {
   type AvailabilityZone,
   type BackendServerId,
+  type CustomerId,
   delay,
   type HostId,
   type ModelName,
@@ -70,6 +71,8 @@
   readonly #stopped = new AbortController();
   /** Hosts that answer queries. */
   readonly answering = new Set<HostId>();
+  /** Their answer. */
+  placement = refused;
 
   constructor(records: readonly HostRecord[]) {
     setMaxListeners(0, this.#stopped.signal);
@@ -93,7 +96,7 @@
               type: "answer_placement",
               to,
               request: query.request,
-              placement: refused,
+              placement: this.placement,
               works: [makeEngineWork(events.length)],
             });
           },
@@ -110,7 +113,7 @@
     return events.filter((event) => event.type === type).length;
   }
 
-  query(host: string, request: string): void {
+  query(host: string, request: string, customer?: string): void {
     this.exchanges.get(host as HostId)?.execute({
       type: "request_placement",
       query: {
@@ -125,10 +128,22 @@
         startTimeout: 100,
         excludedServers: [],
         suspect: false,
+        ...(customer === undefined ? {} : { customer: customer as CustomerId }),
       },
     });
   }
 
+  /** Sends a second answer of the placing host. */
+  answer(to: string, request: string): void {
+    this.exchanges.get("north-control" as HostId)?.execute({
+      type: "answer_placement",
+      to: to as HostId,
+      request: request as RequestId,
+      placement: refused,
+      works: [],
+    });
+  }
+
   announce(host: string, work: EngineWork): void {
     this.exchanges.get(host as HostId)?.execute({
       type: "announce_work",
@@ -203,6 +218,73 @@
   hosts.stop();
 });
 
+const waiting: Placement = { type: "waiting", limit: 12 };
+
+// Guards against a second choice of engines while the first is still awaited.
+test("a query that waits is answered later, and not given up before", async () => {
+  const hosts = new TestHosts(twoRegions);
+  hosts.placement = waiting;
+  hosts.query("north-1", "a", "kiosks");
+  await until(() => hosts.count("north-control", "placement_due") === 1);
+  expect(hosts.count("north-1", "placement_received")).toBe(0);
+  hosts.answer("north-1", "a");
+  await until(() => hosts.count("north-1", "placement_received") === 1);
+  await delay(150);
+  expect(hosts.count("north-1", "placement_unanswered")).toBe(0);
+  hosts.stop();
+});
+
+// Guards against requests that are held by a host which is gone.
+test("a query that waits in vain is given up, whatever limit it was told", async () => {
+  const hosts = new TestHosts(twoRegions);
+  hosts.placement = { type: "waiting", limit: 1e6 };
+  hosts.query("north-1", "a", "kiosks");
+  await until(() => hosts.count("north-1", "placement_unanswered") === 1);
+  hosts.answer("north-1", "a");
+  // The policy ends the work of an answer that comes too late.
+  await until(() => hosts.count("north-1", "placement_received") === 1);
+  hosts.stop();
+});
+
+test("queries that wait are given up when another host takes over", async () => {
+  const hosts = new TestHosts(twoRegions);
+  hosts.placement = waiting;
+  hosts.query("north-1", "a", "kiosks");
+  await until(() => hosts.count("north-control", "placement_requested") === 1);
+  hosts.records.splice(0, 1);
+  await until(() => hosts.count("north-1", "placement_unanswered") === 1);
+  await delay(150);
+  expect(hosts.count("north-1", "placement_unanswered")).toBe(1);
+  hosts.stop();
+});
+
+// Guards against slots that are kept for callers who have left.
+test("the placing host hears of a query whose request has ended", async () => {
+  const hosts = new TestHosts(twoRegions);
+  hosts.placement = waiting;
+  hosts.query("north-1", "a", "kiosks");
+  await until(() => hosts.count("north-control", "placement_requested") === 1);
+  hosts.exchanges.get("north-1" as HostId)?.execute({
+    type: "cancel_placement",
+    request: "a" as RequestId,
+  });
+  await until(() => hosts.count("north-control", "placement_cancelled") === 1);
+  await delay(150);
+  expect(hosts.count("north-1", "placement_unanswered")).toBe(0);
+  hosts.stop();
+});
+
+// Guards against callers of the placing host that compete with nobody.
+test("the placing host asks itself if customers compete", async () => {
+  const hosts = new TestHosts(twoRegions);
+  hosts.query("north-control", "own", "kiosks");
+  await until(() => hosts.count("north-control", "placement_received") === 1);
+  expect(hosts.count("north-control", "placement_requested")).toBe(1);
+  hosts.query("north-control", "unnamed");
+  await until(() => hosts.count("north-control", "placement_unanswered") === 1);
+  hosts.stop();
+});
+
 test("a host that relays nothing learns the demand that decides on roles", () => {
   const model = "model" as ModelName;
   const rates = new DemandReport({
--- a/packages/rhubarbstage-policy/src/engine_streams.ts
+++ b/packages/rhubarbstage-policy/src/engine_streams.ts
@@ -23,6 +23,8 @@
 export class EngineStreams {
   /** In order of dispatch. */
   readonly #streams = new Map<EngineWorkId, Stream>();
+  /** Time before which no stream expires. */
+  #nextExpiry = 0;
   #tokens = 0;
   #running = 0;
 
@@ -75,9 +77,15 @@
     this.#running = 0;
   }
 
+  /** Called for every engine in each decision, so that it must cost little. */
   #expire(now: number): void {
+    if (now <= this.#nextExpiry) return;
+    this.#nextExpiry = now;
     for (const [id, { addedAt }] of this.#streams) {
-      if (now - addedAt <= streamExpiry) return;
+      if (now - addedAt <= streamExpiry) {
+        this.#nextExpiry = addedAt + streamExpiry;
+        return;
+      }
       this.end(id);
     }
   }
--- a/packages/rhubarbstage-policy/src/placement_queue.ts
+++ b/packages/rhubarbstage-policy/src/placement_queue.ts
@@ -78,7 +78,11 @@
 
   /** Lists the queries that must not be held any longer. */
   due(now: number): WaitingQuery[] {
-    return [...this.#waiting.values()].filter(({ limitAt }) => limitAt <= now);
+    const due: WaitingQuery[] = [];
+    for (const item of this.#waiting.values()) {
+      if (item.limitAt <= now) due.push(item);
+    }
+    return due;
   }
 
   /** Returns the first `count` queries in the order of service. */
@@ -153,7 +157,9 @@
 }
 
 function precedes(left: Standing, right: Standing): boolean {
-  for (const [index, value] of left.entries()) {
+  // Called for each pair of waiting queries; an iterator is several times slower.
+  for (let index = 0; index < left.length; index += 1) {
+    const value = left[index] as number;
     const other = right[index] as number;
     if (value !== other) return value < other;
   }
--- a/packages/rhubarbstage-policy/src/return_schedule.ts
+++ b/packages/rhubarbstage-policy/src/return_schedule.ts
@@ -8,7 +8,7 @@
 import { LRUCache } from "lru-cache";
 import type { SeededRandom } from "rhubarbstage";
 
-/** Refused requests that are remembered; about 1 MB. */
+/** Refused requests that are remembered. */
 const maxRemembered = 8_192;
 /** Least delay, in milliseconds. */
 const minDelay = 100;
@@ -75,9 +75,10 @@
     const { waiting, pause = 0 } = capacity;
     const earliest = now + Math.max(minDelay, waiting * interval, pause);
     let returnAt = Math.max(earliest, this.#nextReturnAt);
-    if (returnAt > now + maxDelay) {
+    const latest = maxDelay + pause;
+    if (returnAt > now + latest) {
       const spread = this.#random.next() * lastSpread;
-      returnAt = now + maxDelay * (1 - spread);
+      returnAt = now + latest * (1 - spread);
     } else this.#nextReturnAt = returnAt + interval;
     if (key !== undefined) {
       this.#tickets.set(key, { since: ticket?.since ?? now, returnAt });
