Let queries wait at a placing host that has just taken over

A host that had placed nothing yet took its rate of placements for zero and refused every query that found no slot. The rate is now scaled by the time that the host has seen, and early queries wait. Refusals are forgotten 30 s after the caller should have returned.

--- a/packages/rhubarbstage-policy/__tests__/unit/placement_competition_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/placement_competition_test.ts
@@ -4,7 +4,14 @@
  * kinds, one customer with ten times its share, and clients that return at once.
  */
 
-import { SeededRandom } from "rhubarbstage";
+import {
+  type CustomerId,
+  type HostId,
+  type ModelName,
+  type RequestId,
+  SeededRandom,
+} from "rhubarbstage";
+import type { PlacementQuery, PolicyEffect } from "../../src/types.ts";
 import {
   type Arrival,
   type Kind,
@@ -119,6 +126,25 @@
   );
 }
 
+type Answer = Extract<PolicyEffect, { type: "answer_placement" }>;
+
+/** A query of the urgent kind without a customer. */
+function makeQuery(request: string): PlacementQuery {
+  return {
+    request: request as RequestId,
+    model: "assistant" as ModelName,
+    promptTokens: urgent.own,
+    outputTokens: urgent.output,
+    parts: [{ id: request, tokens: urgent.own }],
+    rank: 0,
+    waited: 0,
+    firstTokenTarget: urgent.target,
+    startTimeout: 2_000,
+    excludedServers: [],
+    suspect: false,
+  };
+}
+
 /** A load whose rate and customers do not change. */
 function steady(kind: Kind, rate: number, customer?: string): Load {
   const isHog = customer !== undefined;
@@ -209,3 +235,87 @@
   const least = Math.min(...servedByCustomer(results).values());
   expect(least).toBeGreaterThan(share(results, isServed) / 4);
 });
+
+// Guards against answers that look like those of an earlier software version.
+test("a query without customer is answered at once, as before", () => {
+  const region = new Region({ ...options, engines: 1, slots: 1 });
+  const query = makeQuery("unnamed");
+  const answers = [0, 1, 2, 3].map((index) =>
+    region.host.send({
+      type: "placement_requested",
+      now: 1,
+      from: "asker" as HostId,
+      query: { ...query, request: `unnamed-${index}` as RequestId },
+    })
+  ).flat();
+  const types = answers.map((effect) =>
+    effect.type === "answer_placement" ? effect.placement.type : effect.type
+  );
+  expect(types).not.toContain("waiting");
+  expect(types).toContain("refused");
+});
+
+describe("a query that waits", () => {
+  function ask(region: Region, request: string, now: number) {
+    const query = makeQuery(request);
+    const customer = "kiosks" as CustomerId;
+    return region.host.send({
+      type: "placement_requested",
+      now,
+      from: "asker" as HostId,
+      query: { ...query, customer },
+    }).flatMap((effect) => effect.type === "answer_placement" ? [effect] : []);
+  }
+
+  function fill(): { region: Region; end: (now: number) => Answer[] } {
+    const region = new Region({ ...options, engines: 1, slots: 1 });
+    const [answer] = ask(region, "first", 1);
+    const [work] = answer!.works;
+    const end = (now: number) =>
+      region.host.send({
+        type: "work_ended",
+        now,
+        end: { server: work!.server, id: work!.id, ended: "answered" },
+      }).flatMap((effect) =>
+        effect.type === "answer_placement" ? [effect] : []
+      );
+    return { region, end };
+  }
+
+  // Also just after a takeover, when no rate of placements is known.
+  test("gets the slot that becomes free", () => {
+    const { region, end } = fill();
+    expect(ask(region, "second", 2)[0]?.placement.type).toBe("waiting");
+    const [answer] = end(20);
+    expect(answer).toMatchObject({
+      request: "second",
+      placement: { type: "placed" },
+    });
+  });
+
+  test("gets no slot once its request has ended", () => {
+    const { region, end } = fill();
+    ask(region, "second", 2);
+    region.host.send({
+      type: "placement_cancelled",
+      now: 10,
+      from: "asker" as HostId,
+      request: "second" as RequestId,
+    });
+    expect(end(20)).toEqual([]);
+  });
+
+  test("is refused at its limit, once, with an ordered delay", () => {
+    const { region } = fill();
+    const [waiting] = ask(region, "second", 2);
+    const { limit } = waiting!.placement as { limit: number };
+    expect(limit).toBe(Math.floor(urgent.target / 8));
+    const due = (now: number) =>
+      region.host.send({ type: "placement_due", now });
+    expect(due(2 + limit - 1)).toEqual([]);
+    expect(due(2 + limit)).toMatchObject([
+      { placement: { type: "refused", isOrdered: true } },
+    ]);
+    expect(due(3 + limit)).toEqual([]);
+  });
+});
--- a/packages/rhubarbstage-policy/__tests__/unit/return_schedule_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/return_schedule_test.ts
@@ -37,6 +37,8 @@
   expect(schedule.find("r", 30)).toEqual({ since: 0, isEarly: true });
   expect(schedule.refuse("r", capacity, 30)).toBe(70);
   expect(schedule.find("r", 100)).toEqual({ since: 0, isEarly: false });
+  // An old refusal says nothing of a request with the same prompt.
+  expect(schedule.find("r", 60_000)).toBeUndefined();
   schedule.forget("r");
   expect(schedule.find("r", 100)).toBeUndefined();
 });
--- a/packages/rhubarbstage-policy/src/placement_competition.ts
+++ b/packages/rhubarbstage-policy/src/placement_competition.ts
@@ -47,6 +47,8 @@
 const maxEngineWait = 60;
 /** Time constant of the rate at which requests are placed, in milliseconds. */
 const placementTimeConstant = 2_000;
+/** Time after which a rate of placements is known, in milliseconds. */
+const minRateAge = 200;
 /** Queries tried for a free slot: some may exclude the engines that have one. */
 const maxTries = 3;
 /**
@@ -64,12 +66,15 @@
   readonly queue: PlacementQueue;
   readonly returns: ReturnSchedule;
   readonly placements: DecayedSum;
+  /** Time of the first query. */
+  readonly startedAt: number;
 }
 
 /** Returns the competition for a pool, creating it on first use. */
 function competitionOf(
   state: FleetState,
   pool: PoolState,
+  now: number,
 ): PlacementCompetition {
   const { name } = pool.pool;
   let found = state.competitions.get(name);
@@ -82,12 +87,28 @@
       queue: new PlacementQueue({ customers, kinds }),
       returns: new ReturnSchedule(state.random),
       placements: new DecayedSum(placementTimeConstant),
+      startedAt: now,
     };
     state.competitions.set(name, found);
   }
   return found;
 }
 
+/**
+ * Requests that are placed in a second. A host that has just taken over has seen
+ * few of them, so that its rate is scaled by the time that it has seen; before
+ * that it assumes enough for every query to wait.
+ */
+function placementRate(
+  { placements, startedAt }: PlacementCompetition,
+  now: number,
+): number {
+  const age = now - startedAt;
+  if (age < minRateAge) return Infinity;
+  const seen = 1 - Math.exp(-age / placementTimeConstant);
+  return Math.max(1, placements.rate(now) / seen);
+}
+
 /** Answers the query of an identified customer's request. */
 export function answerCustomerQuery(
   state: FleetState,
@@ -95,7 +116,7 @@
   event: { readonly from: HostId; readonly query: PlacementQuery },
   now: number,
 ): PolicyEffect[] {
-  const { customers, kinds, returns } = competitionOf(state, pool);
+  const { customers, kinds, returns } = competitionOf(state, pool, now);
   const { from, query } = event;
   const { customer = "" as CustomerId, kind = "", share = 1 } = query;
   const returnKey = returnKeyOf(query);
@@ -179,14 +200,16 @@
   now: number,
 ): PolicyEffect[] {
   const { item, hold } = arrival;
-  const { queue, placements } = competitionOf(state, pool);
+  const competition = competitionOf(state, pool, now);
+  const { queue } = competition;
   const { from: to, query: { request } } = item;
-  const isFree = hasFreeEngine(pool, now);
-  const route = isFree ? findRoute(state, pool, item, { now }) : undefined;
+  const route = hasFreeEngine(pool, now)
+    ? findRoute(state, pool, item, { now })
+    : undefined;
   if (route !== undefined) return [place(state, pool, { item, route }, now)];
   if (hold < minHold || queue.isFull) return [settle(state, pool, item, now)];
   const ahead = queue.countBefore(item, now) + 1;
-  const expectedWait = ahead * 1_000 / Math.max(1, placements.rate(now));
+  const expectedWait = ahead * 1_000 / placementRate(competition, now);
   if (expectedWait > hold) return [settle(state, pool, item, now)];
   queue.add(item);
   const placement: Placement = { type: "waiting", limit: hold };
@@ -215,15 +238,14 @@
   item: WaitingQuery,
   now: number,
 ): PolicyEffect {
-  const { customers } = competitionOf(state, pool);
+  const { customers } = competitionOf(state, pool, now);
   const isModest = customers.overuse(item.customer, now) <= maxFinalOveruse;
   const route = isModest && hasFreeEngine(pool, now)
     ? findRoute(state, pool, item, { isFinal: true, now })
     : undefined;
-  if (route === undefined) {
-    return refuseItem(state, pool, item, now);
-  }
-  return place(state, pool, { item, route }, now);
+  return route === undefined
+    ? refuseItem(state, pool, item, now)
+    : place(state, pool, { item, route }, now);
 }
 
 /**
@@ -237,13 +259,9 @@
   options: { readonly isFinal?: boolean; readonly now: number },
 ): Route | undefined {
   const { isFinal = false, now } = options;
-  const { rank, waited } = item.query;
+  const { waited } = item.query;
   const held = now - item.queuedAt;
-  const query = {
-    ...item.query,
-    waited: waited + held,
-    rank,
-  };
+  const query = { ...item.query, waited: waited + held };
   const route = placeQuery(state, pool, query, now, {
     isStrict: true,
     maxWait: isFinal ? longestEngineWait(item) : maxEngineWait,
@@ -308,7 +326,11 @@
   const { item, route } = placed;
   const { from: to, query, customer } = item;
   const { request, parts, rank, kind = "" } = query;
-  const { customers, kinds, returns, placements } = competitionOf(state, pool);
+  const { customers, kinds, returns, placements } = competitionOf(
+    state,
+    pool,
+    now,
+  );
   const works = createEngineWorks(state, {
     ...route,
     pool,
@@ -336,10 +358,11 @@
   item: WaitingQuery,
   now: number,
 ): PolicyEffect {
-  const { returns, queue, placements } = competitionOf(state, pool);
+  const competition = competitionOf(state, pool, now);
+  const { returns, queue } = competition;
   const { from: to, query } = item;
   const retryAfter = returns.refuse(returnKeyOf(query), {
-    rate: placements.rate(now),
+    rate: placementRate(competition, now),
     waiting: queue.size,
     pause: Math.min(requestLimitWait(state, pool, now), query.startTimeout),
   }, now);
--- a/packages/rhubarbstage-policy/src/return_schedule.ts
+++ b/packages/rhubarbstage-policy/src/return_schedule.ts
@@ -10,6 +10,8 @@
 
 /** Refused requests that are remembered. */
 const maxRemembered = 8_192;
+/** Least time between two returns, in milliseconds. */
+const minInterval = 1;
 /** Least delay, in milliseconds. */
 const minDelay = 100;
 /** Largest delay, in milliseconds; what is further away is not known. */
@@ -19,6 +21,9 @@
 /** Time before its return from which a caller is not early, in milliseconds. */
 const earlyTolerance = 20;
 
+/** Time after which a caller that has not returned is forgotten, in ms. */
+const maxAbsence = 30_000;
+
 interface Ticket {
   /** Time of the first refusal. */
   readonly since: number;
@@ -45,7 +50,7 @@
 
   /** Returns what is known of a request; undefined if it was not refused. */
   find(key: string, now: number): ReturnedRequest | undefined {
-    const ticket = this.#tickets.get(key);
+    const ticket = this.#ticketOf(key, now);
     if (ticket === undefined) return undefined;
     const { since, returnAt } = ticket;
     return { since, isEarly: now < returnAt - earlyTolerance };
@@ -67,11 +72,11 @@
     },
     now: number,
   ): number {
-    const ticket = key === undefined ? undefined : this.#tickets.get(key);
+    const ticket = key === undefined ? undefined : this.#ticketOf(key, now);
     if (ticket !== undefined && now < ticket.returnAt - earlyTolerance) {
       return ticket.returnAt - now;
     }
-    const interval = 1_000 / Math.max(1, capacity.rate);
+    const interval = Math.max(minInterval, 1_000 / capacity.rate);
     const { waiting, pause = 0 } = capacity;
     const earliest = now + Math.max(minDelay, waiting * interval, pause);
     let returnAt = Math.max(earliest, this.#nextReturnAt);
@@ -90,4 +95,10 @@
   forget(key: string): void {
     this.#tickets.delete(key);
   }
+
+  #ticketOf(key: string, now: number): Ticket | undefined {
+    const ticket = this.#tickets.get(key);
+    if (ticket === undefined) return undefined;
+    return now > ticket.returnAt + maxAbsence ? undefined : ticket;
+  }
 }
