--- a/packages/rhubarbstage-control/src/control_state.ts
+++ b/packages/rhubarbstage-control/src/control_state.ts
@@ -14,7 +14,9 @@
 } from "rhubarbstage";
 import { firstRevision } from "./constants.ts";
 import type {
+  AgreedUsage,
   Drain,
+  DutyRecord,
   EditResult,
   HistoryEntry,
   OrderIntent,
@@ -56,6 +58,18 @@
   engines: Map<BackendServerId, TrackedEngine>;
   /** Document in force by name. */
   documents: Map<string, VersionedDocument>;
+  /** Absent until the first duty is taken, and in snapshots of older builds. */
+  duties?: DutyState;
+}
+
+/** Holders of duties and agreed usage. */
+export interface DutyState {
+  /** Holder by duty. */
+  readonly holders: Map<string, DutyRecord>;
+  /** Latest agreed usage windows by number, oldest first. */
+  readonly usage: Map<number, AgreedUsage>;
+  /** Highest window that was agreed or left out; -1 before the first. */
+  lastUsageWindow: number;
 }
 
 /** Returns the state before the first command. */
@@ -91,5 +105,12 @@
     engines: new Map(state.engines),
     // Snapshots of earlier versions have no documents.
     documents: new Map(state.documents ?? []),
+    ...(state.duties === undefined ? {} : {
+      duties: {
+        holders: new Map(state.duties.holders),
+        usage: new Map(state.duties.usage),
+        lastUsageWindow: state.duties.lastUsageWindow,
+      },
+    }),
   };
 }
--- a/packages/rhubarbstage-gateway/src/dispatch.ts
+++ b/packages/rhubarbstage-gateway/src/dispatch.ts
@@ -14,6 +14,7 @@
 } from "./ports.ts";
 export type {
   AnnouncementResponse,
+  CustomerRequestRecord,
   EventFields,
   MetricsText,
   RequestRecord,
--- a/packages/rhubarbstage-host/src/host_telemetry.ts
+++ b/packages/rhubarbstage-host/src/host_telemetry.ts
@@ -6,6 +6,7 @@
 
 import {
   type CostPrediction,
+  type CustomerRequestRecord,
   type EventFields,
   GatewayTelemetry,
   type MetricsText,
@@ -92,6 +93,10 @@
     this.#options.metrics.observeCost(prediction);
   }
 
+  override recordCustomerRequest(record: CustomerRequestRecord): void {
+    this.#options.metrics.countCustomerRequest(record);
+  }
+
   override async metrics(): Promise<MetricsText> {
     const { metrics, sample } = this.#options;
     sample();
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -7,9 +7,13 @@
 import { randomBytes } from "node:crypto";
 import { setMaxListeners } from "node:events";
 import {
+  budgetForMemory,
+  CallerConnections,
+  connectionsForDescriptors,
   delay,
   type HostId,
   type Incarnation,
+  MemoryBudget,
   SystemClock,
 } from "rhubarbstage";
 import { DocumentClient } from "@rhubarbstage/control";
@@ -31,6 +35,8 @@
 import { createServerPaths } from "./relay_server_paths.ts";
 import { DemandReport } from "./demand_report.ts";
 import { HostEvents } from "./host_events.ts";
+import { HostLoad } from "./host_load.ts";
+import { HostUsage } from "./host_usage.ts";
 import { HostTelemetry } from "./host_telemetry.ts";
 import { listenPlainText } from "./plain_listener.ts";
 import { createControlApi, startControlSeat } from "./relay_control.ts";
@@ -119,6 +125,11 @@
     return host;
   }
 
+  /** Memory of the process for callers and servers. */
+  get budget(): MemoryBudget {
+    return this.#components.budget;
+  }
+
   /** Records an event of the process that runs the host. */
   recordEvent(
     event: string,
@@ -171,7 +182,9 @@
   async #listen(): Promise<void> {
     const { settings, relay, readiness, metrics, events } = this.#components;
     if (settings.callers !== undefined) {
-      const listener = new RelayListener(relay);
+      const listener = new RelayListener(relay, {
+        connections: this.#components.callerConnections,
+      });
       this.#components.readiness.onRouteTable = (table) =>
         listener.configure(table.limits);
       await listener.listen(settings.callers);
@@ -224,14 +237,29 @@
     fields: { host: label },
   });
   const timeline = new Timeline({ host, incarnation, ringEvents });
+  const { memoryBytes, maxDescriptors } = settings;
+  const budget = new MemoryBudget(
+    memoryBytes === undefined
+      ? {}
+      : { limitBytes: budgetForMemory(memoryBytes) },
+  );
+  const callerConnections = new CallerConnections(
+    maxDescriptors === undefined
+      ? {}
+      : { maxConnections: connectionsForDescriptors(maxDescriptors) },
+  );
+  const metrics = new Metrics();
+  metrics.addMemory({ budget, connections: callerConnections });
   return {
+    budget,
+    callerConnections,
     settings,
     options,
     clock: new SystemClock(),
     logger,
     timeline,
     events: new HostEvents({ logger, timeline }),
-    metrics: new Metrics(),
+    metrics,
     stopController: createStopController(),
     incarnation,
   };
@@ -326,13 +354,21 @@
     relay.routeTable?.services.find(({ name }) =>
       name as string === serviceNameOf(record)
     );
+  const usage = new HostUsage({ incarnation, clock: context.clock, transport });
+  const load = new HostLoad({ clock: context.clock });
+  usage.serviceLoad = () => load.read();
+  serving.effectHandler.load = load;
   const relay: Relay = new Relay({
     dispatcher,
     dialect: context.options.dialect,
     connections,
     telemetry: serving.telemetry,
     readiness,
+    onBegun: ({ customer }, change) => usage.record(customer, change),
+    onRequestBegun: (work) => load.recordBegun(work),
+    onRequestEnded: (work, error) => load.recordEnded(work, error),
     retryRatio: settings.retryBudget.ratio * retryBudgetShare,
+    budget: context.budget,
     onLoad: (server, load) =>
       registry.updateLoad(server, {
         runningRequests: load.running,
@@ -389,6 +425,8 @@
     documents,
     relay,
     readiness,
+    usage,
+    load,
   };
 }
 
@@ -477,6 +515,7 @@
     routeByRemainingWork: settings.routeByRemainingWork ?? "automatic",
     // An engine that gets an order refuses the work that it has queued.
     rolesFollowDemand: false,
+    shareComputeTime: settings.duties?.duties.includes("scaling") ?? false,
     kvFixedCost,
     kvCostPerToken,
     // A request that crashed servers is refused without waiting until its
@@ -494,6 +533,8 @@
     stopController,
     readiness,
     relay,
+    usage,
+    load,
   } = components;
   const { signal } = stopController;
   components.membership.start();
@@ -509,6 +550,8 @@
       const table = components.options.parseRouteTable(content);
       relay.setRouteTable(table);
       readiness.setRouteTable(table);
+      usage.setRouteTable(table);
+      load.setRouteTable(table);
       components.registry.refresh();
       events.record("revision_in_force", {
         version,
--- a/packages/rhubarbstage-policy/__tests__/unit/unchanged_decisions_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/unchanged_decisions_test.ts
@@ -155,9 +155,9 @@
       return `${effect.request} ${effect.reason}`;
     case "answer_placement": {
       const { request, placement } = effect;
-      return placement.type === "refused"
-        ? `${request} refused`
-        : `${request} ${placement.server} ${placement.prefillServer ?? ""}`;
+      return placement.type === "placed"
+        ? `${request} ${placement.server} ${placement.prefillServer ?? ""}`
+        : `${request} ${placement.type}`;
     }
     default:
       return undefined;
--- a/packages/rhubarbstage-policy/src/attempts.ts
+++ b/packages/rhubarbstage-policy/src/attempts.ts
@@ -12,6 +12,7 @@
 import { announceWork, endAnswer, endPrompt } from "./shared_work.ts";
 import {
   type AnswerOrigin,
+  budgetScopeOf,
   type CancelReason,
   type PolicyEffect,
   sharedPartsOf,
@@ -214,7 +215,9 @@
   if (region !== state.region) return;
   const tokens = uncachedTokens;
   const pace = paceFactor(state, prefill ?? entry, now);
-  record.pool.speed.learnPromptTime({ tokens, role, elapsed: elapsed / pace });
+  const unpaced = { tokens, role, elapsed: elapsed / pace };
+  record.pool.speed.learnPromptTime(unpaced);
+  record.pool.speed.learnComputeTime(unpaced);
 }
 
 /** Handles the first token: updates estimates and cancels other attempts. */
@@ -338,7 +341,7 @@
     pool.estimates.learnRun(work, { outputTokens, runTime, estimate }, now);
   }
   const used = result.promptTokens + outputTokens;
-  state.limits.settle(work.customer, used - record.chargedTokens);
+  state.limits.settle(budgetScopeOf(work), used - record.chargedTokens);
   if (attempt.firstTokenAt === undefined) clearParts(state, record);
   const marks = state.quarantine.recordCompletion(work.fingerprint, now);
   if (marks.length > 0) effects.push({ type: "publish_quarantine", marks });
--- a/packages/rhubarbstage-policy/src/engine_routing.ts
+++ b/packages/rhubarbstage-policy/src/engine_routing.ts
@@ -95,6 +95,10 @@
   readonly answerOrigin?: AnswerOrigin;
   /** Zone of the host that asks; defaults to that of this host. */
   readonly zone?: AvailabilityZone;
+  /** Whether engines get no more streams than they have slots. */
+  readonly isStrict?: boolean;
+  /** Longest queue at the request's rank, behind the running prompt. */
+  readonly maxWait?: number;
 }
 
 /** Options of {@linkcode toEngineRequirements}. */
@@ -156,11 +160,12 @@
   const blocks = promptBlocks(request.promptParts);
   const requirements = serverRequirements(request);
   const tokenInterval = view.estimates.tokenInterval(initialTokenInterval);
-  for (const entry of consideredMembers(view)) {
+  for (const entry of consideredMembers(view, request)) {
     if (!isEligible(view, requirements, entry)) continue;
     const cost = costOn(view, request, { entry, speed, blocks });
-    if (entry.server.role === "prefill") prefilling.push(cost);
-    else if (!mayContinue(entry.server, request.answerOrigin)) continue;
+    if (entry.server.role === "prefill") {
+      if (mayJoinQueue(view, request, cost)) prefilling.push(cost);
+    } else if (!mayContinue(entry.server, request.answerOrigin)) continue;
     else if (hasFreeSlot(view, request, entry)) {
       generating.push(addStreamCost(view, request, { cost, tokenInterval }));
     }
@@ -182,7 +187,10 @@
   };
 }
 
-function* consideredMembers(view: RoutingView): Generator<ServerEntry> {
+function* consideredMembers(
+  view: RoutingView,
+  { isStrict }: EngineRequirements,
+): Generator<ServerEntry> {
   const { members } = view.pool;
   if (members.size <= maxRemoteEngines) {
     yield* members.values();
@@ -191,6 +199,8 @@
   const local: ServerEntry[] = [];
   const remote: ServerEntry[] = [];
   for (const entry of members.values()) {
+    // A sample might miss the few engines with a free slot.
+    if (isStrict === true && !mayServe(entry, view.now)) continue;
     (entry.server.region === view.region ? local : remote).push(entry);
   }
   yield* sampleRun(view, local, maxLocalEngines);
@@ -281,6 +291,7 @@
   request: EngineRequirements,
   entry: ServerEntry,
 ): boolean {
+  if (request.isStrict === true) return hasFreeStream(entry, view.now);
   const { oversubscriptionFactor, priorityOvercommit } = view.settings;
   const factor = oversubscriptionFactor +
     (request.rank === 0 ? priorityOvercommit : 0);
@@ -288,6 +299,28 @@
   return entry.streams.running(view.now) + entry.queue.size < slots;
 }
 
+/** Whether an engine has fewer streams, dispatched or running, than slots. */
+export function hasFreeStream(entry: ServerEntry, now: number): boolean {
+  return entry.streams.count(now) < entry.server.capacity;
+}
+
+function mayJoinQueue(
+  { now, byRemainingWork }: RoutingView,
+  { maxWait }: EngineRequirements,
+  { entry, wait }: EngineCost,
+): boolean {
+  if (maxWait === undefined) return true;
+  const { queue, pace } = entry;
+  const running = byRemainingWork
+    ? pace.duration(queue.runningTime(now, pace.current(now)), now)
+    : queue.runningTime(now);
+  return wait - running <= maxWait;
+}
+
+function mayServe(entry: ServerEntry, now: number): boolean {
+  return entry.server.role === "prefill" || hasFreeStream(entry, now);
+}
+
 /** Options in which the generating engine also computes the prompt. */
 function* directOptions(
   view: RoutingView,
@@ -299,6 +332,7 @@
 ): Generator<RouteOption> {
   const { generating, speed } = engines;
   for (const cost of generating) {
+    if (!mayJoinQueue(view, request, cost)) continue;
     const { entry, uncachedTokens, compute, path, stream } = cost;
     const { rank, wait, expectedFirstToken } = queueForecast(view, request, {
       engine: cost,
--- a/packages/rhubarbstage-policy/src/failures.ts
+++ b/packages/rhubarbstage-policy/src/failures.ts
@@ -20,11 +20,13 @@
 import { mayContinue } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
 import {
+  budgetScopeOf,
   type PartMark,
   type PolicyEffect,
   type PolicyEvent,
   type QuarantineMark,
   sharedPartsOf,
+  startDeadlineOf,
 } from "./types.ts";
 
 type Failure = Extract<PolicyEvent, { type: "failed" }>;
@@ -267,10 +269,14 @@
   if (failure.outcome !== "not_run" && !work.repeatable) return refusal;
   if (record.deliveredTokens > 0 && !work.resumable) return refusal;
   if (now + record.estimate.firstTokenTime >= work.deadlineAt) return refusal;
+  // The caller no longer waits for an answer to begin.
+  if (record.deliveredTokens === 0 && now >= startDeadlineOf(work)) {
+    return refusal;
+  }
   if (!canStartAnotherAttempt(record) || !hasOtherServer(record)) {
     return refusal;
   }
-  if (!state.retries.spend(work.customer)) return refusal;
+  if (!state.retries.spend(budgetScopeOf(work))) return refusal;
   return undefined;
 }
 
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -49,7 +49,13 @@
   slotsUsedAbovePriority,
 } from "./fleet_state.ts";
 import { Policy } from "./policy.ts";
-import { dequeue, dispatchPool, enqueue, waitingCount } from "./scheduling.ts";
+import {
+  cancelQuery,
+  dequeue,
+  dispatchPool,
+  enqueue,
+  waitingCount,
+} from "./scheduling.ts";
 import { decideSharedRoles } from "./engine_roles.ts";
 import {
   answerQuery,
@@ -57,6 +63,11 @@
   placeLocally,
   receivePlacement,
 } from "./placement.ts";
+import {
+  answerCustomerQuery,
+  forgetQuery,
+  serveQueues,
+} from "./placement_competition.ts";
 import { createRefusalNote, refuse } from "./refusals.ts";
 import type { LimitChange } from "./request_limits.ts";
 import { mayContinue } from "./routing.ts";
@@ -65,6 +76,7 @@
 import {
   type AnswerOrigin,
   type BackendServer,
+  budgetScopeOf,
   isCancellable,
   type PolicyEffect,
   type PolicyEvent,
@@ -148,9 +160,14 @@
         return [];
       case "work_ended":
         endSharedWork(state, event, event.now);
-        return [];
+        return serveQueues(state, event.now);
       case "placement_requested":
-        return answerQuery(state, event, event.now);
+        return onPlacementRequested(state, event);
+      case "placement_cancelled":
+        forgetQuery(state, event);
+        return [];
+      case "placement_due":
+        return serveQueues(state, event.now);
       case "placement_received":
         return receivePlacement(state, event, event.now);
       case "placement_unanswered":
@@ -188,8 +205,22 @@
   }
 }
 
+function onPlacementRequested(
+  state: FleetState,
+  event: EventOf<"placement_requested">,
+): PolicyEffect[] {
+  const { query, now } = event;
+  const pool = state.table.pools.get(`model ${query.model}`);
+  if (query.customer === undefined || pool === undefined) {
+    return answerQuery(state, event, now);
+  }
+  const poolState = poolStateOf(state, pool, query.model);
+  return answerCustomerQuery(state, poolState, event, now);
+}
+
 function onArrived(state: FleetState, work: Work, now: number): PolicyEffect[] {
-  const { request, customer, settings } = work;
+  const { request, settings } = work;
+  const scope = budgetScopeOf(work);
   if (state.requests.has(request)) return [];
   const pool = state.table.pools.get(poolNameOf(work));
   if (pool === undefined || pool.members.size === 0) {
@@ -218,7 +249,7 @@
       refuse(request, "request_quarantined"),
     ];
   }
-  const exceeded = state.limits.check(customer, { tokens, settings }, now);
+  const exceeded = state.limits.check(scope, { tokens, settings }, now);
   if (exceeded !== undefined) {
     const wait = jitteredRetryAfter(
       exceeded.retryAfterMilliseconds,
@@ -227,7 +258,7 @@
     return [refuse(request, "limit_exceeded", wait)];
   }
   const record = createRecord(state, poolState, { work, estimate, now });
-  const withinFloor = state.limits.tryConsumeFloor(customer, settings, now);
+  const withinFloor = state.limits.tryConsumeFloor(scope, settings, now);
   const view = admissionView(state, record, now);
   const full = state.requests.size >= state.settings.queueLimit;
   // The queues of shared engines are forecast by the placement instead.
@@ -263,7 +294,7 @@
   }
   const hasQueue = !view.hasFreeSlot || view.costAhead > 0;
   if (hasQueue) record.uncorrectedWait = uncorrectedWait(view);
-  const infeasible = state.isPlacementRemote
+  const infeasible = state.isPlacementRemote || work.budgetScope !== undefined
     ? undefined
     : findInfeasibleRequest(state, record, now);
   if (infeasible !== undefined) {
@@ -273,7 +304,7 @@
       refuse(request, "overloaded", retryAfter / 1_000),
     ];
   }
-  state.limits.charge(customer, tokens);
+  state.limits.charge(scope, tokens);
   record.chargedTokens = tokens;
   state.requests.set(request, record);
   state.deadlines.push({ at: work.deadlineAt, subject: record });
@@ -297,7 +328,7 @@
   },
 ): void {
   const { estimate, tokens, now } = options;
-  state.limits.observe(work.customer, tokens, now);
+  state.limits.observe(budgetScopeOf(work), tokens, now);
   // Work on shared engines is recorded when its uncached tokens are known.
   if (work.model === undefined || state.settings.shareEngineState) return;
   const { promptTokens } = work;
@@ -400,10 +431,15 @@
   if (record.attempts.size > 0 && !isCancellable(record.work)) return [];
   dequeue(record);
   state.requests.delete(event.request);
+  const cancelled = cancelQuery(state, event.request);
   const cancels = [...record.attempts.values()].map((attempt) =>
     cancelAttempt(state, attempt, "caller_gone", event.now)
   );
-  return [...cancels, ...dispatchPool(state, record.pool, event.now)];
+  return [
+    ...cancelled,
+    ...cancels,
+    ...dispatchPool(state, record.pool, event.now),
+  ];
 }
 
 function onProgress(
@@ -613,6 +649,7 @@
     ...popDueRefusals(state, now),
     ...expire(state, now),
     ...startDueHedges(state, now),
+    ...serveQueues(state, now),
     ...moveStreams(state, now),
   ];
   for (const pool of state.poolStates.values()) {
--- a/packages/rhubarbstage-policy/src/fleet_state.ts
+++ b/packages/rhubarbstage-policy/src/fleet_state.ts
@@ -51,6 +51,7 @@
   sharedPartsOf,
   type Work,
 } from "./types.ts";
+import type { PlacementCompetition } from "./placement_competition.ts";
 import { type WorkEstimate, WorkEstimates } from "./work_estimates.ts";
 
 /** Costs before any observation, in milliseconds and in tokens. */
@@ -226,6 +227,8 @@
   isPlacementRemote: boolean;
   /** Requests that wait for an answer to their placement query. */
   readonly placing: Map<RequestId, RequestRecord>;
+  /** Competition for engines by pool, if customers are identified. */
+  readonly competitions: Map<string, PlacementCompetition>;
   /** Ends of local engine work to announce to other hosts after this event. */
   readonly endedWork: EngineWorkEnd[];
   readonly deadlines: TinyQueue<Timer<RequestRecord>>;
@@ -283,6 +286,7 @@
     roundTrips: new Map(),
     isPlacementRemote: false,
     placing: new Map(),
+    competitions: new Map(),
     endedWork: [],
     deadlines: newTimerQueue(),
     hedges: newTimerQueue(),
--- a/packages/rhubarbstage-policy/src/mod.ts
+++ b/packages/rhubarbstage-policy/src/mod.ts
@@ -10,9 +10,10 @@
 export type { FleetOptions, FleetState } from "./fleet_state.ts";
 export type { NaiveOptions, NaiveState } from "./naive_policy.ts";
 export { NaivePolicy } from "./naive_policy.ts";
+export { maxHoldFraction } from "./placement_competition.ts";
 export { Policy } from "./policy.ts";
 export { PrefixMap } from "./prefix_map.ts";
-export { isCancellable } from "./types.ts";
+export { budgetScopeOf, isCancellable, startDeadlineOf } from "./types.ts";
 export type {
   AnswerOrigin,
   BackendServer,
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -32,8 +32,13 @@
   type RoutingRequirements,
 } from "./routing.ts";
 import type { ServerEntry } from "./server_table.ts";
-import type { PlacementQuery, PolicyEffect, Work } from "./types.ts";
-import type { ModelName } from "rhubarbstage";
+import {
+  budgetScopeOf,
+  type PlacementQuery,
+  type PolicyEffect,
+  type Work,
+} from "./types.ts";
+import type { ModelName, RequestId } from "rhubarbstage";
 
 interface LaneHead {
   readonly lane: Lane;
@@ -69,7 +74,7 @@
   };
   record.lane = lane;
   record.queuedAt = now;
-  const floorRate = state.limits.floorRate(work.customer, work.settings);
+  const floorRate = state.limits.floorRate(budgetScopeOf(work), work.settings);
   pool.lanes[lane].push(item, floorRate, now);
 }
 
@@ -245,7 +250,7 @@
   const { pool, work, estimate } = record;
   if (record.queueDispatches === 0) {
     pool.waitCorrection.add(now - record.queuedAt, record.uncorrectedWait, now);
-    state.retries.earn(work.customer, work.settings.retryRatio);
+    state.retries.earn(budgetScopeOf(work), work.settings.retryRatio);
     state.hedgeBudget.earn(state.settings.hedgeRatio);
   }
   record.queueDispatches += 1;
@@ -257,8 +262,12 @@
 
 /** Whether another host chooses the engines of a request. */
 function isPlacedRemotely(state: FleetState, record: RequestRecord): boolean {
-  return state.isPlacementRemote && state.settings.shareEngineState &&
-    record.work.model !== undefined && !record.isPlacedLocally;
+  const { model, budgetScope } = record.work;
+  // Where customers compete, the placing host's own requests join the queue.
+  const isCompeting = budgetScope !== undefined;
+  return (state.isPlacementRemote || isCompeting) &&
+    state.settings.shareEngineState && model !== undefined &&
+    !record.isPlacedLocally;
 }
 
 /** Asks the host that places the region's work for the engines of a request. */
@@ -294,6 +303,13 @@
       suspect: state.quarantine.isSuspect(work.fingerprint, now),
       ...answerOriginOf(record),
       ...zoneOf(state),
+      ...(work.budgetScope === undefined ? {} : {
+        customer: work.customer,
+        share: work.settings.share,
+        kind: work.kind,
+        timeLeft: work.deadlineAt - now,
+        ...(record.queueDispatches > 0 ? { isRetry: true } : {}),
+      }),
     },
   };
 }
@@ -304,6 +320,17 @@
   return zone !== undefined && routesByRemainingWork(state) ? { zone } : {};
 }
 
+/** Ends the query of a request that has ended before its answer. */
+export function cancelQuery(
+  state: FleetState,
+  request: RequestId,
+): PolicyEffect[] {
+  const record = state.placing.get(request);
+  if (record?.work.budgetScope === undefined) return [];
+  state.placing.delete(request);
+  return [{ type: "cancel_placement", request }];
+}
+
 /** Builds the current requirements of a request on shared engines. */
 export function engineRequirements(
   state: FleetState,
--- a/packages/rhubarbstage-policy/src/types.ts
+++ b/packages/rhubarbstage-policy/src/types.ts
@@ -66,6 +66,12 @@
 export interface Work {
   readonly request: RequestId;
   readonly customer: CustomerId;
+  /**
+   * Name under which retry budget, limits and learned estimates are kept;
+   * defaults to the customer. Set where they belong to the service, so that they
+   * are not split by its customers.
+   */
+  readonly budgetScope?: CustomerId;
   readonly service: ServiceName;
   readonly kind: WorkKind;
   /** Absent for plain services. */
@@ -113,6 +119,20 @@
   readonly settings: WorkSettings;
 }
 
+/** Returns the name under which budgets and estimates of work are kept. */
+export function budgetScopeOf(work: Work): CustomerId {
+  return work.budgetScope ?? work.customer;
+}
+
+/**
+ * Returns the time until which the caller waits for the answer to begin, in
+ * milliseconds on the clock of `arrivedAt`.
+ */
+export function startDeadlineOf(work: Work): number {
+  const { arrivedAt, deadlineAt, firstTokenTimeout = Infinity } = work;
+  return Math.min(deadlineAt, arrivedAt + firstTokenTimeout);
+}
+
 /** Whether running work may be cancelled at caller disconnect or deadline. */
 export function isCancellable(work: Work): boolean {
   return work.cancellable ?? work.repeatable;
@@ -180,6 +200,11 @@
   readonly outputTokensPerSecond: number;
   /** Engine time of the prompts, in milliseconds per second, if measured. */
   readonly promptTimePerSecond?: number;
+  /**
+   * Time for which the prompts occupy engines, in milliseconds per second. Known
+   * to the host that measured it and not gossiped.
+   */
+  readonly computeTimePerSecond?: number;
   /** Duration of the streams, in milliseconds per second, if measured. */
   readonly streamTimePerSecond?: number;
 }
@@ -309,6 +334,19 @@
   readonly answerOrigin?: AnswerOrigin;
   /** Availability zone of the asking host, if distance within regions counts. */
   readonly zone?: AvailabilityZone;
+  /**
+   * Customer of the request, if callers are identified: the request competes with
+   * those of others. Absent from hosts of earlier software versions, as are the
+   * following fields.
+   */
+  readonly customer?: CustomerId;
+  /** Weight of the customer. */
+  readonly share?: number;
+  readonly kind?: WorkKind;
+  /** Milliseconds until the request's deadline. */
+  readonly timeLeft?: number;
+  /** Whether the request was placed before. */
+  readonly isRetry?: boolean;
 }
 
 /** Engine work of a placement; the asking host knows rank and parts. */
@@ -326,6 +364,8 @@
     readonly uncachedTokens: number;
     readonly expectedWait: number;
     readonly expectedFirstToken: number;
+    /** See `FleetSettings.shareComputeTime`. */
+    readonly computeTimePerToken?: number;
     readonly works: readonly PlacedWork[];
   }
   | {
@@ -335,6 +375,14 @@
     readonly retryAfter: number;
     readonly expectedWait: number;
     readonly expectedFirstToken: number;
+    /** Whether the delays of callers refused together differ already. */
+    readonly isOrdered?: boolean;
+  }
+  | {
+    /** The placing host holds the query; another answer follows. */
+    readonly type: "waiting";
+    /** Time within which it follows. */
+    readonly limit: number;
   };
 
 /** Effects that concern other hosts' knowledge of the engines' work. */
@@ -345,7 +393,8 @@
       | "announce_work"
       | "announce_work_end"
       | "request_placement"
-      | "answer_placement";
+      | "answer_placement"
+      | "cancel_placement";
   }
 >;
 
@@ -432,6 +481,15 @@
     readonly from: HostId;
     readonly query: PlacementQuery;
   }
+  /** Another host, or this one, no longer needs the answer to its query. */
+  | {
+    readonly type: "placement_cancelled";
+    readonly now: number;
+    readonly from: HostId;
+    readonly request: RequestId;
+  }
+  /** A query that waits at this host must not be held any longer. */
+  | { readonly type: "placement_due"; readonly now: number }
   /** Answer to a query of this host, possibly after its timeout. */
   | {
     readonly type: "placement_received";
@@ -641,6 +699,11 @@
     /** Work that the placement adds to the engines. */
     readonly works: readonly EngineWork[];
   }
+  | {
+    /** The request of a query has ended before its answer. */
+    readonly type: "cancel_placement";
+    readonly request: RequestId;
+  }
   | {
     readonly type: "announce_work_end";
     readonly end: EngineWorkEnd;
--- a/packages/rhubarbstage-relay/__tests__/harness.ts
+++ b/packages/rhubarbstage-relay/__tests__/harness.ts
@@ -246,10 +246,15 @@
   readonly settings?: Partial<FleetSettings>;
   /** Roles of the servers, if they are engines. */
   readonly roles?: readonly EngineRole[];
+  readonly maxBodyBytes?: number;
   /** Whether a server still accepts work after the prefill. */
   readonly acceptsNewWork?: (server: BackendServerId) => boolean;
   /** Whether a server has ended; by default, if it refuses connections. */
   readonly confirmServerEnded?: () => Promise<boolean>;
+  /** Called when a server has begun to run a request, or has not after all. */
+  readonly onBegun?: (change: 1 | -1) => void;
+  /** Called when a request begins (1) and when it ends (-1). */
+  readonly onRunning?: (change: 1 | -1, error?: string) => void;
 }): Promise<TestRelay> {
   const { roles } = options;
   const service = "store" as ServiceName;
@@ -290,6 +295,9 @@
       ? {}
       : { confirmServerEnded: options.confirmServerEnded }),
     origins: new LocalAnswerOrigins(),
+    onBegun: (_work, change) => options.onBegun?.(change),
+    onRequestBegun: () => options.onRunning?.(1),
+    onRequestEnded: (_work, error) => options.onRunning?.(-1, error?.kind),
   });
   relay.setRouteTable({
     version: 1,
@@ -314,7 +322,7 @@
     }],
     limits: {
       maxHeaderBytes: 16_384,
-      maxBodyBytes: 1_000_000,
+      maxBodyBytes: options.maxBodyBytes ?? 1_000_000,
       headerTimeout: 3_000,
       idleTimeout: 15_000,
     },
--- a/packages/rhubarbstage-relay/src/mod.ts
+++ b/packages/rhubarbstage-relay/src/mod.ts
@@ -6,11 +6,13 @@
 
 export type {
   AttemptMetadata,
+  CallerIdentity,
   CallerLimits,
   EngineCapabilities,
   EngineState,
   HeaderList,
   PromptExport,
+  RelayCustomer,
   RelayService,
   ReportedLoad,
   RequestMetadata,
@@ -20,6 +22,7 @@
   RouteKind,
   RouteTable,
   RouteTarget,
+  ServerScaling,
 } from "./types.ts";
 export type { OrderOutcome, ServerCall } from "./dialect.ts";
 export type {
@@ -42,6 +45,7 @@
   headerValue,
   unambiguousHeaderValue,
 } from "./headers.ts";
+export { CustomerKeys, findCustomerProblem } from "./customer_keys.ts";
 export { pickTarget, RouteIndex } from "./route_index.ts";
 export type {
   ServerConnectionsOptions,
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -22,7 +22,11 @@
   type Clock,
   type CustomerId,
   errorKinds,
+  MemoryBudget,
+  type MemoryLease,
   type ModelName,
+  readRequestBody,
+  refuseRequest,
   type RequestId,
   RhubarbstageError,
   type SoftwareVersion,
@@ -46,6 +50,7 @@
   type ServerConnections,
 } from "./server_connections.ts";
 import type {
+  CallerIdentity,
   RelayService,
   ReportedLoad,
   RequestMetadata,
@@ -73,6 +78,17 @@
     server: BackendServerAddress,
   ) => Promise<boolean>;
   readonly origins: AnswerOrigins;
+  /**
+   * Called with 1 when a server has begun to run a request, once for all its
+   * attempts, and with -1 when no server turns out to have run it.
+   */
+  readonly onBegun?: (work: Work, change: 1 | -1) => void;
+  /** Called when a request has been read and is about to be placed. */
+  readonly onRequestBegun?: (work: Work) => void;
+  /** Called when it ended, with its error unless it was served. */
+  readonly onRequestEnded?: (work: Work, error?: RhubarbstageError) => void;
+  /** Memory for bodies and answers; unlimited by default. */
+  readonly budget?: MemoryBudget;
   readonly clock?: Clock;
 }
 
@@ -84,6 +100,8 @@
   readonly metadata: RequestMetadata;
   readonly body: Buffer;
   readonly arrivedAt: number;
+  /** Absent if the route table has no customers. */
+  readonly caller: CallerIdentity | undefined;
   /** Present if the request takes up a stream of the same service. */
   readonly origin?: StreamOrigin;
 }
@@ -92,6 +110,7 @@
 export class Relay {
   readonly #options: RelayOptions;
   readonly #clock: Clock;
+  readonly #budget: MemoryBudget;
   readonly #requests = new OpenRequestTracker();
   /** Distinguishes request ids of this process from those of an earlier one. */
   readonly #idPrefix = Date.now().toString(36);
@@ -101,6 +120,7 @@
   constructor(options: RelayOptions) {
     this.#options = options;
     this.#clock = options.clock ?? new SystemClock();
+    this.#budget = options.budget ?? new MemoryBudget();
   }
 
   /** The current route table, if one was set. */
@@ -143,15 +163,20 @@
     }
     // Connection errors are handled through "close".
     response.on("error", () => {});
+    const lease = this.#budget.open();
     try {
       await this.#serveRequest(
-        { incoming, response, request, arrivedAt },
+        { incoming, response, request, arrivedAt, lease },
         gone.signal,
       );
     } catch (thrown) {
-      this.#answerError(response, { request, thrown });
+      this.#answerError(incoming, response, { request, thrown });
     } finally {
+      if (!response.writableFinished && lease.heldBytes > 0) {
+        lease.allowEviction(() => incoming.socket.destroy());
+      }
       await waitForResponseClose(response, callerStallTimeout);
+      lease.close();
       this.#requests.remove(request);
     }
   }
@@ -162,10 +187,11 @@
       response: ServerResponse;
       request: RequestId;
       arrivedAt: number;
+      lease: MemoryLease;
     },
     signal: AbortSignal,
   ): Promise<void> {
-    const { incoming, response, request, arrivedAt } = call;
+    const { incoming, response, request, arrivedAt, lease } = call;
     const { dialect, dispatcher, connections } = this.#options;
     if (!this.#options.readiness.acceptsWork()) {
       throw new RhubarbstageError("shutting_down");
@@ -173,11 +199,20 @@
     const metadata = dialect.parseRequest(incoming.rawHeaders);
     const index = this.#requireIndex();
     const route = findRoute(index, incoming);
+    const caller = index.customerKeys?.identify(route, metadata.credential);
     const limit = index.table.limits.maxBodyBytes;
-    const [body, origin] = await Promise.all([
-      readBody(incoming, { limit, signal }),
-      this.#findOrigin(route, { request, metadata }),
-    ]);
+    const { callerTimeout = Infinity } = metadata;
+    const timeout = Math.min(callerTimeout, route.timeout);
+    const findingOrigin = this.#findOrigin(route, { request, metadata });
+    // Awaited after the body, whose failure comes first.
+    findingOrigin.catch(() => {});
+    const body = await readRequestBody(incoming, {
+      limit,
+      signal,
+      lease,
+      timeout,
+    });
+    const origin = await findingOrigin;
     const service = this.#selectService(index, {
       request,
       route,
@@ -191,9 +226,10 @@
       metadata,
       body,
       arrivedAt,
+      caller,
       ...(origin?.service === service.name ? { origin } : {}),
     });
-    const reply = new Reply(response);
+    const reply = new Reply(response, lease);
     const run = new RelayRun(dispatcher, {
       request: relayRequest,
       reply,
@@ -206,11 +242,15 @@
         (({ url }) => refusesConnections(url)),
       onStreamBegun: (softwareVersion) =>
         this.#recordStream(relayRequest, { metadata, softwareVersion }),
+      onBegun: (change) => this.#options.onBegun?.(relayRequest.work, change),
     });
+    const { work } = relayRequest;
+    this.#options.onRequestBegun?.(work);
     try {
       const { status, server, events } = await dispatcher.execute(run, {
         signal,
       });
+      this.#options.onRequestEnded?.(work);
       this.#recordEnd(relayRequest, run, {
         result: "ok",
         status,
@@ -218,7 +258,16 @@
         events,
       });
     } catch (thrown) {
-      this.#handleFailure(relayRequest, run, { thrown, reply, response });
+      const error = thrown instanceof CallerDisconnectedError
+        ? undefined
+        : toRhubarbstageError(thrown);
+      this.#options.onRequestEnded?.(work, error);
+      this.#handleFailure(relayRequest, run, {
+        thrown,
+        reply,
+        incoming,
+        response,
+      });
     }
   }
 
@@ -326,7 +375,7 @@
   }
 
   #toRelayRequest(request: RequestId, routed: RoutedRequest): RelayRequest {
-    const { incoming, route, service, metadata, body } = routed;
+    const { incoming, route, service, metadata, body, caller } = routed;
     return {
       work: this.#toWork(request, routed),
       route,
@@ -335,6 +384,7 @@
       headers: incoming.rawHeaders,
       body,
       tokensPerEvent: service.engine?.tokensPerEvent ?? 1,
+      ...(caller === undefined ? {} : { caller }),
       ...(metadata.id === undefined ? {} : { callerRequestId: metadata.id }),
       ...(metadata.lastEventId === undefined
         ? {}
@@ -345,11 +395,14 @@
   #toWork(request: RequestId, routed: RoutedRequest): Work {
     const { incoming, route, service, metadata, body, arrivedAt, origin } =
       routed;
+    const customer = routed.caller?.customer;
+    const budgetScope = service.name as string as CustomerId;
     const callerTimeout = (metadata.callerTimeout ?? Infinity) - deadlineMargin;
     return {
       request,
-      // Callers are not identified: estimates and budgets are per service.
-      customer: service.name as string as CustomerId,
+      // Callers who are not identified share the service's name.
+      customer: customer?.name ?? budgetScope,
+      ...(routed.caller === undefined ? {} : { budgetScope }),
       service: service.name,
       kind: route.name as WorkKind,
       ...(service.engine === undefined
@@ -374,7 +427,7 @@
       ...(route.firstEventTimeout === undefined
         ? {}
         : { firstTokenTimeout: route.firstEventTimeout }),
-      rank: route.rank,
+      rank: customer?.rank ?? route.rank,
       ...(route.gapTarget === undefined
         ? {}
         : { tokenGapTarget: route.gapTarget }),
@@ -398,9 +451,14 @@
   #handleFailure(
     relayRequest: RelayRequest,
     run: RelayRun,
-    failure: { thrown: unknown; reply: Reply; response: ServerResponse },
+    failure: {
+      thrown: unknown;
+      reply: Reply;
+      incoming: IncomingMessage;
+      response: ServerResponse;
+    },
   ): void {
-    const { thrown, reply, response } = failure;
+    const { thrown, reply, incoming, response } = failure;
     const { request } = relayRequest.work;
     if (thrown instanceof CallerDisconnectedError) {
       this.#recordEnd(relayRequest, run, { result: "caller_gone" });
@@ -420,7 +478,7 @@
       outcome: error.outcome,
       cause: error.cause instanceof Error ? error.cause.message : "",
     });
-    this.#answerError(response, { request, thrown: error });
+    this.#answerError(incoming, response, { request, thrown: error });
   }
 
   #recordEnd(
@@ -428,8 +486,17 @@
     run: RelayRun,
     fields: Record<string, string | number | undefined>,
   ): void {
-    const { work } = relayRequest;
+    const { work, caller, route } = relayRequest;
     const now = this.#clock.monotonicMilliseconds();
+    if (caller?.customer !== undefined) {
+      const { begunAt } = run;
+      this.#options.telemetry.recordCustomerRequest({
+        customer: caller.customer.name,
+        isRefused: fields["outcome"] === "not_run",
+        isLate: begunAt !== undefined &&
+          begunAt - work.arrivedAt > route.latencyTarget,
+      });
+    }
     const definedFields = Object.entries(fields)
       .filter((entry): entry is [string, string | number] =>
         entry[1] !== undefined
@@ -445,6 +512,7 @@
   }
 
   #answerError(
+    incoming: IncomingMessage,
     response: ServerResponse,
     failure: { request: RequestId; thrown: unknown },
   ): void {
@@ -471,7 +539,8 @@
         error.retryAfterSeconds ?? defaultRetryAfter,
       );
     }
-    response.writeHead(status, headers).end(body);
+    if (status === 401) headers["www-authenticate"] = "Bearer";
+    refuseRequest(incoming, response, { status, headers, body });
   }
 
   #nextRequestId(): RequestId {
@@ -513,25 +582,3 @@
     .update(body)
     .digest("base64");
 }
-
-async function readBody(
-  incoming: IncomingMessage,
-  options: { readonly limit: number; readonly signal: AbortSignal },
-): Promise<Buffer> {
-  const { limit, signal } = options;
-  const declared = Number(incoming.headers["content-length"] ?? 0);
-  if (declared > limit) throw new RhubarbstageError("body_too_large");
-  const chunks: Buffer[] = [];
-  let size = 0;
-  try {
-    for await (const chunk of incoming) {
-      chunks.push(chunk as Buffer);
-      size += (chunk as Buffer).length;
-      if (size > limit) throw new RhubarbstageError("body_too_large");
-    }
-  } catch (thrown) {
-    if (signal.aborted) throw signal.reason;
-    throw thrown;
-  }
-  return chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks);
-}
--- a/packages/rhubarbstage-relay/src/relay_run.ts
+++ b/packages/rhubarbstage-relay/src/relay_run.ts
@@ -11,7 +11,7 @@
   RequestRun,
   type RunContext,
 } from "@rhubarbstage/gateway/dispatch";
-import type { Work } from "@rhubarbstage/policy";
+import { startDeadlineOf, type Work } from "@rhubarbstage/policy";
 import {
   type BackendServerId,
   RhubarbstageError,
@@ -25,6 +25,7 @@
 import type { Reply } from "./reply.ts";
 import type { ServerConnections } from "./server_connections.ts";
 import type {
+  CallerIdentity,
   HeaderList,
   PromptExport,
   ReportedLoad,
@@ -46,6 +47,8 @@
   /** Id of the last event that the caller received. */
   readonly lastEventId?: string;
   readonly tokensPerEvent: number;
+  /** Absent if the route table has no customers. */
+  readonly caller?: CallerIdentity;
 }
 
 /** Options of {@linkcode RelayRun}. */
@@ -71,6 +74,11 @@
   readonly onStreamBegun: (
     softwareVersion: SoftwareVersion | undefined,
   ) => void;
+  /**
+   * Called with 1 when a server has begun to run the request, once for all
+   * attempts, and with -1 when no server turns out to have run it.
+   */
+  readonly onBegun?: (change: 1 | -1) => void;
 }
 
 /** Result of a relayed request. */
@@ -103,6 +111,9 @@
   #lastEventId: string | undefined;
   #eventCount = 0;
   #fallbackResponse: FallbackResponse | undefined;
+  #begunAt: number | undefined;
+  /** Attempts of a plain request that may have run. */
+  readonly #sentAttempts = new Set<Attempt>();
 
   constructor(context: RunContext, options: RelayRunOptions) {
     super(context, options.request.work);
@@ -110,6 +121,11 @@
     this.#lastEventId = options.request.lastEventId;
   }
 
+  /** Monotonic time at which the reply was begun, in milliseconds. */
+  get begunAt(): number | undefined {
+    return this.#begunAt;
+  }
+
   /** Error response to relay once the request has failed. */
   get fallbackResponse(): FallbackResponse | undefined {
     return this.#fallbackResponse;
@@ -135,7 +151,9 @@
   protected override async run(attempt: Attempt): Promise<RelayResult> {
     const promptExport = await this.#prefill(attempt);
     if (promptExport !== undefined) this.#checkStillServing(attempt);
+    this.#checkStillAwaited();
     const resumedAfter = this.#lastEventId;
+    this.#countSent(attempt);
     try {
       const response = await this.#send(attempt, {
         promptExport,
@@ -151,10 +169,28 @@
         response.discard();
       }
     } catch (thrown) {
-      throw await this.#toAttemptError(attempt, thrown);
+      const error = await this.#toAttemptError(attempt, thrown);
+      this.#countFailed(attempt, error);
+      throw error;
     }
   }
 
+  /** Counts a plain request when the first of its attempts is sent. */
+  #countSent(attempt: Attempt): void {
+    const { request, onBegun } = this.#options;
+    if (request.route.kind === "stream") return;
+    if (this.#sentAttempts.size === 0) onBegun?.(1);
+    this.#sentAttempts.add(attempt);
+  }
+
+  /** Takes the count back once every attempt is known not to have run. */
+  #countFailed(attempt: Attempt, error: Error): void {
+    const isNotRun = error instanceof RhubarbstageError &&
+      error.outcome === "not_run";
+    if (!isNotRun || !this.#sentAttempts.delete(attempt)) return;
+    if (this.#sentAttempts.size === 0) this.#options.onBegun?.(-1);
+  }
+
   /** Throws if the server stopped accepting work during the prefill. */
   #checkStillServing({ address: { id } }: Attempt): void {
     if (this.context.backendServers.acceptsNewWork(id)) return;
@@ -167,6 +203,17 @@
     );
   }
 
+  /**
+   * Throws if the caller no longer waits for the answer to begin. On a busy host,
+   * the close of its connection may be read after the answer to the prefill.
+   */
+  #checkStillAwaited(): void {
+    if (this.deliveredTokens > 0) return;
+    const now = this.context.clock.monotonicMilliseconds();
+    if (now < startDeadlineOf(this.work)) return;
+    throw new RhubarbstageError("deadline_exceeded", { outcome: "not_run" });
+  }
+
   /** Prefills on another server; on failure, the attempt's server does it. */
   async #prefill(attempt: Attempt): Promise<PromptExport | undefined> {
     const { prefillServer } = attempt.effect;
@@ -231,6 +278,9 @@
         : { rank: attempt.effect.rank }),
       ...(promptExport === undefined ? {} : { promptExport }),
       ...(resumedAfter === undefined ? {} : { resumeAfter: resumedAfter }),
+      ...(request.caller === undefined
+        ? {}
+        : { caller: callerMetadata(request.caller) }),
     });
     const { signal } = attempt.controller;
     return connections.send(server, {
@@ -296,15 +346,23 @@
 
   async #relayResponse(response: AttemptResponse): Promise<RelayResult> {
     const { attempt, status, headers } = response;
+    const { reply } = this.#options;
     const chunks: Buffer[] = [];
     let size = 0;
+    let kept = 0;
     for await (const chunk of response.body) {
       chunks.push(chunk);
       size += chunk.length;
-      if (size <= bufferedResponseBytes) continue;
+      // Without memory for the whole, the caller gets it as it comes.
+      if (size <= bufferedResponseBytes && reply.keep(chunk.length)) {
+        kept += chunk.length;
+        continue;
+      }
       for (const buffered of chunks.splice(0)) {
         await this.#deliver(response, buffered);
       }
+      reply.release(kept);
+      kept = 0;
     }
     if (this.#replyOwner === attempt) {
       for (const buffered of chunks) await this.#deliver(response, buffered);
@@ -370,13 +428,18 @@
   }
 
   #begin(response: AttemptResponse): void {
-    const { reply, request, onStreamBegun } = this.#options;
+    const { reply, request, onStreamBegun, onBegun } = this.#options;
     const { attempt } = response;
     this.#acquireReply(response);
     if (reply.isBegun) return;
-    if (this.#isStream(response)) onStreamBegun(attempt.effect.softwareVersion);
+    if (this.#isStream(response)) {
+      onStreamBegun(attempt.effect.softwareVersion);
+      // A stream that is taken up was counted when it began.
+      if (request.lastEventId === undefined) onBegun?.(1);
+    }
     this.#begunResponse = response;
     reply.begin(response.status, response.headers);
+    this.#begunAt = this.context.clock.monotonicMilliseconds();
     this.#recordEvent("first_event", {
       attempt: attempt.id,
       server: attempt.address.id,
@@ -475,6 +538,10 @@
   }
 }
 
+function callerMetadata({ customer }: CallerIdentity) {
+  return customer === undefined ? {} : { customer: customer.name };
+}
+
 /** Marks an error so that the policy treats the server as lost. */
 function markConnectionLost(error: RhubarbstageError): RhubarbstageError {
   return Object.assign(error, { connectionLost: true });
--- a/packages/rhubarbstage-relay/src/types.ts
+++ b/packages/rhubarbstage-relay/src/types.ts
@@ -9,7 +9,13 @@
   PromptPart,
   ServerNotice,
 } from "@rhubarbstage/policy";
-import type { BackendServerId, RequestId, ServiceName } from "rhubarbstage";
+import type {
+  AvailabilityZone,
+  BackendServerId,
+  CustomerId,
+  RequestId,
+  ServiceName,
+} from "rhubarbstage";
 
 /** Alternating header names and values, as received. */
 export type HeaderList = readonly string[];
@@ -56,6 +62,23 @@
   readonly maxAttempts: number;
   /** Whether another server may resume a stream after its last event. */
   readonly resumable: boolean;
+  /** Whether it serves callers without a key; defaults to false. */
+  readonly isPublic?: boolean;
+}
+
+/** A customer whose callers identify themselves by a key. */
+export interface RelayCustomer {
+  readonly name: CustomerId;
+  /** Secret: never forwarded, logged or part of a message. */
+  readonly keys: readonly string[];
+  /** Replaces the rank of routes. */
+  readonly rank?: number;
+}
+
+/** Who sent a request, if the route table has customers. */
+export interface CallerIdentity {
+  /** Absent for callers of public routes without a known key. */
+  readonly customer?: RelayCustomer;
 }
 
 /** Capacity and stream properties of each engine of a service. */
@@ -68,6 +91,23 @@
   readonly exportLifetime: number;
 }
 
+/** How many servers of a service may be ordered, and what they cost. */
+export interface ServerScaling {
+  /** Servers of both kinds in each availability zone, at least. */
+  readonly min: number;
+  /** Servers of both kinds in each availability zone, at most. */
+  readonly max: number;
+  /** Time from an order until a new server serves, in milliseconds. */
+  readonly bootTime: number;
+  /**
+   * Price of a spot server, which may be reclaimed, as a fraction of its zone's
+   * price; absent where none can be ordered.
+   */
+  readonly spotPrice?: number;
+  /** Price of a server by zone; 1 in zones that are not listed. */
+  readonly zonePrices: ReadonlyMap<AvailabilityZone, number>;
+}
+
 /** A service that is a target of routes. */
 export interface RelayService {
   readonly name: ServiceName;
@@ -76,11 +116,13 @@
   readonly maxConnections: number;
   /** Absent for plain services. */
   readonly engine?: EngineCapabilities;
+  /** Absent where the number of servers is fixed. */
+  readonly scaling?: ServerScaling;
 }
 
 /** Limits for callers. */
 export interface CallerLimits {
-  /** Not enforced: the listener applies its own limit to heads. */
+  /** The listener accepts heads of up to twice as many bytes. */
   readonly maxHeaderBytes: number;
   /** Bytes. */
   readonly maxBodyBytes: number;
@@ -94,6 +136,8 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly RelayService[];
+  /** If present, callers need a key of one of them, except on public routes. */
+  readonly customers?: readonly RelayCustomer[];
   readonly limits: CallerLimits;
 }
 
@@ -101,6 +145,8 @@
 export interface RequestMetadata {
   /** Id of the caller's attempt; absent when it sent none. */
   readonly id?: RequestId;
+  /** Secret by which the caller identifies itself, if it sent one. */
+  readonly credential?: string;
   /** Timeout of the caller. */
   readonly callerTimeout?: number;
   readonly promptTokens: number;
@@ -135,6 +181,11 @@
   readonly promptExport?: PromptExport;
   /** Id of the event after which the stream resumes. */
   readonly resumeAfter?: string;
+  /**
+   * Present if the route table has customers: the caller's credential is removed,
+   * and the server gets the name of the customer, if known.
+   */
+  readonly caller?: { readonly customer?: CustomerId };
 }
 
 /** Load that a server reports in the headers of a response. */
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -12,8 +12,11 @@
   Registry,
 } from "prom-client";
 import type {
+  CallerConnections,
   CustomerId,
   ErrorKind,
+  MemoryBudget,
+  Region,
   Revision,
   ServiceName,
 } from "rhubarbstage";
@@ -99,6 +102,8 @@
   readonly registry = new Registry();
   readonly #services = new LabelLimiter(maxLabelValues);
   readonly #customers = new BoundedCounter(maxCountedCustomers);
+  readonly #customerRefusals = new BoundedCounter(maxCountedCustomers);
+  readonly #lateCustomers = new BoundedCounter(maxCountedCustomers);
   readonly #requests: Counter<"service" | "result">;
   readonly #errors: Counter<"kind">;
   readonly #refusals: Counter<"service" | "kind">;
@@ -117,6 +122,10 @@
   readonly #controlCpu: Counter;
   readonly #controlBytes: Counter<"direction">;
   readonly #timelineDropped: Gauge;
+  readonly #dutiesTaken: Counter<"duty">;
+  readonly #dutyCalls: Counter<"duty" | "result">;
+  readonly #leaseAge: Gauge<"duty">;
+  readonly #serversNeeded: Gauge<"service" | "region">;
   #reportedTraffic: ControlTrafficTotals = {
     sentBytes: 0,
     receivedBytes: 0,
@@ -206,7 +215,27 @@
       "timeline_dropped_events",
       "Timeline events dropped because the disk was too slow",
     );
-    this.#addCustomerGauge();
+    this.#dutiesTaken = this.#counter(
+      "duties_taken_total",
+      "Times that this host has taken a duty",
+      ["duty"],
+    );
+    this.#dutyCalls = this.#counter(
+      "duty_calls_total",
+      "Calls to the platform by duty and result",
+      ["duty", "result"],
+    );
+    this.#leaseAge = this.#gauge(
+      "duty_lease_age_seconds",
+      "Age of the last proof that this host holds a duty; absent if it does not",
+      ["duty"],
+    );
+    this.#serversNeeded = this.#gauge(
+      "servers_needed",
+      "Servers that the load of a region needs, on the host that orders them",
+      ["service", "region"],
+    );
+    this.#addCustomerGauges();
     collectDefaultMetrics({ register: this.registry });
   }
 
@@ -231,6 +260,19 @@
     if (request.customer !== undefined) this.#customers.add(request.customer);
   }
 
+  /** Counts a relayed request of an identified customer. */
+  countCustomerRequest(request: {
+    readonly customer: CustomerId;
+    readonly isRefused: boolean;
+    /** Whether its answer began after its target. */
+    readonly isLate: boolean;
+  }): void {
+    const { customer, isRefused, isLate } = request;
+    this.#customers.add(customer);
+    if (isRefused) this.#customerRefusals.add(customer);
+    if (isLate) this.#lateCustomers.add(customer);
+  }
+
   /** Counts a request that was refused before it ran. */
   countRefusal(service: ServiceName, kind: ErrorKind): void {
     this.#refusals.inc({ service: this.#services.limit(service), kind });
@@ -313,16 +355,102 @@
     this.#timelineDropped.set(events);
   }
 
-  #addCustomerGauge(): void {
-    const customers = this.#customers;
+  /** Counts that this host has taken a duty. */
+  countDutyTaken(duty: string): void {
+    this.#dutiesTaken.inc({ duty });
+  }
+
+  /** Counts a call to the platform. */
+  countDutyCall(duty: string, result: string): void {
+    this.#dutyCalls.inc({ duty, result });
+  }
+
+  /** Sets the age of a lease in milliseconds; undefined if there is none. */
+  setLeaseAge(duty: string, age: number | undefined): void {
+    if (age === undefined) this.#leaseAge.remove({ duty });
+    else this.#leaseAge.set({ duty }, age / 1_000);
+  }
+
+  /** Sets the servers that the load of each region needs. */
+  setServersNeeded(
+    service: ServiceName,
+    needs: ReadonlyMap<Region, number>,
+  ): void {
+    const label = this.#services.limit(service);
+    for (const [region, servers] of needs) {
+      this.#serversNeeded.set({ service: label, region }, servers);
+    }
+  }
+
+  /** Removes the needed servers, when another host orders them. */
+  clearServersNeeded(): void {
+    this.#serversNeeded.reset();
+  }
+
+  /** Adds gauges of the memory and connections that callers take. */
+  addMemory(sources: {
+    readonly budget: MemoryBudget;
+    readonly connections: CallerConnections;
+  }): void {
+    const { budget, connections } = sources;
+    this.#addSampled(
+      "memory_budget_used_bytes",
+      "Memory held for callers and servers",
+      () => budget.usedBytes,
+    );
+    this.#addSampled(
+      "memory_budget_limit_bytes",
+      "Memory that may be held for callers and servers",
+      () => budget.limitBytes,
+    );
+    this.#addSampled(
+      "memory_refusals",
+      "Times that memory was refused since the start",
+      () => budget.refusals,
+    );
+    this.#addSampled(
+      "memory_evictions",
+      "Requests and answers that gave way to others since the start",
+      () => budget.evictions,
+    );
+    this.#addSampled(
+      "caller_connections",
+      "Open connections of callers",
+      () => connections.open,
+    );
+    this.#addSampled(
+      "caller_connections_closed",
+      "Connections that gave way to others since the start",
+      () => connections.closed,
+    );
+  }
+
+  #addSampled(name: string, help: string, sample: () => number): void {
+    new Gauge({
+      name: `rhubarbstage_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(sample());
+      },
+    });
+  }
+
+  #addCustomerGauges(): void {
+    this.#addTopCustomers("requests", "Requests", this.#customers);
+    this.#addTopCustomers("refusals", "Refusals", this.#customerRefusals);
+    this.#addTopCustomers("late", "Late answers", this.#lateCustomers);
+  }
+
+  #addTopCustomers(name: string, title: string, counts: BoundedCounter): void {
     new Gauge({
-      name: "rhubarbstage_top_customer_requests",
-      help: `Requests of the ${topCustomerCount} customers with most requests`,
+      name: `rhubarbstage_top_customer_${name}`,
+      help: `${title} of the ${topCustomerCount} customers with most of them`,
       labelNames: ["customer"],
       registers: [this.registry],
       collect() {
         this.reset();
-        for (const [customer, count] of customers.top(topCustomerCount)) {
+        for (const [customer, count] of counts.top(topCustomerCount)) {
           this.set({ customer }, count);
         }
       },
