Treat a service without any request as idle after 30 s

The holder waited for a first request before it ordered anything, so that a fleet that is not used yet was kept whole: the system test of scaling failed. 135 tests of duties and both system tests of duties pass.

--- a/packages/rhubarbstage-duties/src/scale_planner.ts
+++ b/packages/rhubarbstage-duties/src/scale_planner.ts
@@ -34,6 +34,8 @@
  * whole cycle of bursts that repeat every 14 s.
  */
 const loweringObservationTime = 16_000;
+/** Time without requests after which a service counts as idle, in ms. */
+const idleObservationTime = 30_000;
 /** Maximum age of the observed servers for a number to be lowered, in ms. */
 const maxStateAge = 5_000;
 /**
@@ -67,6 +69,9 @@
 export class ScalePlanner {
   readonly #orders = new OrderMemory();
   readonly #regions = new Map<Region, RegionState>();
+  /** Monotonic time of the first report of hosts, in milliseconds. */
+  #reportedSince: number | undefined;
+  /** Monotonic time since which the load is known, in milliseconds. */
   #observedSince: number | undefined;
 
   /**
@@ -75,8 +80,12 @@
    */
   plan(observation: ScaleObservation): ScaleDecision[] {
     const { now, loads } = observation;
+    if (loads.length > 0) this.#reportedSince ??= now;
+    const isIdle = now - (this.#reportedSince ?? now) >= idleObservationTime;
     // Before the first requests nothing is known of the load.
-    if (loads.some(({ arrivals }) => arrivals > 0)) this.#observedSince ??= now;
+    if (isIdle || loads.some(({ arrivals }) => arrivals > 0)) {
+      this.#observedSince ??= now;
+    }
     const plans = buildRegionPlans(observation, this.#orders);
     const prefillShare = prefillShareOf(plans);
     for (const plan of plans) this.#observe(plan, observation, prefillShare);
