--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -512,6 +512,7 @@
     shareEngineState: true,
     // An engine that gets an order refuses the work that it has queued.
     rolesFollowDemand: false,
+    customersCompete: settings.customersCompete ?? false,
     shareComputeTime: settings.duties?.duties.includes("scaling") ?? false,
     kvFixedCost,
     kvCostPerToken,
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -65,6 +65,8 @@
   readonly orderHandoverDelay: number;
   /** Absent where the platform takes no calls. */
   readonly duties?: DutySettings;
+  /** Whether customers compete for the slots of engines; defaults to false. */
+  readonly customersCompete?: boolean;
   readonly logLevel: LogLevel;
   /** Memory that the process may use, in bytes; unlimited if absent. */
   readonly memoryBytes?: number;
--- a/packages/rhubarbstage-policy/src/constants.ts
+++ b/packages/rhubarbstage-policy/src/constants.ts
@@ -39,6 +39,7 @@
   kvCostPerToken: 0.01,
   kvCrossRegionFactor: 10,
   kvBreakEven: 1.5,
+  customersCompete: true,
   shareComputeTime: false,
   rolesFollowDemand: true,
   roleFloor: 1,
--- a/packages/rhubarbstage-policy/src/fleet_policy.ts
+++ b/packages/rhubarbstage-policy/src/fleet_policy.ts
@@ -53,6 +53,7 @@
   dequeue,
   dispatchPool,
   enqueue,
+  isCompeting,
   waitingCount,
 } from "./scheduling.ts";
 import { decideSharedRoles } from "./engine_roles.ts";
@@ -293,7 +294,7 @@
   }
   const hasQueue = !view.hasFreeSlot || view.costAhead > 0;
   if (hasQueue) record.uncorrectedWait = uncorrectedWait(view);
-  const infeasible = state.isPlacementRemote || work.budgetScope !== undefined
+  const infeasible = state.isPlacementRemote || isCompeting(state, work)
     ? undefined
     : findInfeasibleRequest(state, record, now);
   if (infeasible !== undefined) {
--- a/packages/rhubarbstage-policy/src/fleet_settings.ts
+++ b/packages/rhubarbstage-policy/src/fleet_settings.ts
@@ -70,6 +70,11 @@
   readonly kvCrossRegionFactor: number;
   /** Minimum saved prefill time for a move, as a multiple of its cost. */
   readonly kvBreakEven: number;
+  /**
+   * Whether requests of identified customers compete for the slots of a region's
+   * engines; otherwise they are placed in order of arrival.
+   */
+  readonly customersCompete: boolean;
   /**
    * Whether placing hosts state for how long a prompt token occupies an engine, so
    * that each host can measure the engine time of its demand.
--- a/packages/rhubarbstage-policy/src/scheduling.ts
+++ b/packages/rhubarbstage-policy/src/scheduling.ts
@@ -255,10 +255,10 @@
 
 /** Whether another host chooses the engines of a request. */
 function isPlacedRemotely(state: FleetState, record: RequestRecord): boolean {
-  const { model, budgetScope } = record.work;
+  const { model } = record.work;
   // Where customers compete, the placing host's own requests join the queue.
-  const isCompeting = budgetScope !== undefined;
-  return (state.isPlacementRemote || isCompeting) &&
+  const joinsQueue = isCompeting(state, record.work);
+  return (state.isPlacementRemote || joinsQueue) &&
     state.settings.shareEngineState && model !== undefined &&
     !record.isPlacedLocally;
 }
@@ -295,7 +295,7 @@
       ],
       suspect: state.quarantine.isSuspect(work.fingerprint, now),
       ...answerOriginOf(record),
-      ...(work.budgetScope === undefined ? {} : {
+      ...(!isCompeting(state, work) ? {} : {
         customer: work.customer,
         share: work.settings.share,
         kind: work.kind,
@@ -306,13 +306,18 @@
   };
 }
 
+/** Whether a request competes with those of other customers for engines. */
+export function isCompeting(state: FleetState, work: Work): boolean {
+  return state.settings.customersCompete && work.budgetScope !== undefined;
+}
+
 /** Ends the query of a request that has ended before its answer. */
 export function cancelQuery(
   state: FleetState,
   request: RequestId,
 ): PolicyEffect[] {
   const record = state.placing.get(request);
-  if (record?.work.budgetScope === undefined) return [];
+  if (record === undefined || !isCompeting(state, record.work)) return [];
   state.placing.delete(request);
   return [{ type: "cancel_placement", request }];
 }
