--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -512,9 +512,10 @@
     // Engines batch continuously, so a long request blocks no others.
     longCostFactor: 1e6,
     shareEngineState: true,
-    routeByRemainingWork: settings.routeByRemainingWork ?? "automatic",
+    routeByRemainingWork: settings.routeByRemainingWork ?? false,
     // An engine that gets an order refuses the work that it has queued.
     rolesFollowDemand: false,
+    customersCompete: settings.customersCompete ?? false,
     shareComputeTime: settings.duties?.duties.includes("scaling") ?? false,
     kvFixedCost,
     kvCostPerToken,
