Bound the engine time of prompts by a low quantile

No prompt takes less than its engine time, so the low quantile of the time per token of long prompts bounds the slope.

--- a/packages/rhubarbstage-policy/__tests__/unit/compute_time_test.ts
+++ b/packages/rhubarbstage-policy/__tests__/unit/compute_time_test.ts
@@ -30,6 +30,23 @@
   expect(regression.timePerToken).toBeLessThan(timePerToken * 1.4);
 });
 
+// Guards against fleets that grow because hosts, not engines, are slow: delays of
+// busy hosts and wrong estimates of cached parts make the slope several times too
+// steep.
+test("a low quantile bounds a slope of busy hosts", () => {
+  const regression = new ComputeTimeRegression();
+  const random = new SeededRandom(4);
+  for (let index = 0; index < 400; index += 1) {
+    const tokens = lengths[random.integer(lengths.length)]!;
+    const isBusy = random.next() < 0.5;
+    const delay = isBusy ? tokens * timePerToken * 5 : 10;
+    regression.add(tokens, tokens * timePerToken + delay);
+  }
+  expect(regression.timePerToken).toBeGreaterThan(timePerToken * 2);
+  expect(regression.engineTimePerToken).toBeGreaterThan(timePerToken);
+  expect(regression.engineTimePerToken).toBeLessThan(timePerToken * 2);
+});
+
 // Guards against a slope that is only noise.
 test("nothing is known from few prompts or from prompts of one length", () => {
   const few = new ComputeTimeRegression();
--- a/packages/rhubarbstage-policy/src/engine_speed.ts
+++ b/packages/rhubarbstage-policy/src/engine_speed.ts
@@ -64,7 +64,7 @@
 
   /** Milliseconds for one token, measured here or by the placing host. */
   get computeTimePerToken(): number | undefined {
-    return this.#computeTime.timePerToken ?? this.#adoptedComputeTime;
+    return this.#computeTime.engineTimePerToken ?? this.#adoptedComputeTime;
   }
 
   /** Adopts the time per token that the placing host has measured. */
