Read nothing more of a refused body instead of buffering its chunks

Callers saw: an entry host that ran out of memory and ended while clients sent bodies of one-byte chunks to a path without a route; their own requests failed with it.

Cause: after the bounded part of a refused body, and when the reading of a body failed, the request was paused. Node.js stops reading a paused request only at 16,384 buffered bytes, and each chunk of one byte is a buffer with a backing store of its own.

Change: stopReading() stops the connection and keeps the stream from asking for more; what the read under way still holds is dropped. The gateway drops a bounded part of such bodies too, where it read them without end. Ruled out: destroying the connection at once, which would reset it before the client has its refusal.

The stand-in request of the unit test has a socket with a pause() now; its checks are unchanged.

--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -17,6 +17,7 @@
 import type { FastifyInstance, FastifyReply, FastifyRequest } from "fastify";
 import {
   delay,
+  dropRequestBody,
   MemoryBudget,
   readArrivedBytes,
   readRequestBody,
@@ -228,6 +229,9 @@
       const lease = budget.open();
       try {
         return await readRequestBody(payload, { limit: bodyLimit, lease });
+      } catch (thrown) {
+        dropRequestBody(payload);
+        throw thrown;
       } finally {
         lease.close();
       }
--- a/packages/rhubarbstage/__tests__/unit/request_body_test.ts
+++ b/packages/rhubarbstage/__tests__/unit/request_body_test.ts
@@ -8,7 +8,7 @@
 function makeIncoming(headers: Record<string, string>): PassThrough {
   return Object.assign(new PassThrough(), {
     headers,
-    socket: new EventEmitter(),
+    socket: Object.assign(new EventEmitter(), { pause: () => {} }),
   });
 }
 
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -52,7 +52,11 @@
 export type { MemoryBudgetOptions, MemoryLease } from "./memory_budget.ts";
 export { budgetForMemory, MemoryBudget } from "./memory_budget.ts";
 export type { Refusal, RequestBodyOptions } from "./request_body.ts";
-export { readRequestBody, refuseRequest } from "./request_body.ts";
+export {
+  dropRequestBody,
+  readRequestBody,
+  refuseRequest,
+} from "./request_body.ts";
 export type { CallerConnectionsOptions } from "./caller_connections.ts";
 export {
   CallerConnections,
--- a/packages/rhubarbstage/src/request_body.ts
+++ b/packages/rhubarbstage/src/request_body.ts
@@ -8,6 +8,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { RhubarbstageError } from "./errors.ts";
 import type { MemoryLease } from "./memory_budget.ts";
+import { startReading, stopReading } from "./read_control.ts";
 
 /** Cost of a chunk that is kept as it came, beside its bytes. */
 const chunkCostBytes = 256;
@@ -191,7 +192,7 @@
   #fail(error: unknown): void {
     if (this.#isDone) return;
     this.#finish();
-    this.#incoming.pause();
+    stopReading(this.#incoming);
     const { signal } = this.#options;
     this.#reject(signal?.aborted ? signal.reason : error);
   }
@@ -233,25 +234,43 @@
   }
   response.writeHead(status, headers);
   response.write(body);
+  dropRequestBody(incoming, {
+    onDone: () => {
+      if (!response.writableEnded) response.end();
+    },
+  });
+}
+
+/**
+ * Reads and drops a bounded part of the rest of a body, and calls `onDone`. Closes
+ * the connection, after its answer was written, unless the body has ended.
+ */
+export function dropRequestBody(
+  incoming: IncomingMessage,
+  options: {
+    readonly onDone?: () => void;
+  } = {},
+): void {
+  const { onDone } = options;
   let dropped = 0;
   const finish = () => {
     clearTimeout(timer);
     incoming.off("data", onData);
     incoming.off("end", finish);
-    response.off("close", finish);
-    if (!response.writableEnded) response.end();
+    incoming.off("close", finish);
+    onDone?.();
     if (!incoming.complete) incoming.socket.destroySoon();
   };
   const onData = (chunk: Buffer) => {
     dropped += chunk.length + chunkCostBytes;
-    if (dropped > maxDroppedBytes) incoming.pause();
+    if (dropped > maxDroppedBytes) stopReading(incoming);
   };
   const timer = setTimeout(finish, refusalTimeout);
   incoming.on("error", () => {});
   incoming.on("data", onData);
   incoming.once("end", finish);
-  response.once("close", finish);
-  incoming.resume();
+  incoming.once("close", finish);
+  startReading(incoming);
 }
 
 function tooLarge(limit: number): RhubarbstageError {
