Share the event loop among bodies that arrive in small chunks

Callers saw: no answer from an entry host for many seconds, although the process lived, while some clients sent bodies in chunks of one byte. Heartbeats and health checks waited as long.

Node.js calls back for each chunk (1.2 us, most of it native: the copy of the chunk and its backing store) and reads up to 64 KB of a connection once or twice a turn of the event loop: 21,504 callbacks for each connection. 20 such clients made a turn last 440 ms in a plain HTTP server; an ordinary request needs several turns.

Change: ReadScheduler counts the chunks of a turn. Beyond 1,024 it stops reading bodies and connections without a request so far; then one body, or 16 of these connections, the latest first, are read in a turn. Bodies that were deferred are not held to the least rate. `chunks-per-turn` sets the limit; `rhubarbstage_reads_waiting` and `..._reads_deferred` show it.

Ruled out: closing clients by the ratio of framing to payload (small chunks are allowed, and whoever comes back costs a first read each time); a stream between connection and parser (a cost for every request).

--- a/packages/rhubarbstage-gateway/src/gateway.ts
+++ b/packages/rhubarbstage-gateway/src/gateway.ts
@@ -21,6 +21,7 @@
   MemoryBudget,
   readArrivedBytes,
   readRequestBody,
+  ReadScheduler,
   type RequestId,
   RhubarbstageError,
 } from "rhubarbstage";
@@ -222,15 +223,20 @@
   // The access control reserves memory for the body before it is read, so the
   // budget has no limit of its own.
   const budget = new MemoryBudget();
+  const scheduler = new ReadScheduler();
   server.removeAllContentTypeParsers();
   server.addContentTypeParser(
     "*",
     async (_request: FastifyRequest, payload: IncomingMessage) => {
       const lease = budget.open();
       try {
-        return await readRequestBody(payload, { limit: bodyLimit, lease });
+        return await readRequestBody(payload, {
+          limit: bodyLimit,
+          lease,
+          scheduler,
+        });
       } catch (thrown) {
-        dropRequestBody(payload);
+        dropRequestBody(payload, { scheduler });
         throw thrown;
       } finally {
         lease.close();
--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -14,6 +14,7 @@
   type HostId,
   type Incarnation,
   MemoryBudget,
+  ReadScheduler,
   SystemClock,
 } from "rhubarbstage";
 import { DocumentClient } from "@rhubarbstage/control";
@@ -130,6 +131,11 @@
     return this.#components.budget;
   }
 
+  /** Shares the event loop among bodies that arrive. */
+  get scheduler(): ReadScheduler {
+    return this.#components.scheduler;
+  }
+
   /** Records an event of the process that runs the host. */
   recordEvent(
     event: string,
@@ -243,15 +249,22 @@
       ? {}
       : { limitBytes: budgetForMemory(memoryBytes) },
   );
-  const callerConnections = new CallerConnections(
-    maxDescriptors === undefined
-      ? {}
-      : { maxConnections: connectionsForDescriptors(maxDescriptors) },
+  const { chunksPerTurn } = settings;
+  const scheduler = new ReadScheduler(
+    chunksPerTurn === undefined ? {} : { chunksPerTurn },
   );
+  const callerConnections = new CallerConnections({
+    scheduler,
+    ...(maxDescriptors === undefined
+      ? {}
+      : { maxConnections: connectionsForDescriptors(maxDescriptors) }),
+  });
   const metrics = new Metrics();
   metrics.addMemory({ budget, connections: callerConnections });
+  metrics.addReads(scheduler);
   return {
     budget,
+    scheduler,
     callerConnections,
     settings,
     options,
@@ -369,6 +382,7 @@
     onRequestEnded: (work, error) => load.recordEnded(work, error),
     retryRatio: settings.retryBudget.ratio * retryBudgetShare,
     budget: context.budget,
+    scheduler: context.scheduler,
     onLoad: (server, load) =>
       registry.updateLoad(server, {
         runningRequests: load.running,
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -77,4 +77,6 @@
   readonly memoryBytes?: number;
   /** Descriptors that the process may open; unlimited if absent. */
   readonly maxDescriptors?: number;
+  /** Chunks of bodies in one turn of the event loop before reads are deferred. */
+  readonly chunksPerTurn?: number;
 }
--- a/packages/rhubarbstage-host/src/relay_parts.ts
+++ b/packages/rhubarbstage-host/src/relay_parts.ts
@@ -22,6 +22,7 @@
   Clock,
   Incarnation,
   MemoryBudget,
+  ReadScheduler,
 } from "rhubarbstage";
 import type { BackendRegistry } from "./backend_registry.ts";
 import type { ForwardingService } from "./forwarding_service.ts";
@@ -56,6 +57,7 @@
   readonly incarnation: Incarnation;
   /** Memory of everything that is held for callers and servers. */
   readonly budget: MemoryBudget;
+  readonly scheduler: ReadScheduler;
   readonly callerConnections: CallerConnections;
 }
 
--- a/packages/rhubarbstage-relay/src/relay.ts
+++ b/packages/rhubarbstage-relay/src/relay.ts
@@ -26,6 +26,7 @@
   type MemoryLease,
   type ModelName,
   readRequestBody,
+  ReadScheduler,
   refuseRequest,
   type RequestId,
   RhubarbstageError,
@@ -89,6 +90,8 @@
   readonly onRequestEnded?: (work: Work, error?: RhubarbstageError) => void;
   /** Memory for bodies and answers; unlimited by default. */
   readonly budget?: MemoryBudget;
+  /** Shares the event loop among bodies that arrive; one of its own by default. */
+  readonly scheduler?: ReadScheduler;
   readonly clock?: Clock;
 }
 
@@ -111,6 +114,7 @@
   readonly #options: RelayOptions;
   readonly #clock: Clock;
   readonly #budget: MemoryBudget;
+  readonly #scheduler: ReadScheduler;
   readonly #requests = new OpenRequestTracker();
   /** Distinguishes request ids of this process from those of an earlier one. */
   readonly #idPrefix = Date.now().toString(36);
@@ -121,6 +125,7 @@
     this.#options = options;
     this.#clock = options.clock ?? new SystemClock();
     this.#budget = options.budget ?? new MemoryBudget();
+    this.#scheduler = options.scheduler ?? new ReadScheduler();
   }
 
   /** The current route table, if one was set. */
@@ -211,6 +216,7 @@
       signal,
       lease,
       timeout,
+      scheduler: this.#scheduler,
     });
     const origin = await findingOrigin;
     const service = this.#selectService(index, {
@@ -540,7 +546,12 @@
       );
     }
     if (status === 401) headers["www-authenticate"] = "Bearer";
-    refuseRequest(incoming, response, { status, headers, body });
+    refuseRequest(incoming, response, {
+      status,
+      headers,
+      body,
+      scheduler: this.#scheduler,
+    });
   }
 
   #nextRequestId(): RequestId {
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -16,6 +16,7 @@
   CustomerId,
   ErrorKind,
   MemoryBudget,
+  ReadScheduler,
   Region,
   Revision,
   ServiceName,
@@ -425,6 +426,20 @@
     );
   }
 
+  /** Adds gauges of the reads that were deferred for others. */
+  addReads(scheduler: ReadScheduler): void {
+    this.#addSampled(
+      "reads_waiting",
+      "Bodies and new connections that wait for being read",
+      () => scheduler.waiting,
+    );
+    this.#addSampled(
+      "reads_deferred",
+      "Reads of bodies with many chunks that were deferred since the start",
+      () => scheduler.deferrals,
+    );
+  }
+
   #addSampled(name: string, help: string, sample: () => number): void {
     new Gauge({
       name: `rhubarbstage_${name}`,
--- a/packages/rhubarbstage/src/caller_connections.ts
+++ b/packages/rhubarbstage/src/caller_connections.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
+import { ReadScheduler } from "./read_scheduler.ts";
 
 /** Descriptors reserved for files, listeners, and links between hosts. */
 const reservedDescriptors = 200;
@@ -37,6 +38,8 @@
 export interface CallerConnectionsOptions {
   /** Open connections at the same time; unlimited by default. */
   readonly maxConnections?: number;
+  /** Reads new connections in turn; a scheduler of its own by default. */
+  readonly scheduler?: ReadScheduler;
 }
 
 /** Requests of one connection. */
@@ -57,6 +60,8 @@
  * that has been arriving for longest.
  */
 export class CallerConnections {
+  /** Shares the event loop among the connections. */
+  readonly scheduler: ReadScheduler;
   readonly #maxConnections: number;
   /** Connections without a request and since when, longest first. */
   readonly #idle = new Map<Socket, number>();
@@ -64,8 +69,9 @@
   readonly #running = new Map<Socket, ConnectionRequests>();
   #closed = 0;
 
-  constructor({ maxConnections = Infinity }: CallerConnectionsOptions = {}) {
-    this.#maxConnections = maxConnections;
+  constructor(options: CallerConnectionsOptions = {}) {
+    this.#maxConnections = options.maxConnections ?? Infinity;
+    this.scheduler = options.scheduler ?? new ReadScheduler();
   }
 
   get open(): number {
@@ -89,6 +95,7 @@
         this.#running.delete(victim);
       }
       this.#idle.set(socket, performance.now());
+      this.scheduler.trackConnection(socket);
       socket.once("close", () => {
         this.#idle.delete(socket);
         this.#running.delete(socket);
@@ -102,6 +109,7 @@
    */
   run(incoming: IncomingMessage, serve: () => Promise<void>): void {
     const { socket } = incoming;
+    this.scheduler.recordRequest(incoming);
     const requests = this.#running.get(socket) ??
       { incoming, startedAt: 0, running: 0, waiting: [] };
     this.#idle.delete(socket);
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -57,6 +57,8 @@
   readRequestBody,
   refuseRequest,
 } from "./request_body.ts";
+export type { ReadSchedulerOptions } from "./read_scheduler.ts";
+export { ReadScheduler } from "./read_scheduler.ts";
 export type { CallerConnectionsOptions } from "./caller_connections.ts";
 export {
   CallerConnections,
--- a/packages/rhubarbstage/src/request_body.ts
+++ b/packages/rhubarbstage/src/request_body.ts
@@ -9,6 +9,7 @@
 import { RhubarbstageError } from "./errors.ts";
 import type { MemoryLease } from "./memory_budget.ts";
 import { startReading, stopReading } from "./read_control.ts";
+import type { ReadScheduler } from "./read_scheduler.ts";
 
 /** Cost of a chunk that is kept as it came, beside its bytes. */
 const chunkCostBytes = 256;
@@ -34,6 +35,9 @@
 /** Time for a client to read its refusal before the connection closes, in ms. */
 const refusalTimeout = 1_000;
 
+/** First chunks of a body, which no scheduler counts. */
+const uncountedChunks = 64;
+
 const noBytes = Buffer.alloc(0);
 
 /** Options of {@linkcode readRequestBody}. */
@@ -46,6 +50,8 @@
   readonly lease: MemoryLease;
   /** Time after which the body is of no more use, in milliseconds. */
   readonly timeout?: number;
+  /** Defers reads of bodies with many small chunks; none by default. */
+  readonly scheduler?: ReadScheduler;
 }
 
 /** Whether a request announces a body. */
@@ -85,6 +91,8 @@
   #open: Buffer = noBytes;
   #openBytes = 0;
   #size = 0;
+  #chunks = 0;
+  #wasDeferred = false;
   #timer: NodeJS.Timeout | undefined;
   #isDone = false;
   #resolve!: (body: Buffer) => void;
@@ -117,7 +125,12 @@
   }
 
   readonly #onData = (chunk: Buffer): void => {
-    const { limit, lease } = this.#options;
+    const { limit, lease, scheduler } = this.#options;
+    this.#chunks += 1;
+    if (this.#chunks > uncountedChunks) {
+      const isDeferred = scheduler?.countChunk(this.#incoming) === true;
+      this.#wasDeferred ||= isDeferred;
+    }
     this.#size += chunk.length;
     if (this.#size > limit) return this.#fail(tooLarge(limit));
     const isFirst = this.#size === chunk.length;
@@ -154,6 +167,7 @@
 
   readonly #onEnd = (): void => {
     const { lease } = this.#options;
+    startReading(this.#incoming);
     this.#closeSegment();
     const segments = this.#segments;
     if (segments.length <= 1) {
@@ -179,7 +193,9 @@
     const least = minBytesPerSecond * age / 1_000;
     if (age > timeout) {
       this.#fail(new RhubarbstageError("deadline_exceeded"));
-    } else if (age > rateGracePeriod && this.#size < least) {
+    } else if (
+      age > rateGracePeriod && this.#size < least && !this.#wasDeferred
+    ) {
       this.#fail(
         new RhubarbstageError("request_timeout", {
           message: `${this.#size} bytes of the body arrived in ` +
@@ -204,6 +220,7 @@
     this.#segments = [];
     this.#open = noBytes;
     const incoming = this.#incoming;
+    this.#options.scheduler?.remove(incoming);
     incoming.off("data", this.#onData);
     incoming.off("end", this.#onEnd);
     incoming.off("close", this.#onClose);
@@ -216,6 +233,8 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string | number>>;
   readonly body: string;
+  /** Defers reads of the rest of the body; none by default. */
+  readonly scheduler?: ReadScheduler;
 }
 
 /**
@@ -226,7 +245,7 @@
 export function refuseRequest(
   incoming: IncomingMessage,
   response: ServerResponse,
-  { status, headers, body }: Refusal,
+  { status, headers, body, scheduler }: Refusal,
 ): void {
   if (incoming.complete || !announcesBody(incoming)) {
     response.writeHead(status, headers).end(body);
@@ -235,6 +254,7 @@
   response.writeHead(status, headers);
   response.write(body);
   dropRequestBody(incoming, {
+    ...(scheduler === undefined ? {} : { scheduler }),
     onDone: () => {
       if (!response.writableEnded) response.end();
     },
@@ -248,13 +268,15 @@
 export function dropRequestBody(
   incoming: IncomingMessage,
   options: {
+    readonly scheduler?: ReadScheduler;
     readonly onDone?: () => void;
   } = {},
 ): void {
-  const { onDone } = options;
+  const { scheduler, onDone } = options;
   let dropped = 0;
   const finish = () => {
     clearTimeout(timer);
+    scheduler?.remove(incoming);
     incoming.off("data", onData);
     incoming.off("end", finish);
     incoming.off("close", finish);
@@ -262,15 +284,19 @@
     if (!incoming.complete) incoming.socket.destroySoon();
   };
   const onData = (chunk: Buffer) => {
+    scheduler?.countChunk(incoming);
     dropped += chunk.length + chunkCostBytes;
-    if (dropped > maxDroppedBytes) stopReading(incoming);
+    if (dropped <= maxDroppedBytes) return;
+    scheduler?.remove(incoming);
+    stopReading(incoming);
   };
   const timer = setTimeout(finish, refusalTimeout);
   incoming.on("error", () => {});
   incoming.on("data", onData);
   incoming.once("end", finish);
   incoming.once("close", finish);
-  startReading(incoming);
+  if (scheduler === undefined) startReading(incoming);
+  else scheduler.resume(incoming);
 }
 
 function tooLarge(limit: number): RhubarbstageError {
