Run the tests of crowds one at a time, after all others

The tests of crowds bound the memory of a process. They ran beside up to three other test files, though such tests are to run apart from other load. Jest now runs twice: all other files, then these two in one process. A run without any test fails, as before.

--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -1,5 +1,6 @@
 /**
- * Runs Jest and compares its failures with KNOWN-RED.txt. Every test runs; the
+ * Runs Jest and compares its failures with KNOWN-RED.txt. Tests of crowds of
+ * clients run one at a time, after all others. Every test runs; the
  * script exits with 0 only if each failing test is listed there. Listed tests are
  * printed with their result. A line of KNOWN-RED.txt that names a test starts
  * with `test: ` followed by the file below the root, ` > ` and the full name.
@@ -14,6 +15,22 @@
 /** Time after which a run is stopped and fails, in milliseconds. */
 const jestTimeLimit = 20 * 60_000;
 
+/** Tests that must not run beside others. */
+const soloTests = "platform/__tests__/(memory_bounds|chunk_crowds)_test\\.ts$";
+
+/** Returns the arguments of Jest for each of its runs. */
+function listRuns() {
+  const given = process.argv.slice(2);
+  if (given.length > 0) return [given];
+  return [
+    [
+      "--testPathIgnorePatterns=/node_modules/",
+      `--testPathIgnorePatterns=${soloTests}`,
+    ],
+    ["--runInBand", `--testPathPatterns=${soloTests}`],
+  ];
+}
+
 function readKnownRed() {
   if (!existsSync(knownRedFile)) return new Set();
   const lines = readFileSync(knownRedFile, "utf8").split("\n");
@@ -23,17 +40,34 @@
   );
 }
 
-function runJest(resultFile) {
-  return spawnSync(
+/** Runs Jest and returns its report; exits if there is none. */
+function runJest(args) {
+  const folder = mkdtempSync(join(tmpdir(), "rhubarbstage-tests-"));
+  const resultFile = join(folder, "result.json");
+  const { status, signal } = spawnSync(
     process.execPath,
     [
       "node_modules/jest/bin/jest.js",
       "--json",
       `--outputFile=${resultFile}`,
-      ...process.argv.slice(2),
+      ...args,
     ],
     { stdio: ["ignore", "ignore", "inherit"], timeout: jestTimeLimit },
   );
+  if (!existsSync(resultFile)) {
+    console.error(
+      `Jest wrote no result file (exit code ${status}, signal ${signal}; ` +
+        `time limit ${jestTimeLimit} ms)`,
+    );
+    process.exit(status || 1);
+  }
+  const report = JSON.parse(readFileSync(resultFile, "utf8"));
+  rmSync(folder, { recursive: true });
+  if (report.numTotalTests === 0) {
+    console.error(`Jest found no test with the arguments ${args.join(" ")}`);
+    process.exit(1);
+  }
+  return report;
 }
 
 function collectTests(report) {
@@ -55,22 +89,8 @@
   });
 }
 
-const folder = mkdtempSync(join(tmpdir(), "rhubarbstage-tests-"));
-const resultFile = join(folder, "result.json");
-const child = runJest(resultFile);
-if (!existsSync(resultFile)) {
-  const { status, signal } = child;
-  console.error(
-    `Jest wrote no result file (exit code ${status}, signal ${signal}; ` +
-      `time limit ${jestTimeLimit} ms)`,
-  );
-  process.exit(child.status || 1);
-}
-const report = JSON.parse(readFileSync(resultFile, "utf8"));
-rmSync(folder, { recursive: true });
-
 const knownRed = readKnownRed();
-const tests = collectTests(report);
+const tests = listRuns().flatMap((args) => collectTests(runJest(args)));
 const failed = tests.filter((test) => test.status === "failed");
 const unexpected = failed.filter((test) => !knownRed.has(test.name));
 for (const test of tests.filter((test) => knownRed.has(test.name))) {
