Let pipelined requests wait for their turn before they are handled

Callers saw: an entry host that ran out of memory, or gave no answer for 25 s, while clients sent thousands of requests at once without waiting for an answer, and came back as soon as their connection was closed.

Cause: Node.js parses all requests of a read, 2,340 small ones in 64 KB, and hands each to the HTTP framework at once. The limit of 64 running requests held only after that, for objects that were made already; and it did not hold at all for requests that are refused within the read, each of which is written to the connection by itself (profile: 11.3 of 38 s in writes, 4.9 s in errors).

Change: CallerConnections takes requests before the framework does. One that arrives in the same read as an earlier one of its connection, or while that runs, counts as 64 chunks and its headers with the ReadScheduler; beyond the limit of the turn it waits, and its connection is held back. The rest of a refused body is not read while other reads wait. Responses that wait behind others of a closed connection are closed, so that their requests end, too. A client that waits for each answer never meets any of this.

The stand-in of the scheduler's unit test has an isPaused() now.

--- a/packages/rhubarbstage-relay/src/relay_listener.ts
+++ b/packages/rhubarbstage-relay/src/relay_listener.ts
@@ -69,10 +69,7 @@
     this.#server.all(catchAllPath, (request, reply) => {
       reply.hijack();
       request.raw.url = request.originalUrl;
-      connections.run(
-        request.raw,
-        () => relay.handle(request.raw, reply.raw),
-      );
+      void relay.handle(request.raw, reply.raw);
     });
   }
 
--- a/packages/rhubarbstage/__tests__/integration/deferred_bodies_test.ts
+++ b/packages/rhubarbstage/__tests__/integration/deferred_bodies_test.ts
@@ -17,13 +17,10 @@
 
 beforeAll(async () => {
   server = createServer((incoming, response) => {
-    connections.run(incoming, async () => {
-      const lease = budget.open();
-      const limit = 1_000_000;
-      const body = await readRequestBody(incoming, { limit, lease, scheduler });
-      lease.close();
-      response.end(body);
-    });
+    const lease = budget.open();
+    const limit = 1_000_000;
+    void readRequestBody(incoming, { limit, lease, scheduler })
+      .then((body) => response.end(body));
   });
   connections.attach(server);
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
--- a/packages/rhubarbstage/__tests__/unit/read_scheduler_test.ts
+++ b/packages/rhubarbstage/__tests__/unit/read_scheduler_test.ts
@@ -13,7 +13,7 @@
 class FakeSocket extends EventEmitter {
   readonly #name: string;
   readonly #reads: string[];
-  isPaused = false;
+  isStopped = false;
 
   constructor(name: string, reads: string[]) {
     super();
@@ -21,12 +21,16 @@
     this.#reads = reads;
   }
 
+  isPaused(): boolean {
+    return this.isStopped;
+  }
+
   pause(): void {
-    this.isPaused = true;
+    this.isStopped = true;
   }
 
   resume(): void {
-    this.isPaused = false;
+    this.isStopped = false;
     this.#reads.push(this.#name);
   }
 }
@@ -64,7 +68,7 @@
     expect(sendChunks(scheduler, incoming, chunksPerTurn)).toBe(false);
     await nextTurn();
   }
-  expect(socket.isPaused).toBe(false);
+  expect(socket.isStopped).toBe(false);
   expect(scheduler.deferrals).toBe(0);
 });
 
@@ -74,7 +78,7 @@
   const reads: string[] = [];
   const bodies = ["a", "b", "c"].map((name) => makeBody(name, reads));
   for (const { incoming } of bodies) sendChunks(scheduler, incoming, 11);
-  expect(bodies.map(({ socket }) => socket.isPaused))
+  expect(bodies.map(({ socket }) => socket.isStopped))
     .toEqual([true, true, true]);
   const sums: number[] = [];
   for (let turn = 0; turn < 3; turn += 1) {
@@ -97,7 +101,7 @@
   const late = new FakeSocket("late", reads);
   scheduler.trackConnection(late as unknown as Socket);
   await new Promise((resolve) => process.nextTick(resolve));
-  expect([early.isPaused, late.isPaused]).toEqual([true, true]);
+  expect([early.isStopped, late.isStopped]).toEqual([true, true]);
   await nextTurn();
   await nextTurn();
   expect(reads).toEqual(["late", "early", "body"]);
@@ -109,7 +113,7 @@
   scheduler.trackConnection(known.socket as unknown as Socket);
   scheduler.recordRequest(known.incoming);
   sendChunks(scheduler, makeBody("other", []).incoming, 11);
-  expect(known.socket.isPaused).toBe(false);
+  expect(known.socket.isStopped).toBe(false);
 });
 
 test("a body that has ended is not read again", async () => {
--- a/packages/rhubarbstage/src/caller_connections.ts
+++ b/packages/rhubarbstage/src/caller_connections.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { IncomingMessage, Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { ReadScheduler } from "./read_scheduler.ts";
 
@@ -42,16 +42,20 @@
   readonly scheduler?: ReadScheduler;
 }
 
-/** Requests of one connection. */
+/** A request and the function that serves it. */
+interface ReceivedRequest {
+  readonly incoming: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly serve: () => void;
+}
+
+/** Requests of one connection whose responses are open. */
 interface ConnectionRequests {
   /** The latest request that was started. */
   incoming: IncomingMessage;
   startedAt: number;
-  running: number;
-  readonly waiting: {
-    readonly incoming: IncomingMessage;
-    readonly serve: () => Promise<void>;
-  }[];
+  readonly running: Set<ServerResponse>;
+  readonly waiting: ReceivedRequest[];
 }
 
 /**
@@ -67,6 +71,8 @@
   readonly #idle = new Map<Socket, number>();
   /** Requests of the other connections. */
   readonly #running = new Map<Socket, ConnectionRequests>();
+  /** Bytes that connections had read when they began their last request. */
+  readonly #readBytes = new WeakMap<Socket, number>();
   #closed = 0;
 
   constructor(options: CallerConnectionsOptions = {}) {
@@ -83,7 +89,7 @@
     return this.#closed;
   }
 
-  /** Tracks the connections of a server. */
+  /** Tracks the connections and the requests of a server. */
   attach(server: Server): void {
     server.on("connection", (socket: Socket) => {
       if (this.open >= this.#maxConnections) {
@@ -96,51 +102,94 @@
       }
       this.#idle.set(socket, performance.now());
       this.scheduler.trackConnection(socket);
-      socket.once("close", () => {
-        this.#idle.delete(socket);
-        this.#running.delete(socket);
-      });
+      socket.once("close", () => this.#forget(socket));
+    });
+    const handlers = server.listeners("request");
+    server.removeAllListeners("request");
+    server.on("request", (incoming, response) => {
+      const serve = () => {
+        for (const handler of handlers) {
+          Reflect.apply(handler, server, [incoming, response]);
+        }
+      };
+      this.#receive({ incoming, response, serve });
     });
   }
 
-  /**
-   * Serves a request, or lets it wait for earlier ones of its connection.
-   * `serve` must not reject.
-   */
-  run(incoming: IncomingMessage, serve: () => Promise<void>): void {
+  /** Serves a request, or lets it wait for earlier ones of its connection. */
+  #receive(request: ReceivedRequest): void {
+    const { incoming } = request;
     const { socket } = incoming;
-    this.scheduler.recordRequest(incoming);
+    // The parser goes on to the end of what was read.
+    if (socket.destroyed) return;
     const requests = this.#running.get(socket) ??
-      { incoming, startedAt: 0, running: 0, waiting: [] };
+      { incoming, startedAt: 0, running: new Set(), waiting: [] };
+    const isPipelined = requests.running.size > 0 ||
+      this.#readBytes.get(socket) === socket.bytesRead;
+    this.#readBytes.set(socket, socket.bytesRead);
     this.#idle.delete(socket);
     this.#running.set(socket, requests);
-    if (requests.running < maxRunningRequests) {
-      this.#start(requests, incoming, serve);
-    } else if (requests.waiting.length < maxWaitingRequests) {
-      requests.waiting.push({ incoming, serve });
-    } else socket.destroy();
+    if (!isPipelined) {
+      this.scheduler.recordRequest(incoming);
+      return this.#start(requests, request);
+    }
+    if (requests.waiting.length >= maxWaitingRequests) {
+      socket.destroy();
+      return;
+    }
+    requests.waiting.push(request);
+    this.#serveWaiting(socket, requests);
   }
 
-  #start(
-    requests: ConnectionRequests,
-    incoming: IncomingMessage,
-    serve: () => Promise<void>,
-  ): void {
+  #serveWaiting(socket: Socket, requests: ConnectionRequests): void {
+    const { running, waiting } = requests;
+    while (running.size < maxRunningRequests) {
+      const [next] = waiting;
+      if (next === undefined || socket.destroyed) return;
+      if (this.scheduler.isOverrun) {
+        this.scheduler.deferRequests(
+          socket,
+          () => this.#serveWaiting(socket, requests),
+        );
+        return;
+      }
+      waiting.shift();
+      this.scheduler.countPipelined(next.incoming);
+      this.#start(requests, next);
+    }
+  }
+
+  #start(requests: ConnectionRequests, request: ReceivedRequest): void {
+    const { incoming, response, serve } = request;
     requests.incoming = incoming;
     requests.startedAt = performance.now();
-    requests.running += 1;
-    void serve().then(() => this.#end(requests));
+    requests.running.add(response);
+    response.once("close", () => this.#end(requests, response));
+    serve();
   }
 
-  #end(requests: ConnectionRequests): void {
-    requests.running -= 1;
+  #end(requests: ConnectionRequests, response: ServerResponse): void {
+    const { running, waiting } = requests;
     const { socket } = requests.incoming;
+    running.delete(response);
     if (socket.destroyed) return;
-    const next = requests.waiting.shift();
-    if (next !== undefined) this.#start(requests, next.incoming, next.serve);
-    if (requests.running > 0) return;
+    this.#serveWaiting(socket, requests);
+    if (running.size > 0 || waiting.length > 0) return;
     this.#running.delete(socket);
     this.#idle.set(socket, performance.now());
+    this.scheduler.endPipelining(socket);
+  }
+
+  #forget(socket: Socket): void {
+    const { running } = this.#running.get(socket) ?? {};
+    this.#idle.delete(socket);
+    this.#running.delete(socket);
+    for (const response of running ?? []) {
+      // Node.js does not close responses that wait for earlier ones.
+      if (response.socket !== null || response.writableFinished) continue;
+      response.destroy();
+      response.emit("close");
+    }
   }
 
   #selectVictim(): Socket | undefined {
--- a/packages/rhubarbstage/src/read_scheduler.ts
+++ b/packages/rhubarbstage/src/read_scheduler.ts
@@ -20,6 +20,8 @@
 const deferredReadShare = 0.5;
 /** Longest pause between two deferred reads, in milliseconds. */
 const maxReadPause = 250;
+/** What a pipelined request counts beside its headers, in chunks. */
+const pipelinedRequestCost = 64;
 /** New connections that are read in one turn while some are held back. */
 const connectionsPerTurn = 16;
 
@@ -32,16 +34,17 @@
 
 /**
  * Defers reads once the bodies of a turn of the event loop had many chunks. In each
- * later turn one body is read, or some of the new connections that were held back,
- * the latest first: its caller is the likeliest to be waiting still.
+ * later turn one body is read, or some of the connections that were held back: by
+ * turns the latest, whose callers are the likeliest to be waiting still, and the
+ * oldest, so that clients who come back at once starve none.
  */
 export class ReadScheduler {
   readonly #chunksPerTurn: number;
   readonly #clock: Clock;
-  /** Requests whose bodies are not read, in the order of their turns. */
-  readonly #bodies = new Set<IncomingMessage>();
-  /** Connections without a request so far, oldest first. */
-  readonly #newConnections = new Set<Socket>();
+  /** What waits for its turn, in order: bodies, and pipelined requests. */
+  readonly #turns = new Map<IncomingMessage | Socket, () => void>();
+  /** Connections that are new or have pipelined requests, oldest first. */
+  readonly #deferrable = new Set<Socket>();
   /** Those of them that are not read. */
   readonly #heldBack = new Set<Socket>();
   #isTurnOpen = false;
@@ -49,6 +52,7 @@
   #turnStartedAt = 0;
   #chunks = 0;
   #areConnectionsNext = true;
+  #areLatestNext = true;
   #deferrals = 0;
 
   constructor(options: ReadSchedulerOptions = {}) {
@@ -56,9 +60,14 @@
     this.#clock = options.clock ?? new SystemClock();
   }
 
-  /** Bodies and new connections that wait for being read. */
+  /** Bodies and connections that wait for their turn. */
   get waiting(): number {
-    return this.#bodies.size + this.#heldBack.size;
+    return this.#turns.size + this.#heldBack.size;
+  }
+
+  /** Whether this turn has had more chunks than it may. */
+  get isOverrun(): boolean {
+    return this.#chunks > this.#chunksPerTurn;
   }
 
   /** Times that a read was deferred. */
@@ -68,9 +77,9 @@
 
   /** Tracks a new connection until its first request. */
   trackConnection(socket: Socket): void {
-    this.#newConnections.add(socket);
+    this.#deferrable.add(socket);
     socket.once("close", () => this.#untrackConnection(socket));
-    if (this.#isBusy) this.#holdBack(socket);
+    if (this.isBusy) this.#holdBack(socket);
   }
 
   /** Ends the tracking of a connection that has sent a request. */
@@ -78,41 +87,63 @@
     this.#untrackConnection(socket);
   }
 
+  /** Counts a request that arrived together with an earlier one. */
+  countPipelined({ socket, rawHeaders }: IncomingMessage): void {
+    this.#deferrable.add(socket);
+    this.#count(pipelinedRequestCost + rawHeaders.length / 2);
+  }
+
+  /** Records that all requests of a connection are answered. */
+  endPipelining(socket: Socket): void {
+    this.#untrackConnection(socket);
+  }
+
+  /** Calls `serve` for the pipelined requests of a connection in its turn. */
+  deferRequests(socket: Socket, serve: () => void): void {
+    this.#openTurn();
+    this.#turns.set(socket, serve);
+  }
+
   /**
    * Counts a chunk of a body, and defers its next read if the turn had many;
    * returns whether it did.
    */
   countChunk(incoming: IncomingMessage): boolean {
-    this.#openTurn();
-    this.#chunks += 1;
-    if (this.#chunks <= this.#chunksPerTurn) return false;
-    if (this.#chunks === this.#chunksPerTurn + 1) {
-      for (const socket of this.#newConnections) this.#holdBack(socket);
-    }
+    if (!this.#count(1)) return false;
     this.#defer(incoming);
     return true;
   }
 
-  /** Reads a body on, at once or when its turn has come. */
-  resume(incoming: IncomingMessage): void {
-    if (!this.#isBusy) return startReading(incoming);
-    stopReading(incoming);
-    this.#defer(incoming);
+  /** Counts a chunk of a body that is not read on. */
+  countDroppedChunk(): void {
+    this.#count(1);
   }
 
   /** Ends the deferral of a body without reading its connection. */
   remove(incoming: IncomingMessage): void {
-    this.#bodies.delete(incoming);
+    this.#turns.delete(incoming);
   }
 
-  get #isBusy(): boolean {
-    return this.waiting > 0 || this.#chunks > this.#chunksPerTurn;
+  /** Whether reads wait, or this turn has had too many chunks. */
+  get isBusy(): boolean {
+    return this.waiting > 0 || this.#isReadScheduled || this.isOverrun;
+  }
+
+  /** Counts chunks of this turn; returns whether there were too many. */
+  #count(chunks: number): boolean {
+    this.#openTurn();
+    const wasOverrun = this.isOverrun;
+    this.#chunks += chunks;
+    if (this.isOverrun && !wasOverrun) {
+      for (const socket of this.#deferrable) this.#holdBack(socket);
+    }
+    return this.isOverrun;
   }
 
   #defer(incoming: IncomingMessage): void {
-    if (this.#bodies.has(incoming)) return;
+    if (this.#turns.has(incoming)) return;
     this.#openTurn();
-    this.#bodies.add(incoming);
+    this.#turns.set(incoming, () => startReading(incoming));
     this.#deferrals += 1;
     stopReading(incoming);
   }
@@ -128,7 +159,8 @@
   }
 
   #untrackConnection(socket: Socket): void {
-    this.#newConnections.delete(socket);
+    this.#deferrable.delete(socket);
+    this.#turns.delete(socket);
     if (this.#heldBack.delete(socket)) socket.resume();
   }
 
@@ -141,12 +173,17 @@
   }
 
   #closeTurn(): void {
-    const hasOverrun = this.#chunks > this.#chunksPerTurn;
+    const hasOverrun = this.isOverrun;
     const elapsed = this.#clock.monotonicMilliseconds() - this.#turnStartedAt;
     this.#isTurnOpen = false;
     this.#chunks = 0;
-    if (this.waiting === 0 || this.#isReadScheduled) return;
-    const pause = hasOverrun && this.waiting > 1
+    for (const socket of this.#heldBack) {
+      // The end of each request resumes its connection.
+      if (!socket.isPaused()) socket.pause();
+    }
+    if (this.#isReadScheduled) return;
+    // A single body is read on at once.
+    const pause = hasOverrun && this.waiting !== 1
       ? Math.min(maxReadPause, elapsed * (1 / deferredReadShare - 1))
       : 0;
     if (pause < 1) return this.#readNext();
@@ -159,19 +196,20 @@
     if (this.waiting === 0) return;
     this.#openTurn();
     const readsConnections = this.#heldBack.size > 0 &&
-      (this.#areConnectionsNext || this.#bodies.size === 0);
+      (this.#areConnectionsNext || this.#turns.size === 0);
     this.#areConnectionsNext = !readsConnections;
     if (readsConnections) return this.#readConnections();
-    for (const incoming of this.#bodies) {
-      this.#bodies.delete(incoming);
-      if (incoming.destroyed) continue;
-      return startReading(incoming);
+    for (const [waiting, takeTurn] of this.#turns) {
+      this.#turns.delete(waiting);
+      if (!waiting.destroyed) return takeTurn();
     }
   }
 
   #readConnections(): void {
-    const latest = [...this.#heldBack].reverse().slice(0, connectionsPerTurn);
-    for (const socket of latest) {
+    const sockets = [...this.#heldBack];
+    if (this.#areLatestNext) sockets.reverse();
+    this.#areLatestNext = !this.#areLatestNext;
+    for (const socket of sockets.slice(0, connectionsPerTurn)) {
       this.#heldBack.delete(socket);
       socket.resume();
     }
--- a/packages/rhubarbstage/src/request_body.ts
+++ b/packages/rhubarbstage/src/request_body.ts
@@ -233,7 +233,7 @@
   readonly status: number;
   readonly headers: Readonly<Record<string, string | number>>;
   readonly body: string;
-  /** Defers reads of the rest of the body; none by default. */
+  /** While it is busy, the rest of the body is not read; none by default. */
   readonly scheduler?: ReadScheduler;
 }
 
@@ -248,6 +248,7 @@
   { status, headers, body, scheduler }: Refusal,
 ): void {
   if (incoming.complete || !announcesBody(incoming)) {
+    startReading(incoming);
     response.writeHead(status, headers).end(body);
     return;
   }
@@ -262,8 +263,9 @@
 }
 
 /**
- * Reads and drops a bounded part of the rest of a body, and calls `onDone`. Closes
- * the connection, after its answer was written, unless the body has ended.
+ * Reads and drops a bounded part of the rest of a body, as long as no other reads
+ * wait, and calls `onDone`. Closes the connection, after its answer was written,
+ * unless the body has ended.
  */
 export function dropRequestBody(
   incoming: IncomingMessage,
@@ -276,27 +278,25 @@
   let dropped = 0;
   const finish = () => {
     clearTimeout(timer);
-    scheduler?.remove(incoming);
     incoming.off("data", onData);
     incoming.off("end", finish);
     incoming.off("close", finish);
     onDone?.();
-    if (!incoming.complete) incoming.socket.destroySoon();
+    if (incoming.complete) startReading(incoming);
+    else incoming.socket.destroySoon();
   };
   const onData = (chunk: Buffer) => {
-    scheduler?.countChunk(incoming);
     dropped += chunk.length + chunkCostBytes;
-    if (dropped <= maxDroppedBytes) return;
-    scheduler?.remove(incoming);
-    stopReading(incoming);
+    scheduler?.countDroppedChunk();
+    if (dropped > maxDroppedBytes || scheduler?.isBusy) stopReading(incoming);
   };
   const timer = setTimeout(finish, refusalTimeout);
   incoming.on("error", () => {});
   incoming.on("data", onData);
   incoming.once("end", finish);
   incoming.once("close", finish);
-  if (scheduler === undefined) startReading(incoming);
-  else scheduler.resume(incoming);
+  if (scheduler?.isBusy) stopReading(incoming);
+  else startReading(incoming);
 }
 
 function tooLarge(limit: number): RhubarbstageError {
--- a/scripts/run_tests.mjs
+++ b/scripts/run_tests.mjs
@@ -16,7 +16,7 @@
 const jestTimeLimit = 20 * 60_000;
 
 /** Tests that must not run beside others. */
-const soloTests = "platform/__tests__/(memory_bounds|chunk_crowds)_test\\.ts$";
+const soloTests = "platform/__tests__/(memory_bounds|\\w+_crowds)_test\\.ts$";
 
 /** Returns the arguments of Jest for each of its runs. */
 function listRuns() {
