Close the waiting responses of a connection that gave way to another

A connection that was closed for the limit of connections was forgotten before its "close" event, so that responses which waited behind its first one were not closed, and their requests went on for a client that had gone. Found by reading the change.

A test shows that requests one after the other on a kept connection never count as pipelined and defer nothing. Comments say what the scheduler counts now.

--- a/packages/rhubarbstage/__tests__/integration/deferred_bodies_test.ts
+++ b/packages/rhubarbstage/__tests__/integration/deferred_bodies_test.ts
@@ -1,6 +1,6 @@
 /** Bodies over connections of Node.js whose reads are deferred. */
 
-import { createServer, type Server } from "node:http";
+import { Agent, createServer, request, type Server } from "node:http";
 import { type AddressInfo, connect } from "node:net";
 import {
   CallerConnections,
@@ -68,3 +68,30 @@
   expect(scheduler.deferrals).toBeGreaterThan(connectionCount);
   expect(scheduler.waiting).toBe(0);
 });
+
+function send(agent: Agent, body: string): Promise<string> {
+  const { port } = server.address() as AddressInfo;
+  return new Promise((resolve, reject) => {
+    const sent = request({ port, agent, method: "POST" }, async (response) => {
+      let answer = "";
+      for await (const chunk of response) answer += String(chunk);
+      resolve(answer);
+    });
+    sent.on("error", reject);
+    sent.end(body);
+  });
+}
+
+// Guards against a client that is held back though it waits for each answer.
+test("requests one after the other on a connection never wait", async () => {
+  const { deferrals } = scheduler;
+  const countPipelined = jest.spyOn(scheduler, "countPipelined");
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+  for (let sent = 0; sent < 20; sent += 1) {
+    expect(await send(agent, `body ${sent}`)).toBe(`body ${sent}`);
+  }
+  agent.destroy();
+  expect(countPipelined).not.toHaveBeenCalled();
+  expect(scheduler.deferrals).toBe(deferrals);
+  expect(scheduler.waiting).toBe(0);
+});
--- a/packages/rhubarbstage/src/caller_connections.ts
+++ b/packages/rhubarbstage/src/caller_connections.ts
@@ -97,8 +97,7 @@
         const victim = this.#selectVictim();
         (victim ?? socket).destroy();
         if (victim === undefined) return;
-        this.#idle.delete(victim);
-        this.#running.delete(victim);
+        this.#forget(victim);
       }
       this.#idle.set(socket, performance.now());
       this.scheduler.trackConnection(socket);
--- a/packages/rhubarbstage/src/read_scheduler.ts
+++ b/packages/rhubarbstage/src/read_scheduler.ts
@@ -1,9 +1,10 @@
 /**
- * Shares the event loop among connections whose bodies arrive in small chunks.
+ * Shares the event loop among connections that send many chunks or requests.
  *
  * Node.js reads up to 65,536 bytes of a connection at once and calls back for each
- * chunk in them, 10,000 times if the chunks have one byte. A few such connections
- * that are read in the same turn would hold the event loop for seconds.
+ * chunk and each request in them, 10,000 times if the chunks have one byte. A few
+ * such connections that are read in the same turn would hold the event loop for
+ * seconds.
  *
  * @module
  */
@@ -22,7 +23,7 @@
 const maxReadPause = 250;
 /** What a pipelined request counts beside its headers, in chunks. */
 const pipelinedRequestCost = 64;
-/** New connections that are read in one turn while some are held back. */
+/** Connections that are read in one turn while some are held back. */
 const connectionsPerTurn = 16;
 
 /** Options of a {@linkcode ReadScheduler}. */
@@ -33,8 +34,8 @@
 }
 
 /**
- * Defers reads once the bodies of a turn of the event loop had many chunks. In each
- * later turn one body is read, or some of the connections that were held back: by
+ * Defers reads once a turn of the event loop had many chunks, as which pipelined
+ * requests count too. In each later turn one body is read, or some of the connections that were held back: by
  * turns the latest, whose callers are the likeliest to be waiting still, and the
  * oldest, so that clients who come back at once starve none.
  */
@@ -114,7 +115,7 @@
     return true;
   }
 
-  /** Counts a chunk of a body that is not read on. */
+  /** Counts a chunk of a body that is dropped, and defers nothing. */
   countDroppedChunk(): void {
     this.#count(1);
   }
