Drop bodies that are sent to the readiness check and the metrics

Callers saw: readiness checks without an answer for seconds while clients sent bodies of small chunks to that address; a load balancer takes such a host out.

Cause: nobody read these bodies, and nothing counted their chunks: with no limit on what follows the answer, each chunk cost a callback.

Change: the listener reads a bounded part, as for other refused bodies, and its connections take turns.

--- a/packages/rhubarbstage-host/src/plain_listener.ts
+++ b/packages/rhubarbstage-host/src/plain_listener.ts
@@ -5,7 +5,11 @@
  */
 
 import { createServer, type Server } from "node:http";
-import { CallerConnections } from "rhubarbstage";
+import {
+  announcesBody,
+  CallerConnections,
+  dropRequestBody,
+} from "rhubarbstage";
 
 /** Connections at the same time: a few readers, and a reserve. */
 const maxConnections = 64;
@@ -20,11 +24,14 @@
     | { status: number; body: string }
     | Promise<{ status: number; body: string }>,
 ): Promise<{ close(): Promise<void> }> {
-  const server: Server = createServer(async (_request, response) => {
+  const connections = new CallerConnections({ maxConnections });
+  const { scheduler } = connections;
+  const server: Server = createServer(async (request, response) => {
+    if (announcesBody(request)) dropRequestBody(request, { scheduler });
     const { status, body } = await answer();
     response.writeHead(status, { "content-type": "text/plain" }).end(body);
   });
-  new CallerConnections({ maxConnections }).attach(server);
+  connections.attach(server);
   await new Promise<void>((resolve, reject) => {
     server.once("error", reject);
     server.listen(endpoint.port, endpoint.address, resolve);
--- a/packages/rhubarbstage/src/mod.ts
+++ b/packages/rhubarbstage/src/mod.ts
@@ -53,6 +53,7 @@
 export { budgetForMemory, MemoryBudget } from "./memory_budget.ts";
 export type { Refusal, RequestBodyOptions } from "./request_body.ts";
 export {
+  announcesBody,
   dropRequestBody,
   readRequestBody,
   refuseRequest,
