Bound the heads that waiting pipelined requests keep

Callers saw: nothing yet; found before the landing.

Cause: requests that wait for their turn keep their heads, up to 64 on each connection, and nothing counted them over all connections.

Change: all waiting requests together keep 65,536 names and values of headers; one that would exceed them closes its connection, which pipelines. A client that waits for its answers never has a waiting request.

--- a/packages/rhubarbstage/src/caller_connections.ts
+++ b/packages/rhubarbstage/src/caller_connections.ts
@@ -25,6 +25,11 @@
 const maxRunningRequests = 64;
 /** Further requests that may wait on one connection; more close it. */
 const maxWaitingRequests = 64;
+/**
+ * Names and values of headers that the waiting requests of all connections keep
+ * together; a request that would exceed them closes its connection.
+ */
+const maxWaitingHeaders = 65_536;
 /** Time for which a connection counts as ordinary without progress, in ms. */
 const ordinaryTime = 1_000;
 
@@ -73,6 +78,7 @@
   readonly #running = new Map<Socket, ConnectionRequests>();
   /** Bytes that connections had read when they began their last request. */
   readonly #readBytes = new WeakMap<Socket, number>();
+  #waitingHeaders = 0;
   #closed = 0;
 
   constructor(options: CallerConnectionsOptions = {}) {
@@ -132,10 +138,15 @@
       this.scheduler.recordRequest(incoming);
       return this.#start(requests, request);
     }
-    if (requests.waiting.length >= maxWaitingRequests) {
+    const headers = this.#waitingHeaders + incoming.rawHeaders.length;
+    if (
+      requests.waiting.length >= maxWaitingRequests ||
+      headers > maxWaitingHeaders
+    ) {
       socket.destroy();
       return;
     }
+    this.#waitingHeaders = headers;
     requests.waiting.push(request);
     this.#serveWaiting(socket, requests);
   }
@@ -153,6 +164,7 @@
         return;
       }
       waiting.shift();
+      this.#waitingHeaders -= next.incoming.rawHeaders.length;
       this.scheduler.countPipelined(next.incoming);
       this.#start(requests, next);
     }
@@ -180,10 +192,15 @@
   }
 
   #forget(socket: Socket): void {
-    const { running } = this.#running.get(socket) ?? {};
+    const requests = this.#running.get(socket);
     this.#idle.delete(socket);
     this.#running.delete(socket);
-    for (const response of running ?? []) {
+    if (requests === undefined) return;
+    for (const { incoming } of requests.waiting) {
+      this.#waitingHeaders -= incoming.rawHeaders.length;
+    }
+    requests.waiting.length = 0;
+    for (const response of requests.running) {
       // Node.js does not close responses that wait for earlier ones.
       if (response.socket !== null || response.writableFinished) continue;
       response.destroy();
