Read one held-back connection a turn, in a fixed order

Callers saw: beside a crowd, a try of an ordinary request could wait 5 s.

Cause: 16 held-back connections were resumed at once. Which of them is read first is up to the kernel; the first of a crowd overran the turn, and the caller's own connection was held back again with the others.

Change: one connection is resumed in a turn, the latest and the oldest by turns.

--- a/packages/rhubarbstage/src/read_scheduler.ts
+++ b/packages/rhubarbstage/src/read_scheduler.ts
@@ -23,8 +23,6 @@
 const maxReadPause = 250;
 /** What a pipelined request counts beside its headers, in chunks. */
 const pipelinedRequestCost = 64;
-/** Connections that are read in one turn while some are held back. */
-const connectionsPerTurn = 16;
 
 /** Options of a {@linkcode ReadScheduler}. */
 export interface ReadSchedulerOptions {
@@ -35,9 +33,10 @@
 
 /**
  * Defers reads once a turn of the event loop had many chunks, as which pipelined
- * requests count too. In each later turn one body is read, or some of the connections that were held back: by
- * turns the latest, whose callers are the likeliest to be waiting still, and the
- * oldest, so that clients who come back at once starve none.
+ * requests count too. In each later turn one body is read, or one of the
+ * connections that were held back: by turns the latest, whose caller is the
+ * likeliest to be waiting still, and the oldest, so that clients who come back at
+ * once starve none.
  */
 export class ReadScheduler {
   readonly #chunksPerTurn: number;
@@ -52,8 +51,8 @@
   #isReadScheduled = false;
   #turnStartedAt = 0;
   #chunks = 0;
-  #areConnectionsNext = true;
-  #areLatestNext = true;
+  #isConnectionNext = true;
+  #isLatestNext = true;
   #deferrals = 0;
 
   constructor(options: ReadSchedulerOptions = {}) {
@@ -196,23 +195,22 @@
     this.#isReadScheduled = false;
     if (this.waiting === 0) return;
     this.#openTurn();
-    const readsConnections = this.#heldBack.size > 0 &&
-      (this.#areConnectionsNext || this.#turns.size === 0);
-    this.#areConnectionsNext = !readsConnections;
-    if (readsConnections) return this.#readConnections();
+    const readsConnection = this.#heldBack.size > 0 &&
+      (this.#isConnectionNext || this.#turns.size === 0);
+    this.#isConnectionNext = !readsConnection;
+    if (readsConnection) return this.#readConnection();
     for (const [waiting, takeTurn] of this.#turns) {
       this.#turns.delete(waiting);
       if (!waiting.destroyed) return takeTurn();
     }
   }
 
-  #readConnections(): void {
+  #readConnection(): void {
     const sockets = [...this.#heldBack];
-    if (this.#areLatestNext) sockets.reverse();
-    this.#areLatestNext = !this.#areLatestNext;
-    for (const socket of sockets.slice(0, connectionsPerTurn)) {
-      this.#heldBack.delete(socket);
-      socket.resume();
-    }
+    const socket = this.#isLatestNext ? sockets.at(-1) : sockets[0];
+    this.#isLatestNext = !this.#isLatestNext;
+    if (socket === undefined) return;
+    this.#heldBack.delete(socket);
+    socket.resume();
   }
 }
