Let connections with waiting pipelined requests give way at the limit

At the limit of connections, clients that pipeline more than is served at once kept all others out: a new connection was closed instead of one of theirs.

Cause: a connection gave way only if it was idle or its latest request was still arriving.

--- a/packages/rhubarbstage/src/caller_connections.ts
+++ b/packages/rhubarbstage/src/caller_connections.ts
@@ -66,7 +66,7 @@
 /**
  * Connections of one server. At the limit, a new connection takes the place of the
  * one that has been of least use: without a request for longest, or with a body
- * that has been arriving for longest.
+ * that has been arriving, or pipelined requests that have waited, for longest.
  */
 export class CallerConnections {
   /** Shares the event loop among the connections. */
@@ -212,8 +212,10 @@
     const latest = performance.now() - ordinaryTime;
     const [idle] = this.#idle;
     if (idle !== undefined && idle[1] < latest) return idle[0];
-    for (const [socket, { incoming, startedAt }] of this.#running) {
-      if (startedAt < latest && !incoming.complete) return socket;
+    for (const [socket, requests] of this.#running) {
+      const { incoming, startedAt, waiting } = requests;
+      const isOrdinary = incoming.complete && waiting.length === 0;
+      if (startedAt < latest && !isOrdinary) return socket;
     }
     return idle?.[0];
   }
