Give the limit of waiting headers a setting and a metric

`max-waiting-headers` of the settings file sets it, 65,536 by default, and `rhubarbstage_pipelined_requests_waiting` and `rhubarbstage_pipelined_connections_closed` show it. A client that waits for its answers has no waiting request, whatever the setting.

--- a/packages/rhubarbstage-host/src/relay_host.ts
+++ b/packages/rhubarbstage-host/src/relay_host.ts
@@ -249,12 +249,13 @@
       ? {}
       : { limitBytes: budgetForMemory(memoryBytes) },
   );
-  const { chunksPerTurn } = settings;
+  const { chunksPerTurn, maxWaitingHeaders } = settings;
   const scheduler = new ReadScheduler(
     chunksPerTurn === undefined ? {} : { chunksPerTurn },
   );
   const callerConnections = new CallerConnections({
     scheduler,
+    ...(maxWaitingHeaders === undefined ? {} : { maxWaitingHeaders }),
     ...(maxDescriptors === undefined
       ? {}
       : { maxConnections: connectionsForDescriptors(maxDescriptors) }),
--- a/packages/rhubarbstage-host/src/relay_host_settings.ts
+++ b/packages/rhubarbstage-host/src/relay_host_settings.ts
@@ -79,4 +79,6 @@
   readonly maxDescriptors?: number;
   /** Chunks of bodies in one turn of the event loop before reads are deferred. */
   readonly chunksPerTurn?: number;
+  /** Header names and values that waiting pipelined requests keep together. */
+  readonly maxWaitingHeaders?: number;
 }
--- a/packages/rhubarbstage-telemetry/src/metrics.ts
+++ b/packages/rhubarbstage-telemetry/src/metrics.ts
@@ -424,6 +424,16 @@
       "Connections that gave way to others since the start",
       () => connections.closed,
     );
+    this.#addSampled(
+      "pipelined_requests_waiting",
+      "Pipelined requests that wait for earlier ones or for their turn",
+      () => connections.waiting,
+    );
+    this.#addSampled(
+      "pipelined_connections_closed",
+      "Connections closed for too many pipelined requests since the start",
+      () => connections.closedForPipelining,
+    );
   }
 
   /** Adds gauges of the reads that were deferred for others. */
--- a/packages/rhubarbstage/__tests__/integration/caller_connections_test.ts
+++ b/packages/rhubarbstage/__tests__/integration/caller_connections_test.ts
@@ -3,12 +3,13 @@
 import { createServer, type Server, type ServerResponse } from "node:http";
 import { type AddressInfo, connect, type Socket } from "node:net";
 import { setTimeout as wait } from "node:timers/promises";
-import { CallerConnections } from "../../src/mod.ts";
+import { CallerConnections, ReadScheduler } from "../../src/mod.ts";
 
 /** Time after which a connection without progress may give way, in ms. */
 const giveWayTime = 1_100;
 
 let server: Server;
+let connections: CallerConnections;
 const clients: Socket[] = [];
 
 afterEach(() => {
@@ -21,7 +22,13 @@
 async function start(): Promise<ServerResponse[]> {
   const responses: ServerResponse[] = [];
   server = createServer((_incoming, response) => responses.push(response));
-  new CallerConnections({ maxConnections: 1 }).attach(server);
+  connections = new CallerConnections({
+    maxConnections: 1,
+    maxWaitingHeaders: 8,
+    // Requests wait only for earlier ones, not for their turn.
+    scheduler: new ReadScheduler({ chunksPerTurn: Infinity }),
+  });
+  connections.attach(server);
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   return responses;
 }
@@ -58,3 +65,15 @@
   expect(first.destroyed).toBe(true);
   expect(responses.at(-1)?.socket?.remotePort).toBe(last.localPort);
 });
+
+// Guards against heads without number that are kept for their turn. Each request
+// has two header names and values.
+test("a connection with too many waiting headers is closed", async () => {
+  await start();
+  const kept = await send(whole.repeat(64 + 4));
+  expect([kept.destroyed, connections.waiting]).toEqual([false, 4]);
+  kept.destroy();
+  const closed = await send(whole.repeat(64 + 5));
+  expect([closed.destroyed, connections.waiting]).toEqual([true, 0]);
+  expect(connections.closedForPipelining).toBe(1);
+});
--- a/packages/rhubarbstage/src/caller_connections.ts
+++ b/packages/rhubarbstage/src/caller_connections.ts
@@ -25,11 +25,8 @@
 const maxRunningRequests = 64;
 /** Further requests that may wait on one connection; more close it. */
 const maxWaitingRequests = 64;
-/**
- * Names and values of headers that the waiting requests of all connections keep
- * together; a request that would exceed them closes its connection.
- */
-const maxWaitingHeaders = 65_536;
+/** Header names and values that all waiting requests keep together. */
+const defaultMaxWaitingHeaders = 65_536;
 /** Time for which a connection counts as ordinary without progress, in ms. */
 const ordinaryTime = 1_000;
 
@@ -43,6 +40,12 @@
 export interface CallerConnectionsOptions {
   /** Open connections at the same time; unlimited by default. */
   readonly maxConnections?: number;
+  /**
+   * Header names and values that the waiting requests of all connections keep
+   * together; a request that would exceed them closes its connection. 65,536 by
+   * default.
+   */
+  readonly maxWaitingHeaders?: number;
   /** Reads new connections in turn; a scheduler of its own by default. */
   readonly scheduler?: ReadScheduler;
 }
@@ -72,17 +75,22 @@
   /** Shares the event loop among the connections. */
   readonly scheduler: ReadScheduler;
   readonly #maxConnections: number;
+  readonly #maxWaitingHeaders: number;
   /** Connections without a request and since when, longest first. */
   readonly #idle = new Map<Socket, number>();
   /** Requests of the other connections. */
   readonly #running = new Map<Socket, ConnectionRequests>();
   /** Bytes that connections had read when they began their last request. */
   readonly #readBytes = new WeakMap<Socket, number>();
+  #waiting = 0;
   #waitingHeaders = 0;
   #closed = 0;
+  #closedForPipelining = 0;
 
   constructor(options: CallerConnectionsOptions = {}) {
     this.#maxConnections = options.maxConnections ?? Infinity;
+    this.#maxWaitingHeaders = options.maxWaitingHeaders ??
+      defaultMaxWaitingHeaders;
     this.scheduler = options.scheduler ?? new ReadScheduler();
   }
 
@@ -95,6 +103,16 @@
     return this.#closed;
   }
 
+  /** Pipelined requests that wait for earlier ones or for their turn. */
+  get waiting(): number {
+    return this.#waiting;
+  }
+
+  /** Connections that were closed for too many pipelined requests. */
+  get closedForPipelining(): number {
+    return this.#closedForPipelining;
+  }
+
   /** Tracks the connections and the requests of a server. */
   attach(server: Server): void {
     server.on("connection", (socket: Socket) => {
@@ -141,11 +159,13 @@
     const headers = this.#waitingHeaders + incoming.rawHeaders.length;
     if (
       requests.waiting.length >= maxWaitingRequests ||
-      headers > maxWaitingHeaders
+      headers > this.#maxWaitingHeaders
     ) {
+      this.#closedForPipelining += 1;
       socket.destroy();
       return;
     }
+    this.#waiting += 1;
     this.#waitingHeaders = headers;
     requests.waiting.push(request);
     this.#serveWaiting(socket, requests);
@@ -164,6 +184,7 @@
         return;
       }
       waiting.shift();
+      this.#waiting -= 1;
       this.#waitingHeaders -= next.incoming.rawHeaders.length;
       this.scheduler.countPipelined(next.incoming);
       this.#start(requests, next);
@@ -196,6 +217,7 @@
     this.#idle.delete(socket);
     this.#running.delete(socket);
     if (requests === undefined) return;
+    this.#waiting -= requests.waiting.length;
     for (const { incoming } of requests.waiting) {
       this.#waitingHeaders -= incoming.rawHeaders.length;
     }
