--- a/review/common-2/system.mjs
+++ b/review/common-2/system.mjs
@@ -302,14 +302,17 @@
 export async function run(folder, options, body) {
   const system = new System(folder, options);
   let code = 2;
-  const end = setTimeout(() => { system.record.line("out of time"); }, 115_000);
+  // Ends all processes when the script itself is ended.
+  process.once("SIGTERM", () => {
+    system.record.line("out of time");
+    void system.stop().then(() => process.exit(2));
+  });
   try {
     code = (await body(system)) ? 1 : 0;
     system.record.line(code === 1 ? "RULE BROKEN" : "the rule held");
   } catch (thrown) {
     system.record.line(`could not run: ${thrown.stack ?? thrown}`);
   } finally {
-    clearTimeout(end);
     if (process.env.KEEP_LOGS !== undefined) {
       for (const { name, lines } of system.hosts) writeFileSync(join(process.env.KEEP_LOGS, `${name}.txt`), lines.join("\n"));
     }
